--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Every target runs on a fresh machine with Go, make and a shell.
+MODULES := kernel api config plugins standin entry bench cmd scenarios
+TOOLS := $(CURDIR)/.tools/bin
+LINT_VERSION := v2.15.0
+LINT := $(TOOLS)/golangci-lint
+
+.PHONY: all test demo build tools lint model fmt fuzz test-long
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/fuchsiaroad ./cmd/fuchsiactl
+
+# The README's test command, less the tests that KNOWN-RED.txt names.
+test:
+	./.ci/test
+
+demo:
+	go run ./cmd/fuchsiactl demo
+
+tools: $(LINT)
+	@command -v spin >/dev/null || (apt-get update -q && apt-get install -y -q spin)
+
+$(LINT):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+lint: $(LINT)
+	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(LINT) run ./...) || exit 1; done
+
+model:
+	@./spec/check
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
--- /dev/null
+++ b/api/leafapi/leafapi.go
@@ -0,0 +1,85 @@
+// Package leafapi states the protocol between an entry and a leaf: HTTP/1.1
+// with the headers below. docs/LEAF-PROTOCOL.md is its page.
+package leafapi
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Paths of a leaf.
+const (
+	PathRun    = "/v1/run"    // POST: run one sub-request
+	PathHealth = "/v1/health" // GET: Health
+	PathLoad   = "/v1/load"   // GET: Load, a hint that may lag or mislead
+)
+
+// Request headers.
+const (
+	HeaderRequest    = "Fuchsiaroad-Request"     // the query's id, the same for all its attempts
+	HeaderAttempt    = "Fuchsiaroad-Attempt"     // unguessable id of this attempt; the reply repeats it
+	HeaderVersion    = "Fuchsiaroad-Version"     // request: version wanted, 0 for any; reply: version served
+	HeaderRange      = "Fuchsiaroad-Range"       // from-to, decimal, half open
+	HeaderDeadlineMS = "Fuchsiaroad-Deadline-Ms" // milliseconds left when the request was sent
+)
+
+// Reply headers.
+const (
+	HeaderRanges    = "Fuchsiaroad-Ranges"     // ranges covered by a reply, or held by a leaf that declines
+	HeaderVersions  = "Fuchsiaroad-Versions"   // index versions served now, comma-separated
+	HeaderDraining  = "Fuchsiaroad-Draining"   // "1": the leaf is leaving
+	HeaderNotRun    = "Fuchsiaroad-Not-Run"    // a Decline: the request provably did not run
+	HeaderChecksum  = "Fuchsiaroad-Checksum"   // xxhash64 of the body, 16 hex digits
+	HeaderServiceUS = "Fuchsiaroad-Service-Us" // microseconds the request held a slot
+)
+
+// Decline is the value of HeaderNotRun.
+type Decline string
+
+// The reasons for which a leaf declines.
+const (
+	DeclineOverloaded   Decline = "overloaded"
+	DeclineWrongVersion Decline = "wrong_version"
+	DeclineWrongRange   Decline = "wrong_range"
+	DeclineDraining     Decline = "draining"
+	DeclineDeadline     Decline = "deadline"
+)
+
+// Health is the answer of PathHealth. It may lag or mislead.
+type Health struct {
+	ID       string   `json:"id"`
+	Ready    bool     `json:"ready"`
+	Draining bool     `json:"draining"`
+	Versions []uint64 `json:"versions"`
+}
+
+// Load is the answer of PathLoad. It may lag or mislead.
+type Load struct {
+	InFlight int `json:"in_flight"`
+	Queued   int `json:"queued"`
+}
+
+// FormatVersions writes a HeaderVersions value.
+func FormatVersions(vs []uint64) string {
+	parts := make([]string, len(vs))
+	for i, v := range vs {
+		parts[i] = strconv.FormatUint(v, 10)
+	}
+	return strings.Join(parts, ",")
+}
+
+// ParseVersions reads a HeaderVersions value. Anything malformed is an error.
+func ParseVersions(s string) ([]uint64, error) {
+	if s == "" {
+		return nil, nil
+	}
+	var out []uint64
+	for part := range strings.SplitSeq(s, ",") {
+		v, err := strconv.ParseUint(part, 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, v)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench is a placeholder until its parts land.
+package bench
--- /dev/null
+++ b/cmd/fuchsiactl/main.go
@@ -0,0 +1,4 @@
+// Command fuchsiactl.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/fuchsiaroad/main.go
@@ -0,0 +1,4 @@
+// Command fuchsiaroad.
+package main
+
+func main() {}
--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,2 @@
+// Package config is a placeholder until its parts land.
+package config
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is a placeholder until its parts land.
+package entry
--- /dev/null
+++ b/kernel/document/document.go
@@ -0,0 +1,85 @@
+// Package document holds the typed configuration document: upstreams, query
+// services and callers. It is plain data. Parsing, validation, the canonical
+// form and the hash are in the config module.
+package document
+
+import (
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+)
+
+// Document is the whole configuration. It is immutable once validated.
+type Document struct {
+	// Site names the installation, for people.
+	Site      string
+	Upstreams []Upstream
+	Services  []Service
+	Callers   []Caller
+}
+
+// Upstream is a set of leaves that serve one key space.
+type Upstream struct {
+	Name string
+	// KeySpace is the number of keys; shards tile [0, KeySpace).
+	KeySpace uint64
+	// ConnectionLimit is the most connections one leaf accepts, from all entries together.
+	ConnectionLimit int
+	// Slots is the number of requests one leaf runs at once.
+	Slots int
+	// DialCost is the usual time of a new connection.
+	DialCost time.Duration
+	Shards   []Shard
+}
+
+// Shard is a key range and the leaves that replicate it.
+type Shard struct {
+	Range  keyrange.Range
+	Leaves []Leaf
+}
+
+// Leaf is one upstream server process.
+type Leaf struct {
+	ID      string
+	Zone    string
+	Address string // IP:port
+}
+
+// Service is a query service: a named way of asking across upstreams.
+type Service struct {
+	Name      string
+	Upstreams []string
+	// Deadline is the longest time an answer may take; a caller may ask for less.
+	Deadline time.Duration
+	// LeastCoverage is the share in [0, 1] from which an answer is useful.
+	LeastCoverage float64
+	// Settle is how long to wait for the rest once LeastCoverage is met; 0 waits until the deadline.
+	Settle time.Duration
+	// Idempotent says that running a request twice does no harm.
+	Idempotent bool
+	// HedgeBudget is the share of sub-requests that may be hedged, in [0, 1].
+	HedgeBudget float64
+	// HedgeQuantile is the latency quantile after which a hedge starts, in (0, 1).
+	HedgeQuantile float64
+	// RetryBudget is the share of sub-requests that may be retried, in [0, 1].
+	RetryBudget float64
+	// CanaryAbove is the number of shards above which an unknown fingerprint
+	// first runs on one leaf; 0 means never.
+	CanaryAbove int
+	// KeyRequired refuses requests without an Idempotency-Key. It defaults to
+	// true when Idempotent is false.
+	KeyRequired bool
+}
+
+// Caller is an authenticated user of services.
+type Caller struct {
+	Name string
+	// TokenSHA256 is the lower-case hex SHA-256 of the caller's bearer token.
+	TokenSHA256 string
+	// Share weighs the caller's part of a contended queue; at least 1.
+	Share int
+	// Services names the services the caller may use.
+	Services []string
+	// Operator allows the configuration API and the console.
+	Operator bool
+}
--- /dev/null
+++ b/kernel/view/view.go
@@ -0,0 +1,115 @@
+// Package view is the immutable picture of configuration and membership that
+// the control goroutine publishes and traffic goroutines read. Upstreams,
+// shards and leaves are addressed by index within one view.
+package view
+
+import (
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+)
+
+// View is one immutable picture. Indexes are valid for this view only.
+type View struct {
+	// Generation is the store's version of the document; 0 means no document yet.
+	Generation uint64
+	Hash       string
+	Document   *document.Document
+	Upstreams  []Upstream
+	Leaves     []Leaf
+	// Services and Callers are looked up by name and by token hash.
+	Services map[string]*Service
+	Callers  map[string]*document.Caller
+}
+
+// Upstream is an upstream with its shards resolved to leaf indexes.
+type Upstream struct {
+	Name     string
+	KeySpace uint64
+	Config   *document.Upstream
+	Shards   []Shard
+}
+
+// Shard is a key range and the indexes of its leaves in View.Leaves.
+type Shard struct {
+	Range  keyrange.Range
+	Leaves []int
+}
+
+// Leaf is one leaf with its membership state.
+type Leaf struct {
+	ID       string
+	Zone     string
+	Address  string
+	Upstream int
+	// Leaving is the OR of the list, the leaf's own mark and peers' digests.
+	Leaving bool
+	// Connections is this entry's share of the leaf's connection limit.
+	Connections int
+}
+
+// Service is a query service with its upstreams resolved to indexes.
+type Service struct {
+	Config    *document.Service
+	Upstreams []int
+	// Shards is the number of shards over all its upstreams.
+	Shards int
+}
+
+// Build resolves a validated document. The leaving function says which leaves
+// get no new work; connections gives this entry's connection share of a leaf.
+func Build(gen uint64, hash string, doc *document.Document, leaving func(leafID string) bool, connections func(u *document.Upstream, leafID string) int) *View {
+	v := &View{
+		Generation: gen,
+		Hash:       hash,
+		Document:   doc,
+		Services:   make(map[string]*Service, len(doc.Services)),
+		Callers:    make(map[string]*document.Caller, len(doc.Callers)),
+	}
+	byName := make(map[string]int, len(doc.Upstreams))
+	for i := range doc.Upstreams {
+		byName[doc.Upstreams[i].Name] = i
+		v.addUpstream(i, &doc.Upstreams[i], leaving, connections)
+	}
+	for i := range doc.Services {
+		v.addService(&doc.Services[i], byName)
+	}
+	for i := range doc.Callers {
+		v.Callers[doc.Callers[i].TokenSHA256] = &doc.Callers[i]
+	}
+	return v
+}
+
+// addUpstream appends one upstream and its leaves. A leaf that serves several
+// shards is one entry of Leaves.
+func (v *View) addUpstream(index int, u *document.Upstream, leaving func(string) bool, connections func(*document.Upstream, string) int) {
+	up := Upstream{Name: u.Name, KeySpace: u.KeySpace, Config: u}
+	seen := make(map[string]int)
+	for _, s := range u.Shards {
+		shard := Shard{Range: s.Range}
+		for _, l := range s.Leaves {
+			i, ok := seen[l.ID]
+			if !ok {
+				i = len(v.Leaves)
+				seen[l.ID] = i
+				v.Leaves = append(v.Leaves, Leaf{
+					ID: l.ID, Zone: l.Zone, Address: l.Address, Upstream: index,
+					Leaving: leaving(l.ID), Connections: connections(u, l.ID),
+				})
+			}
+			shard.Leaves = append(shard.Leaves, i)
+		}
+		up.Shards = append(up.Shards, shard)
+	}
+	v.Upstreams = append(v.Upstreams, up)
+}
+
+// addService resolves one service's upstreams.
+func (v *View) addService(s *document.Service, byName map[string]int) {
+	svc := &Service{Config: s}
+	for _, name := range s.Upstreams {
+		i := byName[name]
+		svc.Upstreams = append(svc.Upstreams, i)
+		svc.Shards += len(v.Upstreams[i].Shards)
+	}
+	v.Services[s.Name] = svc
+}
--- /dev/null
+++ b/plugins/doc.go
@@ -0,0 +1,2 @@
+// Package plugins is a placeholder until its parts land.
+package plugins
--- /dev/null
+++ b/scenarios/doc.go
@@ -0,0 +1,2 @@
+// Package scenarios is a placeholder until its parts land.
+package scenarios
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is a placeholder until its parts land.
+package standin
