--- a/kernel/view/view.go
+++ b/kernel/view/view.go
@@ -19,6 +19,8 @@
 	// Services and Callers are looked up by name and by token hash.
 	Services map[string]*Service
 	Callers  map[string]*document.Caller
+
+	upstreams map[string]int // name to index in Upstreams
 }
 
 // Upstream is an upstream with its shards resolved to leaf indexes.
@@ -27,8 +29,20 @@
 	KeySpace uint64
 	Config   *document.Upstream
 	Shards   []Shard
+	leaves   map[string]int // leaf ID to index in View.Leaves
 }
 
+// Leaf returns the view's index of a leaf by its ID, or NoLeaf.
+func (u *Upstream) Leaf(id string) int {
+	if i, ok := u.leaves[id]; ok {
+		return i
+	}
+	return NoLeaf
+}
+
+// NoLeaf is the index of a leaf that a view does not have.
+const NoLeaf = -1
+
 // Shard is a key range and the indexes of its leaves in View.Leaves.
 type Shard struct {
 	Range  keyrange.Range
@@ -65,13 +79,13 @@
 		Services:   make(map[string]*Service, len(doc.Services)),
 		Callers:    make(map[string]*document.Caller, len(doc.Callers)),
 	}
-	byName := make(map[string]int, len(doc.Upstreams))
+	v.upstreams = make(map[string]int, len(doc.Upstreams))
 	for i := range doc.Upstreams {
-		byName[doc.Upstreams[i].Name] = i
+		v.upstreams[doc.Upstreams[i].Name] = i
 		v.addUpstream(i, &doc.Upstreams[i], leaving, connections)
 	}
 	for i := range doc.Services {
-		v.addService(&doc.Services[i], byName)
+		v.addService(&doc.Services[i])
 	}
 	for i := range doc.Callers {
 		v.Callers[doc.Callers[i].TokenSHA256] = &doc.Callers[i]
@@ -82,8 +96,8 @@
 // addUpstream appends one upstream and its leaves. A leaf that serves several
 // shards is one entry of Leaves.
 func (v *View) addUpstream(index int, u *document.Upstream, leaving func(string) bool, connections func(*document.Upstream, string) int) {
-	up := Upstream{Name: u.Name, KeySpace: u.KeySpace, Config: u}
 	seen := make(map[string]int)
+	up := Upstream{Name: u.Name, KeySpace: u.KeySpace, Config: u, leaves: seen}
 	for _, s := range u.Shards {
 		shard := Shard{Range: s.Range}
 		for _, l := range s.Leaves {
@@ -103,11 +117,22 @@
 	v.Upstreams = append(v.Upstreams, up)
 }
 
+// UpstreamByName returns the index of an upstream, or NoUpstream.
+func (v *View) UpstreamByName(name string) int {
+	if i, ok := v.upstreams[name]; ok {
+		return i
+	}
+	return NoUpstream
+}
+
+// NoUpstream is the index of an upstream that a view does not have.
+const NoUpstream = -1
+
 // addService resolves one service's upstreams.
-func (v *View) addService(s *document.Service, byName map[string]int) {
+func (v *View) addService(s *document.Service) {
 	svc := &Service{Config: s}
 	for _, name := range s.Upstreams {
-		i := byName[name]
+		i := v.upstreams[name]
 		svc.Upstreams = append(svc.Upstreams, i)
 		svc.Shards += len(v.Upstreams[i].Shards)
 	}
