--- a/entry/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package entry is a placeholder until its parts land.
-package entry
--- a/kernel/view/view.go
+++ b/kernel/view/view.go
@@ -10,6 +10,8 @@
 
 // View is one immutable picture. Indexes are valid for this view only.
 type View struct {
+	// Sequence orders the views of one instance: each new one has a higher number.
+	Sequence uint64
 	// Generation is the store's version of the document; 0 means no document yet.
 	Generation uint64
 	Hash       string
