--- a/standin/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standin is a placeholder until its parts land.
-package standin
