--- a/kernel/query/messages.go
+++ b/kernel/query/messages.go
@@ -26,7 +26,9 @@
 type Begin struct{}
 
 // Sent says that the attempt's bytes may have reached the leaf: from here on
-// it is not provably not run until the leaf declines.
+// it is not provably not run until the leaf declines. The runtime reports it
+// before it writes the first byte, and writes none if the attempt was
+// withdrawn or the query finished by then: a "not run" answer rests on this.
 type Sent struct {
 	Attempt AttemptID
 	Leaf    int
@@ -56,6 +58,8 @@
 type NotSent struct {
 	Attempt AttemptID
 	Reason  DeclineReason
+	// Leaf is the leaf of a failed dial; it counts for ReasonDialFailed only.
+	Leaf int
 	// RetryAfter is the queue's hint, when it gave one.
 	RetryAfter time.Duration
 }
@@ -129,6 +133,7 @@
 	Attempt AttemptID
 	Leaf    int
 	Crashed bool // false: the request ran to its end on the leaf
+	Solo    bool // the attempt ran alone
 }
 
 // Finish gives the answer; it comes once, and last.
--- /dev/null
+++ b/kernel/snapshot/tracker.go
@@ -0,0 +1,238 @@
+// Package snapshot tracks which index versions each leaf was last seen to
+// serve, and chooses from that the one version that a query pins.
+package snapshot
+
+import (
+	"slices"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// shareUnit is the whole of a service in fixed point, so that sums are exact.
+const shareUnit = 1 << 52
+
+// Tracker knows the versions of the leaves of one view. It is not safe for
+// concurrent use: the owner guards it.
+type Tracker struct {
+	view     *view.View
+	seen     map[string][]uint64 // versions by leaf ID
+	places   [][]place           // by leaf index: the shards that the leaf replicates
+	shards   [][]shard           // by upstream and shard
+	users    [][]user            // by upstream: the services that ask it
+	services map[string]*service
+}
+
+// place is a shard that a leaf replicates.
+type place struct{ upstream, shard int }
+
+// shard counts the leaves that were last seen to serve each version.
+type shard struct {
+	serving map[uint64]int
+	size    uint64
+}
+
+// user is a service that asks an upstream, with the weight of one upstream.
+type user struct {
+	service *service
+	unit    float64 // fixed-point weight of one key
+}
+
+// service sums the weight of the shards that serve each version.
+type service struct {
+	weight map[uint64]uint64
+	best   uint64
+	stale  bool
+}
+
+// New returns a tracker that has seen no leaf.
+func New(v *view.View) *Tracker {
+	t := &Tracker{seen: make(map[string][]uint64)}
+	t.SetView(v)
+	return t
+}
+
+// SetView takes a new view. What was seen of leaves that are still there is kept.
+func (t *Tracker) SetView(v *view.View) {
+	t.view = v
+	t.places = make([][]place, len(v.Leaves))
+	t.shards = make([][]shard, len(v.Upstreams))
+	t.users = make([][]user, len(v.Upstreams))
+	t.services = make(map[string]*service, len(v.Services))
+	for name, s := range v.Services {
+		t.addService(name, s)
+	}
+	for u := range v.Upstreams {
+		t.addUpstream(u)
+	}
+	t.recount()
+}
+
+// addService links a service to the upstreams it asks.
+func (t *Tracker) addService(name string, s *view.Service) {
+	svc := &service{weight: make(map[uint64]uint64)}
+	t.services[name] = svc
+	for _, u := range s.Upstreams {
+		keys := float64(t.view.Upstreams[u].KeySpace) * float64(len(s.Upstreams))
+		t.users[u] = append(t.users[u], user{service: svc, unit: shareUnit / keys})
+	}
+}
+
+// addUpstream notes which leaf replicates which shard.
+func (t *Tracker) addUpstream(u int) {
+	up := &t.view.Upstreams[u]
+	t.shards[u] = make([]shard, len(up.Shards))
+	for s := range up.Shards {
+		t.shards[u][s] = shard{serving: make(map[uint64]int), size: up.Shards[s].Range.Size()}
+		for _, leaf := range up.Shards[s].Leaves {
+			t.places[leaf] = append(t.places[leaf], place{u, s})
+		}
+	}
+}
+
+// recount adds what is known of the view's leaves, and forgets all others.
+func (t *Tracker) recount() {
+	kept := make(map[string][]uint64, len(t.seen))
+	for i := range t.view.Leaves {
+		id := t.view.Leaves[i].ID
+		versions, ok := t.seen[id]
+		if !ok {
+			continue
+		}
+		kept[id] = versions
+		for _, v := range versions {
+			t.gain(i, v)
+		}
+	}
+	t.seen = kept
+}
+
+// Observe notes what a leaf says that it serves now.
+func (t *Tracker) Observe(leaf int, versions []uint64) {
+	if leaf < 0 || leaf >= len(t.view.Leaves) {
+		return
+	}
+	id := t.view.Leaves[leaf].ID
+	old, known := t.seen[id]
+	if known && slices.Equal(old, versions) {
+		return
+	}
+	fresh := slices.Clone(versions)
+	slices.Sort(fresh)
+	fresh = slices.Compact(fresh)
+	for _, v := range old {
+		if _, still := slices.BinarySearch(fresh, v); !still {
+			t.lose(leaf, v)
+		}
+	}
+	for _, v := range fresh {
+		if _, had := slices.BinarySearch(old, v); !had {
+			t.gain(leaf, v)
+		}
+	}
+	t.seen[id] = fresh
+}
+
+// gain counts one more leaf that serves the version.
+func (t *Tracker) gain(leaf int, version uint64) {
+	if t.view.Leaves[leaf].Leaving {
+		return
+	}
+	for _, p := range t.places[leaf] {
+		sh := &t.shards[p.upstream][p.shard]
+		sh.serving[version]++
+		if sh.serving[version] > 1 {
+			continue
+		}
+		for _, u := range t.users[p.upstream] {
+			u.service.weight[version] += uint64(u.unit * float64(sh.size))
+			u.service.stale = true
+		}
+	}
+}
+
+// lose counts one leaf less that serves the version.
+func (t *Tracker) lose(leaf int, version uint64) {
+	if t.view.Leaves[leaf].Leaving {
+		return
+	}
+	for _, p := range t.places[leaf] {
+		sh := &t.shards[p.upstream][p.shard]
+		sh.serving[version]--
+		if sh.serving[version] > 0 {
+			continue
+		}
+		delete(sh.serving, version)
+		for _, u := range t.users[p.upstream] {
+			u.service.drop(version, uint64(u.unit*float64(sh.size)))
+		}
+	}
+}
+
+// drop takes a shard's weight from a version.
+func (s *service) drop(version, weight uint64) {
+	s.weight[version] -= weight
+	if s.weight[version] == 0 {
+		delete(s.weight, version)
+	}
+	s.stale = true
+}
+
+// Pin returns the version that covers the largest known share of the service,
+// the newest of equals; 0 when nothing is known. A call costs O(1), or
+// O(versions) after a change.
+func (t *Tracker) Pin(name string) uint64 {
+	s := t.services[name]
+	if s == nil {
+		return 0
+	}
+	if s.stale {
+		s.best = s.choose(0)
+		s.stale = false
+	}
+	return s.best
+}
+
+// Next returns the best version other than after; 0 when there is none. It
+// costs O(versions), and is asked once per change of a query's version.
+func (t *Tracker) Next(name string, after uint64) uint64 {
+	s := t.services[name]
+	if s == nil {
+		return 0
+	}
+	return s.choose(after)
+}
+
+// choose returns the best version other than the excluded one.
+func (s *service) choose(excluded uint64) uint64 {
+	var best, weight uint64
+	for v, w := range s.weight {
+		if v == excluded || v == 0 {
+			continue
+		}
+		if w > weight || (w == weight && v > best) {
+			best, weight = v, w
+		}
+	}
+	return best
+}
+
+// Share is the part in [0, 1] of the service whose shards were last seen to
+// serve the version.
+func (t *Tracker) Share(name string, version uint64) float64 {
+	s := t.services[name]
+	if s == nil {
+		return 0
+	}
+	return float64(s.weight[version]) / shareUnit
+}
+
+// Serves reports whether anything is known of a leaf, and whether it was last
+// seen to serve the version.
+func (t *Tracker) Serves(leaf int, version uint64) (known, serves bool) {
+	if leaf < 0 || leaf >= len(t.view.Leaves) {
+		return false, false
+	}
+	versions, known := t.seen[t.view.Leaves[leaf].ID]
+	_, serves = slices.BinarySearch(versions, version)
+	return known, serves
+}
