--- /dev/null
+++ b/entry/platform/client.go
@@ -0,0 +1,342 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
+)
+
+// HeaderInstance names the calling instance.
+const HeaderInstance = "Fuchsiaroad-Instance"
+
+// Defaults of Config.
+const (
+	DefaultTimeout     = time.Second
+	DefaultConcurrency = 16
+)
+
+// maxReply bounds a reply: base64 makes a value a third larger, and a list
+// holds many objects.
+const maxReply = 64 << 20
+
+// watchGrace is how long a watch may take beyond the wait it asked for.
+const watchGrace = 2 * time.Second
+
+// errNoVersion marks a reply to a write that names no version.
+var errNoVersion = errors.New("reply names no version")
+
+// Config says how to reach the platform.
+type Config struct {
+	// URL is the platform's base address, for example http://10.0.0.1:7000.
+	URL string
+	// Token is sent as a bearer token; it is never logged.
+	Token string
+	// Instance is this instance's id.
+	Instance string
+	// Timeout bounds each call except a watch; 0 means DefaultTimeout.
+	Timeout time.Duration
+	// Concurrency bounds calls at once, watches apart; 0 means DefaultConcurrency.
+	Concurrency int
+	// Meter counts calls; nil counts nothing.
+	Meter Meter
+	// Transport replaces the HTTP transport, for tests.
+	Transport http.RoundTripper
+}
+
+// Client calls the platform. Its methods may be called by many goroutines.
+type Client struct {
+	cfg   Config
+	http  *http.Client
+	slots chan struct{}
+}
+
+// New makes a client. It does no I/O.
+func New(cfg Config) (*Client, error) {
+	u, err := url.Parse(cfg.URL)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, &ConfigError{Field: "url", Reason: "must be an http or https address"}
+	}
+	if cfg.Instance == "" {
+		return nil, &ConfigError{Field: "instance", Reason: "must not be empty"}
+	}
+	if cfg.Timeout < 0 {
+		return nil, &ConfigError{Field: "timeout", Reason: "must not be negative"}
+	}
+	if cfg.Concurrency < 0 {
+		return nil, &ConfigError{Field: "concurrency", Reason: "must not be negative"}
+	}
+	cfg.URL = strings.TrimRight(cfg.URL, "/")
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.Concurrency == 0 {
+		cfg.Concurrency = DefaultConcurrency
+	}
+	if cfg.Meter == nil {
+		cfg.Meter = nopMeter{}
+	}
+	if cfg.Transport == nil {
+		cfg.Transport = newTransport(cfg)
+	}
+	return &Client{
+		cfg:   cfg,
+		http:  &http.Client{Transport: cfg.Transport},
+		slots: make(chan struct{}, cfg.Concurrency),
+	}, nil
+}
+
+// newTransport keeps as many idle connections as there are calls at once.
+func newTransport(cfg Config) *http.Transport {
+	dialer := &net.Dialer{Timeout: cfg.Timeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: cfg.Concurrency + 2,
+		IdleConnTimeout:     time.Minute,
+	}
+}
+
+// Close lets idle connections go.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get reads an object.
+func (c *Client) Get(ctx context.Context, kind, name string) (platformapi.Object, error) {
+	var obj platformapi.Object
+	err := c.do(ctx, request{call: CallGet, method: http.MethodGet, path: objectPath(kind, name), kind: kind, name: name}, &obj)
+	return obj, err
+}
+
+// Put writes an object if it stands at version ifVersion, 0 meaning absent,
+// and returns the new version.
+func (c *Client) Put(ctx context.Context, kind, name string, ifVersion uint64, value []byte) (uint64, error) {
+	if len(value) > platformapi.MaxValue {
+		return 0, &RejectedError{Call: CallPut, Status: http.StatusRequestEntityTooLarge, Detail: "value is larger than the platform takes"}
+	}
+	body, err := json.Marshal(platformapi.Object{Kind: kind, Name: name, Value: value})
+	if err != nil {
+		return 0, &UnavailableError{Call: CallPut, Err: err}
+	}
+	var obj platformapi.Object
+	err = c.do(ctx, request{
+		call: CallPut, method: http.MethodPut, path: objectPath(kind, name) + ifVersionQuery(ifVersion),
+		kind: kind, name: name, body: body, write: true,
+	}, &obj)
+	if err == nil && obj.Version == 0 {
+		return 0, &UnknownEffectError{Call: CallPut, Err: errNoVersion}
+	}
+	return obj.Version, err
+}
+
+// Delete removes an object if it stands at version ifVersion.
+func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
+	return c.do(ctx, request{
+		call: CallDelete, method: http.MethodDelete, path: objectPath(kind, name) + ifVersionQuery(ifVersion),
+		kind: kind, name: name, write: true,
+	}, nil)
+}
+
+// List reads all objects of a kind, with the revision to watch from.
+func (c *Client) List(ctx context.Context, kind string) (platformapi.List, error) {
+	var list platformapi.List
+	path := platformapi.PathObjects + "/" + url.PathEscape(kind)
+	err := c.do(ctx, request{call: CallList, method: http.MethodGet, path: path, kind: kind}, &list)
+	return list, err
+}
+
+// Watch waits for changes of a kind after revision since, at most wait. It
+// returns no events when the wait passed, and GoneError when since is too old.
+func (c *Client) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (platformapi.Events, error) {
+	var events platformapi.Events
+	query := url.Values{"since": {strconv.FormatUint(since, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	path := platformapi.PathWatch + "/" + url.PathEscape(kind) + "?" + query.Encode()
+	err := c.do(ctx, request{call: CallWatch, method: http.MethodGet, path: path, kind: kind, since: since, wait: wait}, &events)
+	return events, err
+}
+
+// Instances reads the list of live and leaving instances; it lags.
+func (c *Client) Instances(ctx context.Context) ([]platformapi.Instance, error) {
+	var list platformapi.Instances
+	err := c.do(ctx, request{call: CallInstances, method: http.MethodGet, path: platformapi.PathInstances}, &list)
+	return list.Instances, err
+}
+
+// objectPath is the path of one object.
+func objectPath(kind, name string) string {
+	return platformapi.PathObjects + "/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+// ifVersionQuery states the version that a write depends on.
+func ifVersionQuery(version uint64) string {
+	return "?if_version=" + strconv.FormatUint(version, 10)
+}
+
+// request is one call.
+type request struct {
+	call         Call
+	method, path string
+	kind, name   string
+	body         []byte
+	write        bool
+	since        uint64
+	wait         time.Duration // of a watch
+}
+
+// do makes the call and counts it.
+func (c *Client) do(ctx context.Context, r request, into any) error {
+	begin := time.Now()
+	err := c.call(ctx, r, into)
+	c.cfg.Meter.PlatformCall(r.call, resultOf(err), time.Since(begin))
+	return err
+}
+
+// call waits for a slot, sends the request and reads the reply.
+func (c *Client) call(ctx context.Context, r request, into any) error {
+	timeout := c.cfg.Timeout
+	if r.call == CallWatch {
+		timeout = r.wait + watchGrace
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if r.call != CallWatch {
+		select {
+		case c.slots <- struct{}{}:
+			defer func() { <-c.slots }()
+		case <-ctx.Done():
+			return &UnavailableError{Call: r.call, Err: ctx.Err()}
+		}
+	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	resp, err := c.send(ctx, r)
+	if err != nil {
+		return lost(r, connected.Load(), 0, err)
+	}
+	defer resp.Body.Close()
+	return finish(r, resp, into)
+}
+
+// send builds the HTTP request and sends it. A PUT or DELETE is not repeated
+// by the transport once bytes of it were written.
+func (c *Client) send(ctx context.Context, r request) (*http.Response, error) {
+	var body io.Reader
+	if r.body != nil {
+		body = bytes.NewReader(r.body)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.method, c.cfg.URL+r.path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(HeaderInstance, c.cfg.Instance)
+	if c.cfg.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
+	}
+	if r.body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return c.http.Do(req)
+}
+
+// lost classes a call without a usable reply. A write that may have reached
+// the store has an unknown effect; all else is merely unavailable.
+func lost(r request, sent bool, retryAfter time.Duration, err error) error {
+	if r.write && sent {
+		return &UnknownEffectError{Call: r.call, RetryAfter: retryAfter, Err: err}
+	}
+	return &UnavailableError{Call: r.call, RetryAfter: retryAfter, Err: err}
+}
+
+// finish turns a reply into a value or an error.
+func finish(r request, resp *http.Response, into any) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return lost(r, true, 0, err)
+	}
+	retryAfter := parseRetryAfter(resp.Header.Get("Retry-After"))
+	switch {
+	case resp.StatusCode == http.StatusNoContent:
+		return nil
+	case resp.StatusCode >= 200 && resp.StatusCode < 300:
+		if into == nil {
+			return nil
+		}
+		if err := json.Unmarshal(body, into); err != nil {
+			return lost(r, true, 0, err)
+		}
+		return nil
+	case resp.StatusCode == http.StatusConflict:
+		var conflict platformapi.Conflict
+		if err := json.Unmarshal(body, &conflict); err != nil {
+			return lost(r, true, 0, err)
+		}
+		return &ConflictError{Kind: r.kind, Name: r.name, Version: conflict.Version}
+	case resp.StatusCode == http.StatusNotFound && r.name != "":
+		return &NotFoundError{Kind: r.kind, Name: r.name}
+	case resp.StatusCode == http.StatusGone && r.call == CallWatch:
+		return &GoneError{Kind: r.kind, Since: r.since}
+	case resp.StatusCode == http.StatusTooManyRequests:
+		return &RateLimitedError{Call: r.call, RetryAfter: retryAfter}
+	case resp.StatusCode >= 500:
+		return lost(r, true, retryAfter, &statusError{resp.StatusCode})
+	default:
+		return &RejectedError{Call: r.call, Status: resp.StatusCode, Detail: detail(body)}
+	}
+}
+
+// detailLimit bounds how much of a refusal's body an error repeats.
+const detailLimit = 200
+
+// detail is the start of a refusal's body.
+func detail(body []byte) string {
+	text := strings.TrimSpace(string(body))
+	return text[:min(len(text), detailLimit)]
+}
+
+// parseRetryAfter reads a Retry-After header in seconds; a fraction is taken too.
+func parseRetryAfter(s string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
+	if err != nil || !(seconds > 0 && seconds < float64(time.Hour/time.Second)) {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// resultOf classes an error for the meter.
+func resultOf(err error) Result {
+	var conflict *ConflictError
+	var notFound *NotFoundError
+	var gone *GoneError
+	var limited *RateLimitedError
+	var rejected *RejectedError
+	var unknown *UnknownEffectError
+	switch {
+	case err == nil:
+		return ResultOK
+	case errors.As(err, &conflict):
+		return ResultConflict
+	case errors.As(err, &notFound):
+		return ResultNotFound
+	case errors.As(err, &gone):
+		return ResultGone
+	case errors.As(err, &limited):
+		return ResultRateLimited
+	case errors.As(err, &rejected):
+		return ResultRejected
+	case errors.As(err, &unknown):
+		return ResultUnknownEffect
+	default:
+		return ResultUnavailable
+	}
+}
--- /dev/null
+++ b/entry/platform/errors.go
@@ -0,0 +1,109 @@
+package platform
+
+import (
+	"fmt"
+	"time"
+)
+
+// ConflictError says that a conditional write had no effect, because the
+// object stands at another version.
+type ConflictError struct {
+	Kind, Name string
+	// Version is the object's version as the store knows it; 0 means absent.
+	Version uint64
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("object %s/%s is at version %d", e.Kind, e.Name, e.Version)
+}
+
+// NotFoundError says that there is no such object.
+type NotFoundError struct{ Kind, Name string }
+
+// Error implements error.
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("object %s/%s not found", e.Kind, e.Name)
+}
+
+// GoneError says that a watch's revision is too old: list again.
+type GoneError struct {
+	Kind  string
+	Since uint64
+}
+
+// Error implements error.
+func (e *GoneError) Error() string {
+	return fmt.Sprintf("revision %d of kind %s is too old to watch from", e.Since, e.Kind)
+}
+
+// UnavailableError says that a read failed, or that a write provably had no
+// effect: it never left this process.
+type UnavailableError struct {
+	Call Call
+	// RetryAfter is the store's hint; 0 when it gave none.
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("platform %s unavailable: %v", e.Call, e.Err)
+}
+
+// Unwrap gives the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// UnknownEffectError says that a write's reply was lost: the write may have
+// taken effect, or may still do so.
+type UnknownEffectError struct {
+	Call       Call
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error implements error.
+func (e *UnknownEffectError) Error() string {
+	return fmt.Sprintf("platform %s has an unknown effect: %v", e.Call, e.Err)
+}
+
+// Unwrap gives the cause.
+func (e *UnknownEffectError) Unwrap() error { return e.Err }
+
+// RateLimitedError says that the store refused the call because of its rate;
+// the call had no effect.
+type RateLimitedError struct {
+	Call       Call
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *RateLimitedError) Error() string {
+	return fmt.Sprintf("platform %s is rate limited", e.Call)
+}
+
+// RejectedError says that the store refused the call for good: a bad token, a
+// bad request or a value that is too large. The call had no effect.
+type RejectedError struct {
+	Call   Call
+	Status int
+	Detail string
+}
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("platform %s rejected with status %d: %s", e.Call, e.Status, e.Detail)
+}
+
+// statusError is an answer that is no success and has no meaning of its own.
+type statusError struct{ status int }
+
+func (e *statusError) Error() string { return fmt.Sprintf("status %d", e.status) }
+
+// ConfigError names a setting that the client can't work with.
+type ConfigError struct{ Field, Reason string }
+
+// Error implements error.
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("platform setting %s: %s", e.Field, e.Reason)
+}
