--- a/config/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package config is a placeholder until its parts land.
-package config
