Add dispatch machine, policy registries and plug-ins in a first thin form

The machine queues per shard, fairly per caller and by the query's stamp, and dispatches within per-leaf limits.

--- /dev/null
+++ b/kernel/dispatch/estimate.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/repetition"
+)
+
+// latencyGain weighs one reply in a shard's moving average of latency.
+const latencyGain = 0.05
+
+// observe adds one reply's latency to the shard's average.
+func (s *shard) observe(d time.Duration) {
+	x := d.Seconds()
+	if s.meanLatency == 0 {
+		s.meanLatency = x
+		return
+	}
+	s.meanLatency += latencyGain * (x - s.meanLatency)
+}
+
+// interval is the mean time between services of the shard at this entry:
+// latency over the number in flight (Little's law).
+func (s *shard) interval() time.Duration {
+	return time.Duration(s.meanLatency / float64(max(1, s.inFlight())) * float64(time.Second))
+}
+
+// times holds quantiles of an upstream's latency, refreshed now and then.
+type times struct {
+	sketch repetition.Latency
+	seen   int
+	least  time.Duration // low quantile
+	median time.Duration
+	most   time.Duration // high quantile
+}
+
+// Quantiles of latency that decisions use, and how often they are refreshed.
+const (
+	leastQuantile   = 0.05
+	mostQuantile    = 0.9
+	refreshInterval = 64
+)
+
+func (t *times) observe(d time.Duration) {
+	t.sketch.Observe(d)
+	t.seen++
+	if t.seen%refreshInterval != 0 {
+		return
+	}
+	t.least = t.sketch.Quantile(leastQuantile)
+	t.median = t.sketch.Quantile(0.5)
+	t.most = t.sketch.Quantile(mostQuantile)
+}
+
+// Estimate is how a new attempt would fare now.
+type Estimate struct {
+	// Wait is the expected queueing time at this entry of the worst shard.
+	Wait time.Duration
+	// Median and Most are quantiles of the latency after dispatch.
+	Median, Most time.Duration
+	// Backlog is the number of attempts that wait at this entry.
+	Backlog int
+}
+
+// Estimate returns the present estimate over all shards.
+func (m *Machine) Estimate(_ time.Time) Estimate {
+	e := Estimate{Median: m.times.median, Most: m.times.most, Backlog: len(m.waiting)}
+	for _, s := range m.shards {
+		e.Wait = max(e.Wait, m.drainTime(s))
+	}
+	return e
+}
+
+// Fit counts the shards on which a new attempt of the caller would be
+// dispatched early enough to finish within the given time, and all shards.
+// wait is the longest queueing time among the shards.
+func (m *Machine) Fit(caller string, within time.Duration) (fit, total int, wait time.Duration) {
+	w := m.weight(caller)
+	for _, s := range m.shards {
+		d := m.callerWait(s, caller, w)
+		wait = max(wait, d)
+		if d+m.times.median <= within {
+			fit++
+		}
+	}
+	return fit, len(m.shards), wait
+}
+
+// Quantile is a quantile of the upstream's recent latency after dispatch, 0
+// while too little has been seen.
+func (m *Machine) Quantile(q float64) time.Duration { return m.times.sketch.Quantile(q) }
+
+// drainTime is how long the shard's queue takes to empty.
+func (m *Machine) drainTime(s *shard) time.Duration {
+	return time.Duration(s.queue.length) * s.interval()
+}
+
+// callerWait is how long a new attempt of the caller would wait: its own
+// queue at its share of the service, and no longer than the whole queue.
+func (m *Machine) callerWait(s *shard, caller string, weight float64) time.Duration {
+	if s.queue.length == 0 {
+		return 0
+	}
+	own, total := 1, weight
+	for _, q := range s.queue.active {
+		if q.name == caller {
+			own += len(q.items)
+			continue
+		}
+		total += q.weight
+	}
+	turns := min(float64(own)*total/weight, float64(s.queue.length))
+	return time.Duration(turns * float64(s.interval()))
+}
--- /dev/null
+++ b/kernel/plugin/policy.go
@@ -0,0 +1,123 @@
+package plugin
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// The registries. Each value constructs one independent policy instance.
+var (
+	Routings    = NewRegistry[func(RoutingConfig) Routing]("routing")
+	Orders      = NewRegistry[func() Order]("order")
+	Limits      = NewRegistry[func() Limit]("limit")
+	Repetitions = NewRegistry[func(RepetitionConfig) Repetition]("repetition")
+	Placements  = NewRegistry[func(PlacementConfig) Placement]("placement")
+)
+
+// Sample is the end of one dispatched attempt as policies see it.
+type Sample struct {
+	// At most one of OK, Shed and Failed is true; none is for a cancelled attempt.
+	OK     bool // a whole reply came
+	Shed   bool // the leaf declined it as overloaded
+	Failed bool // no connection, a broken exchange, or the deadline passed
+	// Latency is the time from dispatch to the end.
+	Latency time.Duration
+	// Service is the time it held a slot of the leaf, 0 when the leaf did not say.
+	Service time.Duration
+	// Saturated says that the leaf's limit was reached when this attempt was
+	// dispatched, so that the limit and not the demand set the concurrency.
+	Saturated bool
+	// Backlog says that further work waits at this entry for the leaf's shard.
+	Backlog bool
+}
+
+// Candidate is a leaf that may take an attempt now.
+type Candidate struct {
+	// Key is a small integer that names the leaf for the machine's life.
+	Key      int
+	InFlight int // attempts of this entry on the leaf
+	Limit    int // present limit of InFlight
+	Local    bool
+}
+
+// RoutingConfig is given to a routing policy's constructor.
+type RoutingConfig struct {
+	Rand *rand.Rand
+}
+
+// Routing chooses among the leaves of a shard. One instance serves one
+// upstream at one entry.
+type Routing interface {
+	// Usable reports whether the leaf may get ordinary work; peers is the
+	// number of leaves in its shard. An ejected leaf is not usable but for probes.
+	Usable(key int, now time.Time) bool
+	// Pick returns the index of the chosen candidate and a short reason.
+	// There is at least one candidate.
+	Pick(candidates []Candidate, now time.Time) (int, string)
+	// Finished reports an attempt's end.
+	Finished(key int, s Sample, now time.Time)
+	// Hint passes on what the load endpoint said; it may lie or lag.
+	Hint(key, inFlight, queued int, now time.Time)
+}
+
+// Order decides which end of a queue is served.
+type Order interface {
+	// Queued reports the wait of the oldest attempt at a moment of service.
+	Queued(oldest time.Duration, now time.Time)
+	// NewestFirst says that the newest query goes first.
+	NewestFirst() bool
+}
+
+// Limit decides how many attempts of this entry may be on one leaf at once.
+type Limit interface {
+	// Limit is the present limit, in [1, share] for a share of at least 1.
+	Limit() int
+	// SetShare gives the entry's connection share of the leaf.
+	SetShare(share int)
+	// Finished reports an attempt's end.
+	Finished(s Sample, now time.Time)
+}
+
+// RepetitionConfig is given to a repetition policy's constructor; see
+// document.Service for the fields.
+type RepetitionConfig struct {
+	HedgeBudget   float64
+	HedgeQuantile float64
+	RetryBudget   float64
+}
+
+// Repetition decides when a sub-request is sent again. One instance serves one
+// service at one entry.
+type Repetition interface {
+	// Deposit credits one first sub-request.
+	Deposit()
+	// HedgeAfter is how long to wait before a hedge; false means no hedge.
+	HedgeAfter(q Quantiler) (time.Duration, bool)
+	// TakeHedge and TakeRetry spend from the budgets; false means not now.
+	TakeHedge(now time.Time) bool
+	TakeRetry(now time.Time) bool
+	// Shed reports that a leaf or a queue refused work for overload.
+	Shed(now time.Time)
+}
+
+// Quantiler gives quantiles of an upstream's recent latency.
+type Quantiler interface {
+	// Quantile returns 0 while too little has been seen.
+	Quantile(q float64) time.Duration
+}
+
+// PlacementConfig is given to a placement policy's constructor.
+type PlacementConfig struct {
+	// Headroom is the number of live entries that any entry's list may miss
+	// without the limit of a leaf being exceeded.
+	Headroom int
+}
+
+// Placement divides the leaves' connections among entries.
+type Placement interface {
+	// Share is the number of connections that entry self may hold to the leaf.
+	// entries is the live list that self sees, itself included.
+	Share(leafID string, limit int, self string, entries []string) int
+	// Via returns the entry through which self reaches the leaf; self means directly.
+	Via(leafID, self string, entries []string) string
+}
--- /dev/null
+++ b/kernel/plugin/registry.go
@@ -0,0 +1,61 @@
+// Package plugin declares the policies that the kernel consults and the
+// registries in which their implementations register themselves from init.
+// Every kind of policy has a baseline implementation for side-by-side runs.
+package plugin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// UnknownError says that no plug-in of this kind has the name.
+type UnknownError struct {
+	Kind  string
+	Name  string
+	Known []string
+}
+
+// Error names the kind, the name and what is registered.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("%s plug-in %q is unknown, want one of: %s", e.Kind, e.Name, strings.Join(e.Known, ", "))
+}
+
+// Registry maps names to constructors of one kind of policy. It is filled in
+// init and only read afterwards, so it needs no lock.
+type Registry[F any] struct {
+	kind    string
+	entries map[string]F
+}
+
+// NewRegistry returns an empty registry; kind names it in errors.
+func NewRegistry[F any](kind string) *Registry[F] {
+	return &Registry[F]{kind: kind, entries: make(map[string]F)}
+}
+
+// Register adds a constructor. A repeated name is a programming error and panics.
+func (r *Registry[F]) Register(name string, construct F) {
+	if _, dup := r.entries[name]; dup {
+		panic(fmt.Sprintf("%s plug-in %q is registered twice", r.kind, name))
+	}
+	r.entries[name] = construct
+}
+
+// Get returns the constructor, or an UnknownError.
+func (r *Registry[F]) Get(name string) (F, error) {
+	construct, ok := r.entries[name]
+	if !ok {
+		return construct, &UnknownError{Kind: r.kind, Name: name, Known: r.Names()}
+	}
+	return construct, nil
+}
+
+// Names lists the registered names in order.
+func (r *Registry[F]) Names() []string {
+	names := make([]string, 0, len(r.entries))
+	for name := range r.entries {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/plugins/adaptivelimit/adaptivelimit.go
@@ -0,0 +1,99 @@
+// Package adaptivelimit moves the limit between 1 and the connection share by
+// the time that attempts spend waiting inside the leaf, which no other entry's
+// queue and no load endpoint can hide.
+package adaptivelimit
+
+import (
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+)
+
+// Name is the name that the policy registers under.
+const Name = "adaptive"
+
+const (
+	gain = 0.1 // weight of one reply in the moving averages
+	// Wait inside the leaf, as a share of the mean service time, above which
+	// the limit falls and below which it may grow.
+	waitHigh = 0.5
+	waitLow  = 0.25
+	grow     = 1.0 // a limit of n grows by this after n saturated replies
+	shrink   = 0.1 // share by which the limit falls after n replies
+	shedCut  = 0.5 // factor after a shed reply
+	floorAge = 10 * time.Second
+)
+
+type policy struct {
+	share   int
+	limit   float64
+	wait    float64 // moving average of time outside the slot, seconds
+	service float64 // moving average of time in the slot, seconds
+	floor   lowest
+}
+
+// New returns an independent instance, which starts at the whole share.
+func New() plugin.Limit { return &policy{} }
+
+// Limit is at least 1.
+func (p *policy) Limit() int { return max(1, int(p.limit)) }
+
+// SetShare bounds the limit; the first share is where it starts.
+func (p *policy) SetShare(share int) {
+	if p.share == 0 {
+		p.limit = float64(share)
+	}
+	p.share = share
+	p.limit = min(p.limit, float64(share))
+}
+
+// Finished adapts the limit.
+func (p *policy) Finished(s plugin.Sample, now time.Time) {
+	if s.Shed {
+		p.limit = max(1, p.limit*shedCut)
+		return
+	}
+	if !s.OK {
+		return
+	}
+	p.learn(s, now)
+	switch {
+	case p.wait > waitHigh*p.service:
+		p.limit = max(1, p.limit-shrink)
+	case s.Saturated && p.wait < waitLow*p.service:
+		p.limit = min(float64(p.share), p.limit+grow/max(1, p.limit))
+	}
+}
+
+// learn updates the averages. A leaf that does not state its service time is
+// taken to serve in the least latency seen lately.
+func (p *policy) learn(s plugin.Sample, now time.Time) {
+	outside := s.Latency - s.Service
+	least := p.floor.observe(outside, now)
+	wait, service := (outside - least).Seconds(), s.Service.Seconds()
+	if s.Service <= 0 {
+		service = least.Seconds()
+	}
+	if p.service == 0 {
+		p.service = service
+	}
+	p.wait += gain * (wait - p.wait)
+	p.service += gain * (service - p.service)
+}
+
+// lowest is the least of two windows, so that an old floor is forgotten.
+type lowest struct {
+	since             time.Time
+	present, previous time.Duration
+}
+
+func (l *lowest) observe(d time.Duration, now time.Time) time.Duration {
+	if l.since.IsZero() {
+		l.since, l.present, l.previous = now, d, d
+	}
+	if now.Sub(l.since) > floorAge {
+		l.since, l.previous, l.present = now, l.present, d
+	}
+	l.present = min(l.present, d)
+	return min(l.present, l.previous)
+}
--- /dev/null
+++ b/plugins/adaptivelimit/setup.go
@@ -0,0 +1,5 @@
+package adaptivelimit
+
+import "github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+
+func init() { plugin.Limits.Register(Name, New) }
--- a/plugins/doc.go
+++ b/plugins/doc.go
@@ -1,2 +1,16 @@
-// Package plugins is a placeholder until its parts land.
+// Package plugins links every plug-in of this module into a program: import
+// it for its side effect, the registrations.
 package plugins
+
+import (
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/adaptivelimit" // limit "adaptive"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/adaptiveorder" // order "adaptive"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/blindretry"    // repetition "blind-retry"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/budgeted"      // repetition "budgeted"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/direct"        // placement "direct"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/fifo"          // order "fifo"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/fixedlimit"    // limit "fixed"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/nohedge"       // repetition "none"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/roundrobin"    // routing "round-robin"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/twochoices"    // routing "two-choices"
+)
--- /dev/null
+++ b/plugins/fifo/setup.go
@@ -0,0 +1,5 @@
+package fifo
+
+import "github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+
+func init() { plugin.Orders.Register(Name, New) }
--- /dev/null
+++ b/plugins/twochoices/health.go
@@ -0,0 +1,70 @@
+package twochoices
+
+import "time"
+
+const (
+	failureGain = 0.2
+	// A leaf is ejected when its failures are above ejectAt and exceed the
+	// average of all leaves by ejectMargin.
+	ejectAt     = 0.5
+	ejectMargin = 0.25
+	ejectFirst  = time.Second
+	ejectMost   = 30 * time.Second
+)
+
+// health decides on ejection from a leaf's own outcomes.
+type health struct {
+	failures float64
+	ejected  bool
+	until    time.Time     // next probe
+	pause    time.Duration // time between probes
+	probing  bool
+}
+
+// usable reports whether work may go to the leaf: it is not ejected, or its
+// next probe is due and none is out.
+func (h *health) usable(now time.Time) bool {
+	return !h.ejected || (!h.probing && !now.Before(h.until))
+}
+
+// probe notes that an attempt goes out and reports whether it is a probe.
+func (h *health) probe(now time.Time) bool {
+	if !h.ejected || h.probing || now.Before(h.until) {
+		return false
+	}
+	h.probing = true
+	return true
+}
+
+// inconclusive ends a probe that showed nothing.
+func (h *health) inconclusive() { h.probing = false }
+
+// outcome takes one result and reports whether the leaf has just come back.
+func (h *health) outcome(failed bool, average float64, now time.Time) bool {
+	h.failures += failureGain * (value(failed) - h.failures)
+	if h.ejected {
+		return h.judge(failed, now)
+	}
+	if failed && h.failures > ejectAt && h.failures > average+ejectMargin {
+		h.ejected, h.probing = true, false
+		h.pause = ejectFirst
+		h.until = now.Add(h.pause)
+	}
+	return false
+}
+
+// judge ends a probe. Results of attempts from before the ejection count for
+// a failure only.
+func (h *health) judge(failed bool, now time.Time) bool {
+	if !h.probing {
+		return false
+	}
+	h.probing = false
+	if failed {
+		h.pause = min(2*h.pause, ejectMost)
+		h.until = now.Add(h.pause)
+		return false
+	}
+	h.ejected, h.failures = false, 0
+	return true
+}
