--- /dev/null
+++ b/kernel/rollout/main_test.go
@@ -0,0 +1,24 @@
+package rollout_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// set gives a flag of the property tests a value.
+func set(name, value string) {
+	if err := flag.Set(name, value); err != nil {
+		panic(err)
+	}
+}
+
+// TestMain fixes the seed of the property tests, except in long runs.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set("rapid.steps", "150")
+	if os.Getenv("FUCHSIAROAD_LONG") == "" {
+		set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
