--- a/standin/leaf/settings.go
+++ b/standin/leaf/settings.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/leafapi"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
@@ -29,8 +30,8 @@
 	ConnectionLimit int `json:"connection_limit"`
 	// DialCostUS is how long a new connection stays unread, in microseconds.
 	DialCostUS int64 `json:"dial_cost_us"`
-	// NetworkUS delays each reply once outside the slot: the way there and
-	// back, in microseconds.
+	// NetworkUS delays each request before it is queued and each reply after
+	// its slot is free, in microseconds: the network's one-way delay.
 	NetworkUS int64   `json:"network_us"`
 	Service   Service `json:"service"`
 	// BodyBytes pads each reply's body to at least this size.
@@ -113,11 +114,26 @@
 	// Health and Load are answered in place of the truth when set.
 	Health *leafapi.Health `json:"health"`
 	Load   *leafapi.Load   `json:"load"`
-	// LagMS is the age of what the health and load endpoints answer otherwise.
+	// LagMS is how long the health and load endpoints repeat an answer before
+	// they look again.
 	LagMS   int64   `json:"lag_ms"`
 	Replies Replies `json:"replies"`
 }
 
+// clone copies the faults with what they point at.
+func (f Faults) clone() Faults {
+	if f.Health != nil {
+		health := *f.Health
+		health.Versions = slices.Clone(health.Versions)
+		f.Health = &health
+	}
+	if f.Load != nil {
+		load := *f.Load
+		f.Load = &load
+	}
+	return f
+}
+
 // FieldError names the setting that is wrong.
 type FieldError struct {
 	Leaf   string
--- a/standin/platform/calls.go
+++ b/standin/platform/calls.go
@@ -15,8 +15,9 @@
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
 )
 
-// maxBody bounds a request body: a value is sent as it is, with nothing around it.
-const maxBody = platformapi.MaxValue
+// maxBody bounds the body of a write: a value of platformapi.MaxValue bytes in
+// base64, with room for the JSON around it.
+const maxBody = platformapi.MaxValue*4/3 + 4096
 
 // client is who calls.
 type client struct {
@@ -297,16 +298,24 @@
 	return v, nil
 }
 
-// readValue reads the value to write: the body as it is.
+// readValue reads the value to write from a platformapi.Object.
 func readValue(c echo.Context) ([]byte, error) {
-	value, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBody+1))
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBody+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(value) > maxBody {
-		return nil, &FieldError{Field: "value", Reason: "is larger than " + strconv.Itoa(platformapi.MaxValue) + " bytes"}
+	tooLarge := &FieldError{Field: "value", Reason: "is larger than " + strconv.Itoa(platformapi.MaxValue) + " bytes"}
+	if len(body) > maxBody {
+		return nil, tooLarge
 	}
-	return value, nil
+	var object platformapi.Object
+	if err := json.Unmarshal(body, &object); err != nil {
+		return nil, &FieldError{Field: "body", Reason: "is not an object: " + err.Error()}
+	}
+	if len(object.Value) > platformapi.MaxValue {
+		return nil, tooLarge
+	}
+	return object.Value, nil
 }
 
 // decode reads a JSON body over the values that dst has.
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -16,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/internal/httpserve"
 )
 
 // Server is one platform stand-in. Its methods may be called at any time from
@@ -77,14 +77,7 @@
 // Serve answers on a listener until the context ends. Calls that wait then are
 // broken off.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{
-		Handler:           s,
-		BaseContext:       func(net.Listener) context.Context { return ctx },
-		ReadHeaderTimeout: time.Minute,
-	}
-	stop := context.AfterFunc(ctx, func() { server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := httpserve.Serve(ctx, listener, s); err != nil {
 		return fmt.Errorf("platform stand-in: serve: %w", err)
 	}
 	return nil
@@ -94,7 +87,10 @@
 func (s *Server) Faults() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults
+	faults := s.faults
+	faults.StaleClients = slices.Clone(faults.StaleClients)
+	faults.CutClients = slices.Clone(faults.CutClients)
+	return faults
 }
 
 // SetFaults replaces the faults. It fails on a value out of its bounds or a
