--- a/api/callerapi/callerapi.go
+++ b/api/callerapi/callerapi.go
@@ -66,6 +66,8 @@
 	// with the same Idempotency-Key; results are then absent.
 	Replayed bool   `json:"replayed,omitempty"`
 	Reason   string `json:"reason,omitempty"`
+	// RetryAfterMS says when asking again may tell more, in milliseconds.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 	Timing   Timing `json:"timing"`
 	Work     Work   `json:"work"`
 }
--- /dev/null
+++ b/entry/executor/exchange.go
@@ -0,0 +1,125 @@
+package executor
+
+import (
+	"context"
+	"errors"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/leafapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+)
+
+// Prefixes of decision lines.
+const (
+	partDispatch = "dispatch"
+	partQuery    = "query"
+)
+
+// exchange runs one dispatched attempt to its end and reports it to the query
+// and to the pool.
+func (e *Executor) exchange(p *pool, s start) {
+	a := s.attempt
+	defer a.cancel()
+	e.decide(a, telemetry.Decision{Part: partDispatch, What: "dispatch", Leaf: s.leaf.ID, Why: s.action.Why, Took: s.action.Queued})
+	leaf := a.run.leafIndex(a, s.leaf.ID)
+	// The deadline is looked at again right before the bytes go: an instance
+	// that was paused since the decision must not start stale work.
+	if s.ctx.Err() != nil {
+		p.finish(a, dispatch.OutcomeCancelled, 0)
+		a.run.mail.put(query.NotSent{Attempt: a.offer.Attempt, Reason: query.ReasonDeadline})
+		return
+	}
+	target := leafclient.Target{ID: s.leaf.ID, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.config}
+	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body}
+	reply, err := e.config.Leaves.Run(s.ctx, target, request, func() {
+		a.run.mail.put(query.Sent{Attempt: a.offer.Attempt, Leaf: leaf})
+	})
+	if err != nil {
+		e.failed(p, a, s.ctx, leaf, err)
+		return
+	}
+	e.learn(s.leaf.ID, reply.Versions, reply.Draining)
+	p.finish(a, dispatch.OutcomeReply, reply.Service)
+	a.run.mail.put(query.Reply{Attempt: a.offer.Attempt, Leaf: leaf, Version: reply.Version, Ranges: reply.Ranges, Body: reply.Body, Versions: reply.Versions})
+}
+
+// failed converts the client's error to events. Only a dial error or the
+// leaf's own decline counts as not run.
+func (e *Executor) failed(p *pool, a *attempt, ctx context.Context, leaf int, err error) {
+	var dial *leafclient.DialError
+	var declined *leafclient.DeclinedError
+	var broken *leafclient.BrokenError
+	id := a.offer.Attempt
+	e.decide(a, telemetry.Decision{Part: partDispatch, What: "attempt failed", Leaf: a.leafID, Why: why(err)})
+	switch {
+	case errors.As(err, &dial):
+		outcome := dispatch.OutcomeDialFailed
+		if ctx.Err() != nil {
+			outcome = dispatch.OutcomeCancelled
+		}
+		p.finish(a, outcome, 0)
+		a.run.mail.put(query.NotSent{Attempt: id, Reason: query.ReasonDialFailed})
+	case errors.As(err, &declined):
+		e.learn(declined.Leaf, declined.Versions, declined.Draining)
+		outcome := dispatch.OutcomeDeclined
+		if declined.Reason == leafapi.DeclineOverloaded {
+			outcome = dispatch.OutcomeShed
+		}
+		p.finish(a, outcome, 0)
+		a.run.mail.put(query.Declined{Attempt: id, Leaf: leaf, Reason: query.DeclineReason(declined.Reason), Versions: declined.Versions, Ranges: declined.Ranges})
+	case errors.As(err, &broken):
+		p.finish(a, brokenOutcome(broken.Cause), 0)
+		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: string(broken.Cause), Crash: broken.Cause == leafclient.CauseClosed})
+	default:
+		p.finish(a, dispatch.OutcomeBroken, 0)
+		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: "internal"})
+	}
+}
+
+// brokenOutcome tells the dispatch layer a break from a timeout and a withdrawal.
+func brokenOutcome(c leafclient.Cause) dispatch.Outcome {
+	switch c {
+	case leafclient.CauseDeadline:
+		return dispatch.OutcomeTimeout
+	case leafclient.CauseCancelled:
+		return dispatch.OutcomeCancelled
+	default:
+		return dispatch.OutcomeBroken
+	}
+}
+
+// why is the short cause of an error, without addresses.
+func why(err error) string {
+	var declined *leafclient.DeclinedError
+	var broken *leafclient.BrokenError
+	switch {
+	case errors.As(err, &declined):
+		return "declined " + string(declined.Reason)
+	case errors.As(err, &broken):
+		return "broken " + string(broken.Cause)
+	default:
+		return "no connection"
+	}
+}
+
+// learn keeps what a reply shows of its leaf.
+func (e *Executor) learn(leafID string, versions []uint64, draining bool) {
+	if len(versions) > 0 {
+		e.knowledge.saw(leafID, versions)
+	}
+	if draining {
+		e.config.Sightings.SawLeaving(leafID)
+	}
+}
+
+// decide logs a decision about an attempt.
+func (e *Executor) decide(a *attempt, d telemetry.Decision) {
+	if !e.config.Log.DecisionsOn() {
+		return
+	}
+	d.Query = a.ticket.Query
+	d.Shard = a.run.request.View.Upstreams[a.offer.Part.Upstream].Name + " " + a.offer.Part.Range.String()
+	e.config.Log.Decide(d)
+}
--- /dev/null
+++ b/entry/executor/execute.go
@@ -0,0 +1,138 @@
+package executor
+
+import (
+	"context"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+)
+
+// Response is an answered request: something ran or may have run.
+type Response struct {
+	Answer callerapi.Answer
+}
+
+// Execute runs a request to its answer. The error, if any, is a *RefusedError:
+// the request provably ran nowhere.
+func (e *Executor) Execute(ctx context.Context, req *Request) (*Response, error) {
+	e.inFlight.Add(1)
+	e.running.Add(1)
+	defer e.inFlight.Done()
+	defer e.running.Add(-1)
+	resp, err := e.execute(ctx, req)
+	meter := e.service(req.Service.Config.Name)
+	if err != nil {
+		meter.Observe(string(query.NotRun), time.Since(req.Start))
+		return nil, err
+	}
+	meter.Observe(resp.Answer.Outcome, time.Since(req.Start))
+	return resp, nil
+}
+
+// execute claims the key of a non-idempotent request before anything else.
+func (e *Executor) execute(ctx context.Context, req *Request) (*Response, error) {
+	if req.Service.Config.Idempotent {
+		return e.fanOut(ctx, req)
+	}
+	return e.atMostOnce(ctx, req)
+}
+
+// fanOut runs the query, unless its fingerprint is in quarantine.
+func (e *Executor) fanOut(ctx context.Context, req *Request) (*Response, error) {
+	e.knowledge.follow(req.View)
+	fingerprint := e.guard.fingerprint(req)
+	decision := e.guard.admit(fingerprint, req, req.Start)
+	if decision.Mode == quarantine.ModeRefuse {
+		return nil, refuse(RefusedQuarantined, decision.RetryAfter, "earlier runs of this request broke the leaves that ran them")
+	}
+	return e.newRun(ctx, req, fingerprint, decision.Mode).finish()
+}
+
+// newRun makes the query's machine and its place in the order of work.
+func (e *Executor) newRun(ctx context.Context, req *Request, fingerprint string, mode quarantine.Mode) *run {
+	r := &run{
+		executor: e, request: req, id: newToken(), stamp: e.nextStamp(req.Start),
+		fingerprint: fingerprint, mail: newMailbox(), ctx: ctx,
+		attempts: make(map[query.AttemptID]*attempt), pools: make(map[int]*pool),
+	}
+	repetition := e.repetition(req.Service)
+	r.repetition = repetition
+	r.machine = query.New(query.Config{
+		View: req.View, Service: req.Service, Start: req.Start, Deadline: req.Deadline,
+		Versions:   versions{e.knowledge, req.View},
+		Budget:     repetition,
+		HedgeAfter: repetition.hedgeAfter(req),
+		Canary:     mode == quarantine.ModeCanary,
+		Suspect:    mode == quarantine.ModeSuspect,
+		Seed:       seed(fingerprint),
+	})
+	return r
+}
+
+// finish drives the query and converts its answer.
+func (r *run) finish() (*Response, error) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	defer cancel() // ends the exchanges that the answer no longer needs
+	r.ctx = ctx
+	if refused := r.executor.admit(r); refused != nil {
+		return nil, refused
+	}
+	r.repetition.deposit(r.request.Service.Shards)
+	answer := r.drive()
+	r.dropQueued()
+	r.account(answer)
+	if answer.Outcome == query.NotRun {
+		return nil, refusal(answer)
+	}
+	return &Response{Answer: r.convert(answer)}, nil
+}
+
+// dropQueued takes back what the answer no longer needs.
+func (r *run) dropQueued() {
+	for id := range r.attempts {
+		r.withdraw(id)
+	}
+}
+
+// account counts what the query cost.
+func (r *run) account(a *query.Answer) {
+	m := r.executor.service(r.request.Service.Config.Name)
+	m.Sent.Inc(int64(a.Sent))
+	m.Covered.Inc(int64(len(a.Results)))
+	m.Hedges.Inc(int64(a.Hedges))
+	m.Retries.Inc(int64(a.Retries))
+	m.Ignored.Inc(int64(a.Ignored))
+	m.Moves.Inc(int64(a.Moves))
+	r.executor.config.Log.Decide(telemetry.Decision{
+		Part: partQuery, What: "answer", Query: r.stamp, Why: string(a.Outcome), Took: time.Since(r.request.Start),
+	})
+}
+
+// convert writes the machine's answer in the callers' terms.
+func (r *run) convert(a *query.Answer) callerapi.Answer {
+	out := callerapi.Answer{
+		Request: r.id, Outcome: string(a.Outcome), Version: a.Version, Share: a.Share, Reason: a.Reason,
+		Covered: make([]callerapi.Part, 0, len(a.Covered)),
+		Missing: make([]callerapi.Missing, 0, len(a.Missing)),
+		Results: make([]callerapi.Result, 0, len(a.Results)),
+		Work:    callerapi.Work{Sent: a.Sent, Hedges: a.Hedges, Retries: a.Retries},
+	}
+	for _, p := range a.Covered {
+		out.Covered = append(out.Covered, r.part(p))
+	}
+	for _, m := range a.Missing {
+		out.Missing = append(out.Missing, callerapi.Missing{Part: r.part(m.Part), Reason: missing(m)})
+	}
+	for _, res := range a.Results {
+		out.Results = append(out.Results, callerapi.Result{Part: r.part(res.Part), Body: res.Body})
+	}
+	return out
+}
+
+// part names a part by its upstream.
+func (r *run) part(p query.Part) callerapi.Part {
+	return callerapi.Part{Upstream: r.request.View.Upstreams[p.Upstream].Name, Range: p.Range}
+}
--- /dev/null
+++ b/entry/executor/executor.go
@@ -0,0 +1,165 @@
+// Package executor runs queries: one goroutine per query drives the query's
+// state machine, one pool per upstream drives the dispatch machine, and one
+// goroutine per running attempt talks to a leaf. All decisions are the
+// kernel's; this package turns its actions into I/O and I/O into its events.
+package executor
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// Leaves carries one attempt to one leaf; *leafclient.Client does it.
+type Leaves interface {
+	Run(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func()) (*leafclient.Reply, error)
+}
+
+// Sightings takes what replies show of leaves: a drain mark. It must not block.
+type Sightings interface {
+	SawLeaving(leafID string)
+	// SpreadNow asks to tell the peers at once what the quarantine learnt.
+	SpreadNow()
+}
+
+// Request is one caller's checked request.
+type Request struct {
+	View     *view.View
+	Service  *view.Service
+	Caller   *document.Caller
+	Body     []byte
+	Key      string // Idempotency-Key, "" if none was given
+	Start    time.Time
+	Deadline time.Time
+}
+
+// Config is what an executor needs.
+type Config struct {
+	Leaves    Leaves
+	Sightings Sightings
+	Log       *telemetry.Log
+	Metrics   *telemetry.Metrics
+	Policies  Policies
+	// Zone is this instance's availability zone.
+	Zone string
+	// Seed seeds the kernel's random choices.
+	Seed uint64
+	// FleetKey is the entries' shared secret; fingerprints are keyed by it.
+	FleetKey []byte
+	// Ledger claims the keys of non-idempotent requests.
+	Ledger Ledger
+}
+
+// Executor runs queries. It is safe for concurrent use.
+type Executor struct {
+	config    Config
+	knowledge *knowledge
+	guard     *guard
+	stamp     atomic.Uint64
+	inFlight  sync.WaitGroup
+	running   atomic.Int64
+
+	mu          sync.Mutex
+	pools       map[string]*pool // by upstream name
+	meter       map[string]*telemetry.ServiceMetrics
+	repetitions map[string]*repetition // by service name
+}
+
+// New makes an executor. The policies must have passed their Check.
+func New(c Config) *Executor {
+	return &Executor{
+		config:    c,
+		knowledge: newKnowledge(),
+		guard:     newGuard(c.FleetKey),
+		pools:     make(map[string]*pool),
+		meter:     make(map[string]*telemetry.ServiceMetrics),
+
+		repetitions: make(map[string]*repetition),
+	}
+}
+
+// Running is the number of queries in flight.
+func (e *Executor) Running() int64 { return e.running.Load() }
+
+// Wait returns when no query is in flight, or with the context's error.
+func (e *Executor) Wait(ctx context.Context) error {
+	idle := make(chan struct{})
+	go func() {
+		e.inFlight.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// nextStamp gives a query its place in the one order of all work: the time of
+// its admission, made unique within this entry. Stamps of different entries
+// compare as well as their clocks agree.
+func (e *Executor) nextStamp(now time.Time) uint64 {
+	at := uint64(now.UnixNano())
+	for {
+		last := e.stamp.Load()
+		next := max(at, last+1)
+		if e.stamp.CompareAndSwap(last, next) {
+			return next
+		}
+	}
+}
+
+// service returns the instruments of a service.
+func (e *Executor) service(name string) *telemetry.ServiceMetrics {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m, ok := e.meter[name]
+	if !ok {
+		m = e.config.Metrics.Service(name)
+		e.meter[name] = m
+	}
+	return m
+}
+
+// pool returns the pool of an upstream, brought up to the view.
+func (e *Executor) pool(v *view.View, upstream int) *pool {
+	name := v.Upstreams[upstream].Name
+	e.mu.Lock()
+	p, ok := e.pools[name]
+	if !ok {
+		p = newPool(e, name, v, upstream)
+		e.pools[name] = p
+	}
+	e.mu.Unlock()
+	p.follow(v)
+	return p
+}
+
+// Follow tells all pools of a new view.
+func (e *Executor) Follow(v *view.View) {
+	e.mu.Lock()
+	pools := make([]*pool, 0, len(e.pools))
+	for _, p := range e.pools {
+		pools = append(pools, p)
+	}
+	e.mu.Unlock()
+	for _, p := range pools {
+		p.follow(v)
+	}
+}
+
+// missing is the kernel's reason of a part, for people.
+func missing(m query.Missing) string {
+	if m.Reason == "" {
+		return "no reply in time"
+	}
+	return m.Reason
+}
--- /dev/null
+++ b/entry/executor/guard.go
@@ -0,0 +1,98 @@
+package executor
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
+)
+
+// guard keeps the fleet's knowledge of requests that break leaves. It guards
+// the kernel's machine by a lock.
+type guard struct {
+	key     []byte
+	mu      sync.Mutex
+	machine *quarantine.Machine
+}
+
+// quarantineConfig sets times and bounds of the quarantine.
+var quarantineConfig = quarantine.Config{
+	QuarantineFor: 10 * time.Minute,
+	SuspectFor:    2 * time.Minute,
+	MaxRecords:    4096,
+	MaxGood:       65536,
+	DigestRecords: 32,
+}
+
+// newGuard makes a guard. All entries must have the same key, so that they
+// name a request alike.
+func newGuard(key []byte) *guard {
+	return &guard{key: key, machine: quarantine.New(quarantineConfig)}
+}
+
+// fingerprint names a request by a keyed hash of caller, service and body: it
+// can be told to peers and logged without saying anything of the request.
+func (g *guard) fingerprint(r *Request) string {
+	mac := hmac.New(sha256.New, g.key)
+	mac.Write([]byte(r.Caller.Name))
+	mac.Write([]byte{0})
+	mac.Write([]byte(r.Service.Config.Name))
+	mac.Write([]byte{0})
+	mac.Write(r.Body)
+	return hex.EncodeToString(mac.Sum(nil)[:fingerprintBytes])
+}
+
+// fingerprintBytes is the length of a fingerprint: 128 bits.
+const fingerprintBytes = 16
+
+// seed is the fingerprint's hash, which chooses the part that runs alone.
+func seed(fingerprint string) uint64 { return xxhash.Sum64String(fingerprint) }
+
+// admit decides how a request may run.
+func (g *guard) admit(fingerprint string, r *Request, now time.Time) quarantine.Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.Admit(fingerprint, r.Service.Shards, r.Service.Config.CanaryAbove, now)
+}
+
+// observe notes how an attempt ended, and reports whether peers should know at once.
+func (g *guard) observe(o quarantine.Observed, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.machine.Handle(o, now)) > 0
+}
+
+// records lists what to tell peers.
+func (g *guard) records(now time.Time) []peerapi.Quarantined {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []peerapi.Quarantined
+	for _, r := range g.machine.Digest(now) {
+		out = append(out, peerapi.Quarantined{Fingerprint: r.Fingerprint, Crashes: r.Level, LeftMS: r.Until.Sub(now).Milliseconds()})
+	}
+	return out
+}
+
+// merge takes in a peer's records.
+func (g *guard) merge(list []peerapi.Quarantined, now time.Time) {
+	records := make([]quarantine.Record, 0, len(list))
+	for _, q := range list {
+		records = append(records, quarantine.Record{Fingerprint: q.Fingerprint, Level: q.Crashes, Until: now.Add(time.Duration(q.LeftMS) * time.Millisecond)})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.machine.Handle(quarantine.Merged{Records: records}, now)
+}
+
+// lift lets a fingerprint run again.
+func (g *guard) lift(fingerprint string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.machine.Handle(quarantine.Lifted{Fingerprint: fingerprint}, now)
+}
--- /dev/null
+++ b/entry/executor/policies.go
@@ -0,0 +1,115 @@
+package executor
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// Policies names the plug-ins that decide.
+type Policies struct {
+	Dispatch   dispatch.Policies
+	Repetition string
+}
+
+// Check reports a name that no plug-in has.
+func (p Policies) Check() error {
+	if _, err := plugin.Routings.Get(p.Dispatch.Routing); err != nil {
+		return err
+	}
+	if _, err := plugin.Orders.Get(p.Dispatch.Order); err != nil {
+		return err
+	}
+	if _, err := plugin.Limits.Get(p.Dispatch.Limit); err != nil {
+		return err
+	}
+	_, err := plugin.Repetitions.Get(p.Repetition)
+	return err
+}
+
+// dispatchConfig is the configuration of one upstream's dispatch machine. The
+// seed differs from upstream to upstream.
+func (p Policies) dispatchConfig(c Config, v *view.View, upstream int) dispatch.Config {
+	return dispatch.Config{
+		Upstream: upstream, View: v, Zone: c.Zone, Policies: p.Dispatch,
+		Seed: c.Seed ^ maphash.String(hashSeed, v.Upstreams[upstream].Name),
+	}
+}
+
+// hashSeed makes the seeds of one process differ from those of another.
+var hashSeed = maphash.MakeSeed()
+
+// repetition guards a service's repetition policy by a lock. It outlives
+// queries, since budgets are earned over many of them.
+type repetition struct {
+	executor *Executor
+	mu       sync.Mutex
+	policy   plugin.Repetition
+	config   plugin.RepetitionConfig
+}
+
+// repetition returns the policy of a service, made anew when its budgets change.
+func (e *Executor) repetition(s *view.Service) *repetition {
+	config := plugin.RepetitionConfig{HedgeBudget: s.Config.HedgeBudget, HedgeQuantile: s.Config.HedgeQuantile, RetryBudget: s.Config.RetryBudget}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.repetitions[s.Config.Name]
+	if ok && r.config == config {
+		return r
+	}
+	newPolicy, err := plugin.Repetitions.Get(e.config.Policies.Repetition)
+	if err != nil {
+		panic(err) // Policies.Check ran before: the registry is fixed
+	}
+	r = &repetition{executor: e, policy: newPolicy(config), config: config}
+	e.repetitions[s.Config.Name] = r
+	return r
+}
+
+// TakeHedge implements query.Budget.
+func (r *repetition) TakeHedge(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.TakeHedge(now)
+}
+
+// TakeRetry implements query.Budget.
+func (r *repetition) TakeRetry(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.policy.TakeRetry(now)
+}
+
+// deposit credits the first sub-requests of a query.
+func (r *repetition) deposit(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range n {
+		r.policy.Deposit()
+	}
+}
+
+// shed reports that work was refused for overload.
+func (r *repetition) shed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy.Shed(now)
+}
+
+// hedgeAfter gives the hedge delay of an upstream, in the indexes of the request's view.
+func (r *repetition) hedgeAfter(req *Request) func(int) time.Duration {
+	return func(upstream int) time.Duration {
+		p := r.executor.pool(req.View, upstream)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		d, ok := r.policy.HedgeAfter(p)
+		if !ok {
+			return 0
+		}
+		return d
+	}
+}
--- /dev/null
+++ b/entry/executor/pool.go
@@ -0,0 +1,222 @@
+package executor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// pool drives the dispatch machine of one upstream under a lock. It owns the
+// attempts that are queued or running there.
+type pool struct {
+	executor *Executor
+	name     string
+
+	mu       sync.Mutex
+	machine  *dispatch.Machine
+	view     *view.View
+	upstream int // index in view
+	attempts map[dispatch.Ticket]*attempt
+	timer    *time.Timer
+	wakeAt   time.Time
+}
+
+// attempt is one attempt of one query in this pool.
+type attempt struct {
+	ticket  dispatch.Ticket
+	run     *run
+	offer   query.Offer
+	token   string // unguessable, on the wire
+	started time.Time
+	cancel  context.CancelFunc // nil while queued
+	leafID  string
+}
+
+// newPool makes the pool of an upstream.
+func newPool(e *Executor, name string, v *view.View, upstream int) *pool {
+	p := &pool{executor: e, name: name, view: v, upstream: upstream, attempts: make(map[dispatch.Ticket]*attempt)}
+	machine, err := dispatch.New(e.config.Policies.dispatchConfig(e.config, v, upstream))
+	if err != nil {
+		panic(err) // the view is valid and Policies.Check ran before
+	}
+	p.machine = machine
+	return p
+}
+
+// follow moves the pool to a newer view. A view without the upstream leaves
+// the pool at its last view, to finish what it has.
+func (p *pool) follow(v *view.View) {
+	p.mu.Lock()
+	if p.view == v || v.Sequence <= p.view.Sequence {
+		p.mu.Unlock()
+		return
+	}
+	upstream := v.UpstreamByName(p.name)
+	if upstream == view.NoUpstream {
+		p.mu.Unlock()
+		return
+	}
+	p.view, p.upstream = v, upstream
+	p.handleAndUnlock(dispatch.ViewChanged{View: v})
+}
+
+// offer queues an attempt.
+func (p *pool) offer(a *attempt) {
+	p.mu.Lock()
+	shard, ok := p.shard(a)
+	if !ok {
+		p.mu.Unlock()
+		a.run.mail.put(query.NotSent{Attempt: a.offer.Attempt, Reason: query.ReasonNoLeaf})
+		return
+	}
+	p.attempts[a.ticket] = a
+	p.handleAndUnlock(dispatch.Offered{
+		Ticket: a.ticket, Shard: shard, Caller: a.run.request.Caller.Name, Deadline: a.offer.Deadline,
+		Avoid: p.translate(a.run, a.offer.Avoid), Hedge: a.offer.Hedge, Retry: a.offer.Retry, Solo: a.offer.Solo,
+	})
+}
+
+// shard finds the pool's shard for the attempt's part; the query may hold an older view.
+func (p *pool) shard(a *attempt) (int, bool) {
+	if a.run.request.View == p.view {
+		return a.offer.Shard, true
+	}
+	for i, s := range p.view.Upstreams[p.upstream].Shards {
+		if s.Range.From <= a.offer.Part.Range.From && a.offer.Part.Range.From < s.Range.To {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// translate turns leaf indexes of the query's view into the pool's.
+func (p *pool) translate(r *run, leaves []int) []int {
+	if r.request.View == p.view || len(leaves) == 0 {
+		return leaves
+	}
+	var out []int
+	for _, leaf := range leaves {
+		i := p.view.Upstreams[p.upstream].Leaf(r.request.View.Leaves[leaf].ID)
+		if i != view.NoLeaf {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// withdraw takes a queued attempt back, or cancels a running one.
+func (p *pool) withdraw(t dispatch.Ticket) {
+	p.mu.Lock()
+	a, ok := p.attempts[t]
+	if !ok {
+		p.mu.Unlock()
+		return
+	}
+	if a.cancel != nil {
+		p.mu.Unlock()
+		a.cancel()
+		return
+	}
+	delete(p.attempts, t)
+	p.handleAndUnlock(dispatch.Withdrawn{Ticket: t})
+}
+
+// finish reports the end of a running attempt.
+func (p *pool) finish(a *attempt, outcome dispatch.Outcome, service time.Duration) {
+	p.mu.Lock()
+	delete(p.attempts, a.ticket)
+	p.handleAndUnlock(dispatch.Finished{
+		Ticket: a.ticket, Leaf: p.view.Upstreams[p.upstream].Leaf(a.leafID),
+		Outcome: outcome, Latency: time.Since(a.started), Service: service,
+	})
+}
+
+// tick lets the machine do time-driven work.
+func (p *pool) tick() {
+	p.mu.Lock()
+	p.wakeAt = time.Time{}
+	p.handleAndUnlock(dispatch.Tick{})
+}
+
+// start is a dispatched attempt that runs once the lock is given back.
+type start struct {
+	attempt *attempt
+	ctx     context.Context
+	action  dispatch.Dispatch
+	leaf    *view.Leaf
+	config  time.Duration // dial cost
+}
+
+// handleAndUnlock gives the event to the machine, carries out its actions and
+// gives the lock back before it starts or tells anyone.
+func (p *pool) handleAndUnlock(ev dispatch.Event) {
+	now := time.Now()
+	var starts []start
+	var refused []refusedAttempt
+	for _, action := range p.machine.Handle(ev, now) {
+		switch action := action.(type) {
+		case dispatch.Dispatch:
+			if s, ok := p.prepare(action, now); ok {
+				starts = append(starts, s)
+			}
+		case dispatch.Refuse:
+			if a, ok := p.attempts[action.Ticket]; ok {
+				delete(p.attempts, action.Ticket)
+				refused = append(refused, refusedAttempt{a, action})
+			}
+		case dispatch.WakeAt:
+			p.wake(action.At, now)
+		}
+	}
+	p.mu.Unlock()
+	for _, s := range starts {
+		go p.executor.exchange(p, s)
+	}
+	for _, r := range refused {
+		r.tell(p)
+	}
+}
+
+// prepare marks an attempt as running on the leaf.
+func (p *pool) prepare(d dispatch.Dispatch, now time.Time) (start, bool) {
+	a, ok := p.attempts[d.Ticket]
+	if !ok {
+		return start{}, false
+	}
+	leaf := &p.view.Leaves[d.Leaf]
+	a.leafID = leaf.ID
+	a.started = now
+	ctx, cancel := context.WithDeadline(a.run.ctx, a.offer.Deadline)
+	a.cancel = cancel
+	return start{attempt: a, ctx: ctx, action: d, leaf: leaf, config: p.view.Upstreams[p.upstream].Config.DialCost}, true
+}
+
+// refusedAttempt is an attempt that the machine will not dispatch.
+type refusedAttempt struct {
+	attempt *attempt
+	action  dispatch.Refuse
+}
+
+// tell logs the refusal and passes it to the query.
+func (r refusedAttempt) tell(p *pool) {
+	p.executor.decide(r.attempt, telemetry.Decision{Part: partDispatch, What: "refuse", Why: string(r.action.Reason)})
+	r.attempt.run.mail.put(query.NotSent{Attempt: r.attempt.offer.Attempt, Reason: r.action.Reason, RetryAfter: r.action.RetryAfter})
+}
+
+// wake sets the pool's one timer to the earliest wish.
+func (p *pool) wake(at, now time.Time) {
+	if !p.wakeAt.IsZero() && !at.Before(p.wakeAt) {
+		return
+	}
+	p.wakeAt = at
+	if p.timer == nil {
+		p.timer = time.AfterFunc(max(at.Sub(now), 0), p.tick)
+		return
+	}
+	p.timer.Reset(max(at.Sub(now), 0))
+}
--- /dev/null
+++ b/entry/server/query.go
@@ -0,0 +1,133 @@
+package server
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// maxIdempotencyKey bounds the key, in bytes.
+const maxIdempotencyKey = 255
+
+// noDocumentRetry is when to come back to an instance without a document.
+const noDocumentRetry = 500 * time.Millisecond
+
+// query answers POST /v1/services/{service}/query.
+func (s *Server) query(c echo.Context) error {
+	start := time.Now()
+	v := s.config.Views.View()
+	if v == nil {
+		return &Error{Status: http.StatusServiceUnavailable, Code: "no-document", Title: "The request was not run", Detail: "this instance has no configuration yet", RetryAfter: noDocumentRetry}
+	}
+	req, err := s.parseQuery(c, v, start)
+	if err != nil {
+		return err
+	}
+	resp, err := s.config.Executor.Execute(c.Request().Context(), req)
+	if err != nil {
+		return err
+	}
+	resp.Answer.Timing.TotalUS = time.Since(start).Microseconds()
+	setRetryAfter(c, resp.Answer.RetryAfterMS)
+	return c.JSON(statusOf(&resp.Answer), &resp.Answer)
+}
+
+// statusOf maps an answer to a status. What did not run never comes here.
+func statusOf(a *callerapi.Answer) int {
+	switch outcome := query.Outcome(a.Outcome); {
+	case outcome == query.Complete || outcome == query.Partial:
+		return http.StatusOK
+	case a.Replayed:
+		return http.StatusConflict
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// parseQuery checks everything about a request before anything is sent on.
+func (s *Server) parseQuery(c echo.Context, v *view.View, start time.Time) (*executor.Request, error) {
+	caller, err := Authenticate(v, c.Request().Header.Get(echo.HeaderAuthorization))
+	if err != nil {
+		return nil, err
+	}
+	svc, err := authorize(v, caller, c.Param("service"))
+	if err != nil {
+		return nil, err
+	}
+	budget, err := parseDeadline(c.Request().Header, svc.Config.Deadline)
+	if err != nil {
+		return nil, err
+	}
+	key, err := parseKey(c.Request().Header)
+	if err != nil {
+		return nil, err
+	}
+	body, err := s.readBody(c)
+	if err != nil {
+		return nil, err
+	}
+	return &executor.Request{
+		View: v, Service: svc, Caller: caller, Body: body, Key: key,
+		Start: start, Deadline: start.Add(budget),
+	}, nil
+}
+
+// parseDeadline reads the caller's deadline; it can only shorten the service's.
+func parseDeadline(h http.Header, most time.Duration) (time.Duration, error) {
+	values := h.Values(callerapi.HeaderDeadlineMS)
+	if len(values) == 0 {
+		return most, nil
+	}
+	if len(values) > 1 {
+		return 0, badRequest(callerapi.HeaderDeadlineMS, "given %d times, want once", len(values))
+	}
+	ms, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || ms < 1 || ms > time.Hour.Milliseconds() {
+		return 0, badRequest(callerapi.HeaderDeadlineMS, "want whole milliseconds from 1 to %d", time.Hour.Milliseconds())
+	}
+	return min(most, time.Duration(ms)*time.Millisecond), nil
+}
+
+// parseKey reads the idempotency key, which may be absent.
+func parseKey(h http.Header) (string, error) {
+	values := h.Values(callerapi.HeaderIdempotencyKey)
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 {
+		return "", badRequest(callerapi.HeaderIdempotencyKey, "given %d times, want once", len(values))
+	}
+	key := values[0]
+	if key == "" || len(key) > maxIdempotencyKey {
+		return "", badRequest(callerapi.HeaderIdempotencyKey, "want 1 to %d bytes", maxIdempotencyKey)
+	}
+	for i := range len(key) {
+		if key[i] < 0x21 || key[i] > 0x7e {
+			return "", badRequest(callerapi.HeaderIdempotencyKey, "byte %d is not a visible ASCII character", i)
+		}
+	}
+	return key, nil
+}
+
+// readBody takes the body, up to the limit.
+func (s *Server) readBody(c echo.Context) ([]byte, error) {
+	limit := s.config.Limits.BodyBytes
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &Error{Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Title: "The request is malformed", Field: "body", Detail: "want at most " + strconv.FormatInt(limit, 10) + " bytes"}
+	}
+	if err != nil {
+		return nil, badRequest("body", "could not be read whole")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/entry/telemetry/log.go
@@ -0,0 +1,200 @@
+// Package telemetry gives the entry its logs and metrics. Log records are
+// queued and written by one goroutine, so that traffic never waits on a slow
+// sink; records that find the queue full are dropped and counted.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+// queueLength bounds the records that wait for the sink.
+const queueLength = 8192
+
+// Decision is one routing or placement decision. It names no caller, body or key.
+type Decision struct {
+	Part  string // the log prefix: "dispatch", "query", "placement"
+	What  string // "dispatch", "refuse", "hedge", "move", ...
+	Query uint64 // admission stamp
+	Shard string // upstream and range
+	Leaf  string
+	Why   string
+	Took  time.Duration // a wait or a latency; 0 for none
+}
+
+// Options say how logs are written.
+type Options struct {
+	Level string // debug, info, warn, error
+	JSON  bool
+	// Decisions turns the lines of routing and placement decisions on.
+	Decisions bool
+}
+
+// Log is the queued logger. Close it to flush.
+type Log struct {
+	queue     chan record
+	done      chan struct{}
+	drops     atomic.Int64
+	decisions bool
+	level     log.Level
+	closeOnce sync.Once
+	mu        sync.RWMutex
+	closed    bool
+}
+
+// record is a line before it is formatted.
+type record struct {
+	at       time.Time
+	level    log.Level
+	part     string
+	msg      string
+	pairs    []any
+	decision Decision
+}
+
+// NewLog starts the writing goroutine on the sink.
+func NewLog(sink io.Writer, o Options) (*Log, error) {
+	level, err := log.ParseLevel(o.Level)
+	if err != nil {
+		return nil, fmt.Errorf("log level %q: %w", o.Level, err)
+	}
+	l := &Log{queue: make(chan record, queueLength), done: make(chan struct{}), decisions: o.Decisions, level: level}
+	go l.write(newWriter(sink, o, level))
+	return l, nil
+}
+
+// writer formats records with one logger per part.
+type writer struct {
+	base  *log.Logger
+	parts map[string]*log.Logger
+	now   time.Time
+}
+
+// newWriter makes the library's logger; its clock is the record's own time.
+func newWriter(sink io.Writer, o Options, level log.Level) *writer {
+	w := &writer{parts: make(map[string]*log.Logger)}
+	formatter := log.TextFormatter
+	if o.JSON {
+		formatter = log.JSONFormatter
+	}
+	w.base = log.NewWithOptions(sink, log.Options{
+		Level: level, Formatter: formatter, ReportTimestamp: true,
+		TimeFormat:   "2006-01-02T15:04:05.000000Z07:00",
+		TimeFunction: func(time.Time) time.Time { return w.now },
+	})
+	return w
+}
+
+// part returns the logger with the part's prefix.
+func (w *writer) part(name string) *log.Logger {
+	p, ok := w.parts[name]
+	if !ok {
+		p = w.base.WithPrefix(name)
+		w.parts[name] = p
+	}
+	return p
+}
+
+// write is the writing goroutine.
+func (l *Log) write(w *writer) {
+	defer close(l.done)
+	for r := range l.queue {
+		w.now = r.at
+		if r.decision.What == "" {
+			w.part(r.part).Log(r.level, r.msg, r.pairs...)
+			continue
+		}
+		w.part(r.decision.Part).Log(r.level, r.decision.What, r.decision.pairs()...)
+	}
+}
+
+// pairs lists the fields that are set.
+func (d *Decision) pairs() []any {
+	out := make([]any, 0, 10)
+	out = append(out, "query", strconv.FormatUint(d.Query, 10))
+	if d.Shard != "" {
+		out = append(out, "shard", d.Shard)
+	}
+	if d.Leaf != "" {
+		out = append(out, "leaf", d.Leaf)
+	}
+	if d.Why != "" {
+		out = append(out, "why", d.Why)
+	}
+	if d.Took != 0 {
+		out = append(out, "took", d.Took)
+	}
+	return out
+}
+
+// put queues a record or drops it.
+func (l *Log) put(r record) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.closed {
+		return
+	}
+	select {
+	case l.queue <- r:
+	default:
+		l.drops.Add(1)
+	}
+}
+
+// Decide logs one decision, if decisions are on.
+func (l *Log) Decide(d Decision) {
+	if l.decisions {
+		l.put(record{at: time.Now(), level: log.InfoLevel, decision: d})
+	}
+}
+
+// DecisionsOn reports whether decisions are logged, to save building them.
+func (l *Log) DecisionsOn() bool { return l.decisions }
+
+// Dropped is the number of records that found the queue full.
+func (l *Log) Dropped() int64 { return l.drops.Load() }
+
+// Close writes what is queued and ends the goroutine.
+func (l *Log) Close() {
+	l.closeOnce.Do(func() {
+		l.mu.Lock()
+		l.closed = true
+		close(l.queue)
+		l.mu.Unlock()
+	})
+	<-l.done
+}
+
+// Part returns the logger of one part, whose name prefixes its lines.
+func (l *Log) Part(name string) *Part { return &Part{log: l, name: name} }
+
+// Part logs under a fixed prefix.
+type Part struct {
+	log  *Log
+	name string
+}
+
+// Debug logs a line of interest to developers. Pairs are keys and values.
+func (p *Part) Debug(msg string, pairs ...any) { p.put(log.DebugLevel, msg, pairs) }
+
+// Info logs an ordinary event.
+func (p *Part) Info(msg string, pairs ...any) { p.put(log.InfoLevel, msg, pairs) }
+
+// Warn logs something that operators may want to look at.
+func (p *Part) Warn(msg string, pairs ...any) { p.put(log.WarnLevel, msg, pairs) }
+
+// Error logs something that operators must look at.
+func (p *Part) Error(msg string, pairs ...any) { p.put(log.ErrorLevel, msg, pairs) }
+
+func (p *Part) put(level log.Level, msg string, pairs []any) {
+	if level < p.log.level {
+		return
+	}
+	p.log.put(record{at: time.Now(), level: level, part: p.name, msg: msg, pairs: pairs})
+}
--- /dev/null
+++ b/entry/telemetry/metrics.go
@@ -0,0 +1,82 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often tally hands counters to the reporter.
+const reportInterval = time.Second
+
+// latencyBuckets are the upper bounds of latency histograms.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 1.5, 20)
+
+// Metrics holds the entry's instruments. No instrument has a caller's name in
+// it: callers may be rivals.
+type Metrics struct {
+	Scope   tally.Scope
+	handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics makes a root scope whose values are served in Prometheus text form.
+func NewMetrics() *Metrics {
+	registry := prom.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "fuchsiaroad", CachedReporter: reporter,
+		Separator: tallyprom.DefaultSeparator, SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{Scope: scope, handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close stops the reporting goroutine.
+func (m *Metrics) Close() error {
+	if err := m.closer.Close(); err != nil {
+		return fmt.Errorf("close metrics: %w", err)
+	}
+	return nil
+}
+
+// ServiceMetrics are one query service's instruments.
+type ServiceMetrics struct {
+	scope   tally.Scope
+	latency tally.Histogram
+	Sent    tally.Counter // sub-requests that reached a leaf
+	Covered tally.Counter // shards covered by answers
+	Hedges  tally.Counter
+	Retries tally.Counter
+	Ignored tally.Counter // replies that were late, repeated or crossed
+	Moves   tally.Counter // changes of the pinned version
+}
+
+// Service returns the instruments of a service.
+func (m *Metrics) Service(name string) *ServiceMetrics {
+	s := m.Scope.Tagged(map[string]string{"service": name})
+	return &ServiceMetrics{
+		scope:   s,
+		latency: s.Histogram("query_seconds", latencyBuckets),
+		Sent:    s.Counter("subrequests_sent"),
+		Covered: s.Counter("shards_covered"),
+		Hedges:  s.Counter("hedges"),
+		Retries: s.Counter("retries"),
+		Ignored: s.Counter("replies_ignored"),
+		Moves:   s.Counter("version_moves"),
+	}
+}
+
+// Observe counts one answered query.
+func (s *ServiceMetrics) Observe(outcome string, took time.Duration) {
+	s.scope.Tagged(map[string]string{"outcome": outcome}).Counter("queries").Inc(1)
+	s.latency.RecordDuration(took)
+}
