Check every statement of a leaf's reply; pace and bound its connections

Cause: the truth of 'not run' rests on the leaf client. A place of the share is given back one dial time after a close, because the leaf counts the connection until it sees its end; a dial waits for a place, because a cancelled exchange closes its connection after its end was reported. Ruled out: failing at once when the share is used up, which turned such a moment into a dial failure. Seen failing first: TestStaleConnectionIsNotReplayed with a header by which net/http takes a POST for replayable.

--- a/entry/leafclient/conns.go
+++ b/entry/leafclient/conns.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -18,102 +18,104 @@
 // idleTimeout is how long an unused connection is kept.
 const idleTimeout = 5 * time.Minute
 
-// ErrConnectionShare says that this entry holds all the connections it may.
-var ErrConnectionShare = errors.New("connection share is used up")
-
 // leafConn is the connections to one leaf.
 type leafConn struct {
 	transport *http.Transport
 	limiter   *rate.Limiter
-	open      atomic.Int64
-	limit     atomic.Int64
+	places    places
+	dialCost  time.Duration
 	dials     atomic.Int64
 }
 
 // leaf returns the leaf's connections and applies a changed share.
 func (c *Client) leaf(t Target) *leafConn {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	key := t.ID + "@" + t.Address
-	lc, ok := c.leaves[key]
+	lc, ok := c.leaves[t.key()]
 	if !ok {
 		lc = newLeafConn(t)
-		c.leaves[key] = lc
+		c.leaves[t.key()] = lc
 	}
-	if old := lc.limit.Swap(int64(t.Connections)); old > int64(t.Connections) {
+	c.mu.Unlock()
+	if lc.places.setLimit(t.Connections) {
 		lc.transport.CloseIdleConnections()
 	}
 	return lc
 }
 
+// key tells a leaf from another at the same address, and from its own past.
+func (t Target) key() string { return t.ID + "@" + t.Address }
+
 // newLeafConn makes the transport whose dials are counted, limited and paced.
 func newLeafConn(t Target) *leafConn {
-	lc := &leafConn{limiter: rate.NewLimiter(rate.Inf, 1)}
+	lc := &leafConn{limiter: rate.NewLimiter(rate.Inf, 1), dialCost: t.DialCost}
 	if t.DialCost > 0 {
 		lc.limiter = rate.NewLimiter(rate.Every(t.DialCost), max(t.Connections, 1))
 	}
 	lc.transport = &http.Transport{
-		DialContext:           lc.dial,
-		MaxIdleConns:          0,
-		MaxIdleConnsPerHost:   1 << 10, // the share is the limit, not the idle pool
-		IdleConnTimeout:       idleTimeout,
-		DisableCompression:    true,
-		ResponseHeaderTimeout: 0, // the request's own deadline bounds it
-		WriteBufferSize:       4 << 10,
-		ReadBufferSize:        4 << 10,
+		DialContext:         lc.dial,
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
 	}
 	return lc
 }
 
-// dial opens a connection if the share allows; otherwise it fails at once.
+// maxIdle is no limit in effect: the places are.
+const maxIdle = 1 << 16
+
+// dial opens a connection within the share, at the leaf's pace.
 func (lc *leafConn) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if lc.open.Add(1) > lc.limit.Load() {
-		lc.open.Add(-1)
-		return nil, ErrConnectionShare
+	if err := lc.places.acquire(ctx); err != nil {
+		return nil, fmt.Errorf("wait for a connection of the share: %w", err)
 	}
 	if err := lc.limiter.Wait(ctx); err != nil {
-		lc.open.Add(-1)
-		return nil, err
+		lc.places.release()
+		return nil, fmt.Errorf("wait for the pace of dials: %w", err)
 	}
 	lc.dials.Add(1)
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, network, address)
 	if err != nil {
-		lc.open.Add(-1)
+		lc.places.release()
 		return nil, err
 	}
-	return &countedConn{Conn: conn, open: &lc.open}, nil
+	return &countedConn{Conn: conn, leaf: lc}, nil
 }
 
-// countedConn gives its place back when it is closed.
+// countedConn gives its place back some time after it is closed.
 type countedConn struct {
 	net.Conn
-	open *atomic.Int64
+	leaf *leafConn
 	once sync.Once
 }
 
-// Close closes the connection and gives its place back once.
+// Close closes the connection. The place stays taken for the time of a dial:
+// the leaf counts the connection until it has seen its end, and must not see
+// another before that.
 func (c *countedConn) Close() error {
-	c.once.Do(func() { c.open.Add(-1) })
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.once.Do(func() { time.AfterFunc(c.leaf.dialCost, c.leaf.places.release) })
+	return err
 }
 
 // Stats is the state of one leaf's connections.
 type Stats struct {
-	Open, Limit, Dials int64
+	Used, Limit int
+	Dials       int64
 }
 
 // Stats returns the state of a leaf's connections.
 func (c *Client) Stats(t Target) Stats {
 	lc := c.leaf(t)
-	return Stats{Open: lc.open.Load(), Limit: lc.limit.Load(), Dials: lc.dials.Load()}
+	used, limit := lc.places.count()
+	return Stats{Used: used, Limit: limit, Dials: lc.dials.Load()}
 }
 
 // Keep drops the connections of all leaves that keep does not name, by ID and address.
 func (c *Client) Keep(targets []Target) {
 	keep := make(map[string]bool, len(targets))
 	for _, t := range targets {
-		keep[t.ID+"@"+t.Address] = true
+		keep[t.key()] = true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/entry/leafclient/leafclient_test.go
@@ -0,0 +1,181 @@
+package leafclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/goleak"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/leafapi"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// handler is a leaf that answers as told.
+type handler func(w http.ResponseWriter, r *http.Request)
+
+// good writes a whole reply; change may spoil it first.
+func good(change func(h http.Header)) handler {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body := "result"
+		h := w.Header()
+		h.Set(leafapi.HeaderAttempt, r.Header.Get(leafapi.HeaderAttempt))
+		h.Set(leafapi.HeaderVersion, "7")
+		h.Set(leafapi.HeaderVersions, "6,7")
+		h.Set(leafapi.HeaderRanges, r.Header.Get(leafapi.HeaderRange))
+		h.Set(leafapi.HeaderChecksum, fmt.Sprintf("%016x", xxhash.Sum64String(body)))
+		change(h)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+// exchange runs one attempt against the handler and reports whether it was sent.
+func exchange(t *testing.T, h handler) (*Reply, bool, error) {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(h))
+	defer srv.Close()
+	c := New(1 << 16)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	target := Target{ID: "leaf-1", Address: strings.TrimPrefix(srv.URL, "http://"), Connections: 2}
+	sent := false
+	reply, err := c.Run(ctx, target, &Request{ID: "q", Attempt: "a1", Range: keyrange.Range{From: 0, To: 10}}, func() { sent = true })
+	return reply, sent, err
+}
+
+// TestReplyIsChecked spoils each statement of a reply in turn.
+func TestReplyIsChecked(t *testing.T) {
+	if reply, sent, err := exchange(t, good(func(http.Header) {})); err != nil || !sent || reply.Version != 7 {
+		t.Fatalf("a good reply: %+v, sent %v, error %v", reply, sent, err)
+	}
+	spoils := map[string]func(http.Header){
+		"crossed attempt":  func(h http.Header) { h.Set(leafapi.HeaderAttempt, "a2") },
+		"no attempt":       func(h http.Header) { h.Del(leafapi.HeaderAttempt) },
+		"no version":       func(h http.Header) { h.Del(leafapi.HeaderVersion) },
+		"bad ranges":       func(h http.Header) { h.Set(leafapi.HeaderRanges, "9-3") },
+		"bad versions":     func(h http.Header) { h.Set(leafapi.HeaderVersions, "x") },
+		"wrong checksum":   func(h http.Header) { h.Set(leafapi.HeaderChecksum, "0000000000000000") },
+		"truncated body":   func(h http.Header) { h.Set("Content-Length", "100") },
+		"no checksum":      func(h http.Header) { h.Del(leafapi.HeaderChecksum) },
+		"overflown ranges": func(h http.Header) { h.Set(leafapi.HeaderRanges, "0-99999999999999999999") },
+	}
+	for name, spoil := range spoils {
+		_, sent, err := exchange(t, good(spoil))
+		var broken *BrokenError
+		if !errors.As(err, &broken) || !sent {
+			t.Errorf("%s: sent %v, error %v, want a BrokenError after it was sent", name, sent, err)
+		}
+	}
+}
+
+// TestDeclineIsNotRun checks that only the leaf's own word counts as not run.
+func TestDeclineIsNotRun(t *testing.T) {
+	_, _, err := exchange(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(leafapi.HeaderNotRun, string(leafapi.DeclineWrongVersion))
+		w.Header().Set(leafapi.HeaderVersions, "8")
+		w.WriteHeader(http.StatusConflict)
+	})
+	var declined *DeclinedError
+	if !errors.As(err, &declined) || declined.Reason != leafapi.DeclineWrongVersion || len(declined.Versions) != 1 {
+		t.Fatalf("error %v, want a DeclinedError with the versions served", err)
+	}
+	_, _, err = exchange(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	var broken *BrokenError
+	if !errors.As(err, &broken) || broken.Cause != CauseStatus {
+		t.Fatalf("error %v, want a BrokenError: a bare 503 proves nothing", err)
+	}
+}
+
+// TestClosedAfterSentMayHaveRun checks a connection that the leaf closes with
+// the request on it, and one that is never made.
+func TestClosedAfterSentMayHaveRun(t *testing.T) {
+	var calls atomic.Int64
+	_, sent, err := exchange(t, func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	var broken *BrokenError
+	if !errors.As(err, &broken) || broken.Cause != CauseClosed || !sent {
+		t.Fatalf("sent %v, error %v, want a BrokenError for a closed connection", sent, err)
+	}
+	if calls.Load() != 1 {
+		t.Fatalf("the leaf ran it %d times, want once: no transparent retry", calls.Load())
+	}
+	c := New(1 << 16)
+	defer c.Close()
+	target := Target{ID: "gone", Address: "127.0.0.1:1", Connections: 1}
+	_, err = c.Run(context.Background(), target, &Request{Range: keyrange.Range{From: 0, To: 1}}, func() { t.Error("sent without a connection") })
+	var dial *DialError
+	if !errors.As(err, &dial) {
+		t.Fatalf("error %v, want a DialError", err)
+	}
+}
+
+// TestStaleConnectionIsNotReplayed closes an idle connection under a second
+// request that net/http might repeat by itself.
+func TestStaleConnectionIsNotReplayed(t *testing.T) {
+	var calls atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			good(func(http.Header) {})(w, r)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer srv.Close()
+	c := New(1 << 16)
+	defer c.Close()
+	target := Target{ID: "leaf-1", Address: strings.TrimPrefix(srv.URL, "http://"), Connections: 1}
+	for range 2 {
+		_, _ = c.Run(context.Background(), target, &Request{Attempt: "a", Range: keyrange.Range{From: 0, To: 1}}, func() {})
+	}
+	if calls.Load() != 2 {
+		t.Fatalf("the leaf saw %d requests, want 2", calls.Load())
+	}
+}
+
+// TestPlacesBoundConnections checks that the share bounds connections and that
+// a waiter gets the place that is given back.
+func TestPlacesBoundConnections(t *testing.T) {
+	var p places
+	p.setLimit(1)
+	if err := p.acquire(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := p.acquire(ctx); err == nil {
+		t.Fatal("a second place was given out of one")
+	}
+	got := make(chan error, 1)
+	go func() { got <- p.acquire(context.Background()) }()
+	for {
+		p.mu.Lock()
+		n := len(p.waiters)
+		p.mu.Unlock()
+		if n == 1 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	p.release()
+	if err := <-got; err != nil {
+		t.Fatal(err)
+	}
+	if used, _ := p.count(); used != 1 {
+		t.Fatalf("%d places used, want 1", used)
+	}
+	if over := p.setLimit(0); !over {
+		t.Fatal("a share that shrank below its use is not reported")
+	}
+}
--- a/entry/server/query.go
+++ b/entry/server/query.go
@@ -21,9 +21,16 @@
 // noDocumentRetry is when to come back to an instance without a document.
 const noDocumentRetry = 500 * time.Millisecond
 
+// drainingRetry is when to come back, to another instance.
+const drainingRetry = 50 * time.Millisecond
+
 // query answers POST /v1/services/{service}/query.
 func (s *Server) query(c echo.Context) error {
 	start := time.Now()
+	s.config.Lifecycle.Arrived()
+	if s.config.Lifecycle.Refusing() {
+		return &Error{Status: http.StatusServiceUnavailable, Code: "draining", Title: "The request was not run", Detail: "this instance is stopping: another one will take the request", RetryAfter: drainingRetry}
+	}
 	v := s.config.Views.View()
 	if v == nil {
 		return &Error{Status: http.StatusServiceUnavailable, Code: "no-document", Title: "The request was not run", Detail: "this instance has no configuration yet", RetryAfter: noDocumentRetry}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -30,6 +30,16 @@
 	View() *view.View
 }
 
+// Lifecycle says how far a stop of the instance has come.
+type Lifecycle interface {
+	// Arrived counts one query.
+	Arrived()
+	// Leaving says that connections should be given up by their callers.
+	Leaving() bool
+	// Refusing says that new queries must be refused as not run.
+	Refusing() bool
+}
+
 // Limits bound what is taken from a caller.
 type Limits struct {
 	BodyBytes   int64
@@ -44,6 +54,8 @@
 	Views    Views
 	Limits   Limits
 	TLS      *tls.Config // nil: plain HTTP
+	// Lifecycle says how far a stop has come.
+	Lifecycle Lifecycle
 	// Ready reports why the instance takes no new callers; "" when it does.
 	Ready func() string
 	// Status gives the value shown at /status.
@@ -74,12 +86,23 @@
 		ReadTimeout:       c.Limits.ReadTimeout,
 		IdleTimeout:       c.Limits.IdleTimeout,
 	}
-	e.Use(middleware.Recover())
+	e.Use(middleware.Recover(), s.letGo)
 	e.POST(callerapi.PathQuery, s.query)
 	s.addOperational(e)
 	return s
 }
 
+// letGo asks callers to give up their connections while the instance leaves, so
+// that none is idle, or about to be used again, when they are closed.
+func (s *Server) letGo(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if s.config.Lifecycle.Leaving() {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
+		return next(c)
+	}
+}
+
 // Echo gives the router, so that other parts can add operators' routes.
 func (s *Server) Echo() *echo.Echo { return s.echo }
 
@@ -115,7 +138,6 @@
 
 // Shutdown stops accepting and waits for the requests in flight.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.http.SetKeepAlivesEnabled(false)
 	if err := s.http.Shutdown(ctx); err != nil {
 		return fmt.Errorf("shut callers' server down: %w", err)
 	}
