Compute coverage over cells, checked against a bitmap

An addition to a plain sorted set moves O(n) ranges; a map cut into cells at the shards' starts finds its cell in O(log n). Ruled out: a balanced tree, as the cells are known at the start of a query.

--- /dev/null
+++ b/kernel/coverage/coverage_test.go
@@ -0,0 +1,121 @@
+package coverage_test
+
+import (
+	"flag"
+	"math"
+	"os"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/coverage"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("FUCHSIAROAD_LONG") == "" {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const spaceSize = 40
+
+func drawRange(t *rapid.T) keyrange.Range {
+	return keyrange.Range{From: rapid.Uint64Range(0, spaceSize+5).Draw(t, "from"), To: rapid.Uint64Range(0, spaceSize+5).Draw(t, "to")}
+}
+
+// TestMapAgreesWithBitmap compares a map of any grid with a bitmap: the cells
+// must not show in any result.
+func TestMapAgreesWithBitmap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spaces := rapid.IntRange(1, 3).Draw(t, "spaces")
+		universe := keyrange.Range{From: rapid.Uint64Range(0, 5).Draw(t, "universe"), To: spaceSize}
+		grids := make([]*coverage.Grid, spaces)
+		bits := make([][spaceSize + 5]bool, spaces)
+		for i := range grids {
+			var shards []keyrange.Range
+			for range rapid.IntRange(0, 6).Draw(t, "cells") {
+				shards = append(shards, drawRange(t))
+			}
+			grids[i] = coverage.NewGrid(universe, shards)
+		}
+		m := coverage.New(grids)
+		for range rapid.IntRange(0, 12).Draw(t, "adds") {
+			i, r := rapid.IntRange(0, spaces-1).Draw(t, "space"), drawRange(t)
+			held := false
+			for k := max(r.From, universe.From); k < min(r.To, universe.To); k++ {
+				held = held || bits[i][k]
+				bits[i][k] = true
+			}
+			if got := m.Overlaps(i, r); got != held {
+				t.Fatalf("overlaps %v: %v, want %v", r, got, held)
+			}
+			m.Add(i, r)
+		}
+		share, complete := 0.0, true
+		for i := range grids {
+			var want, gaps []keyrange.Range
+			ask := drawRange(t)
+			for k := universe.From; k < universe.To; k++ {
+				if bits[i][k] {
+					want = extend(want, k)
+				} else if ask.From <= k && k < ask.To {
+					gaps = extend(gaps, k)
+				}
+			}
+			if got := m.Ranges(i); !slices.Equal(got, want) {
+				t.Fatalf("space %d: ranges %v, want %v", i, got, want)
+			}
+			if got := m.Missing(i, ask); !slices.Equal(got, gaps) {
+				t.Fatalf("space %d: missing of %v: %v, want %v", i, ask, got, gaps)
+			}
+			if got := m.Covers(i, ask); got != (len(gaps) == 0) {
+				t.Fatalf("space %d: covers %v: %v", i, ask, got)
+			}
+			var n uint64
+			for _, r := range want {
+				n += r.Size()
+			}
+			share += float64(n) / float64(universe.Size()) / float64(spaces)
+			complete = complete && n == universe.Size()
+		}
+		if got := m.Share(); math.Abs(got-share) > 1e-9 || (got == 1) != complete || m.Complete() != complete {
+			t.Fatalf("share %v, want %v; complete %v, want %v", got, share, m.Complete(), complete)
+		}
+		if m.Empty() != (share == 0) {
+			t.Fatalf("empty %v at share %v", m.Empty(), share)
+		}
+	})
+}
+
+func extend(out []keyrange.Range, k uint64) []keyrange.Range {
+	if n := len(out); n > 0 && out[n-1].To == k {
+		out[n-1].To++
+		return out
+	}
+	return append(out, keyrange.Range{From: k, To: k + 1})
+}
+
+// TestShareIsOneOnlyWhenComplete adds 10,000 pieces, whose float shares do not
+// sum to 1 exactly.
+func TestShareIsOneOnlyWhenComplete(t *testing.T) {
+	const pieces = 10_000
+	g := coverage.NewGrid(keyrange.Range{To: 3 * pieces}, nil)
+	m := coverage.New([]*coverage.Grid{g, g, g})
+	for i := range 3 {
+		for p := uint64(0); p < pieces; p++ {
+			if m.Share() >= 1 {
+				t.Fatalf("share %v before piece %d of space %d", m.Share(), p, i)
+			}
+			m.Add(i, keyrange.Range{From: 3 * p, To: 3 * (p + 1)})
+		}
+	}
+	if m.Share() != 1 {
+		t.Fatalf("share %v at the end", m.Share())
+	}
+}
--- a/kernel/keyrange/keyrange.go
+++ b/kernel/keyrange/keyrange.go
@@ -36,6 +36,15 @@
 	return o.Empty() || (r.From <= o.From && o.To <= r.To)
 }
 
+// Intersect returns the keys in both ranges; the zero Range when there are none.
+func (r Range) Intersect(o Range) Range {
+	x := Range{From: max(r.From, o.From), To: min(r.To, o.To)}
+	if x.Empty() {
+		return Range{}
+	}
+	return x
+}
+
 // String writes the range as "from-to" in decimal, the form of Parse.
 func (r Range) String() string {
 	return strconv.FormatUint(r.From, 10) + "-" + strconv.FormatUint(r.To, 10)
