--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/leafapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
@@ -40,7 +41,7 @@
 		e.failed(p, a, s.ctx, leaf, err)
 		return
 	}
-	e.learn(s.leaf.ID, reply.Versions, reply.Draining)
+	e.Learn(s.leaf.ID, reply.Versions, reply.Draining)
 	p.finish(a, dispatch.OutcomeReply, reply.Service)
 	a.run.mail.put(query.Reply{Attempt: a.offer.Attempt, Leaf: leaf, Version: reply.Version, Ranges: reply.Ranges, Body: reply.Body, Versions: reply.Versions})
 }
@@ -62,7 +63,7 @@
 		p.finish(a, outcome, 0)
 		a.run.mail.put(query.NotSent{Attempt: id, Reason: query.ReasonDialFailed})
 	case errors.As(err, &declined):
-		e.learn(declined.Leaf, declined.Versions, declined.Draining)
+		e.Learn(declined.Leaf, declined.Versions, declined.Draining)
 		outcome := dispatch.OutcomeDeclined
 		if declined.Reason == leafapi.DeclineOverloaded {
 			outcome = dispatch.OutcomeShed
@@ -104,16 +105,17 @@
 	}
 }
 
-// learn keeps what a reply shows of its leaf.
-func (e *Executor) learn(leafID string, versions []uint64, draining bool) {
-	if len(versions) > 0 {
-		e.knowledge.saw(leafID, versions)
-	}
+// Learn keeps what a leaf said of itself. It implements probe.Learner.
+func (e *Executor) Learn(leafID string, versions []uint64, draining bool) {
+	e.knowledge.saw(leafID, versions, time.Now())
 	if draining {
 		e.config.Sightings.SawLeaving(leafID)
 	}
 }
 
+// Heard is when the leaf last said something, or the zero time.
+func (e *Executor) Heard(leafID string) time.Time { return e.knowledge.lastHeard(leafID) }
+
 // decide logs a decision about an attempt.
 func (e *Executor) decide(a *attempt, d telemetry.Decision) {
 	if !e.config.Log.DecisionsOn() {
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -42,7 +42,6 @@
 
 // fanOut runs the query, unless its fingerprint is in quarantine.
 func (e *Executor) fanOut(ctx context.Context, req *Request) (*Response, error) {
-	e.knowledge.follow(req.View)
 	fingerprint := e.guard.fingerprint(req)
 	decision := e.guard.admit(fingerprint, req, req.Start)
 	if decision.Mode == quarantine.ModeRefuse {
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -143,8 +143,9 @@
 	return p
 }
 
-// Follow tells all pools of a new view.
+// Follow takes a new view. It is called for each view before queries use it.
 func (e *Executor) Follow(v *view.View) {
+	e.knowledge.follow(v)
 	e.mu.Lock()
 	pools := make([]*pool, 0, len(e.pools))
 	for _, p := range e.pools {
--- a/entry/executor/knowledge.go
+++ b/entry/executor/knowledge.go
@@ -1,7 +1,9 @@
 package executor
 
 import (
+	"maps"
 	"sync"
+	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/snapshot"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
@@ -14,9 +16,10 @@
 	view    *view.View
 	tracker *snapshot.Tracker
 	index   map[string]int // leaf ID to index in view
+	heard   map[string]time.Time
 }
 
-func newKnowledge() *knowledge { return &knowledge{} }
+func newKnowledge() *knowledge { return &knowledge{heard: make(map[string]time.Time)} }
 
 // follow moves the tracker to a newer view.
 func (k *knowledge) follow(v *view.View) {
@@ -30,6 +33,10 @@
 	for i := range v.Leaves {
 		k.index[v.Leaves[i].ID] = i
 	}
+	maps.DeleteFunc(k.heard, func(id string, _ time.Time) bool {
+		_, ok := k.index[id]
+		return !ok
+	})
 	if k.tracker == nil {
 		k.tracker = snapshot.New(v)
 		return
@@ -38,14 +45,26 @@
 }
 
 // saw notes the versions that a leaf says it serves.
-func (k *knowledge) saw(leafID string, versions []uint64) {
+func (k *knowledge) saw(leafID string, versions []uint64, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if i, ok := k.index[leafID]; ok {
+	i, ok := k.index[leafID]
+	if !ok {
+		return
+	}
+	k.heard[leafID] = now
+	if len(versions) > 0 {
 		k.tracker.Observe(i, versions)
 	}
 }
 
+// lastHeard is when the leaf last said something.
+func (k *knowledge) lastHeard(leafID string) time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.heard[leafID]
+}
+
 // versions is the knowledge as one query sees it, with the indexes of its view.
 type versions struct {
 	knowledge *knowledge
--- /dev/null
+++ b/entry/probe/probe.go
@@ -0,0 +1,145 @@
+// Package probe keeps an entry ready for the hour that everyone calls: it opens
+// connections ahead of traffic, at the leaves' pace, and asks leaves that have
+// not been heard of lately which index versions they serve. What it learns is a
+// hint: no promise rests on it.
+package probe
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/leafapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// Times and bounds of probing.
+const (
+	interval    = 1 * time.Second
+	quietAfter  = 2 * time.Second // a leaf not heard of for so long is asked
+	timeout     = 1 * time.Second
+	concurrency = 32
+)
+
+// Leaves opens connections and asks for health; *leafclient.Client does it.
+type Leaves interface {
+	Warm(ctx context.Context, t leafclient.Target, n int) (*leafapi.Health, error)
+	Health(ctx context.Context, t leafclient.Target) (*leafapi.Health, error)
+	Keep(targets []leafclient.Target)
+}
+
+// Learner keeps what leaves say; *executor.Executor does it.
+type Learner interface {
+	// Heard is when the leaf last said something, or the zero time.
+	Heard(leafID string) time.Time
+	Learn(leafID string, versions []uint64, draining bool)
+}
+
+// Config is what a prober needs.
+type Config struct {
+	Leaves  Leaves
+	Learner Learner
+	View    func() *view.View // nil before there is a document
+	// Warmed is called once after the first view's leaves were warmed.
+	Warmed func()
+}
+
+// Prober warms and asks leaves.
+type Prober struct {
+	config Config
+	warm   map[string]int // leaf ID to connections asked for
+	last   *view.View
+}
+
+// New makes a prober; Run makes it work.
+func New(c Config) *Prober {
+	return &Prober{config: c, warm: make(map[string]int)}
+}
+
+// Run works until the context ends.
+func (p *Prober) Run(ctx context.Context) error {
+	for {
+		if v := p.config.View(); v != nil {
+			p.round(ctx, v)
+		}
+		pause := interval/2 + rand.N(interval)
+		if p.last == nil {
+			pause = firstPause
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
+	}
+}
+
+// firstPause is how often the first view is looked for.
+const firstPause = 20 * time.Millisecond
+
+// round warms leaves that are new or whose share grew, and asks quiet ones.
+func (p *Prober) round(ctx context.Context, v *view.View) {
+	first := p.last == nil
+	if v != p.last {
+		p.config.Leaves.Keep(Targets(v))
+		p.last = v
+	}
+	var g errgroup.Group
+	g.SetLimit(concurrency)
+	now := time.Now()
+	for i := range v.Leaves {
+		leaf := &v.Leaves[i]
+		if leaf.Leaving || leaf.Connections == 0 {
+			continue
+		}
+		target := TargetOf(v, leaf)
+		if p.warm[leaf.ID] < leaf.Connections {
+			p.warm[leaf.ID] = leaf.Connections
+			g.Go(func() error { p.ask(ctx, target, p.config.Leaves.Warm, target.Connections); return nil })
+			continue
+		}
+		if now.Sub(p.config.Learner.Heard(leaf.ID)) > quietAfter {
+			g.Go(func() error { p.ask(ctx, target, p.health, 1); return nil })
+		}
+	}
+	_ = g.Wait() // no function returns an error: an unheard leaf is no fault here
+	if first && p.config.Warmed != nil {
+		p.config.Warmed()
+	}
+}
+
+// health asks one question over one connection.
+func (p *Prober) health(ctx context.Context, t leafclient.Target, _ int) (*leafapi.Health, error) {
+	return p.config.Leaves.Health(ctx, t)
+}
+
+// ask puts one question and keeps the answer.
+func (p *Prober) ask(ctx context.Context, t leafclient.Target, how func(context.Context, leafclient.Target, int) (*leafapi.Health, error), n int) {
+	ctx, cancel := context.WithTimeout(ctx, timeout+time.Duration(n)*t.DialCost)
+	defer cancel()
+	h, err := how(ctx, t, n)
+	if err != nil || h.ID != t.ID {
+		return // nothing is learnt of a leaf that doesn't answer as itself
+	}
+	p.config.Learner.Learn(t.ID, h.Versions, h.Draining)
+}
+
+// TargetOf says how a leaf of the view is reached.
+func TargetOf(v *view.View, leaf *view.Leaf) leafclient.Target {
+	return leafclient.Target{
+		ID: leaf.ID, Address: leaf.Address, Connections: leaf.Connections,
+		DialCost: v.Upstreams[leaf.Upstream].Config.DialCost,
+	}
+}
+
+// Targets lists all leaves of the view.
+func Targets(v *view.View) []leafclient.Target {
+	out := make([]leafclient.Target, 0, len(v.Leaves))
+	for i := range v.Leaves {
+		out = append(out, TargetOf(v, &v.Leaves[i]))
+	}
+	return out
+}
