--- /dev/null
+++ b/bench/burst/query.go
@@ -0,0 +1,287 @@
+package burst
+
+import (
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+)
+
+// queryState is one query with its parts.
+type queryState struct {
+	id       uint64
+	entry    *entry
+	caller   int
+	arrived  int64
+	deadline int64
+	parts    []part
+	open     int // parts without a final state
+	covered  int
+	work     int64 // slot time of the covered parts
+	finished bool
+	first    bool // not a caller that came back
+}
+
+// part is one shard of a query.
+type part struct {
+	done     bool
+	closed   bool
+	attempts int
+	live     []*attempt
+	hedged   bool
+	used     []int
+}
+
+// attempt is one sub-request.
+type attempt struct {
+	entry  *entry
+	query  *queryState
+	shard  int
+	ticket dispatch.Ticket
+	hedge  bool
+	sent   int64
+	leaf   int
+	exec   *exec // nil while queued
+}
+
+// useful reports whether the answer has the least coverage.
+func (q *queryState) useful(p Params) bool {
+	return q.covered > 0 && float64(q.covered) >= p.LeastCoverage*float64(len(q.parts))
+}
+
+// newQuery draws a query.
+func (r *run) newQuery() *queryState {
+	r.queries++
+	return &queryState{
+		id: r.queries, entry: r.entries[r.rand.IntN(len(r.entries))], caller: r.caller(),
+		arrived: r.ev.now, deadline: r.ev.now + int64(r.p.Deadline), first: true,
+	}
+}
+
+// arrive admits or refuses a query.
+func (r *run) arrive(q *queryState) {
+	e := q.entry
+	r.stats.offered(r, q)
+	if r.p.Admission {
+		d := e.admission.Admit(r.p.Callers[q.caller].Name, r.p.Deadline, r.p.LeastCoverage, []dispatch.Fitter{e.machine}, e.now())
+		if !d.Admitted {
+			r.stats.refused(r, q)
+			r.comeBack(q, d.RetryAfter)
+			return
+		}
+	}
+	q.parts = make([]part, r.p.Shards)
+	q.open = r.p.Shards
+	r.ev.add(q.deadline, func() { e.conclude(q) })
+	for s := range q.parts {
+		e.repetition.Deposit()
+		e.offer(q, s, false, false)
+	}
+}
+
+// comeBack makes a refused caller ask again when it was told to.
+func (r *run) comeBack(q *queryState, after time.Duration) {
+	if !r.p.Return || r.ev.now+int64(after) >= int64(r.p.Duration) {
+		return
+	}
+	again := r.newQuery()
+	again.caller, again.first = q.caller, false
+	r.ev.add(r.ev.now+int64(after), func() {
+		again.arrived, again.deadline = r.ev.now, r.ev.now+int64(r.p.Deadline)
+		r.arrive(again)
+	})
+}
+
+func (e *entry) now() time.Time { return epoch.Add(time.Duration(e.run.ev.now)) }
+
+// offer gives one more attempt of a part to the machine.
+func (e *entry) offer(q *queryState, shard int, hedge, retry bool) {
+	p := &q.parts[shard]
+	p.attempts++
+	t := dispatch.Ticket{Query: q.id, Attempt: query.AttemptID(shard*16 + p.attempts)}
+	a := &attempt{entry: e, query: q, shard: shard, ticket: t, hedge: hedge}
+	p.live = append(p.live, a)
+	e.attempts[t] = a
+	e.handle(dispatch.Offered{
+		Ticket: t, Shard: shard, Caller: e.run.p.Callers[q.caller].Name,
+		Deadline: epoch.Add(time.Duration(q.deadline)), Avoid: p.used, Hedge: hedge, Retry: retry,
+	})
+}
+
+// handle runs the machine and its actions.
+func (e *entry) handle(ev dispatch.Event) {
+	actions := append([]dispatch.Action(nil), e.machine.Handle(ev, e.now())...)
+	for _, act := range actions {
+		switch act := act.(type) {
+		case dispatch.Dispatch:
+			e.send(e.attempts[act.Ticket], act.Leaf)
+		case dispatch.Refuse:
+			a := e.attempts[act.Ticket]
+			delete(e.attempts, act.Ticket)
+			if act.Reason == query.ReasonOverloaded && !a.hedge {
+				e.repetition.Shed(e.now())
+			}
+			e.lost(a, false)
+		case dispatch.WakeAt:
+			e.wakeAt(int64(act.At.Sub(epoch)))
+		}
+	}
+}
+
+// wakeAt schedules a Tick; an earlier wish that is superseded does nothing.
+func (e *entry) wakeAt(at int64) {
+	e.wake = max(at, e.run.ev.now)
+	wish := e.wake
+	e.run.ev.add(wish, func() {
+		if e.wake == wish {
+			e.wake = -1
+			e.handle(dispatch.Tick{})
+		}
+	})
+}
+
+// send puts an attempt on the way to its leaf.
+func (e *entry) send(a *attempt, leaf int) {
+	r := e.run
+	l := r.leaves[leaf]
+	a.sent, a.leaf = r.ev.now, leaf
+	a.exec = &exec{at: a, work: r.p.work(a.query.id, l.shard, l.replica), deadline: a.query.deadline}
+	p := &a.query.parts[a.shard]
+	p.used = append(p.used, leaf)
+	r.stats.sent(r, a)
+	r.ev.add(r.ev.now+int64(r.p.Delay), func() { l.arrive(a.exec) })
+	if a.hedge || p.hedged {
+		return
+	}
+	if after, ok := e.repetition.HedgeAfter(e.machine); ok {
+		r.ev.add(r.ev.now+int64(after), func() { e.hedge(a.query, a.shard, a) })
+	}
+}
+
+// hedge sends a second copy when the first has not answered.
+func (e *entry) hedge(q *queryState, shard int, of *attempt) {
+	p := &q.parts[shard]
+	if p.done || p.closed || p.hedged || q.finished || len(p.live) != 1 || p.live[0] != of {
+		return
+	}
+	if !e.repetition.TakeHedge(e.now()) {
+		return
+	}
+	p.hedged = true
+	e.offer(q, shard, true, false)
+}
+
+// replied takes a leaf's answer.
+func (e *entry) replied(a *attempt, kind replyKind, service time.Duration) {
+	if e.attempts[a.ticket] != a {
+		return // withdrawn meanwhile
+	}
+	delete(e.attempts, a.ticket)
+	outcome := dispatch.OutcomeReply
+	switch kind {
+	case replyShed:
+		outcome = dispatch.OutcomeShed
+		e.repetition.Shed(e.now())
+	case replyDeadline:
+		outcome = dispatch.OutcomeDeclined
+	}
+	if kind == replyDone {
+		e.cover(a)
+	}
+	e.handle(dispatch.Finished{
+		Ticket: a.ticket, Leaf: a.leaf, Outcome: outcome,
+		Latency: time.Duration(e.run.ev.now - a.sent), Service: service,
+	})
+	if kind != replyDone {
+		e.lost(a, true)
+	}
+}
+
+// cover takes a part's first reply and cancels the other attempts.
+func (e *entry) cover(a *attempt) {
+	q := a.query
+	p := &q.parts[a.shard]
+	if p.done || q.finished {
+		return
+	}
+	p.done = true
+	q.covered++
+	q.work += a.exec.work
+	live := p.live
+	p.live = nil
+	for _, o := range live {
+		if o != a {
+			e.cancel(o, dispatch.OutcomeCancelled)
+		}
+	}
+	e.close(q, p)
+}
+
+// lost notes that an attempt gave nothing, and retries within the budget.
+func (e *entry) lost(a *attempt, declined bool) {
+	q := a.query
+	p := &q.parts[a.shard]
+	for i, o := range p.live {
+		if o == a {
+			p.live = append(p.live[:i], p.live[i+1:]...)
+			break
+		}
+	}
+	if p.done || p.closed || q.finished || len(p.live) > 0 {
+		return
+	}
+	if declined && p.attempts < e.run.p.MostAttempts && e.repetition.TakeRetry(e.now()) {
+		e.offer(q, a.shard, false, true)
+		return
+	}
+	e.close(q, p)
+}
+
+// close settles a part, and the query with its last one.
+func (e *entry) close(q *queryState, p *part) {
+	if p.closed {
+		return
+	}
+	p.closed = true
+	q.open--
+	if q.open == 0 {
+		e.conclude(q)
+	}
+}
+
+// cancel withdraws an attempt, queued or running.
+func (e *entry) cancel(a *attempt, outcome dispatch.Outcome) {
+	if e.attempts[a.ticket] != a {
+		return
+	}
+	delete(e.attempts, a.ticket)
+	if a.exec == nil {
+		e.handle(dispatch.Withdrawn{Ticket: a.ticket})
+		return
+	}
+	l, x := e.run.leaves[a.leaf], a.exec
+	e.run.ev.add(e.run.ev.now+int64(e.run.p.Delay), func() { l.cancel(x) })
+	e.handle(dispatch.Finished{
+		Ticket: a.ticket, Leaf: a.leaf, Outcome: outcome, Latency: time.Duration(e.run.ev.now - a.sent),
+	})
+}
+
+// conclude gives the answer: at the deadline, or when every part is settled.
+func (e *entry) conclude(q *queryState) {
+	if q.finished {
+		return
+	}
+	q.finished = true
+	for s := range q.parts {
+		live := q.parts[s].live
+		q.parts[s].live = nil
+		for _, a := range live {
+			e.cancel(a, dispatch.OutcomeTimeout)
+		}
+	}
+	if e.run.p.Admission {
+		useful := q.useful(e.run.p)
+		e.admission.Answered(useful, !useful, e.now())
+	}
+	e.run.stats.answered(e.run, q)
+}
--- a/bench/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package bench is a placeholder until its parts land.
-package bench
--- /dev/null
+++ b/kernel/dispatch/admission.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Fitter tells how a query's parts would fare on one upstream; *Machine is one.
+type Fitter interface {
+	Fit(caller string, within, patience time.Duration) (fit, total int, wait time.Duration)
+}
+
+// Decision says whether a query is taken in. A refused query has run nowhere.
+type Decision struct {
+	Admitted bool
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration
+	// Fit is the share of shards that would answer in time, in [0, 1].
+	Fit float64
+}
+
+// Patience is the share of a query's time that it may spend in a queue here.
+// It falls by patienceDown with each answer that came short for lack of time
+// and rises by patienceUp with each useful one while there is refusal, so it
+// settles where one admitted query in a hundred comes short.
+const (
+	patienceStart = 0.25
+	patienceLeast = 0.05
+	patienceMost  = 0.9
+	patienceUp    = 0.001
+	patienceDown  = 0.1
+)
+
+// Bounds of RetryAfter, and the time over which arrivals are averaged.
+const (
+	leastRetryAfter = 50 * time.Millisecond
+	mostRetryAfter  = 30 * time.Second
+	rateWindow      = time.Second
+)
+
+// Admission decides on whole queries of one service at one entry, so that no
+// work goes to parts of a query whose other parts can't be served.
+type Admission struct {
+	rand *rand.Rand
+	// refused is the number of callers that were told to come back and have
+	// not been taken in since.
+	refused float64
+	// admitted is a decaying count of admissions over rateWindow.
+	admitted float64
+	last     time.Time
+	// patience is a share in [patienceLeast, patienceMost].
+	patience    float64
+	lastRefusal time.Time
+}
+
+// NewAdmission returns an admission with its own seeded randomness.
+func NewAdmission(seed uint64) *Admission {
+	return &Admission{rand: rand.New(rand.NewPCG(seed, seed)), patience: patienceStart}
+}
+
+// Admit decides on a query of the caller that has the time left. leastCoverage
+// is the share of shards from which the service's answer is useful; at least
+// one shard must fit.
+func (a *Admission) Admit(caller string, left time.Duration, leastCoverage float64, upstreams []Fitter, now time.Time) Decision {
+	a.age(now)
+	patience := time.Duration(a.patience * float64(left))
+	fit, total := 0, 0
+	var wait time.Duration
+	for _, u := range upstreams {
+		f, t, w := u.Fit(caller, left, patience)
+		fit, total, wait = fit+f, total+t, max(wait, w)
+	}
+	d := Decision{Fit: 1}
+	if total > 0 {
+		d.Fit = float64(fit) / float64(total)
+	}
+	d.Admitted = (fit > 0 || total == 0) && d.Fit >= leastCoverage
+	if d.Admitted {
+		a.admitted++
+		a.refused = max(0, a.refused-1)
+		return d
+	}
+	a.refused++
+	a.lastRefusal = now
+	d.RetryAfter = a.retryAfter(wait)
+	return d
+}
+
+// Answered tells how an admitted query ended: useful when it met the least
+// coverage in time, late when it did not for lack of time (and not because a
+// shard has no leaf, say).
+func (a *Admission) Answered(useful, late bool, now time.Time) {
+	switch {
+	case late:
+		a.patience = max(patienceLeast, a.patience-patienceDown)
+	case useful && !a.lastRefusal.IsZero() && now.Sub(a.lastRefusal) < rateWindow:
+		a.patience = min(patienceMost, a.patience+patienceUp)
+	}
+}
+
+// age lets the count of admissions decay.
+func (a *Admission) age(now time.Time) {
+	if a.last.IsZero() {
+		a.last = now
+	}
+	kept := max(0, 1-float64(now.Sub(a.last))/float64(rateWindow))
+	a.admitted *= kept
+	a.last = now
+}
+
+// retryAfter spreads the refused callers over the time that it takes to serve
+// them all at the present rate, after the queue has emptied.
+func (a *Admission) retryAfter(wait time.Duration) time.Duration {
+	backlog := time.Duration(a.refused / max(1, a.admitted) * float64(rateWindow))
+	d := wait + time.Duration(a.rand.Float64()*float64(backlog))
+	return min(max(d, jittered(a.rand, leastRetryAfter)), mostRetryAfter)
+}
+
+// jittered returns d and up to as much again.
+func jittered(r *rand.Rand, d time.Duration) time.Duration {
+	return d + time.Duration(r.Float64()*float64(d))
+}
--- a/kernel/dispatch/config.go
+++ b/kernel/dispatch/config.go
@@ -13,6 +13,9 @@
 	Routing string
 	Order   string
 	Limit   string
+	// Unbounded is the baseline without refusals: whatever is offered waits
+	// until its deadline.
+	Unbounded bool
 }
 
 // DefaultPolicies are the policies for production.
@@ -22,7 +25,7 @@
 
 // BaselinePolicies are the plain policies that measurements stand beside.
 func BaselinePolicies() Policies {
-	return Policies{Routing: "round-robin", Order: "fifo", Limit: "fixed"}
+	return Policies{Routing: "round-robin", Order: "fifo", Limit: "fixed", Unbounded: true}
 }
 
 // Config is what a machine is built from.
@@ -72,14 +75,15 @@
 	}
 	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Upstream)))
 	m := &Machine{
-		upstream: cfg.View.Upstreams[cfg.Upstream].Name,
-		zone:     cfg.Zone,
-		newOrder: newOrder,
-		newLimit: newLimit,
-		routing:  newRouting(plugin.RoutingConfig{Rand: rng}),
-		leaves:   make(map[string]*leaf),
-		running:  make(map[Ticket]*attempt),
-		waiting:  make(map[Ticket]*attempt),
+		upstream:  cfg.View.Upstreams[cfg.Upstream].Name,
+		zone:      cfg.Zone,
+		unbounded: cfg.Policies.Unbounded,
+		newOrder:  newOrder,
+		newLimit:  newLimit,
+		routing:   newRouting(plugin.RoutingConfig{Rand: rng}),
+		leaves:    make(map[string]*leaf),
+		running:   make(map[Ticket]*attempt),
+		waiting:   make(map[Ticket]*attempt),
 	}
 	m.install(cfg.View)
 	return m, nil
--- a/kernel/dispatch/estimate.go
+++ b/kernel/dispatch/estimate.go
@@ -71,21 +71,30 @@
 	return e
 }
 
-// Fit counts the shards on which a new attempt of the caller would be
-// dispatched early enough to finish within the given time, and all shards.
+// Fit counts the shards on which a new attempt of the caller would wait no
+// longer than patience and still finish within the given time, and all shards.
 // wait is the longest queueing time among the shards.
-func (m *Machine) Fit(caller string, within time.Duration) (fit, total int, wait time.Duration) {
+func (m *Machine) Fit(caller string, within, patience time.Duration) (fit, total int, wait time.Duration) {
 	w := m.weight(caller)
 	for _, s := range m.shards {
 		d := m.callerWait(s, caller, w)
 		wait = max(wait, d)
-		if d+m.times.median <= within {
+		if d <= patience && d+m.times.median <= within {
 			fit++
 		}
 	}
 	return fit, len(m.shards), wait
 }
 
+// fits reports whether the attempt would be dispatched early enough.
+func (m *Machine) fits(a *attempt, now time.Time) bool {
+	if m.unbounded {
+		return true
+	}
+	wait := m.callerWait(a.shard, a.caller, m.weight(a.caller))
+	return now.Add(wait + m.times.median).Before(a.deadline)
+}
+
 // Quantile is a quantile of the upstream's recent latency after dispatch, 0
 // while too little has been seen.
 func (m *Machine) Quantile(q float64) time.Duration { return m.times.sketch.Quantile(q) }
--- a/kernel/dispatch/expiry.go
+++ b/kernel/dispatch/expiry.go
@@ -62,6 +62,9 @@
 // needed is the least time to finish. While other work waits it is the median,
 // so that a slot goes to work which more likely than not finishes in time.
 func (m *Machine) needed(a *attempt) time.Duration {
+	if m.unbounded {
+		return 0
+	}
 	if a.shard.queue.length > 1 {
 		return m.times.median
 	}
@@ -75,7 +78,7 @@
 	if a == nil {
 		return
 	}
-	at := a.deadline.Add(-m.times.least)
+	at := a.deadline.Add(-m.needed(a))
 	if a.shard.inFlight() == 0 {
 		at = earlier(at, now.Add(pollInterval))
 	}
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -18,22 +18,23 @@
 
 // Machine dispatches the attempts of one upstream at one entry.
 type Machine struct {
-	upstream string
-	zone     string
-	newOrder func() plugin.Order
-	newLimit func() plugin.Limit
-	routing  plugin.Routing
-	leaves   map[string]*leaf
-	keys     int // next leaf key
-	byIndex  map[int]*leaf
-	shards   []*shard
-	weights  map[string]float64 // caller shares by name
-	running  map[Ticket]*attempt
-	waiting  map[Ticket]*attempt
-	times    times
-	expiry   expiryHeap
-	wake     time.Time // the Tick asked for, zero for none
-	actions  []Action
+	upstream  string
+	zone      string
+	unbounded bool
+	newOrder  func() plugin.Order
+	newLimit  func() plugin.Limit
+	routing   plugin.Routing
+	leaves    map[string]*leaf
+	keys      int // next leaf key
+	byIndex   map[int]*leaf
+	shards    []*shard
+	weights   map[string]float64 // caller shares by name
+	running   map[Ticket]*attempt
+	waiting   map[Ticket]*attempt
+	times     times
+	expiry    expiryHeap
+	wake      time.Time // the Tick asked for, zero for none
+	actions   []Action
 
 	candidates []plugin.Candidate // scratch
 	chosen     []*leaf            // scratch, beside candidates
@@ -87,6 +88,10 @@
 		m.refuse(ev.Ticket, query.ReasonDeadline, m.drainTime(s))
 		return
 	}
+	if !m.fits(a, now) {
+		m.refuse(ev.Ticket, query.ReasonOverloaded, m.drainTime(s))
+		return
+	}
 	m.waiting[a.ticket] = a
 	s.queue.push(a, m.weight(a.caller))
 	m.expiry.push(a)
--- a/kernel/dispatch/queue.go
+++ b/kernel/dispatch/queue.go
@@ -118,13 +118,15 @@
 	return f.active
 }
 
-// oldest returns the offer time of the attempt that waits longest by rank.
-func (f *fairQueue) oldest() (time.Time, bool) {
-	var t time.Time
+// oldest returns the largest share of its time that a caller's oldest query
+// has waited, 0 for an empty queue.
+func (f *fairQueue) oldest(now time.Time) float64 {
+	share := 0.0
 	for _, q := range f.active {
-		if first := q.items[0].offered; t.IsZero() || first.Before(t) {
-			t = first
+		a := q.items[0]
+		if all := a.deadline.Sub(a.offered); all > 0 {
+			share = max(share, float64(now.Sub(a.offered))/float64(all))
 		}
 	}
-	return t, f.length > 0
+	return share
 }
--- a/kernel/dispatch/serve.go
+++ b/kernel/dispatch/serve.go
@@ -9,9 +9,7 @@
 
 // serve dispatches the shard's waiting attempts while leaves have room.
 func (m *Machine) serve(s *shard, now time.Time) {
-	if oldest, ok := s.queue.oldest(); ok {
-		s.order.Queued(now.Sub(oldest), now)
-	}
+	s.order.Queued(s.queue.oldest(now), now)
 	for s.queue.length > 0 {
 		a, i, why := m.next(s, now)
 		if a == nil {
--- a/kernel/plugin/policy.go
+++ b/kernel/plugin/policy.go
@@ -62,8 +62,9 @@
 
 // Order decides which end of a queue is served.
 type Order interface {
-	// Queued reports the wait of the oldest attempt at a moment of service.
-	Queued(oldest time.Duration, now time.Time)
+	// Queued reports, at a moment of service, which share of its time the
+	// oldest attempt has waited, in [0, 1].
+	Queued(oldest float64, now time.Time)
 	// NewestFirst says that the newest query goes first.
 	NewestFirst() bool
 }
--- a/plugins/adaptiveorder/adaptiveorder.go
+++ b/plugins/adaptiveorder/adaptiveorder.go
@@ -11,10 +11,11 @@
 // Name is the name that the policy registers under.
 const Name = "adaptive"
 
-// A queue stands when the oldest attempt waited longer than target at every
-// service during one interval.
+// A queue is overloaded when, at every service during one interval, the oldest
+// attempt had waited more than target of its time: what is oldest will hardly
+// finish, and what is newest still can.
 const (
-	target   = 20 * time.Millisecond
+	target   = 0.5
 	interval = 100 * time.Millisecond
 )
 
@@ -26,8 +27,8 @@
 // New returns an independent instance.
 func New() plugin.Order { return &policy{} }
 
-// Queued takes the wait of the oldest attempt at a moment of service.
-func (p *policy) Queued(oldest time.Duration, now time.Time) {
+// Queued takes the share of its time that the oldest attempt has waited.
+func (p *policy) Queued(oldest float64, now time.Time) {
 	if oldest <= target {
 		p.aboveSince, p.overloaded = time.Time{}, false
 		return
--- a/plugins/fifo/fifo.go
+++ b/plugins/fifo/fifo.go
@@ -16,7 +16,7 @@
 func New() plugin.Order { return policy{} }
 
 // Queued is ignored.
-func (policy) Queued(time.Duration, time.Time) {}
+func (policy) Queued(float64, time.Time) {}
 
 // NewestFirst is always false.
 func (policy) NewestFirst() bool { return false }
