--- a/kernel/ledger/record.go
+++ b/kernel/ledger/record.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"fmt"
 	"slices"
-	"time"
 )
 
 // Key is the hash of (caller, service, Idempotency-Key). It says nothing of
@@ -98,12 +97,12 @@
 	Key         Key
 	Fingerprint Fingerprint
 	Nonce       Nonce
-	// Deadline is the request's own: past it, a holder starts no work. The
-	// record stands until Expires whatever the deadline.
-	Deadline time.Time
-	// Expires is the end of the retention: from then on the record may be
-	// dropped, and a resend is a new request.
-	Expires time.Time
+	// Deadline is the request's own, in milliseconds of Unix time: past it, a
+	// holder starts no work. The record stands until Expires all the same.
+	Deadline int64
+	// Expires is the end of the retention, in milliseconds of Unix time: from
+	// then on the record may be dropped, and a resend is a new request.
+	Expires int64
 	// Done says that Result is recorded; until then the request may be running.
 	Done   bool
 	Result Result
