--- a/kernel/ledger/claims.go
+++ b/kernel/ledger/claims.go
@@ -16,7 +16,7 @@
 			return true
 		}
 		if now.Before(c.Deadline) {
-			m.add(Unavailable{ID: c.ID, Reason: ReasonTimeout, RetryAfter: m.retryAfter(0, now)})
+			m.add(Unavailable{ID: c.ID, Reason: ReasonTimeout, RetryAfter: m.retryAfter(now)})
 		} else {
 			m.add(Unavailable{ID: c.ID, Reason: ReasonDeadline})
 		}
--- a/kernel/ledger/machine.go
+++ b/kernel/ledger/machine.go
@@ -90,6 +90,9 @@
 	return m.op == opNone && len(m.waiting) == 0 && len(m.updates) == 0
 }
 
+// Unsaved is the number of results and releases that the store does not hold yet.
+func (m *Machine) Unsaved() int { return len(m.updates) }
+
 // Handle takes in an event and gives what is to be done.
 func (m *Machine) Handle(event Event, now time.Time) []Action {
 	m.actions = m.actions[:0]
@@ -130,7 +133,8 @@
 		m.writeUnknown()
 	case StoreDown:
 		m.down = true
-		m.refuseWaiting(e.RetryAfter, now)
+		m.retryAt = now.Add(e.RetryAfter)
+		m.refuseWaiting(now)
 	case StoreUp:
 		m.storeUp(now)
 	case Flush:
@@ -148,7 +152,7 @@
 	case !now.Before(e.Deadline):
 		m.add(Unavailable{ID: e.ID, Reason: ReasonDeadline})
 	case m.down || now.Before(m.retryAt):
-		m.add(Unavailable{ID: e.ID, Reason: ReasonStoreDown, RetryAfter: m.retryAfter(0, now)})
+		m.add(Unavailable{ID: e.ID, Reason: ReasonStoreDown, RetryAfter: m.retryAfter(now)})
 	default:
 		c := &claim{Claim: e, giveUp: earlier(e.Deadline, now.Add(m.cfg.ClaimTimeout))}
 		m.claims[e.ID] = c
@@ -245,16 +249,16 @@
 func (m *Machine) failed(hint time.Duration, now time.Time) {
 	m.op = opNone
 	m.retryAt = now.Add(max(m.backoff.Next(m.rng), min(hint, m.cfg.RetryMax)))
-	m.refuseWaiting(0, now)
+	m.refuseWaiting(now)
 }
 
 // refuseWaiting refuses the claims that no write in flight can still confirm.
-func (m *Machine) refuseWaiting(hint time.Duration, now time.Time) {
+func (m *Machine) refuseWaiting(now time.Time) {
 	m.filterWaiting(func(c *claim) bool {
 		if m.flying(c) {
 			return true
 		}
-		m.add(Unavailable{ID: c.ID, Reason: ReasonStoreDown, RetryAfter: m.retryAfter(hint, now)})
+		m.add(Unavailable{ID: c.ID, Reason: ReasonStoreDown, RetryAfter: m.retryAfter(now)})
 		m.drop(c, now)
 		return false
 	})
@@ -272,8 +276,8 @@
 }
 
 // retryAfter is when a refused caller should come back, with jitter.
-func (m *Machine) retryAfter(hint time.Duration, now time.Time) time.Duration {
-	wait := max(hint, m.retryAt.Sub(now), m.cfg.RetryMin)
+func (m *Machine) retryAfter(now time.Time) time.Duration {
+	wait := max(m.retryAt.Sub(now), m.cfg.RetryMin)
 	return wait + spread(wait/2, m.rng)
 }
 
