Load generator: open-loop schedule, accounting, check of stand-in data

A caller that is refused with a time comes back then, if asked to. Answers over stand-ins are checked for mixed versions, foreign data and coverage that the data does not bear out.

--- a/cmd/internal/entryclient/client.go
+++ b/cmd/internal/entryclient/client.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -130,8 +129,7 @@
 
 // failure tells a request that never left from one that may have run.
 func (c *Client) failure(err error, sent bool) error {
-	var op *net.OpError
-	if !sent || (errors.As(err, &op) && op.Op == "dial") {
+	if !sent {
 		return &DialError{Entry: c.base, Err: err}
 	}
 	return &BrokenError{Entry: c.base, Err: err}
--- /dev/null
+++ b/cmd/internal/loadgen/sender.go
@@ -0,0 +1,109 @@
+package loadgen
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/entryclient"
+)
+
+// EntrySender sends queries to entries over HTTP.
+type EntrySender struct {
+	plan    Plan
+	clients []*entryclient.Client
+	tokens  []string
+	body    func(a Arrival) []byte
+	verify  func(body []byte, answer *callerapi.Answer) []string
+	runID   string
+	// patience is how long a caller waits when the plan sets no deadline.
+	patience time.Duration
+}
+
+// SenderConfig says how to send.
+type SenderConfig struct {
+	Plan    Plan
+	Entries []string // IP:port or URL, one for each Plan.Entries
+	// Tokens are the callers' bearer tokens; caller i has token i modulo their number.
+	Tokens []string
+	// Body makes a query's body; nil makes a short unique text.
+	Body func(a Arrival) []byte
+	// Verify lists the promises that an answer breaks; nil checks nothing.
+	Verify func(body []byte, answer *callerapi.Answer) []string
+	// RunID makes the idempotency keys of this run differ from others'.
+	RunID string
+	// Patience bounds the wait for one answer.
+	Patience time.Duration
+	// Transport replaces the HTTP transport, for tests.
+	Transport http.RoundTripper
+}
+
+// NewEntrySender makes a sender.
+func NewEntrySender(c SenderConfig) *EntrySender {
+	s := &EntrySender{
+		plan: c.Plan, tokens: c.Tokens, body: c.Body, verify: c.Verify, runID: c.RunID, patience: c.Patience,
+	}
+	if s.body == nil {
+		s.body = s.defaultBody
+	}
+	for _, entry := range c.Entries {
+		s.clients = append(s.clients, entryclient.New(entry, c.Transport))
+	}
+	return s
+}
+
+// defaultBody is the same for a query and its resend, and else unique.
+func (s *EntrySender) defaultBody(a Arrival) []byte {
+	return fmt.Appendf(nil, "%s query %d of caller %d", s.runID, a.Number, a.Caller)
+}
+
+// Send sends one query to its entry.
+func (s *EntrySender) Send(ctx context.Context, a Arrival) Result {
+	ctx, cancel := context.WithTimeout(ctx, s.patience)
+	defer cancel()
+	service := s.plan.Services[a.Service]
+	body := s.body(a)
+	q := entryclient.Query{Service: service.Name, Body: body, Deadline: service.Deadline}
+	if len(s.tokens) > 0 {
+		q.Token = s.tokens[a.Caller%len(s.tokens)]
+	}
+	if service.Key {
+		q.Key = fmt.Sprintf("%s-%d", s.runID, a.Number)
+	}
+	answer, err := s.clients[a.Entry].Query(ctx, q)
+	if err != nil {
+		return failure(err)
+	}
+	result := Result{
+		Kind:       Kind(answer.Outcome),
+		Share:      answer.Share,
+		Covered:    len(answer.Results),
+		Sent:       answer.Work.Sent,
+		Hedges:     answer.Work.Hedges,
+		Retries:    answer.Work.Retries,
+		RetryAfter: time.Duration(answer.RetryAfterMS) * time.Millisecond,
+		Replayed:   answer.Replayed,
+	}
+	if s.verify != nil && !answer.Replayed {
+		result.Faults = s.verify(body, answer)
+	}
+	return result
+}
+
+// failure turns an error of the client into a result.
+func failure(err error) Result {
+	var dial *entryclient.DialError
+	var problem *entryclient.ProblemError
+	switch {
+	case errors.As(err, &dial):
+		return Result{Kind: Unreached}
+	case errors.As(err, &problem) && problem.Problem.Outcome == string(NotRun):
+		return Result{Kind: NotRun, RetryAfter: time.Duration(problem.Problem.RetryAfterMS) * time.Millisecond}
+	case errors.As(err, &problem):
+		return Result{Kind: Failed}
+	}
+	return Result{Kind: Broken}
+}
