--- a/entry/executor/admit.go
+++ b/entry/executor/admit.go
@@ -1,46 +1,85 @@
 package executor
 
 import (
-	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
+// admission guards a service's admission policy by a lock.
+type admission struct {
+	mu     sync.Mutex
+	policy *dispatch.Admission
+}
+
+// admission returns the policy of a service; it outlives queries.
+func (e *Executor) admission(s *view.Service) *admission {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a, ok := e.admissions[s.Config.Name]
+	if !ok {
+		a = &admission{policy: dispatch.NewAdmission(e.config.Seed)}
+		e.admissions[s.Config.Name] = a
+	}
+	return a
+}
+
 // admit decides on a whole query before any part of it is queued: a query of
 // which too few parts would finish in time is refused at once, and costs the
 // leaves nothing.
 func (e *Executor) admit(r *run) *RefusedError {
-	left := time.Until(r.request.Deadline)
+	now := time.Now()
+	left := r.request.Deadline.Sub(now)
 	if left <= 0 {
 		return refuse(RefusedDeadline, leastRetryAfter, "the deadline has passed")
 	}
-	fit, total := 0, 0
-	var wait time.Duration
+	fitters := make([]dispatch.Fitter, 0, len(r.request.Service.Upstreams))
 	for _, upstream := range r.request.Service.Upstreams {
-		f, n, w := r.pool(upstream).fit(r.request.Caller.Name, left)
-		fit += f
-		total += n
-		wait = max(wait, w)
+		fitters = append(fitters, r.pool(upstream))
 	}
-	least := r.request.Service.Config.LeastCoverage
-	if fit > 0 && float64(fit) >= least*float64(total) {
+	a := e.admission(r.request.Service)
+	a.mu.Lock()
+	decision := a.policy.Admit(r.request.Caller.Name, left, r.request.Service.Config.LeastCoverage, fitters, now)
+	a.mu.Unlock()
+	if decision.Admitted {
 		return nil
 	}
-	e.config.Log.Decide(telemetry.Decision{Part: partQuery, What: "refuse", Query: r.stamp, Why: "too few parts would finish in time", Took: wait})
-	return refuse(RefusedOverloaded, jitter(max(wait, leastRetryAfter)), "too few parts would finish in time")
+	e.config.Log.Decide(telemetry.Decision{Part: partQuery, What: "refuse", Query: r.stamp, Why: "too few parts would finish in time"})
+	return refuse(RefusedOverloaded, decision.RetryAfter, "too few parts would finish in time")
+}
+
+// answered tells the admission policy how an admitted query ended.
+func (e *Executor) answered(r *run, answer *query.Answer) {
+	useful := answer.Share > 0 && answer.Share >= r.request.Service.Config.LeastCoverage
+	late := !useful && shortOfTime(answer)
+	a := e.admission(r.request.Service)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.policy.Answered(useful, late, time.Now())
 }
 
-// jitter spreads callers that come back: between one and two times d.
-func jitter(d time.Duration) time.Duration {
-	return d + rand.N(d)
+// shortOfTime reports whether parts are missing for lack of time, and not
+// because no leaf serves them.
+func shortOfTime(answer *query.Answer) bool {
+	for _, m := range answer.Missing {
+		switch query.DeclineReason(m.Reason) {
+		case query.ReasonDeadline, query.ReasonOverloaded:
+			return true
+		default:
+		}
+	}
+	return false
 }
 
-// fit asks how many of the upstream's shards could serve a new attempt in time.
-func (p *pool) fit(caller string, within time.Duration) (fit, total int, wait time.Duration) {
+// Fit implements dispatch.Fitter.
+func (p *pool) Fit(caller string, within, patience time.Duration) (fit, total int, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.machine.Fit(caller, within)
+	return p.machine.Fit(caller, within, patience)
 }
 
 // Quantile implements plugin.Quantiler over the pool's recent latencies.
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -83,6 +83,7 @@
 	answer := r.drive()
 	r.dropQueued()
 	r.account(answer)
+	r.executor.answered(r, answer)
 	if answer.Outcome == query.NotRun {
 		return nil, refusal(answer)
 	}
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -70,6 +70,7 @@
 	pools       map[string]*pool // by upstream name
 	meter       map[string]*telemetry.ServiceMetrics
 	repetitions map[string]*repetition // by service name
+	admissions  map[string]*admission  // by service name
 }
 
 // New makes an executor. The policies must have passed their Check.
@@ -82,6 +83,7 @@
 		meter:     make(map[string]*telemetry.ServiceMetrics),
 
 		repetitions: make(map[string]*repetition),
+		admissions:  make(map[string]*admission),
 	}
 }
 
--- a/entry/executor/guard.go
+++ b/entry/executor/guard.go
@@ -96,3 +96,13 @@
 	defer g.mu.Unlock()
 	g.machine.Handle(quarantine.Lifted{Fingerprint: fingerprint}, now)
 }
+
+// Quarantine lists fingerprints under suspicion or in quarantine, to tell peers
+// and operators.
+func (e *Executor) Quarantine() []peerapi.Quarantined { return e.guard.records(time.Now()) }
+
+// MergeQuarantine takes in a peer's list.
+func (e *Executor) MergeQuarantine(list []peerapi.Quarantined) { e.guard.merge(list, time.Now()) }
+
+// LiftQuarantine lets a fingerprint run again.
+func (e *Executor) LiftQuarantine(fingerprint string) { e.guard.lift(fingerprint, time.Now()) }
--- /dev/null
+++ b/entry/node/policies.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"github.com/fuchsiaroad/fuchsiaroad/config/settings"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins" // registers the policies
+)
+
+// CheckPolicies reports a name that no plug-in has.
+func CheckPolicies(p settings.Policy) error {
+	if _, err := plugin.Placements.Get(p.Placement); err != nil {
+		return err
+	}
+	return policies(p).Check()
+}
+
+// policies converts the settings' names.
+func policies(p settings.Policy) executor.Policies {
+	return executor.Policies{
+		Dispatch:   dispatch.Policies{Routing: p.Routing, Order: p.Order, Limit: p.Limit},
+		Repetition: p.Repetition,
+	}
+}
--- /dev/null
+++ b/entry/node/status.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"sort"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/probe"
+)
+
+// Status is what /status shows. It names no caller.
+type Status struct {
+	Instance   string       `json:"instance"`
+	Zone       string       `json:"zone"`
+	Version    string       `json:"version"`
+	Phase      string       `json:"phase"`
+	UptimeS    int64        `json:"uptime_s"`
+	Generation uint64       `json:"generation"`
+	Hash       string       `json:"hash,omitempty"`
+	Queries    int64        `json:"queries_in_flight"`
+	LogDrops   int64        `json:"log_drops"`
+	Quarantine int          `json:"quarantine"`
+	Leaves     []LeafStatus `json:"leaves"`
+}
+
+// LeafStatus is one leaf as this instance sees it.
+type LeafStatus struct {
+	ID       string `json:"id"`
+	Upstream string `json:"upstream"`
+	Leaving  bool   `json:"leaving"`
+	// Connections counts places of this instance's share of the leaf's limit.
+	Connections int   `json:"connections"`
+	Share       int   `json:"share"`
+	Dials       int64 `json:"dials"`
+	// HeardMS is how long ago the leaf last answered; -1 for never.
+	HeardMS int64 `json:"heard_ms"`
+}
+
+// phaseNames are the phases in words.
+var phaseNames = map[phase]string{
+	phaseStarting: "starting", phaseServing: "serving", phaseLeaving: "leaving", phaseRefusing: "refusing",
+}
+
+// status describes the instance.
+func (n *Node) status() any {
+	s := Status{
+		Instance: n.settings.Instance, Zone: n.settings.Zone, Version: Version,
+		Phase: phaseNames[n.lifecycle.get()], UptimeS: int64(time.Since(n.started).Seconds()),
+		Queries: n.executor.Running(), LogDrops: n.log.Dropped(), Leaves: []LeafStatus{},
+		Quarantine: len(n.executor.Quarantine()),
+	}
+	v := n.View()
+	if v == nil {
+		return s
+	}
+	s.Generation, s.Hash = v.Generation, v.Hash
+	for i := range v.Leaves {
+		leaf := &v.Leaves[i]
+		stats := n.leaves.Stats(probe.TargetOf(v, leaf))
+		heard := int64(-1)
+		if at := n.executor.Heard(leaf.ID); !at.IsZero() {
+			heard = time.Since(at).Milliseconds()
+		}
+		s.Leaves = append(s.Leaves, LeafStatus{
+			ID: leaf.ID, Upstream: v.Upstreams[leaf.Upstream].Name, Leaving: leaf.Leaving,
+			Connections: stats.Used, Share: stats.Limit, Dials: stats.Dials, HeardMS: heard,
+		})
+	}
+	sort.Slice(s.Leaves, func(i, j int) bool { return s.Leaves[i].ID < s.Leaves[j].ID })
+	return s
+}
