Make the query machine whole: moves, splits, retries, hedges, the gate

Replies are kept by version and never mixed; a part's missing rest is asked again by the shards of the newest view; the outcome is derived in one place from the states of all attempts.

--- /dev/null
+++ b/kernel/query/attempt.go
@@ -0,0 +1,116 @@
+package query
+
+import "time"
+
+// attemptState is how far an attempt got.
+type attemptState uint8
+
+const (
+	stateQueued    attemptState = iota // offered and not yet sent
+	stateSent                          // its bytes may have reached the leaf
+	stateDeclined                      // the leaf says that it did not run
+	stateNotSent                       // refused by the queue, or the dial failed
+	stateReplied                       // it ran to its end
+	stateBroken                        // it ended without a reply after it was sent
+	stateRecalled                      // withdrawn before it was sent
+	stateAbandoned                     // withdrawn after it was sent
+)
+
+// live reports whether an end of the attempt is still awaited.
+func (s attemptState) live() bool { return s == stateQueued || s == stateSent }
+
+// provedNotRun reports whether the attempt certainly ran nowhere.
+func (s attemptState) provedNotRun() bool {
+	switch s {
+	case stateQueued, stateDeclined, stateNotSent, stateRecalled:
+		return true
+	default:
+		return false
+	}
+}
+
+// attempt is one offer of a part.
+type attempt struct {
+	part    int
+	leaf    int // as its Sent named it
+	version uint64
+	sentAt  time.Duration // since the query's start
+	state   attemptState
+	hedge   bool
+	retry   bool
+	solo    bool
+}
+
+// lookup returns an attempt of this query, or nil.
+func (m *Machine) lookup(id AttemptID) *attempt {
+	if id == 0 || id > AttemptID(len(m.attempts)) {
+		return nil
+	}
+	return &m.attempts[id-1]
+}
+
+// end moves a live attempt to its last state and returns it; nil when the
+// attempt is unknown or not live any more.
+func (m *Machine) end(id AttemptID, state attemptState) *attempt {
+	a := m.lookup(id)
+	if a == nil || !a.state.live() {
+		return nil
+	}
+	m.setState(a, state)
+	m.parts[a.part].drop(id)
+	return a
+}
+
+// setState keeps the number of attempts that may have run.
+func (m *Machine) setState(a *attempt, state attemptState) {
+	if !a.state.provedNotRun() {
+		m.mayHaveRun--
+	}
+	a.state = state
+	if !a.state.provedNotRun() {
+		m.mayHaveRun++
+	}
+}
+
+// withdraw takes back a live attempt.
+func (m *Machine) withdraw(id AttemptID) {
+	a := m.lookup(id)
+	if a == nil || !a.state.live() {
+		return
+	}
+	next := stateRecalled
+	if a.state == stateSent {
+		next = stateAbandoned
+	}
+	m.end(id, next)
+	m.act(Withdraw{Attempt: id})
+}
+
+// sent notes that an attempt's bytes may have reached a leaf.
+func (m *Machine) sent(ev Sent, now time.Time) {
+	a := m.lookup(ev.Attempt)
+	if a == nil {
+		return
+	}
+	if a.state == stateRecalled {
+		// The runtime should not have sent it; the outcome stays truthful.
+		m.setState(a, stateAbandoned)
+		return
+	}
+	if a.state != stateQueued {
+		return
+	}
+	m.setState(a, stateSent)
+	a.leaf = ev.Leaf
+	a.sentAt = now.Sub(m.cfg.Start)
+	p := &m.parts[a.part]
+	p.tried = append(p.tried, ev.Leaf)
+	m.count.sent++
+	if a.hedge {
+		m.count.hedges++
+	}
+	if a.retry {
+		m.count.retries++
+	}
+	m.scheduleHedge(ev.Attempt, a, now)
+}
--- /dev/null
+++ b/kernel/query/check_test.go
@@ -0,0 +1,165 @@
+package query_test
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+)
+
+// universe is the range that counts as the whole of an upstream.
+func (w *world) universe(upstream int) keyrange.Range {
+	if w.idem {
+		return keyrange.Range{To: keySpace}
+	}
+	return w.start.Upstreams[upstream].Shards[0].Range
+}
+
+// upstreams lists the upstreams that count.
+func (w *world) upstreams() []int {
+	all := w.start.Services[serviceName].Upstreams
+	if w.idem {
+		return all
+	}
+	return all[:1]
+}
+
+// checkAnswer compares the answer with the replies that the model delivered.
+func (w *world) checkAnswer() {
+	w.t.Helper()
+	a := w.answer
+	for i, at := range w.attempts {
+		if at.live() {
+			w.t.Fatalf("attempt %d is live after the answer", i+1)
+		}
+	}
+	share := 0.0
+	for _, u := range w.upstreams() {
+		share += w.checkUpstream(u) / float64(len(w.upstreams()))
+	}
+	if math.Abs(share-a.Share) > 1e-9 {
+		w.t.Fatalf("share %v, and the results have %v", a.Share, share)
+	}
+	if got := w.expectedOutcome(share); got != a.Outcome {
+		w.t.Fatalf("outcome %s, want %s; reason %s", a.Outcome, got, a.Reason)
+	}
+	if a.Outcome == query.NotRun && a.RetryAfter <= 0 {
+		w.t.Fatalf("not run, and no word when to come back")
+	}
+	w.checkCounts()
+}
+
+// checkUpstream checks results, covered and missing ranges by a bitmap, and
+// returns the share of the upstream.
+func (w *world) checkUpstream(u int) float64 {
+	w.t.Helper()
+	var got, covered, missing [keySpace]bool
+	for _, r := range w.answer.Results {
+		if r.Part.Upstream != u {
+			continue
+		}
+		w.checkResult(r)
+		for _, x := range append([]keyrange.Range{r.Part.Range}, r.More...) {
+			mark(w.t, &got, x, "results")
+		}
+	}
+	for _, p := range w.answer.Covered {
+		if p.Upstream == u {
+			mark(w.t, &covered, p.Range, "covered")
+		}
+	}
+	for _, m := range w.answer.Missing {
+		if m.Part.Upstream == u {
+			mark(w.t, &missing, m.Part.Range, "missing")
+			if m.Reason == "" {
+				w.t.Fatalf("%v is missing without a reason", m.Part)
+			}
+		}
+	}
+	all, n := w.universe(u), 0
+	for k := range uint64(keySpace) {
+		in := k >= all.From && k < all.To
+		if got[k] != covered[k] || missing[k] != (in && !covered[k]) {
+			w.t.Fatalf("key %d: result %v, covered %v, missing %v", k, got[k], covered[k], missing[k])
+		}
+		if covered[k] {
+			n++
+		}
+	}
+	return float64(n) / float64(all.Size())
+}
+
+// mark sets the keys of a range, each once.
+func mark(t fatalf, bits *[keySpace]bool, r keyrange.Range, what string) {
+	t.Helper()
+	for k := r.From; k < r.To; k++ {
+		if bits[k] {
+			t.Fatalf("key %d is twice in %s", k, what)
+		}
+		bits[k] = true
+	}
+}
+
+// checkResult checks that a result is a reply that was due to be accepted, at
+// the answer's version and with its own ranges.
+func (w *world) checkResult(r query.Result) {
+	w.t.Helper()
+	reply, ok := w.honest[string(r.Body)]
+	if !ok {
+		w.t.Fatalf("result %s was late, repeated or crossed", r.Body)
+	}
+	if reply.Version != w.answer.Version {
+		w.t.Fatalf("a result of version %d in an answer of version %d", reply.Version, w.answer.Version)
+	}
+	want := keyrange.NewSet(reply.Ranges...)
+	if !slices.Equal(want.Ranges(), append([]keyrange.Range{r.Part.Range}, r.More...)) {
+		w.t.Fatalf("result of %v %v, the reply had %v", r.Part.Range, r.More, reply.Ranges)
+	}
+}
+
+// expectedOutcome derives the outcome from the test's own records.
+func (w *world) expectedOutcome(share float64) query.Outcome {
+	clean := true
+	for _, a := range w.attempts {
+		clean = clean && a.clean
+	}
+	switch {
+	case share == 1:
+		return query.Complete
+	case share > 0:
+		return query.Partial
+	case clean:
+		return query.NotRun
+	case !w.idem:
+		return query.Unknown
+	default:
+		return query.Failed
+	}
+}
+
+// checkCounts compares the counters with the test's own records.
+func (w *world) checkCounts() {
+	w.t.Helper()
+	sent, hedges, retries := 0, 0, 0
+	for _, a := range w.attempts {
+		if !a.sent {
+			continue
+		}
+		sent++
+		if a.offer.Hedge {
+			hedges++
+		}
+		if a.offer.Retry {
+			retries++
+		}
+	}
+	a := w.answer
+	if a.Sent != sent || a.Hedges != hedges || a.Retries != retries {
+		w.t.Fatalf("counts %d %d %d, want %d %d %d", a.Sent, a.Hedges, a.Retries, sent, hedges, retries)
+	}
+}
+
+// due is when the query must be answered.
+func (w *world) due() time.Time { return epoch.Add(deadline) }
--- a/kernel/query/machine.go
+++ b/kernel/query/machine.go
@@ -3,116 +3,196 @@
 import (
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/coverage"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
-// Machine is the state machine of one query.
+// Bounds of one query's work.
+const (
+	maxMoves = 3 // changes of the pinned version
+	maxTries = 4 // attempts of one part at one version, hedges not counted
+)
+
+// Machine is the state machine of one query. It is used by one goroutine at a
+// time, and is done when it has returned Finish.
 type Machine struct {
-	cfg      Config
-	version  uint64
-	parts    []Part
-	shards   []int
-	covered  []keyrange.Set
-	live     map[AttemptID]int
-	sent     int
-	results  []Result
-	finished bool
-	out      []Action
+	cfg    Config
+	view   *view.View
+	spaces []space
+
+	version uint64 // pinned; 0 until it is known
+	moves   int
+	tallies map[uint64]*tally
+	best    uint64 // the version with the most coverage
+	grids   []*coverage.Grid
+
+	parts    []part
+	open     int     // parts that are asked or wait
+	given    float64 // share given up at the pinned version
+	attempts []attempt
+	// mayHaveRun is the number of attempts that are not proved not run.
+	mayHaveRun int
+
+	gate    gate
+	hedges  hedgeQueue
+	settle  time.Time // when the rest is not waited for any more
+	wake    time.Time // the wish last told
+	slowest time.Duration
+
+	count      counts
+	retryAfter time.Duration
+	reason     string // the first reason a part was given up for
+	finished   bool
+	out        []Action
+}
+
+// space is one upstream of the query.
+type space struct {
+	first      int // upstream index in the view of the start, told in the answer
+	now        int // upstream index in the current view, or noUpstream
+	hedgeAfter time.Duration
+	cells      []int // by cell of the grid: its first part plus one, 0 for none
+	order      []int // shards by start, built when first needed
 }
 
+// counts are told in the answer.
+type counts struct{ sent, hedges, retries, ignored int }
+
 // New returns the machine of one query; Begin starts it.
 func New(cfg Config) *Machine {
-	return &Machine{cfg: cfg, live: make(map[AttemptID]int), covered: make([]keyrange.Set, len(cfg.View.Upstreams))}
+	m := &Machine{cfg: cfg, view: cfg.View, tallies: make(map[uint64]*tally, 1)}
+	m.gate.open = !cfg.Canary && !cfg.Suspect
+	m.gate.probe = noPart
+	return m
 }
 
 // Handle takes an event and returns the actions it causes. The slice is valid
-// until the next call.
+// until the next call. After Finish it returns nothing.
 func (m *Machine) Handle(ev Event, now time.Time) []Action {
 	m.out = m.out[:0]
 	if m.finished {
-		return m.out
+		return nil
 	}
+	m.apply(ev, now)
+	m.fireHedges(now)
+	m.conclude(now)
+	m.wish(now)
+	return m.out
+}
+
+// apply changes the state by one event.
+func (m *Machine) apply(ev Event, now time.Time) {
 	switch ev := ev.(type) {
 	case Begin:
 		m.begin()
 	case Sent:
-		m.sent++
+		m.sent(ev, now)
 	case Reply:
-		m.reply(ev)
+		m.reply(ev, now)
 	case Declined:
-		delete(m.live, ev.Attempt)
+		m.declined(ev, now)
 	case NotSent:
-		delete(m.live, ev.Attempt)
+		m.notSent(ev, now)
 	case Broken:
-		delete(m.live, ev.Attempt)
+		m.broken(ev, now)
+	case ViewChanged:
+		m.viewChanged(ev.View, now)
 	case Cancel:
-		m.finish()
-	}
-	if !m.finished && (len(m.live) == 0 || !now.Before(m.cfg.Deadline)) {
-		m.finish()
+		m.finish(MissingCancelled)
+	case Tick:
+		// Time is looked at after every event.
 	}
-	return m.out
 }
 
+// act appends an action.
+func (m *Machine) act(a Action) { m.out = append(m.out, a) }
+
+// begin pins the version and asks every part.
 func (m *Machine) begin() {
-	m.version = m.cfg.Versions.Pin(m.cfg.Service.Config.Name)
-	for _, u := range m.cfg.Service.Upstreams {
-		for s, shard := range m.cfg.View.Upstreams[u].Shards {
-			m.offer(Part{Upstream: u, Range: shard.Range}, s)
+	if m.spaces != nil {
+		return
+	}
+	if m.idempotent() {
+		m.version = m.cfg.Versions.Pin(m.cfg.Service.Config.Name)
+	}
+	upstreams := m.cfg.Service.Upstreams
+	if !m.idempotent() && len(upstreams) > 1 {
+		upstreams = upstreams[:1]
+	}
+	m.spaces = make([]space, len(upstreams))
+	for i, u := range upstreams {
+		m.spaces[i] = space{first: u, now: u}
+		if m.cfg.HedgeAfter != nil {
+			m.spaces[i].hedgeAfter = m.cfg.HedgeAfter(u)
 		}
 	}
-	m.out = append(m.out, WakeAt{At: m.cfg.Deadline})
+	m.plan()
 }
 
-func (m *Machine) offer(p Part, shard int) {
-	m.parts = append(m.parts, p)
-	m.shards = append(m.shards, shard)
-	id := AttemptID(len(m.parts))
-	m.live[id] = len(m.parts) - 1
-	m.out = append(m.out, Offer{Attempt: id, Part: p, Shard: shard, Version: m.version, Deadline: m.cfg.Deadline})
-}
+// idempotent reports whether an attempt may be repeated after it may have run.
+func (m *Machine) idempotent() bool { return m.cfg.Service.Config.Idempotent }
 
-func (m *Machine) reply(ev Reply) {
-	i, ok := m.live[ev.Attempt]
-	if !ok {
-		return
-	}
-	delete(m.live, ev.Attempt)
-	if m.version == 0 {
-		m.version = ev.Version
+// newGrids returns the universe of each space, cut into cells at the shards of
+// the current view. The universe never changes within a query; that of a
+// non-idempotent one is the one shard that it goes to.
+func (m *Machine) newGrids() []*coverage.Grid {
+	grids := make([]*coverage.Grid, len(m.spaces))
+	for i := range m.spaces {
+		up := &m.cfg.View.Upstreams[m.spaces[i].first]
+		universe := keyrange.Range{To: up.KeySpace}
+		if !m.idempotent() && len(up.Shards) > 0 {
+			universe = up.Shards[0].Range
+		}
+		shards := m.shards(i)
+		ranges := make([]keyrange.Range, len(shards))
+		for s := range shards {
+			ranges[s] = shards[s].Range
+		}
+		grids[i] = coverage.NewGrid(universe, ranges)
 	}
-	p := m.parts[i]
-	set := &m.covered[p.Upstream]
-	if ev.Version != m.version || len(ev.Ranges) != 1 || ev.Ranges[0] != p.Range || set.Overlaps(p.Range) {
-		return
+	return grids
+}
+
+// conclude finishes the query when there is nothing to wait for.
+func (m *Machine) conclude(now time.Time) {
+	switch {
+	case m.finished || m.spaces == nil:
+	case m.current().covered.Complete():
+		m.finish("")
+	case !now.Before(m.cfg.Deadline):
+		m.finish(MissingDeadline)
+	case !m.settle.IsZero() && !now.Before(m.settle):
+		m.finish(MissingSettled)
+	case m.tryMove(now):
+		m.conclude(now)
+	case m.open == 0, m.hopeless():
+		m.finish(m.reason)
 	}
-	set.Add(p.Range)
-	m.results = append(m.results, Result{Part: p, Leaf: ev.Leaf, Body: ev.Body})
 }
 
-func (m *Machine) finish() {
-	m.finished = true
-	a := Answer{Version: m.version, Results: m.results, Sent: m.sent, Outcome: Failed}
-	for id := range m.live {
-		m.out = append(m.out, Withdraw{Attempt: id})
+// hopeless reports whether the least coverage is out of reach and nothing has
+// run yet: then a refusal now is worth more than a useless answer later.
+func (m *Machine) hopeless() bool {
+	least := m.cfg.Service.Config.LeastCoverage
+	return m.mayHaveRun == 0 && m.given > 0 && 1-m.given < least-shareTolerance
+}
+
+// wish asks for a wake-up when the next one is earlier than that last told.
+func (m *Machine) wish(now time.Time) {
+	if m.finished || m.spaces == nil {
+		return
 	}
-	for _, p := range m.parts {
-		if m.covered[p.Upstream].Contains(p.Range) {
-			a.Covered = append(a.Covered, p)
-			a.Share += float64(p.Range.Size()) / float64(m.cfg.View.Upstreams[p.Upstream].KeySpace) / float64(len(m.cfg.Service.Upstreams))
-		} else {
-			a.Missing = append(a.Missing, Missing{Part: p, Reason: "no_reply"})
-		}
+	at := m.cfg.Deadline
+	if !m.settle.IsZero() && m.settle.Before(at) {
+		at = m.settle
 	}
-	switch {
-	case len(a.Missing) == 0:
-		a.Outcome = Complete
-	case len(a.Covered) > 0:
-		a.Outcome = Partial
-	case m.sent == 0:
-		a.Outcome = NotRun
-	case !m.cfg.Service.Config.Idempotent:
-		a.Outcome = Unknown
+	if due, ok := m.hedges.next(); ok && due.Before(at) {
+		at = due
+	}
+	stale := m.wake.IsZero() || !m.wake.After(now)
+	if stale || at.Before(m.wake) {
+		m.wake = at
+		m.act(WakeAt{At: at})
 	}
-	m.out = append(m.out, Finish{Answer: a})
 }
--- a/kernel/query/messages.go
+++ b/kernel/query/messages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
 // AttemptID names one attempt of one query at this entry; unguessable on the
@@ -80,14 +81,21 @@
 // Cancel says that the caller has gone.
 type Cancel struct{}
 
-func (Begin) isEvent()    {}
-func (Sent) isEvent()     {}
-func (Reply) isEvent()    {}
-func (Declined) isEvent() {}
-func (NotSent) isEvent()  {}
-func (Broken) isEvent()   {}
-func (Tick) isEvent()     {}
-func (Cancel) isEvent()   {}
+// ViewChanged gives a newer view: what is asked from here on is planned by its
+// shards, and Offer and the leaf of Sent use its indexes. The later events of
+// an attempt name the leaf as its Sent did; the answer's parts use the indexes
+// of the view that the query started with.
+type ViewChanged struct{ View *view.View }
+
+func (Begin) isEvent()       {}
+func (Sent) isEvent()        {}
+func (Reply) isEvent()       {}
+func (Declined) isEvent()    {}
+func (NotSent) isEvent()     {}
+func (Broken) isEvent()      {}
+func (Tick) isEvent()        {}
+func (Cancel) isEvent()      {}
+func (ViewChanged) isEvent() {}
 
 // DeclineReason says why an attempt did not run.
 type DeclineReason string
@@ -157,6 +165,18 @@
 	Failed   Outcome = "failed"   // it ran or may have run, and nothing is covered
 )
 
+// Reasons of a missing part, besides those of DeclineReason.
+const (
+	MissingBroken    = "broken"        // the exchange broke after it was sent
+	MissingCrashed   = "crashed"       // the leaf broke with the request in a slot
+	MissingBadReply  = "bad_reply"     // the reply stated a wrong version or wrong ranges
+	MissingDeadline  = "deadline"      // no reply by the deadline
+	MissingSettled   = "settled"       // enough was covered, and the rest was not waited for
+	MissingCancelled = "cancelled"     // the caller went away
+	MissingMoved     = "version_moved" // the query went on to another version
+	MissingNoShard   = "no_shard"      // the configuration has no shard for it
+)
+
 // Missing is a part without a reply and why.
 type Missing struct {
 	Part   Part
@@ -165,7 +185,10 @@
 
 // Result is one accepted reply.
 type Result struct {
+	// Part is the first range that the reply covers.
 	Part Part
+	// More lists further ranges of the same reply; nearly always empty.
+	More []keyrange.Range
 	Leaf int
 	Body []byte
 }
--- /dev/null
+++ b/kernel/query/part.go
@@ -0,0 +1,224 @@
+package query
+
+import (
+	"slices"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// These stand for the absence of an index.
+const (
+	noLeaf     = -1
+	noPart     = -1
+	noUpstream = -1
+)
+
+// partState is what becomes of a part.
+type partState uint8
+
+const (
+	partWaiting  partState = iota // held until another part has shown that the request is safe
+	partOpen                      // asked
+	partCovered                   // its keys are covered
+	partGivenUp                   // nothing more is tried, for a reason
+	partReplaced                  // its missing rest is asked as other parts
+)
+
+// part is a range that is asked of one shard.
+type part struct {
+	space  int
+	need   keyrange.Range
+	shard  int
+	state  partState
+	reason string
+	live   []AttemptID
+	tried  []int // leaves
+	tries  int
+	hedged bool
+	// lost is the share given up with the part; forVersion tells that another
+	// version could still give it.
+	lost       float64
+	forVersion bool
+	next       int // the next part of the cell plus one
+}
+
+// drop forgets a live attempt.
+func (p *part) drop(id AttemptID) {
+	if i := slices.Index(p.live, id); i >= 0 {
+		p.live = slices.Delete(p.live, i, i+1)
+	}
+}
+
+// plan makes a part of each range that the pinned version does not cover yet.
+func (m *Machine) plan() {
+	m.parts = m.parts[:0]
+	m.open = 0
+	m.given = 0
+	m.gate.probe = noPart
+	m.grids = m.newGrids()
+	t := m.current()
+	t.lost = 0
+	for i := range m.spaces {
+		m.spaces[i].cells = make([]int, t.grids[i].Cells())
+		shards := m.shards(i)
+		if !m.idempotent() && len(shards) > 1 {
+			shards = shards[:1]
+		}
+		for s := range shards {
+			for _, r := range t.covered.Missing(i, shards[s].Range) {
+				m.addPart(part{space: i, need: r, shard: s})
+			}
+		}
+	}
+	m.askAll()
+}
+
+// shards returns the shards of a space in the current view; none when its
+// upstream is gone.
+func (m *Machine) shards(space int) []view.Shard {
+	u := m.spaces[space].now
+	if u == noUpstream {
+		return nil
+	}
+	return m.view.Upstreams[u].Shards
+}
+
+// addPart files a part under the cells it touches, cut at their borders.
+func (m *Machine) addPart(p part) {
+	grid := m.current().grids[p.space]
+	first, end := grid.Span(p.need)
+	for c := first; c < end; c++ {
+		piece := p
+		piece.need = p.need.Intersect(grid.Cell(c))
+		piece.state = partWaiting
+		piece.live = nil
+		piece.next = m.spaces[p.space].cells[c]
+		m.parts = append(m.parts, piece)
+		m.spaces[p.space].cells[c] = len(m.parts)
+		m.open++
+	}
+}
+
+// offer puts an attempt of a part to the dispatch layer.
+func (m *Machine) offer(i int, a attempt) {
+	p := &m.parts[i]
+	p.state = partOpen
+	a.part = i
+	a.leaf = noLeaf
+	a.version = m.version
+	m.attempts = append(m.attempts, a)
+	id := AttemptID(len(m.attempts))
+	p.live = append(p.live, id)
+	if !a.hedge {
+		p.tries++
+	}
+	m.act(Offer{
+		Attempt:  id,
+		Part:     Part{Upstream: m.spaces[p.space].now, Range: p.need},
+		Shard:    p.shard,
+		Version:  a.version,
+		Avoid:    m.avoid(p),
+		Hedge:    a.hedge,
+		Retry:    a.retry,
+		Solo:     a.solo,
+		Deadline: m.cfg.Deadline,
+	})
+}
+
+// leaves returns the leaves of the part's shard.
+func (m *Machine) leaves(p *part) []int {
+	shards := m.shards(p.space)
+	if p.shard < 0 || p.shard >= len(shards) {
+		return nil
+	}
+	return shards[p.shard].Leaves
+}
+
+// lacks reports whether a leaf was last seen not to serve the pinned version.
+func (m *Machine) lacks(leaf int) bool {
+	if m.version == 0 {
+		return false
+	}
+	known, serves := m.cfg.Versions.Serves(leaf, m.version)
+	return known && !serves
+}
+
+// avoid lists the leaves not to choose: those tried, and those that lack the
+// version unless all do: then what was seen may be old, and one is asked.
+func (m *Machine) avoid(p *part) []int {
+	out := slices.Clone(p.tried)
+	all := m.leaves(p)
+	lacking := 0
+	for _, leaf := range all {
+		if m.lacks(leaf) {
+			lacking++
+		}
+	}
+	if lacking == 0 || lacking == len(all) {
+		return out
+	}
+	for _, leaf := range all {
+		if m.lacks(leaf) && !slices.Contains(out, leaf) {
+			out = append(out, leaf)
+		}
+	}
+	return out
+}
+
+// hasOther reports whether the shard has a leaf that may still be tried.
+func (m *Machine) hasOther(p *part) bool {
+	for _, leaf := range m.leaves(p) {
+		if !slices.Contains(p.tried, leaf) && !m.view.Leaves[leaf].Leaving && !m.lacks(leaf) {
+			return true
+		}
+	}
+	return false
+}
+
+// giveUp settles a part without its data.
+func (m *Machine) giveUp(i int, reason string) {
+	p := &m.parts[i]
+	p.state = partGivenUp
+	p.reason = reason
+	m.open--
+	if m.reason == "" {
+		m.reason = reason
+	}
+	t := m.current()
+	for _, r := range t.covered.Missing(p.space, p.need) {
+		p.lost += t.covered.Weight(p.space, r)
+	}
+	m.given += p.lost
+	p.forVersion = reason == string(ReasonWrongVersion) || slices.ContainsFunc(m.leaves(p), m.lacks)
+	if p.forVersion {
+		t.lost += p.lost
+	}
+	m.probeEnded(i)
+}
+
+// cover settles a part whose keys are covered.
+func (m *Machine) cover(i int) {
+	p := &m.parts[i]
+	switch p.state {
+	case partOpen, partWaiting:
+		m.open--
+	case partGivenUp:
+		m.given -= p.lost
+		if p.forVersion {
+			m.current().lost -= p.lost
+		}
+	default:
+		return
+	}
+	p.state = partCovered
+	m.withdrawPart(i)
+	m.probeEnded(i)
+}
+
+// withdrawPart takes back all live attempts of a part.
+func (m *Machine) withdrawPart(i int) {
+	for len(m.parts[i].live) > 0 {
+		m.withdraw(m.parts[i].live[0])
+	}
+}
