Tell queries in flight of a new view; name the leaf of a failed dial

Cause: TestCompleteAnswer gave a partial answer with one replica of each shard unreachable: NotSent did not name the leaf, so the retry could not avoid it. Ruled out: the retry budget, which a failed dial does not touch.

--- a/api/callerapi/callerapi.go
+++ b/api/callerapi/callerapi.go
@@ -38,7 +38,9 @@
 // Result is one shard's reply.
 type Result struct {
 	Part
-	Body []byte `json:"body"` // base64 in JSON
+	// More lists further ranges that the body covers; usually absent.
+	More []keyrange.Range `json:"more,omitempty"`
+	Body []byte           `json:"body"` // base64 in JSON
 }
 
 // Timing is how long the parts of the work took, in microseconds.
@@ -67,9 +69,9 @@
 	Replayed bool   `json:"replayed,omitempty"`
 	Reason   string `json:"reason,omitempty"`
 	// RetryAfterMS says when asking again may tell more, in milliseconds.
-	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
-	Timing   Timing `json:"timing"`
-	Work     Work   `json:"work"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+	Timing       Timing `json:"timing"`
+	Work         Work   `json:"work"`
 }
 
 // Problem is an RFC 9457 problem detail.
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -24,7 +24,7 @@
 	a := s.attempt
 	defer a.cancel()
 	e.decide(a, telemetry.Decision{Part: partDispatch, What: "dispatch", Leaf: s.leaf.ID, Why: s.action.Why, Took: s.action.Queued})
-	leaf := a.run.leafIndex(a, s.leaf.ID)
+	leaf := a.leafIndex(s.leaf.ID)
 	// The deadline is looked at again right before the bytes go: an instance
 	// that was paused since the decision must not start stale work.
 	if s.ctx.Err() != nil {
@@ -61,7 +61,7 @@
 			outcome = dispatch.OutcomeCancelled
 		}
 		p.finish(a, outcome, 0)
-		a.run.mail.put(query.NotSent{Attempt: id, Reason: query.ReasonDialFailed})
+		a.run.mail.put(query.NotSent{Attempt: id, Leaf: leaf, Reason: query.ReasonDialFailed})
 	case errors.As(err, &declined):
 		e.Learn(declined.Leaf, declined.Versions, declined.Draining)
 		outcome := dispatch.OutcomeDeclined
@@ -122,6 +122,6 @@
 		return
 	}
 	d.Query = a.ticket.Query
-	d.Shard = a.run.request.View.Upstreams[a.offer.Part.Upstream].Name + " " + a.offer.Part.Range.String()
+	d.Shard = a.view.Upstreams[a.offer.Part.Upstream].Name + " " + a.offer.Part.Range.String()
 	e.config.Log.Decide(d)
 }
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -55,15 +55,17 @@
 	r := &run{
 		executor: e, request: req, id: newToken(), stamp: e.nextStamp(req.Start),
 		fingerprint: fingerprint, mail: newMailbox(), ctx: ctx,
-		attempts: make(map[query.AttemptID]*attempt), pools: make(map[int]*pool),
+		attempts: make(map[query.AttemptID]*attempt),
+		view:     req.View, pools: make(map[int]*pool),
+		versions: &versions{knowledge: e.knowledge, view: req.View},
 	}
 	repetition := e.repetition(req.Service)
 	r.repetition = repetition
 	r.machine = query.New(query.Config{
 		View: req.View, Service: req.Service, Start: req.Start, Deadline: req.Deadline,
-		Versions:   versions{e.knowledge, req.View},
+		Versions:   r.versions,
 		Budget:     repetition,
-		HedgeAfter: repetition.hedgeAfter(req),
+		HedgeAfter: repetition.hedgeAfter(r),
 		Canary:     mode == quarantine.ModeCanary,
 		Suspect:    mode == quarantine.ModeSuspect,
 		Seed:       seed(fingerprint),
@@ -80,7 +82,9 @@
 		return nil, refused
 	}
 	r.repetition.deposit(r.request.Service.Shards)
+	r.executor.register(r)
 	answer := r.drive()
+	r.executor.unregister(r)
 	r.dropQueued()
 	r.account(answer)
 	r.executor.answered(r, answer)
@@ -127,7 +131,7 @@
 		out.Missing = append(out.Missing, callerapi.Missing{Part: r.part(m.Part), Reason: missing(m)})
 	}
 	for _, res := range a.Results {
-		out.Results = append(out.Results, callerapi.Result{Part: r.part(res.Part), Body: res.Body})
+		out.Results = append(out.Results, callerapi.Result{Part: r.part(res.Part), More: res.More, Body: res.Body})
 	}
 	return out
 }
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +71,7 @@
 	mu          sync.Mutex
 	pools       map[string]*pool // by upstream name
 	meter       map[string]*telemetry.ServiceMetrics
+	runs        map[*run]struct{}
 	repetitions map[string]*repetition // by service name
 	admissions  map[string]*admission  // by service name
 }
@@ -82,6 +85,7 @@
 		pools:     make(map[string]*pool),
 		meter:     make(map[string]*telemetry.ServiceMetrics),
 
+		runs:        make(map[*run]struct{}),
 		repetitions: make(map[string]*repetition),
 		admissions:  make(map[string]*admission),
 	}
@@ -145,18 +149,34 @@
 	return p
 }
 
-// Follow takes a new view. It is called for each view before queries use it.
+// Follow takes a new view. It is called for each view before queries use it,
+// and tells the queries in flight, which may have to ask split shards again.
 func (e *Executor) Follow(v *view.View) {
 	e.knowledge.follow(v)
 	e.mu.Lock()
-	pools := make([]*pool, 0, len(e.pools))
-	for _, p := range e.pools {
-		pools = append(pools, p)
-	}
+	pools := slices.Collect(maps.Values(e.pools))
+	runs := slices.Collect(maps.Keys(e.runs))
 	e.mu.Unlock()
 	for _, p := range pools {
 		p.follow(v)
 	}
+	for _, r := range runs {
+		r.mail.put(query.ViewChanged{View: v})
+	}
+}
+
+// register makes a query hear of new views.
+func (e *Executor) register(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs[r] = struct{}{}
+}
+
+// unregister ends that.
+func (e *Executor) unregister(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.runs, r)
 }
 
 // missing is the kernel's reason of a part, for people.
--- a/entry/executor/knowledge.go
+++ b/entry/executor/knowledge.go
@@ -65,35 +65,35 @@
 	return k.heard[leafID]
 }
 
-// versions is the knowledge as one query sees it, with the indexes of its view.
+// versions is the knowledge as one query sees it, by the indexes of its view.
 type versions struct {
 	knowledge *knowledge
 	view      *view.View
 }
 
 // Pin implements query.VersionSource.
-func (s versions) Pin(service string) uint64 {
+func (s *versions) Pin(service string) uint64 {
 	s.knowledge.mu.Lock()
 	defer s.knowledge.mu.Unlock()
 	return s.knowledge.tracker.Pin(service)
 }
 
 // Next implements query.VersionSource.
-func (s versions) Next(service string, after uint64) uint64 {
+func (s *versions) Next(service string, after uint64) uint64 {
 	s.knowledge.mu.Lock()
 	defer s.knowledge.mu.Unlock()
 	return s.knowledge.tracker.Next(service, after)
 }
 
 // Share implements query.VersionSource.
-func (s versions) Share(service string, version uint64) float64 {
+func (s *versions) Share(service string, version uint64) float64 {
 	s.knowledge.mu.Lock()
 	defer s.knowledge.mu.Unlock()
 	return s.knowledge.tracker.Share(service, version)
 }
 
 // Serves implements query.VersionSource.
-func (s versions) Serves(leaf int, version uint64) (known, serves bool) {
+func (s *versions) Serves(leaf int, version uint64) (known, serves bool) {
 	k := s.knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/entry/executor/policies.go
+++ b/entry/executor/policies.go
@@ -100,10 +100,10 @@
 	r.policy.Shed(now)
 }
 
-// hedgeAfter gives the hedge delay of an upstream, in the indexes of the request's view.
-func (r *repetition) hedgeAfter(req *Request) func(int) time.Duration {
+// hedgeAfter gives the hedge delay of an upstream, by the indexes of the query's view.
+func (r *repetition) hedgeAfter(q *run) func(int) time.Duration {
 	return func(upstream int) time.Duration {
-		p := r.executor.pool(req.View, upstream)
+		p := q.pool(upstream)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		d, ok := r.policy.HedgeAfter(p)
--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -30,6 +30,8 @@
 type attempt struct {
 	ticket  dispatch.Ticket
 	run     *run
+	view    *view.View // by whose indexes the offer speaks
+	pool    *pool
 	offer   query.Offer
 	token   string // unguessable, on the wire
 	started time.Time
@@ -77,13 +79,13 @@
 	p.attempts[a.ticket] = a
 	p.handleAndUnlock(dispatch.Offered{
 		Ticket: a.ticket, Shard: shard, Caller: a.run.request.Caller.Name, Deadline: a.offer.Deadline,
-		Avoid: p.translate(a.run, a.offer.Avoid), Hedge: a.offer.Hedge, Retry: a.offer.Retry, Solo: a.offer.Solo,
+		Avoid: p.translate(a.view, a.offer.Avoid), Hedge: a.offer.Hedge, Retry: a.offer.Retry, Solo: a.offer.Solo,
 	})
 }
 
-// shard finds the pool's shard for the attempt's part; the query may hold an older view.
+// shard finds the pool's shard for the attempt's part; the query may speak by an older view.
 func (p *pool) shard(a *attempt) (int, bool) {
-	if a.run.request.View == p.view {
+	if a.view == p.view {
 		return a.offer.Shard, true
 	}
 	for i, s := range p.view.Upstreams[p.upstream].Shards {
@@ -94,14 +96,14 @@
 	return 0, false
 }
 
-// translate turns leaf indexes of the query's view into the pool's.
-func (p *pool) translate(r *run, leaves []int) []int {
-	if r.request.View == p.view || len(leaves) == 0 {
+// translate turns leaf indexes of another view into the pool's.
+func (p *pool) translate(from *view.View, leaves []int) []int {
+	if from == p.view || len(leaves) == 0 {
 		return leaves
 	}
 	var out []int
 	for _, leaf := range leaves {
-		i := p.view.Upstreams[p.upstream].Leaf(r.request.View.Leaves[leaf].ID)
+		i := p.view.Upstreams[p.upstream].Leaf(from.Leaves[leaf].ID)
 		if i != view.NoLeaf {
 			out = append(out, i)
 		}
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -10,6 +10,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
 // run is one query in progress, driven by one goroutine.
@@ -20,13 +21,16 @@
 	stamp       uint64
 	fingerprint string
 	repetition  *repetition
+	versions    *versions
 	machine     *query.Machine
 	mail        *mailbox
 	ctx         context.Context // ends with the caller or with the answer
 	attempts    map[query.AttemptID]*attempt
-	pools       map[int]*pool // by upstream index in the request's view
-	timer       *time.Timer
-	answer      *query.Answer
+	// view is the newest view that the machine knows; pools is by its indexes.
+	view   *view.View
+	pools  map[int]*pool
+	timer  *time.Timer
+	answer *query.Answer
 }
 
 // newToken makes an unguessable id: 128 random bits in hex.
@@ -67,11 +71,21 @@
 	if r.answer != nil {
 		return
 	}
+	if changed, ok := ev.(query.ViewChanged); ok {
+		r.follow(changed.View)
+	}
 	for _, action := range r.machine.Handle(ev, time.Now()) {
 		r.act(action)
 	}
 }
 
+// follow moves the query to a newer view, by whose indexes it speaks from here on.
+func (r *run) follow(v *view.View) {
+	r.view = v
+	r.versions.view = v
+	clear(r.pools)
+}
+
 // act carries out one action.
 func (r *run) act(action query.Action) {
 	switch action := action.(type) {
@@ -93,7 +107,7 @@
 func (r *run) offer(o query.Offer) {
 	a := &attempt{
 		ticket: dispatch.Ticket{Query: r.stamp, Attempt: o.Attempt},
-		run:    r, offer: o, token: newToken(),
+		run:    r, view: r.view, offer: o, token: newToken(),
 	}
 	r.attempts[o.Attempt] = a
 	if o.Hedge {
@@ -102,14 +116,15 @@
 	if o.Retry {
 		r.executor.decide(a, telemetry.Decision{Part: partQuery, What: "retry"})
 	}
-	r.pool(o.Part.Upstream).offer(a)
+	a.pool = r.pool(o.Part.Upstream)
+	a.pool.offer(a)
 }
 
 // pool returns the pool of an upstream, looked up once per query.
 func (r *run) pool(upstream int) *pool {
 	p, ok := r.pools[upstream]
 	if !ok {
-		p = r.executor.pool(r.request.View, upstream)
+		p = r.executor.pool(r.view, upstream)
 		r.pools[upstream] = p
 	}
 	return p
@@ -118,7 +133,7 @@
 // withdraw takes an attempt back.
 func (r *run) withdraw(id query.AttemptID) {
 	if a, ok := r.attempts[id]; ok {
-		r.pool(a.offer.Part.Upstream).withdraw(a.ticket)
+		a.pool.withdraw(a.ticket)
 	}
 }
 
@@ -129,24 +144,24 @@
 		return
 	}
 	e := r.executor
-	news := e.guard.observe(quarantine.Observed{Fingerprint: r.fingerprint, Leaf: a.leafName(r, v.Leaf), Crashed: v.Crashed, Solo: a.offer.Solo}, time.Now())
+	news := e.guard.observe(quarantine.Observed{Fingerprint: r.fingerprint, Leaf: a.leafName(v.Leaf), Crashed: v.Crashed, Solo: a.offer.Solo}, time.Now())
 	if v.Crashed {
-		e.decide(a, telemetry.Decision{Part: partQuery, What: "suspect", Leaf: a.leafName(r, v.Leaf), Why: r.fingerprint})
+		e.decide(a, telemetry.Decision{Part: partQuery, What: "suspect", Leaf: a.leafName(v.Leaf), Why: r.fingerprint})
 	}
 	if news {
 		e.config.Sightings.SpreadNow()
 	}
 }
 
-// leafName is the ID of the leaf that the query's view calls by index.
-func (a *attempt) leafName(r *run, leaf int) string {
-	if leaf < 0 || leaf >= len(r.request.View.Leaves) {
+// leafName is the ID of a leaf by its index in the attempt's view.
+func (a *attempt) leafName(leaf int) string {
+	if leaf < 0 || leaf >= len(a.view.Leaves) {
 		return ""
 	}
-	return r.request.View.Leaves[leaf].ID
+	return a.view.Leaves[leaf].ID
 }
 
-// leafIndex is the index of a leaf in the query's own view.
-func (r *run) leafIndex(a *attempt, id string) int {
-	return r.request.View.Upstreams[a.offer.Part.Upstream].Leaf(id)
+// leafIndex is the index of a leaf in the attempt's view.
+func (a *attempt) leafIndex(id string) int {
+	return a.view.Upstreams[a.offer.Part.Upstream].Leaf(id)
 }
