Run the ledger's machines against the store

The store remembers the number of buckets; an entry with another one takes no claims.

Seen to fail first: a fleet that dispatches without a claim and one that releases after an unknown result.

--- a/entry/ledger/errors.go
+++ b/entry/ledger/errors.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -59,3 +60,42 @@
 
 // Error implements error.
 func (e *RequestError) Error() string { return fmt.Sprintf("claim %s: %s", e.Field, e.Reason) }
+
+// FlushError says that the store did not take all results and releases in time.
+type FlushError struct {
+	// Unsaved is how many it lacks, or -1 when the ledger has stopped.
+	Unsaved int
+}
+
+// Error implements error.
+func (e *FlushError) Error() string {
+	if e.Unsaved < 0 {
+		return "ledger stopped before it was flushed"
+	}
+	return fmt.Sprintf("ledger has %d unsaved results and releases", e.Unsaved)
+}
+
+// LayoutError says that the store's ledger has another number of buckets than
+// this entry: it must not take claims, as it would look for keys elsewhere.
+type LayoutError struct{ Stored, Configured int }
+
+// Error implements error.
+func (e *LayoutError) Error() string {
+	return fmt.Sprintf("ledger has %d buckets in the store, %d in the settings", e.Stored, e.Configured)
+}
+
+// resultName is the meter's word for the end of a claim.
+func resultName(err error) string {
+	var held *HeldError
+	var mismatch *MismatchError
+	switch {
+	case err == nil:
+		return "granted"
+	case errors.As(err, &held):
+		return string(held.State)
+	case errors.As(err, &mismatch):
+		return "mismatch"
+	default:
+		return "unavailable"
+	}
+}
--- /dev/null
+++ b/entry/ledger/ledger_test.go
@@ -0,0 +1,306 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/platform"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/platform/platformtest"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/ledger"
+)
+
+// runFleet lets callers race over eight entries through a troubled store.
+func runFleet(t *testing.T, seed uint64, variant fleetVariant) *fleet {
+	f := newFleet(t, seed, 8)
+	f.variant = variant
+	time.Sleep(time.Second)
+	troubled := platformtest.Faults{
+		Latency: 2 * time.Millisecond, Jitter: 20 * time.Millisecond,
+		FailReads: 0.05, StaleReads: 0.05,
+		LoseBefore: 0.05, LoseAfter: 0.05, LoseLate: 0.05, LateBy: 400 * time.Millisecond,
+	}
+	f.store.SetFaults(troubled)
+	var callers sync.WaitGroup
+	for i := range 60 {
+		callers.Go(func() {
+			time.Sleep(time.Duration(f.intn(2000)) * time.Millisecond)
+			f.caller(fmt.Sprint("key", i))
+		})
+	}
+	for i := range 10 {
+		time.Sleep(300 * time.Millisecond)
+		f.replace()
+		switch i {
+		case 3:
+			f.store.SetFaults(platformtest.Faults{Down: true})
+		case 5:
+			f.store.SetFaults(platformtest.Faults{Hang: true})
+		default:
+			f.store.SetFaults(troubled)
+		}
+	}
+	callers.Wait()
+	time.Sleep(troubled.LateBy)
+	return f
+}
+
+func TestAtMostOnceOverEightEntries(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := runFleet(t, seed, fleetSound)
+				for _, fault := range f.faults() {
+					t.Error(fault)
+				}
+				t.Logf("%d keys ran, answers %v", len(f.leaf.byKey), f.answers)
+				if len(f.leaf.byKey) < 20 || f.answers["held"] < 20 || f.answers["not_run"] < 20 {
+					t.Errorf("too little happened: %d keys ran, answers %v", len(f.leaf.byKey), f.answers)
+				}
+			})
+		})
+	}
+}
+
+// The fleet finds entries that use the ledger wrongly.
+func TestBrokenFleetsAreFound(t *testing.T) {
+	for name, variant := range map[string]fleetVariant{
+		"dispatch without a claim": fleetDispatchUnclaimed,
+		"release after unknown":    fleetReleaseUnknown,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for seed := range uint64(10) {
+					if f := runFleet(t, seed, variant); len(f.faults()) > 0 {
+						return
+					}
+				}
+				t.Error("no fault found")
+			})
+		})
+	}
+}
+
+func TestResendGetsTheRecordedResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New(1)
+		a, b := startEntry(t, store, 1, nil), startEntry(t, store, 2, nil)
+		<-a.Ready()
+		<-b.Ready()
+		grant := mustClaim(t, a, "k")
+		_ = mustBeHeld(t, b, "k", StateRunning)
+		grant.Record(complete)
+		if err := a.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := mustBeHeld(t, b, "k", StateRecorded); got != complete {
+			t.Fatalf("got %+v, want %+v", got, complete)
+		}
+		_, err := b.Claim(t.Context(), Request{Caller: "c", Service: "s", Key: "k", Body: []byte("other"), Deadline: time.Now().Add(time.Second)})
+		var mismatch *MismatchError
+		if !errors.As(err, &mismatch) {
+			t.Fatalf("another body: got %v", err)
+		}
+		if _, err := b.Claim(t.Context(), Request{Caller: "other", Service: "s", Key: "k", Deadline: time.Now().Add(time.Second)}); err != nil {
+			t.Fatalf("another caller's key: %v", err)
+		}
+	})
+}
+
+func TestReleasedKeyRunsElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New(1)
+		a, b := startEntry(t, store, 1, nil), startEntry(t, store, 2, nil)
+		<-a.Ready()
+		<-b.Ready()
+		mustClaim(t, a, "k").Release()
+		if err := a.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		mustClaim(t, b, "k")
+	})
+}
+
+// An entry that is killed leaves its claim behind, and a resend anywhere hears
+// unknown once the deadline has passed, as the request may have run.
+func TestKilledEntry(t *testing.T) {
+	for name, step := range map[string]func(*Grant){
+		"before dispatch":   func(*Grant) {},
+		"after dispatch":    func(g *Grant) { g.MayDispatch() },
+		"result not stored": func(g *Grant) { g.Record(complete) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformtest.New(1)
+				a, b := startEntry(t, store, 1, nil), startEntry(t, store, 2, nil)
+				<-a.Ready()
+				<-b.Ready()
+				step(mustClaim(t, a, "k"))
+				a.stop()
+				_ = mustBeHeld(t, b, "k", StateRunning)
+				time.Sleep(time.Second)
+				_ = mustBeHeld(t, b, "k", StateUnknown)
+			})
+		})
+	}
+	t.Run("before the claim", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := platformtest.New(1)
+			a, b := startEntry(t, store, 1, nil), startEntry(t, store, 2, nil)
+			<-a.Ready()
+			<-b.Ready()
+			a.stop()
+			if _, err := a.Claim(t.Context(), request("k", time.Second)); err == nil {
+				t.Fatal("a stopped ledger granted a claim")
+			}
+			mustClaim(t, b, "k")
+		})
+	})
+}
+
+// A holder that was paused past its deadline starts nothing, and until it has
+// released the claim nobody else is granted it.
+func TestPausedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New(1)
+		a, b := startEntry(t, store, 1, nil), startEntry(t, store, 2, nil)
+		<-a.Ready()
+		<-b.Ready()
+		grant := mustClaim(t, a, "k")
+		time.Sleep(10 * time.Minute)
+		_ = mustBeHeld(t, b, "k", StateUnknown)
+		if grant.MayDispatch() {
+			t.Fatal("a paused holder may start stale work")
+		}
+		grant.Release()
+		if err := a.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		mustClaim(t, b, "k")
+	})
+}
+
+// While the store is down a claim is refused without waiting, and after it has
+// come back claims are taken again.
+func TestOutage(t *testing.T) {
+	for name, faults := range map[string]platformtest.Faults{
+		"down":          {Down: true},
+		"hangs":         {Hang: true},
+		"loses replies": {LoseBefore: 1, FailReads: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformtest.New(1)
+				e := startEntry(t, store, 1, nil)
+				<-e.Ready()
+				grant := mustClaim(t, e, "before")
+				store.SetFaults(faults)
+				for i := range 20 {
+					_, _ = e.Claim(t.Context(), request(fmt.Sprint(i), time.Minute))
+				}
+				begin := time.Now()
+				_, err := e.Claim(t.Context(), request("k", time.Minute))
+				var unavailable *UnavailableError
+				if !errors.As(err, &unavailable) || unavailable.RetryAfter <= 0 {
+					t.Fatalf("got %v, want unavailable with a time to come back", err)
+				}
+				if waited := time.Since(begin); waited != 0 {
+					t.Fatalf("refusal took %v, want none", waited)
+				}
+				grant.Record(complete)
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				var unsaved *FlushError
+				if err := e.Flush(ctx); !errors.As(err, &unsaved) || unsaved.Unsaved < 1 {
+					t.Fatalf("flush in an outage: got %v", err)
+				}
+				store.SetFaults(platformtest.Faults{})
+				time.Sleep(2 * ledger.DefaultConfig().RetryMax)
+				mustClaim(t, e, "after")
+				if err := e.Flush(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			})
+		})
+	}
+}
+
+// While the store is down an entry probes it alone: claims cost no calls.
+func TestOutageCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New(1)
+		e := startEntry(t, store, 1, func(c *Config) { c.Buckets = 64 })
+		<-e.Ready()
+		store.SetFaults(platformtest.Faults{Down: true})
+		for i := range 200 {
+			_, _ = e.Claim(t.Context(), request(fmt.Sprint("warm", i), time.Second))
+		}
+		before := store.Calls(platform.CallGet) + store.Calls(platform.CallPut)
+		for i := range 1000 {
+			_, _ = e.Claim(t.Context(), request(fmt.Sprint(i), time.Second))
+			time.Sleep(60 * time.Millisecond)
+		}
+		calls := store.Calls(platform.CallGet) + store.Calls(platform.CallPut) - before
+		if calls > 30 {
+			t.Fatalf("a minute of outage cost %d calls, want 30 at most", calls)
+		}
+	})
+}
+
+// The number of buckets is the same at all entries, or keys would be looked
+// for in the wrong place.
+func TestOtherNumberOfBucketsTakesNoClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New(1)
+		a := startEntry(t, store, 1, nil)
+		<-a.Ready()
+		b := startEntry(t, store, 2, func(c *Config) { c.Buckets = 3 })
+		time.Sleep(time.Minute)
+		if _, err := b.Claim(t.Context(), request("k", time.Second)); err == nil {
+			t.Fatal("claim was granted in another layout")
+		}
+	})
+}
+
+func TestBadRequestNamesItsField(t *testing.T) {
+	l, err := New(Config{Store: platformtest.New(1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := request("k", time.Second)
+	for field, change := range map[string]func(*Request){
+		"caller":   func(r *Request) { r.Caller = "" },
+		"service":  func(r *Request) { r.Service = "" },
+		"key":      func(r *Request) { r.Key = "" },
+		"deadline": func(r *Request) { r.Deadline = r.Deadline.Add(time.Hour) },
+	} {
+		req := good
+		change(&req)
+		_, err := l.Claim(t.Context(), req)
+		var bad *RequestError
+		if !errors.As(err, &bad) || bad.Field != field {
+			t.Errorf("%s: got %v", field, err)
+		}
+	}
+}
+
+func TestBadConfigNamesItsField(t *testing.T) {
+	store := platformtest.New(1)
+	for name, cfg := range map[string]Config{
+		"no store":          {},
+		"too many buckets":  {Store: store, Buckets: maxBuckets + 1},
+		"negative timeout":  {Store: store, OpTimeout: -1},
+		"partial bucket":    {Store: store, Bucket: ledger.Config{MaxRecords: 5}},
+		"bucket too large":  {Store: store, Bucket: func() ledger.Config { c := ledger.DefaultConfig(); c.MaxRecords = 1 << 20; return c }()},
+		"no claim timeout":  {Store: store, Bucket: func() ledger.Config { c := ledger.DefaultConfig(); c.ClaimTimeout = 0; return c }()},
+		"retry max too low": {Store: store, Bucket: func() ledger.Config { c := ledger.DefaultConfig(); c.RetryMax = 1; return c }()},
+	} {
+		if _, err := New(cfg); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
--- a/entry/platform/platformtest/store.go
+++ b/entry/platform/platformtest/store.go
@@ -45,7 +45,6 @@
 	objects  map[id][]platformapi.Object // history, the last is the present
 	calls    map[platform.Call]int
 	changed  chan struct{}
-	late     sync.WaitGroup
 }
 
 // id names an object.
@@ -78,9 +77,6 @@
 	return s.calls[c]
 }
 
-// Wait returns when no late write is left.
-func (s *Store) Wait() { s.late.Wait() }
-
 // draws are the random choices of one call.
 type draws struct {
 	faults Faults
@@ -227,10 +223,7 @@
 		_, _ = s.apply(kind, name, ifVersion, value)
 		return 0, lost
 	case d.share < f.LoseBefore+f.LoseAfter+f.LoseLate:
-		s.late.Go(func() {
-			time.Sleep(f.LateBy)
-			_, _ = s.apply(kind, name, ifVersion, value)
-		})
+		time.AfterFunc(f.LateBy, func() { _, _ = s.apply(kind, name, ifVersion, value) })
 		return 0, lost
 	}
 	return s.apply(kind, name, ifVersion, value)
