--- a/entry/ledger/calls.go
+++ b/entry/ledger/calls.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"strconv"
-	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/platform"
@@ -58,7 +57,7 @@
 	store, buckets := r.ledger.cfg.Store, r.ledger.cfg.Buckets
 	r.call(func(ctx context.Context) message {
 		if err := checkLayout(ctx, store, buckets); err != nil {
-			return probeMessage{gate: ledger.ProbeFailed{RetryAfter: retryAfter(err)}, err: err}
+			return probeMessage{gate: ledger.ProbeFailed{RetryAfter: platform.RetryAfter(err)}, err: err}
 		}
 		return probeMessage{gate: ledger.ProbeDone{}}
 	})
@@ -72,7 +71,7 @@
 		return callMessage{bucket: i, event: ledger.ReadDone{}, gate: ledger.CallDone{}}
 	}
 	if err != nil {
-		wait := retryAfter(err)
+		wait := platform.RetryAfter(err)
 		return callMessage{bucket: i, event: ledger.ReadFailed{RetryAfter: wait}, gate: ledger.CallFailed{RetryAfter: wait}, err: err}
 	}
 	records, err := ledger.Decode(obj.Value)
@@ -94,7 +93,7 @@
 	if errors.As(err, &conflict) || errors.As(err, &notFound) {
 		return callMessage{bucket: i, event: ledger.WriteConflict{}, gate: ledger.CallDone{}}
 	}
-	wait := retryAfter(err)
+	wait := platform.RetryAfter(err)
 	if provablyWithoutEffect(err) {
 		return callMessage{bucket: i, event: ledger.WriteRefused{RetryAfter: wait}, gate: ledger.CallFailed{RetryAfter: wait}, err: err}
 	}
@@ -110,23 +109,6 @@
 	return errors.As(err, &unavailable) || errors.As(err, &limited) || errors.As(err, &rejected)
 }
 
-// retryAfter is the store's hint in an error.
-func retryAfter(err error) time.Duration {
-	var unavailable *platform.UnavailableError
-	var limited *platform.RateLimitedError
-	var unknown *platform.UnknownEffectError
-	switch {
-	case errors.As(err, &unavailable):
-		return unavailable.RetryAfter
-	case errors.As(err, &limited):
-		return limited.RetryAfter
-	case errors.As(err, &unknown):
-		return unknown.RetryAfter
-	default:
-		return 0
-	}
-}
-
 // checkLayout checks the number of buckets against the store's, or sets it
 // there. A lost reply or a race is settled by the next probe's read.
 func checkLayout(ctx context.Context, store Store, buckets int) error {
--- a/entry/platform/errors.go
+++ b/entry/platform/errors.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -107,3 +108,20 @@
 func (e *ConfigError) Error() string {
 	return fmt.Sprintf("platform setting %s: %s", e.Field, e.Reason)
 }
+
+// RetryAfter is the store's hint in an error, 0 when it gave none.
+func RetryAfter(err error) time.Duration {
+	var unavailable *UnavailableError
+	var limited *RateLimitedError
+	var unknown *UnknownEffectError
+	switch {
+	case errors.As(err, &unavailable):
+		return unavailable.RetryAfter
+	case errors.As(err, &limited):
+		return limited.RetryAfter
+	case errors.As(err, &unknown):
+		return unknown.RetryAfter
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/entry/platform/follow.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/backoff"
+)
+
+// Defaults of FollowConfig.
+const (
+	DefaultWatchWait  = 30 * time.Second
+	DefaultFirstRetry = 100 * time.Millisecond
+	DefaultRetryCap   = 5 * time.Second
+)
+
+// Source is the part of the object API that Follow needs.
+type Source interface {
+	List(ctx context.Context, kind string) (platformapi.List, error)
+	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (platformapi.Events, error)
+}
+
+// FollowConfig says what to follow. Only Kind is required.
+type FollowConfig struct {
+	Kind string
+	// Wait is how long one watch waits; 0 means DefaultWatchWait.
+	Wait time.Duration
+	// RetryMin and RetryMax bound the delay after a failure.
+	RetryMin, RetryMax time.Duration
+	// Rand spreads retries; nil draws a seed.
+	Rand *rand.Rand
+	// Failed is told of each failed call and the delay before the next one.
+	Failed func(err error, retryIn time.Duration)
+}
+
+// Update is what Follow tells of a kind.
+type Update struct {
+	// Listed says that Objects is the whole kind: what is not in it is gone.
+	Listed  bool
+	Objects []platformapi.Object
+	// Events are changes since the last update, oldest first.
+	Events []platformapi.Event
+	// Revision is the store's revision that the update brings us to.
+	Revision uint64
+}
+
+// follower is the state of one Follow.
+type follower struct {
+	source  Source
+	cfg     FollowConfig
+	handle  func(Update)
+	backoff backoff.Backoff
+	listed  bool
+	since   uint64
+}
+
+// Follow lists a kind and then watches it until ctx ends, calling handle from
+// its own goroutine. It lists again when the store no longer knows the
+// revision. After a failure it goes on from the revision it has, after growing
+// jittered delays, so that instances do not come back together. Updates may
+// repeat what is known; the caller compares versions.
+func Follow(ctx context.Context, source Source, cfg FollowConfig, handle func(Update)) error {
+	if cfg.Kind == "" {
+		return &ConfigError{Field: "kind", Reason: "must not be empty"}
+	}
+	f := &follower{source: source, cfg: cfg.withDefaults(), handle: handle}
+	f.backoff = backoff.Backoff{Min: f.cfg.RetryMin, Max: f.cfg.RetryMax}
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if err == nil {
+			f.backoff.Reset()
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		f.pause(ctx, err)
+	}
+	return nil
+}
+
+// withDefaults fills in what was left out.
+func (c FollowConfig) withDefaults() FollowConfig {
+	if c.Wait <= 0 {
+		c.Wait = DefaultWatchWait
+	}
+	if c.RetryMin <= 0 {
+		c.RetryMin = DefaultFirstRetry
+	}
+	if c.RetryMax < c.RetryMin {
+		c.RetryMax = max(c.RetryMin, DefaultRetryCap)
+	}
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if c.Failed == nil {
+		c.Failed = func(error, time.Duration) {}
+	}
+	return c
+}
+
+// step makes one call: a list or a watch.
+func (f *follower) step(ctx context.Context) error {
+	if !f.listed {
+		list, err := f.source.List(ctx, f.cfg.Kind)
+		if err != nil {
+			return err
+		}
+		f.listed = true
+		f.since = list.Revision
+		f.handle(Update{Listed: true, Objects: list.Objects, Revision: list.Revision})
+		return nil
+	}
+	events, err := f.source.Watch(ctx, f.cfg.Kind, f.since, f.cfg.Wait)
+	if err != nil {
+		return err
+	}
+	if len(events.Events) > 0 {
+		f.handle(Update{Events: events.Events, Revision: events.Revision})
+	}
+	f.since = max(f.since, events.Revision)
+	return nil
+}
+
+// pause waits after a failure. A revision that is gone asks for a list.
+func (f *follower) pause(ctx context.Context, err error) {
+	var gone *GoneError
+	if errors.As(err, &gone) {
+		f.listed = false
+	}
+	delay := max(f.backoff.Next(f.cfg.Rand), min(RetryAfter(err), f.cfg.RetryMax))
+	f.cfg.Failed(err, delay)
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
