--- a/bench/burst/oracle.go
+++ b/bench/burst/oracle.go
@@ -47,11 +47,18 @@
 	best, bestSlot, bestEnd := 0, 0, int64(-1)
 	for i, slots := range leaves {
 		slot := slices.Index(slots, slices.Min(slots))
-		end := max(at, slots[slot]) + p.work(id, shard, i)
+		work := p.work(id, shard, i)
+		if p.blind {
+			work = p.base(p.Seed^id*0x9e3779b97f4a7c15, shard)
+		}
+		end := max(at, slots[slot]) + work
 		if bestEnd < 0 || end < bestEnd {
 			best, bestSlot, bestEnd = i, slot, end
 		}
 	}
+	if p.blind {
+		bestEnd = max(at, leaves[best][bestSlot]) + p.work(id, shard, best)
+	}
 	leaves[best][bestSlot] = bestEnd
 	return bestEnd
 }
--- a/bench/burst/params.go
+++ b/bench/burst/params.go
@@ -69,6 +69,7 @@
 	RetryBudget   float64
 	// NoCancel lets running work run on after its query has ended.
 	NoCancel bool
+	blind bool
 	// MostAttempts bounds the attempts of one part.
 	MostAttempts int
 }
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -117,14 +117,14 @@
 	a.avoid = nil
 }
 
-// hedgeFits reports whether a hedge can go at once: a second copy takes idle
-// room only and never waits before or beside first attempts.
+// hedgeFits reports whether a hedge may be queued: there is another leaf for
+// it, and the queue is so short that the copy adds nothing to an overload.
 func (m *Machine) hedgeFits(a *attempt) bool {
-	if a.shard.queue.length > 0 {
+	if m.drainTime(a.shard) > m.times.median {
 		return false
 	}
 	for _, l := range a.shard.leaves {
-		if l.room() && !a.avoids(l) {
+		if !l.leaving && l.share > 0 && !a.avoids(l) {
 			return true
 		}
 	}
--- a/kernel/repetition/budget.go
+++ b/kernel/repetition/budget.go
@@ -7,7 +7,7 @@
 // Budgets of repetition keep at most this many tokens, so that a long calm
 // does not pay for a storm.
 const (
-	hedgeBurst = 10
+	hedgeBurst = 30
 	retryBurst = 10
 )
 
@@ -44,6 +44,9 @@
 	}
 }
 
+// HedgeFill is how full the hedge bucket is, in [0, 1].
+func (b *Budget) HedgeFill() float64 { return b.hedge.tokens / b.hedge.burst }
+
 // Deposit credits one first sub-request.
 func (b *Budget) Deposit() {
 	b.hedge.deposit()
--- a/plugins/adaptivelimit/adaptivelimit.go
+++ b/plugins/adaptivelimit/adaptivelimit.go
@@ -16,8 +16,8 @@
 	gain = 0.1 // weight of one reply in the moving averages
 	// Wait inside the leaf, as a share of the mean service time, above which
 	// the limit falls and below which it may grow.
-	waitHigh = 0.5
-	waitLow  = 0.25
+	waitHigh = 2.0
+	waitLow  = 1.0
 	grow     = 1.0 // a limit of n grows by this after n saturated replies
 	shrink   = 0.1 // share by which the limit falls after n replies
 	shedCut  = 0.5 // factor after a shed reply
--- a/plugins/budgeted/budgeted.go
+++ b/plugins/budgeted/budgeted.go
@@ -3,6 +3,7 @@
 package budgeted
 
 import (
+	"math"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
@@ -12,8 +13,15 @@
 // Name is the name that the policy registers under.
 const Name = "budgeted"
 
-// shedPause is how long no hedge is sent after a leaf or queue was overloaded.
-const shedPause = 250 * time.Millisecond
+const (
+	// shedPause is how long no hedge is sent after a leaf or queue was overloaded.
+	shedPause = 250 * time.Millisecond
+	// The hedge delay is at least a multiple of the median: multipleLeast with
+	// a full budget and multipleMost with an empty one, so that hedges start as
+	// early as the budget can pay for.
+	multipleLeast = 2.0
+	multipleMost  = 3.2
+)
 
 type policy struct {
 	budget   *repetition.Budget
@@ -33,13 +41,16 @@
 // Deposit credits one first sub-request.
 func (p *policy) Deposit() { p.budget.Deposit() }
 
-// HedgeAfter is the latency quantile, once enough has been seen.
+// HedgeAfter is the configured latency quantile, or later when the budget
+// can't pay for so many hedges.
 func (p *policy) HedgeAfter(q plugin.Quantiler) (time.Duration, bool) {
 	if p.quantile <= 0 || p.quantile >= 1 {
 		return 0, false
 	}
 	d := q.Quantile(p.quantile)
-	return d, d > 0
+	multiple := multipleLeast * math.Pow(multipleMost/multipleLeast, 1-p.budget.HedgeFill())
+	later := time.Duration(multiple * float64(q.Quantile(0.5)))
+	return max(d, later), d > 0
 }
 
 // TakeHedge spends from the budget, but never shortly after overload.
