--- a/bench/burst/params.go
+++ b/bench/burst/params.go
@@ -67,9 +67,11 @@
 	HedgeBudget   float64
 	HedgeQuantile float64
 	RetryBudget   float64
+	// OneQueue puts all callers into one queue.
+	OneQueue bool
 	// NoCancel lets running work run on after its query has ended.
 	NoCancel bool
-	blind bool
+	blind    bool
 	// MostAttempts bounds the attempts of one part.
 	MostAttempts int
 }
@@ -89,11 +91,12 @@
 	}
 }
 
-// Baseline turns the parameters to the baseline policies. It does not cancel.
+// Baseline turns the parameters to the baseline policies. It does not cancel
+// and keeps all callers in one queue.
 func (p Params) Baseline() Params {
 	p.Name += " baseline"
 	p.Policies, p.Admission, p.Repetition = dispatch.BaselinePolicies(), false, "blind-retry"
-	p.NoCancel = true
+	p.NoCancel, p.OneQueue = true, true
 	return p
 }
 
--- a/bench/burst/query.go
+++ b/bench/burst/query.go
@@ -19,6 +19,7 @@
 	covered  int
 	work     int64 // slot time of the covered parts
 	finished bool
+	late     bool // a part is missing for lack of time
 	first    bool // not a caller that came back
 }
 
@@ -63,7 +64,9 @@
 	e := q.entry
 	r.stats.offered(r, q)
 	if r.p.Admission {
-		d := e.admission.Admit(r.p.Callers[q.caller].Name, r.p.Deadline, r.p.LeastCoverage, []dispatch.Fitter{e.machine}, e.now())
+		c := r.p.Callers[q.caller]
+		request := dispatch.QueryRequest{Caller: c.Name, Share: c.Share, Left: r.p.Deadline, LeastCoverage: r.p.LeastCoverage}
+		d := e.admission.Admit(request, []dispatch.Fitter{e.machine}, e.now())
 		if !d.Admitted {
 			r.stats.refused(r, q)
 			r.comeBack(q, d.RetryAfter)
@@ -103,11 +106,19 @@
 	p.live = append(p.live, a)
 	e.attempts[t] = a
 	e.handle(dispatch.Offered{
-		Ticket: t, Shard: shard, Caller: e.run.p.Callers[q.caller].Name,
+		Ticket: t, Shard: shard, Caller: e.run.callerName(q),
 		Deadline: epoch.Add(time.Duration(q.deadline)), Avoid: p.used, Hedge: hedge, Retry: retry,
 	})
 }
 
+// callerName is the caller as the queue knows it; the baseline knows none.
+func (r *run) callerName(q *queryState) string {
+	if r.p.OneQueue {
+		return ""
+	}
+	return r.p.Callers[q.caller].Name
+}
+
 // handle runs the machine and its actions.
 func (e *entry) handle(ev dispatch.Event) {
 	actions := append([]dispatch.Action(nil), e.machine.Handle(ev, e.now())...)
@@ -118,7 +129,8 @@
 		case dispatch.Refuse:
 			a := e.attempts[act.Ticket]
 			delete(e.attempts, act.Ticket)
-			if act.Reason == query.ReasonOverloaded && !a.hedge {
+			if !a.hedge {
+				a.query.late = true
 				e.repetition.Shed(e.now())
 			}
 			e.lost(a, false)
@@ -276,12 +288,13 @@
 		live := q.parts[s].live
 		q.parts[s].live = nil
 		for _, a := range live {
+			q.late = true
 			e.cancel(a, dispatch.OutcomeTimeout)
 		}
 	}
 	if e.run.p.Admission {
 		useful := q.useful(e.run.p)
-		e.admission.Answered(useful, !useful, e.now())
+		e.admission.Answered(useful, !useful && q.late, e.now())
 	}
 	e.run.stats.answered(e.run, q)
 }
--- a/bench/burst/stats.go
+++ b/bench/burst/stats.go
@@ -128,8 +128,8 @@
 		Work:     round(time.Duration(s.goodWork).Seconds() / capacity),
 		PartWork: round(time.Duration(s.partWork).Seconds() / capacity),
 		Rate:     round(float64(s.goodParts) * p.meanWork().Seconds() / capacity),
-		Busy:    round(time.Duration(busy).Seconds() / capacity),
-		P50MS:   quantile(s.latencies, 0.5), P99MS: quantile(s.latencies, 0.99), P999MS: quantile(s.latencies, 0.999),
+		Busy:     round(time.Duration(busy).Seconds() / capacity),
+		P50MS:    quantile(s.latencies, 0.5), P99MS: quantile(s.latencies, 0.99), P999MS: quantile(s.latencies, 0.999),
 		Extra: ratio(s.sentN-s.parts, s.parts), Starts: ratio(s.sentN, s.takenN*p.Shards), Hedges: ratio(s.hedgesN, s.takenN*p.Shards),
 	}
 	for i, c := range p.Callers {
--- a/kernel/dispatch/admission.go
+++ b/kernel/dispatch/admission.go
@@ -38,6 +38,17 @@
 	rateWindow      = time.Second
 )
 
+// QueryRequest is what admission needs to know of a query.
+type QueryRequest struct {
+	Caller string
+	// Share is the caller's document.Caller.Share, at least 1.
+	Share int
+	// Left is the time to the deadline.
+	Left time.Duration
+	// LeastCoverage is the share of shards from which the answer is useful.
+	LeastCoverage float64
+}
+
 // Admission decides on whole queries of one service at one entry, so that no
 // work goes to parts of a query whose other parts can't be served.
 type Admission struct {
@@ -51,32 +62,33 @@
 	// patience is a share in [patienceLeast, patienceMost].
 	patience    float64
 	lastRefusal time.Time
+	usage       usage
 }
 
 // NewAdmission returns an admission with its own seeded randomness.
 func NewAdmission(seed uint64) *Admission {
-	return &Admission{rand: rand.New(rand.NewPCG(seed, seed)), patience: patienceStart}
+	return &Admission{rand: rand.New(rand.NewPCG(seed, seed)), patience: patienceStart, usage: newUsage()}
 }
 
-// Admit decides on a query of the caller that has the time left. leastCoverage
-// is the share of shards from which the service's answer is useful; at least
-// one shard must fit.
-func (a *Admission) Admit(caller string, left time.Duration, leastCoverage float64, upstreams []Fitter, now time.Time) Decision {
+// Admit decides on a query over the given upstreams. At least one shard must fit.
+func (a *Admission) Admit(q QueryRequest, upstreams []Fitter, now time.Time) Decision {
 	a.age(now)
-	patience := time.Duration(a.patience * float64(left))
+	factor := a.usage.offered(q.Caller, q.Share, now)
+	patience := time.Duration(min(patienceMost, a.patience*factor) * float64(q.Left))
 	fit, total := 0, 0
 	var wait time.Duration
 	for _, u := range upstreams {
-		f, t, w := u.Fit(caller, left, patience)
+		f, t, w := u.Fit(q.Caller, q.Left, patience)
 		fit, total, wait = fit+f, total+t, max(wait, w)
 	}
 	d := Decision{Fit: 1}
 	if total > 0 {
 		d.Fit = float64(fit) / float64(total)
 	}
-	d.Admitted = (fit > 0 || total == 0) && d.Fit >= leastCoverage
+	d.Admitted = (fit > 0 || total == 0) && d.Fit >= q.LeastCoverage
 	if d.Admitted {
 		a.admitted++
+		a.usage.admitted(q.Caller)
 		a.refused = max(0, a.refused-1)
 		return d
 	}
--- a/plugins/twochoices/health.go
+++ b/plugins/twochoices/health.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	failureGain = 0.2
+	failureGain = 0.3
 	// A leaf is ejected when its failures are above ejectAt and exceed the
-	// average of all leaves by ejectMargin.
+	// average of the other leaves by ejectMargin.
 	ejectAt     = 0.5
 	ejectMargin = 0.25
 	ejectFirst  = time.Second
@@ -40,12 +40,12 @@
 func (h *health) inconclusive() { h.probing = false }
 
 // outcome takes one result and reports whether the leaf has just come back.
-func (h *health) outcome(failed bool, average float64, now time.Time) bool {
+func (h *health) outcome(failed bool, others float64, now time.Time) bool {
 	h.failures += failureGain * (value(failed) - h.failures)
 	if h.ejected {
 		return h.judge(failed, now)
 	}
-	if failed && h.failures > ejectAt && h.failures > average+ejectMargin {
+	if failed && h.failures > ejectAt && h.failures > others+ejectMargin {
 		h.ejected, h.probing = true, false
 		h.pause = ejectFirst
 		h.until = now.Add(h.pause)
--- a/plugins/twochoices/twochoices.go
+++ b/plugins/twochoices/twochoices.go
@@ -18,12 +18,14 @@
 	// remoteFactor is how much dearer a leaf in another zone counts.
 	remoteFactor = 1.1
 	// hintFactor bounds what the load endpoint can add to a leaf's cost.
-	hintFactor = 1.1
+	hintFactor = 1.03
 	hintAge    = time.Second
 	// slowStart is how long a leaf that is new or was ejected counts as dearer,
 	// at first by slowFactor.
 	slowStart  = 5 * time.Second
 	slowFactor = 3.0
+	// mostFailures bounds the factor that failures add to a leaf's cost.
+	mostFailures = 0.95
 )
 
 // leaf is what the policy knows of one leaf.
@@ -39,8 +41,11 @@
 type policy struct {
 	rand   *rand.Rand
 	leaves []leaf
-	// failures is the moving average of failure over all leaves.
+	// failures is the sum of all leaves' moving averages of failure.
 	failures float64
+	// mean is the moving average of latency over all leaves, seconds; a leaf
+	// that has not answered yet is taken to be like the others.
+	mean float64
 }
 
 // New returns an independent instance.
@@ -81,14 +86,16 @@
 	return why
 }
 
-// cost is the expected time until the attempt would end.
+// cost is the expected time until the attempt would end. A leaf that fails
+// fast is never idle for long, so failures make it dearer: it must not draw
+// the work that it declines.
 func (p *policy) cost(c plugin.Candidate, now time.Time) float64 {
 	l := p.leaf(c.Key)
 	mean := l.mean
 	if mean == 0 {
-		mean = 1e-3
+		mean = p.mean
 	}
-	cost := float64(c.InFlight+1) * mean
+	cost := float64(c.InFlight+1) * mean / (1 - min(l.health.failures, mostFailures))
 	if !c.Local {
 		cost *= remoteFactor
 	}
@@ -111,25 +118,33 @@
 func (p *policy) Finished(key int, s plugin.Sample, now time.Time) {
 	l := p.leaf(key)
 	if s.OK {
-		l.observe(s.Latency)
+		average(&l.mean, s.Latency)
+		average(&p.mean, s.Latency)
 	}
 	if !s.OK && !s.Shed && !s.Failed {
 		l.health.inconclusive()
 		return
 	}
-	failed := !s.OK
-	p.failures += failureGain * (value(failed) - p.failures)
-	if l.health.outcome(failed, p.failures, now) {
+	before := l.health.failures
+	back := l.health.outcome(!s.OK, p.others(before), now)
+	p.failures += l.health.failures - before
+	if back {
 		l.slowFrom = now
 	}
 }
 
-func (l *leaf) observe(d time.Duration) {
-	if l.mean == 0 {
-		l.mean = d.Seconds()
+// others is the average failure of all leaves but one that has the given failure.
+func (p *policy) others(own float64) float64 {
+	return (p.failures - own) / float64(max(1, len(p.leaves)-1))
+}
+
+// average adds one latency to a moving average in seconds.
+func average(mean *float64, d time.Duration) {
+	if *mean == 0 {
+		*mean = d.Seconds()
 		return
 	}
-	l.mean += latencyGain * (d.Seconds() - l.mean)
+	*mean += latencyGain * (d.Seconds() - *mean)
 }
 
 // Hint keeps the load endpoint's word as a bounded nudge.
