--- /dev/null
+++ b/scenarios/commands_test.go
@@ -0,0 +1,281 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/fuchsiaroad/fuchsiaroad/standin/site"
+)
+
+// commands is the language of the scripts, besides testscript's own.
+var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	"site":              command(cmdSite),
+	"query":             command(cmdQuery),
+	"burst":             command(cmdBurst),
+	"load":              command(cmdLoad),
+	"forget":            command(cmdForget),
+	"entry":             command(cmdEntry),
+	"platform":          command(cmdPlatform),
+	"leaf":              command(cmdLeaf),
+	"leaf-set":          command(cmdLeafSet),
+	"leaving":           command(cmdLeaving),
+	"sleep":             command(cmdSleep),
+	"expect-outcomes":   command(cmdExpectOutcomes),
+	"expect-coverage":   command(cmdExpectCoverage),
+	"expect-own":        command(cmdExpectOwn),
+	"expect-whole":      command(cmdExpectWhole),
+	"expect-runs":       command(cmdExpectRuns),
+	"expect-truth":      command(cmdExpectTruth),
+	"expect-replayed":   command(cmdExpectReplayed),
+	"expect-retryafter": command(cmdExpectRetryAfter),
+	"expect-versions":   command(cmdExpectVersions),
+	"expect-crashes":    command(cmdExpectCrashes),
+}
+
+// command adapts a function that works on the script's world. A command can't
+// be negated: each states what must hold.
+func command(f func(w *world, ts *testscript.TestScript, args []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		if neg {
+			ts.Fatalf("this command can't be negated")
+		}
+		w := ts.Value(worldKey{}).(*world)
+		if err := f(w, ts, args); err != nil {
+			ts.Fatalf("%v", err)
+		}
+	}
+}
+
+// cmdSite starts the site: site [entries=N] [shards=N] [replicas=N] ...
+func cmdSite(w *world, ts *testscript.TestScript, args []string) error {
+	p, err := parseParams(args)
+	if err != nil {
+		return err
+	}
+	if err := w.startSite(p); err != nil {
+		return err
+	}
+	entries := w.site.Entries()
+	ts.Setenv("ENTRY", entries[0].Address)
+	ts.Setenv("PLATFORM", w.site.PlatformURL)
+	ts.Setenv("LEAVES", w.site.LeafControlURL)
+	return nil
+}
+
+// queryParams are the arguments of query and burst.
+type queryParams struct {
+	service, body, key string
+	entry, count       int // entry -1: round robin
+}
+
+func parseQueryParams(args []string) (queryParams, error) {
+	p, err := parseParams(args)
+	if err != nil {
+		return queryParams{}, err
+	}
+	q := queryParams{service: p.str("service", "ask"), body: p.str("body", ""), key: p.str("key", "")}
+	if q.entry, err = p.int("entry", -1); err != nil {
+		return q, err
+	}
+	q.count, err = p.int("count", 1)
+	return q, err
+}
+
+// one sends the i-th query of the command.
+func (q queryParams) one(w *world, i int) error {
+	entries := w.site.Entries()
+	e := entries[i%len(entries)]
+	if q.entry >= 0 {
+		if e = w.site.Entry(q.entry); e == nil {
+			return fmt.Errorf("no entry %d", q.entry)
+		}
+	}
+	body, key := q.body, q.key
+	if body == "" {
+		body = fmt.Sprintf("question-%d-%d", len(w.all()), i)
+	}
+	if q.service == "note" && key == "" {
+		key = body
+	}
+	w.ask(e, q.service, body, key)
+	return nil
+}
+
+// cmdQuery sends queries one after another:
+// query [service=ask|note] [entry=N] [count=N] [body=TEXT] [key=TEXT].
+func cmdQuery(w *world, _ *testscript.TestScript, args []string) error {
+	q, err := parseQueryParams(args)
+	if err != nil {
+		return err
+	}
+	for i := range q.count {
+		if err := q.one(w, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cmdBurst is query with all of them at once.
+func cmdBurst(w *world, _ *testscript.TestScript, args []string) error {
+	q, err := parseQueryParams(args)
+	if err != nil {
+		return err
+	}
+	errs := make([]error, q.count)
+	var wg sync.WaitGroup
+	for i := range q.count {
+		wg.Go(func() { errs[i] = q.one(w, i) })
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cmdLoad sends queries in the background: load start [senders=N] [service=S] | load stop.
+func cmdLoad(w *world, _ *testscript.TestScript, args []string) error {
+	if len(args) == 1 && args[0] == "stop" {
+		w.stopLoad()
+		return nil
+	}
+	if len(args) == 0 || args[0] != "start" {
+		return fmt.Errorf("usage: load start|stop")
+	}
+	p, err := parseParams(args[1:])
+	if err != nil {
+		return err
+	}
+	senders, err := p.int("senders", 4)
+	if err != nil {
+		return err
+	}
+	pause, err := time.ParseDuration(p.str("pause", "5ms"))
+	if err != nil {
+		return err
+	}
+	w.startLoad(senders, p.str("service", "ask"), p.str("body", "load"), pause)
+	return nil
+}
+
+// cmdForget drops the answers so far.
+func cmdForget(w *world, _ *testscript.TestScript, _ []string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answers = nil
+	return nil
+}
+
+// cmdEntry acts on an entry: entry kill|stop|freeze|resume|add|forget|ready N.
+func cmdEntry(w *world, _ *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return fmt.Errorf("usage: entry kill|stop|freeze|resume|add|forget|ready N")
+	}
+	n, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	if args[0] == "add" {
+		e, err := w.site.AddEntry(n)
+		if err != nil {
+			return err
+		}
+		return e.WaitReady(20 * time.Second)
+	}
+	e := w.site.Entry(n)
+	if e == nil {
+		return fmt.Errorf("no entry %d", n)
+	}
+	switch args[0] {
+	case "kill":
+		e.Kill()
+		return nil
+	case "stop":
+		return e.Stop()
+	case "freeze":
+		return e.Freeze()
+	case "resume":
+		return e.Resume()
+	case "forget":
+		return e.Forget()
+	case "ready":
+		return e.WaitReady(20 * time.Second)
+	}
+	return fmt.Errorf("unknown action %q", args[0])
+}
+
+// cmdPlatform changes faults of the platform: platform JSON.
+func cmdPlatform(w *world, _ *testscript.TestScript, args []string) error {
+	return w.site.PatchPlatform(json.RawMessage(strings.Join(args, " ")))
+}
+
+// leavesOf lists the leaves that a pattern names: an id, a prefix with *, or all.
+func leavesOf(s *site.Site, pattern string) ([]string, error) {
+	var out []string
+	for _, id := range s.LeafIDs() {
+		prefix, star := strings.CutSuffix(pattern, "*")
+		if pattern == "all" || id == pattern || (star && strings.HasPrefix(id, prefix)) {
+			out = append(out, id)
+		}
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("no leaf matches %q, there are %v", pattern, s.LeafIDs())
+	}
+	return out, nil
+}
+
+// cmdLeaf changes faults of leaves: leaf ID|PREFIX*|all JSON.
+func cmdLeaf(w *world, _ *testscript.TestScript, args []string) error {
+	return patchLeaves(w, args, w.site.PatchLeafFaults)
+}
+
+// cmdLeafSet changes settings of leaves: leaf-set ID|PREFIX*|all JSON.
+func cmdLeafSet(w *world, _ *testscript.TestScript, args []string) error {
+	return patchLeaves(w, args, w.site.PatchLeafSettings)
+}
+
+func patchLeaves(w *world, args []string, patch func(string, json.RawMessage) error) error {
+	if len(args) < 2 {
+		return fmt.Errorf("want a leaf and a JSON object")
+	}
+	ids, err := leavesOf(w.site, args[0])
+	if err != nil {
+		return err
+	}
+	for _, id := range ids {
+		if err := patch(id, json.RawMessage(strings.Join(args[1:], " "))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cmdLeaving marks an instance in the platform's list: leaving ID [false].
+func cmdLeaving(w *world, _ *testscript.TestScript, args []string) error {
+	if len(args) == 0 {
+		return fmt.Errorf("usage: leaving ID [false]")
+	}
+	return w.site.SetLeaving(args[0], len(args) == 1)
+}
+
+// cmdSleep waits: sleep DURATION.
+func cmdSleep(_ *world, _ *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return fmt.Errorf("usage: sleep DURATION")
+	}
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	time.Sleep(d)
+	return nil
+}
--- a/scenarios/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package scenarios is a placeholder until its parts land.
-package scenarios
