--- a/entry/executor/admit.go
+++ b/entry/executor/admit.go
@@ -43,7 +43,10 @@
 	}
 	a := e.admission(r.request.Service)
 	a.mu.Lock()
-	decision := a.policy.Admit(r.request.Caller.Name, left, r.request.Service.Config.LeastCoverage, fitters, now)
+	decision := a.policy.Admit(dispatch.QueryRequest{
+		Caller: r.request.Caller.Name, Share: r.request.Caller.Share,
+		Left: left, LeastCoverage: r.request.Service.Config.LeastCoverage,
+	}, fitters, now)
 	a.mu.Unlock()
 	if decision.Admitted {
 		return nil
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -38,7 +38,7 @@
 		a.run.mail.put(query.Sent{Attempt: a.offer.Attempt, Leaf: leaf})
 	})
 	if err != nil {
-		e.failed(p, a, s.ctx, leaf, err)
+		e.failed(s.ctx, p, a, leaf, err)
 		return
 	}
 	e.Learn(s.leaf.ID, reply.Versions, reply.Draining)
@@ -48,7 +48,7 @@
 
 // failed converts the client's error to events. Only a dial error or the
 // leaf's own decline counts as not run.
-func (e *Executor) failed(p *pool, a *attempt, ctx context.Context, leaf int, err error) {
+func (e *Executor) failed(ctx context.Context, p *pool, a *attempt, leaf int, err error) {
 	var dial *leafclient.DialError
 	var declined *leafclient.DeclinedError
 	var broken *leafclient.BrokenError
--- a/entry/executor/mailbox.go
+++ b/entry/executor/mailbox.go
@@ -19,12 +19,12 @@
 	return &mailbox{wake: make(chan struct{}, 1)}
 }
 
-// put adds an event; after close it drops it and reports false.
-func (m *mailbox) put(ev query.Event) bool {
+// put adds an event; after close it drops it.
+func (m *mailbox) put(ev query.Event) {
 	m.mu.Lock()
 	if m.closed {
 		m.mu.Unlock()
-		return false
+		return
 	}
 	m.events = append(m.events, ev)
 	m.mu.Unlock()
@@ -32,7 +32,6 @@
 	case m.wake <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // take empties the mailbox into buf.
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -71,14 +71,29 @@
 	if r.answer != nil {
 		return
 	}
-	if changed, ok := ev.(query.ViewChanged); ok {
-		r.follow(changed.View)
-	}
-	for _, action := range r.machine.Handle(ev, time.Now()) {
+	now := time.Now()
+	r.heed(ev, now)
+	for _, action := range r.machine.Handle(ev, now) {
 		r.act(action)
 	}
 }
 
+// heed does what an event means outside of the machine.
+func (r *run) heed(ev query.Event, now time.Time) {
+	switch ev := ev.(type) {
+	case query.ViewChanged:
+		r.follow(ev.View)
+	case query.Declined:
+		if ev.Reason == query.ReasonOverloaded {
+			r.repetition.shed(now)
+		}
+	case query.NotSent:
+		if ev.Reason == query.ReasonOverloaded {
+			r.repetition.shed(now)
+		}
+	}
+}
+
 // follow moves the query to a newer view, by whose indexes it speaks from here on.
 func (r *run) follow(v *view.View) {
 	r.view = v
--- a/scenarios/main_test.go
+++ b/scenarios/main_test.go
@@ -30,7 +30,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	cmd := exec.Command("go", "build", "-race", "-o", dir+"/", "github.com/fuchsiaroad/fuchsiaroad/cmd/fuchsiaroad", "github.com/fuchsiaroad/fuchsiaroad/cmd/fuchsiactl")
 	cmd.Stderr = os.Stderr
 	if err := cmd.Run(); err != nil {
