--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -32,13 +32,16 @@
 		a.run.mail.put(query.NotSent{Attempt: a.offer.Attempt, Reason: query.ReasonDeadline})
 		return
 	}
+	// A request is only suspected of breaking a leaf that was up when it was
+	// sent: a leaf that breaks whatever comes is lost, and proves nothing.
+	up := e.knowledge.up(s.leaf.ID)
 	target := leafclient.Target{ID: s.leaf.ID, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.config}
 	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body}
 	reply, err := e.config.Leaves.Run(s.ctx, target, request, func() {
 		a.run.mail.put(query.Sent{Attempt: a.offer.Attempt, Leaf: leaf})
 	})
 	if err != nil {
-		e.failed(s.ctx, p, a, leaf, err)
+		e.failed(s.ctx, p, a, exchanged{leaf: leaf, up: up, err: err})
 		return
 	}
 	e.Learn(s.leaf.ID, reply.Versions, reply.Draining)
@@ -46,9 +49,17 @@
 	a.run.mail.put(query.Reply{Attempt: a.offer.Attempt, Leaf: leaf, Version: reply.Version, Ranges: reply.Ranges, Body: reply.Body, Versions: reply.Versions})
 }
 
+// exchanged is an exchange that brought no reply.
+type exchanged struct {
+	leaf int  // index in the attempt's view
+	up   bool // the leaf was up when the request was sent
+	err  error
+}
+
 // failed converts the client's error to events. Only a dial error or the
 // leaf's own decline counts as not run.
-func (e *Executor) failed(ctx context.Context, p *pool, a *attempt, leaf int, err error) {
+func (e *Executor) failed(ctx context.Context, p *pool, a *attempt, x exchanged) {
+	leaf, err := x.leaf, x.err
 	var dial *leafclient.DialError
 	var declined *leafclient.DeclinedError
 	var broken *leafclient.BrokenError
@@ -71,8 +82,12 @@
 		p.finish(a, outcome, 0)
 		a.run.mail.put(query.Declined{Attempt: id, Leaf: leaf, Reason: query.DeclineReason(declined.Reason), Versions: declined.Versions, Ranges: declined.Ranges})
 	case errors.As(err, &broken):
+		closed := broken.Cause == leafclient.CauseClosed
+		if closed {
+			e.knowledge.sawBreak(broken.Leaf, time.Now())
+		}
 		p.finish(a, brokenOutcome(broken.Cause), 0)
-		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: string(broken.Cause), Crash: broken.Cause == leafclient.CauseClosed})
+		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: string(broken.Cause), Crash: closed && x.up})
 	default:
 		p.finish(a, dispatch.OutcomeBroken, 0)
 		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: "internal"})
--- a/entry/executor/knowledge.go
+++ b/entry/executor/knowledge.go
@@ -17,9 +17,12 @@
 	tracker *snapshot.Tracker
 	index   map[string]int // leaf ID to index in view
 	heard   map[string]time.Time
+	broke   map[string]time.Time // when a connection to the leaf last broke
 }
 
-func newKnowledge() *knowledge { return &knowledge{heard: make(map[string]time.Time)} }
+func newKnowledge() *knowledge {
+	return &knowledge{heard: make(map[string]time.Time), broke: make(map[string]time.Time)}
+}
 
 // follow moves the tracker to a newer view.
 func (k *knowledge) follow(v *view.View) {
@@ -33,10 +36,12 @@
 	for i := range v.Leaves {
 		k.index[v.Leaves[i].ID] = i
 	}
-	maps.DeleteFunc(k.heard, func(id string, _ time.Time) bool {
+	gone := func(id string, _ time.Time) bool {
 		_, ok := k.index[id]
 		return !ok
-	})
+	}
+	maps.DeleteFunc(k.heard, gone)
+	maps.DeleteFunc(k.broke, gone)
 	if k.tracker == nil {
 		k.tracker = snapshot.New(v)
 		return
@@ -58,6 +63,20 @@
 	}
 }
 
+// sawBreak notes that a connection to the leaf broke.
+func (k *knowledge) sawBreak(leafID string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.broke[leafID] = now
+}
+
+// up reports whether the leaf has answered since it last broke a connection.
+func (k *knowledge) up(leafID string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.heard[leafID].Before(k.broke[leafID])
+}
+
 // lastHeard is when the leaf last said something.
 func (k *knowledge) lastHeard(leafID string) time.Time {
 	k.mu.Lock()
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -98,7 +98,7 @@
 	}
 	body, key := q.body, q.key
 	if body == "" {
-		body = fmt.Sprintf("question-%d-%d", len(w.all()), i)
+		body = fmt.Sprintf("question-%d", w.asked.Add(1))
 	}
 	if q.service == "note" && key == "" {
 		key = body
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
@@ -32,6 +33,7 @@
 	site *site.Site
 	http *http.Client
 
+	asked   atomic.Int64 // numbers the questions of a script
 	mu      sync.Mutex
 	answers []answer
 	load    sync.WaitGroup
@@ -250,9 +252,10 @@
 // until stopLoad. A sender waits as long as a refusal asks it to.
 func (w *world) startLoad(senders int, service, prefix string, pause time.Duration) {
 	w.stop = make(chan struct{})
+	first := w.asked.Add(1)
 	for s := range senders {
 		w.load.Go(func() {
-			for n := 0; ; n++ {
+			for n := first; ; n++ {
 				select {
 				case <-w.stop:
 					return
@@ -267,7 +270,7 @@
 				if service == "note" {
 					key = body
 				}
-				w.ask(entries[(s+n)%len(entries)], service, body, key)
+				w.ask(entries[(s+int(n))%len(entries)], service, body, key)
 			}
 		})
 	}
--- a/standin/leaf/listener.go
+++ b/standin/leaf/listener.go
@@ -23,23 +23,40 @@
 }
 
 // listener counts connections, closes those over the limit, and delays the
-// first read of each by the dial cost.
+// first read of each by the dial cost. While the leaf is down, its TCP port is
+// closed, so that the system refuses connections as for a dead process.
 type listener struct {
 	net.Listener
 	gate func() gate
 
-	mu    sync.Mutex
-	count Connections
-	open  map[*conn]struct{}
+	mu     sync.Mutex
+	count  Connections
+	open   map[*conn]struct{}
+	closed bool
+	shut   bool // the port is closed because the leaf is down
 }
 
+// downPoll is how often a leaf that is down looks whether it is up again.
+const downPoll = 5 * time.Millisecond
+
 // Accept returns the next connection within the limit.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		raw, err := l.Listener.Accept()
+		inner, err := l.current()
 		if err != nil {
 			return nil, err
 		}
+		if inner == nil {
+			time.Sleep(downPoll)
+			continue
+		}
+		raw, err := inner.Accept()
+		if err != nil {
+			if l.isShut() {
+				continue
+			}
+			return nil, err
+		}
 		if c := l.admit(raw, l.gate()); c != nil {
 			return c, nil
 		}
@@ -47,6 +64,55 @@
 	}
 }
 
+// current returns the port's listener, opened again if the leaf is up; nil
+// while the leaf is down and its port is closed.
+func (l *listener) current() (net.Listener, error) {
+	down := l.gate().down
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	if !l.shut {
+		return l.Listener, nil
+	}
+	if down {
+		return nil, nil
+	}
+	again, err := net.Listen("tcp", l.Addr().String())
+	if err != nil {
+		return nil, nil // the port is taken for the moment: try again
+	}
+	l.Listener, l.shut = again, false
+	return again, nil
+}
+
+// shutPort closes a TCP port until the leaf is up again.
+func (l *listener) shutPort() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	tcp, ok := l.Listener.(*net.TCPListener)
+	if !ok || l.shut || l.closed {
+		return
+	}
+	l.shut = true
+	_ = tcp.Close()
+}
+
+func (l *listener) isShut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shut && !l.closed
+}
+
+// Close ends the listener for good.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	return l.Listener.Close()
+}
+
 // admit wraps a connection, or returns nil to refuse it.
 func (l *listener) admit(raw net.Conn, g gate) *conn {
 	l.mu.Lock()
--- a/standin/leaf/server.go
+++ b/standin/leaf/server.go
@@ -142,6 +142,7 @@
 	s.wake()
 	s.mu.Unlock()
 	if goesDown {
+		s.accept.shutPort()
 		s.accept.closeOpen()
 	}
 	return nil
@@ -169,6 +170,9 @@
 	restart := time.Duration(s.settings.RestartMS) * time.Millisecond
 	s.rebirth(time.Now().Add(restart))
 	s.mu.Unlock()
+	if restart > 0 {
+		s.accept.shutPort()
+	}
 	s.accept.closeOpen()
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -248,16 +248,32 @@
 	return l.Addr().String(), nil
 }
 
+// Ports for leaves are given out upwards from a start that differs from process
+// to process, below the range that the system gives out by itself.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+var (
+	portMu   sync.Mutex
+	nextPort = firstPort + os.Getpid()*97%(lastPort-firstPort)
+)
+
 // FreePorts finds n consecutive free ports of the loopback address for leaves
-// and returns the first.
+// and returns the first. No two calls of a process get the same.
 func FreePorts(n int) (int, error) {
-	const first, last, step = 20000, 32000, 250
-	start := first + (os.Getpid()%40)*step
-	for range (last - first) / step {
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range lastPort - firstPort {
+		if nextPort+n > lastPort {
+			nextPort = firstPort
+		}
+		start := nextPort
+		nextPort += n
 		if portsFree(start, n) {
 			return start, nil
 		}
-		start = first + (start-first+step)%(last-first)
 	}
 	return 0, errors.New("no run of free ports was found")
 }
