fuchsiactl load and demo

Load sends an open loop at one or several entries, prints outcomes, quantiles, coverage, extra load and refusals, and plots latency over time. Demo runs a site at its size of today through the site package and compares what callers were told with what the leaves recorded.

--- a/cmd/fuchsiactl/root.go
+++ b/cmd/fuchsiactl/root.go
@@ -79,6 +79,8 @@
 		newInstances(o),
 		newServices(o),
 		newQuarantine(o),
+		newLoad(o),
+		newDemo(o),
 		newStandin(o),
 		newVersion(o),
 	)
--- a/cmd/internal/loadgen/schedule.go
+++ b/cmd/internal/loadgen/schedule.go
@@ -40,6 +40,8 @@
 	Key bool
 	// Deadline is what the caller asks for; 0 leaves it to the service.
 	Deadline time.Duration
+	// Tokens are bearer tokens of its callers, if others than the run's.
+	Tokens []string
 }
 
 // Plan says what to send.
--- a/cmd/internal/loadgen/sender.go
+++ b/cmd/internal/loadgen/sender.go
@@ -41,6 +41,15 @@
 	Transport http.RoundTripper
 }
 
+// idleConnections is how many connections to each entry are kept.
+const idleConnections = 4096
+
+// NewTransport makes a transport that keeps connections, so that a burst does
+// not open them all anew.
+func NewTransport() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
+}
+
 // NewEntrySender makes a sender.
 func NewEntrySender(c SenderConfig) *EntrySender {
 	s := &EntrySender{
@@ -60,16 +69,28 @@
 	return fmt.Appendf(nil, "%s query %d of caller %d", s.runID, a.Number, a.Caller)
 }
 
+// Body is the body of a planned query.
+func (s *EntrySender) Body(a Arrival) []byte { return s.body(a) }
+
+// token is the bearer token of a planned query's caller.
+func (s *EntrySender) token(a Arrival) string {
+	tokens := s.plan.Services[a.Service].Tokens
+	if len(tokens) == 0 {
+		tokens = s.tokens
+	}
+	if len(tokens) == 0 {
+		return ""
+	}
+	return tokens[a.Caller%len(tokens)]
+}
+
 // Send sends one query to its entry.
 func (s *EntrySender) Send(ctx context.Context, a Arrival) Result {
 	ctx, cancel := context.WithTimeout(ctx, s.patience)
 	defer cancel()
 	service := s.plan.Services[a.Service]
 	body := s.body(a)
-	q := entryclient.Query{Service: service.Name, Body: body, Deadline: service.Deadline}
-	if len(s.tokens) > 0 {
-		q.Token = s.tokens[a.Caller%len(s.tokens)]
-	}
+	q := entryclient.Query{Service: service.Name, Token: s.token(a), Body: body, Deadline: service.Deadline}
 	if service.Key {
 		q.Key = fmt.Sprintf("%s-%d", s.runID, a.Number)
 	}
