Test the query machine's promises by case and by property

Found and mended: a leaf last seen with older versions was never tried, though it may have caught up; only a leaf that has passed the version is left out. Found and kept apart: a leaf that always replies wider than asked may leave a rest that no one gives alone; no test asks for the impossible.

--- a/kernel/query/config.go
+++ b/kernel/query/config.go
@@ -21,6 +21,9 @@
 	// Serves reports whether anything is known of a leaf (an index in the
 	// view), and whether it was last seen to serve the version.
 	Serves(leaf int, version uint64) (known, serves bool)
+	// Passed reports whether a leaf was last seen to serve only newer versions:
+	// since versions grow, it will not serve this one again.
+	Passed(leaf int, version uint64) bool
 }
 
 // Budget limits repetition. Each call that returns true spends one token.
--- /dev/null
+++ b/kernel/query/notrun_test.go
@@ -0,0 +1,134 @@
+package query_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestOnlyDeriveGivesNotRun checks the source of the whole project: the value
+// NotRun may be compared with anywhere, and is produced in derive alone.
+func TestOnlyDeriveGivesNotRun(t *testing.T) {
+	files := 0
+	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		files++
+		inQuery := filepath.Base(filepath.Dir(path)) == "query"
+		for _, fault := range notRunFaults(t, path, nil, inQuery) {
+			t.Error(fault)
+		}
+		return nil
+	})
+	if err != nil || files == 0 {
+		t.Fatalf("%d files: %v", files, err)
+	}
+}
+
+// TestNotRunCheckFindsFaults shows that the check can fail.
+func TestNotRunCheckFindsFaults(t *testing.T) {
+	src := `package x
+func f(a query.Answer) query.Answer {
+	if a.Outcome == query.NotRun { return a }
+	switch a.Outcome { case query.NotRun: return a }
+	a.Outcome = query.NotRun
+	a.Outcome = "not_run"
+	b := query.Outcome("not_run")
+	return query.Answer{Outcome: query.NotRun}
+}`
+	if got := len(notRunFaults(t, "x.go", src, false)); got != 4 {
+		t.Fatalf("found %d faults, want 4", got)
+	}
+	inside := `package query
+func derive() Outcome { return NotRun }
+func other() Outcome { return NotRun }`
+	if got := len(notRunFaults(t, "x.go", inside, true)); got != 1 {
+		t.Fatalf("found %d faults, want 1", got)
+	}
+}
+
+// notRunFaults lists the uses of NotRun that may produce the value.
+func notRunFaults(t *testing.T, path string, src any, inQuery bool) []string {
+	t.Helper()
+	fset := token.NewFileSet()
+	file, err := parser.ParseFile(fset, path, src, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var faults []string
+	for _, decl := range file.Decls {
+		if fn, ok := decl.(*ast.FuncDecl); ok && inQuery && fn.Name.Name == "derive" && fn.Recv == nil {
+			continue
+		}
+		if gen, ok := decl.(*ast.GenDecl); ok && gen.Tok == token.CONST {
+			continue
+		}
+		ast.Inspect(decl, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.BinaryExpr:
+				if n.Op == token.EQL || n.Op == token.NEQ {
+					return false
+				}
+			case *ast.CaseClause:
+				for _, stmt := range n.Body {
+					faults = append(faults, notRunUses(fset, stmt, inQuery)...)
+				}
+				return false
+			}
+			faults = append(faults, notRunUse(fset, n, inQuery)...)
+			return true
+		})
+	}
+	return faults
+}
+
+// notRunUses lists the uses below a node.
+func notRunUses(fset *token.FileSet, root ast.Node, inQuery bool) []string {
+	var faults []string
+	ast.Inspect(root, func(n ast.Node) bool {
+		if b, ok := n.(*ast.BinaryExpr); ok && (b.Op == token.EQL || b.Op == token.NEQ) {
+			return false
+		}
+		faults = append(faults, notRunUse(fset, n, inQuery)...)
+		return true
+	})
+	return faults
+}
+
+// notRunUse reports a node that is the value NotRun of the query package, or
+// its text put where an outcome goes.
+func notRunUse(fset *token.FileSet, n ast.Node, inQuery bool) []string {
+	at := func() []string { return []string{fset.Position(n.Pos()).String() + ": produces NotRun"} }
+	switch n := n.(type) {
+	case *ast.SelectorExpr:
+		if x, ok := n.X.(*ast.Ident); ok && x.Name == "query" && n.Sel.Name == "NotRun" {
+			return at()
+		}
+	case *ast.Ident:
+		if inQuery && n.Name == "NotRun" {
+			return at()
+		}
+	case *ast.AssignStmt:
+		for i, lhs := range n.Lhs {
+			if sel, ok := lhs.(*ast.SelectorExpr); ok && sel.Sel.Name == "Outcome" && i < len(n.Rhs) && isNotRunText(n.Rhs[i]) {
+				return at()
+			}
+		}
+	case *ast.CallExpr:
+		if sel, ok := n.Fun.(*ast.SelectorExpr); ok && sel.Sel.Name == "Outcome" && len(n.Args) == 1 && isNotRunText(n.Args[0]) {
+			return at()
+		}
+	}
+	return nil
+}
+
+// isNotRunText reports the string literal of the outcome.
+func isNotRunText(e ast.Expr) bool {
+	lit, ok := e.(*ast.BasicLit)
+	return ok && lit.Value == `"not_run"`
+}
--- a/kernel/query/part.go
+++ b/kernel/query/part.go
@@ -145,20 +145,23 @@
 }
 
 // avoid lists the leaves not to choose: those tried, and those that lack the
-// version unless all do: then what was seen may be old, and one is asked.
+// version unless no other is left: they may have it by now.
 func (m *Machine) avoid(p *part) []int {
 	out := slices.Clone(p.tried)
-	all := m.leaves(p)
-	lacking := 0
-	for _, leaf := range all {
-		if m.lacks(leaf) {
+	lacking, others := 0, 0
+	for _, leaf := range m.leaves(p) {
+		switch {
+		case slices.Contains(p.tried, leaf):
+		case m.lacks(leaf):
 			lacking++
+		default:
+			others++
 		}
 	}
-	if lacking == 0 || lacking == len(all) {
+	if lacking == 0 || others == 0 {
 		return out
 	}
-	for _, leaf := range all {
+	for _, leaf := range m.leaves(p) {
 		if m.lacks(leaf) && !slices.Contains(out, leaf) {
 			out = append(out, leaf)
 		}
@@ -169,7 +172,8 @@
 // hasOther reports whether the shard has a leaf that may still be tried.
 func (m *Machine) hasOther(p *part) bool {
 	for _, leaf := range m.leaves(p) {
-		if !slices.Contains(p.tried, leaf) && !m.view.Leaves[leaf].Leaving && !m.lacks(leaf) {
+		passed := m.version != 0 && m.cfg.Versions.Passed(leaf, m.version)
+		if !passed && !m.view.Leaves[leaf].Leaving && !slices.Contains(p.tried, leaf) {
 			return true
 		}
 	}
--- a/kernel/query/version.go
+++ b/kernel/query/version.go
@@ -42,7 +42,7 @@
 func (m *Machine) current() *tally { return m.tally(m.version) }
 
 // add takes a reply in, unless some of it is held already. A reply that holds
-// all of the ones it overlaps, and more, takes their place.
+// all keys of the ones it overlaps takes their place.
 func (t *tally) add(r stored) bool {
 	if t.overlaps(r) && !t.replace(r) {
 		return false
@@ -64,12 +64,11 @@
 	return false
 }
 
-// replace drops the replies that r overlaps if it holds every key of theirs
-// and more, so that no key is lost and none is there twice.
+// replace drops the replies that r overlaps if it holds every key of theirs,
+// so that no key is lost and none is there twice.
 func (t *tally) replace(r stored) bool {
 	set := keyrange.NewSet(r.ranges...)
 	var kept []stored
-	var dropped uint64
 	for _, old := range t.results {
 		if old.space != r.space || !old.touches(&set) {
 			kept = append(kept, old)
@@ -79,12 +78,8 @@
 			if !set.Contains(x) {
 				return false
 			}
-			dropped += x.Size()
 		}
 	}
-	if dropped >= set.Size() {
-		return false
-	}
 	t.results = kept
 	return true
 }
--- a/kernel/snapshot/tracker.go
+++ b/kernel/snapshot/tracker.go
@@ -226,6 +226,15 @@
 	return float64(s.weight[version]) / shareUnit
 }
 
+// Passed reports whether a leaf was last seen to serve only newer versions.
+func (t *Tracker) Passed(leaf int, version uint64) bool {
+	if leaf < 0 || leaf >= len(t.view.Leaves) {
+		return false
+	}
+	versions := t.seen[t.view.Leaves[leaf].ID]
+	return len(versions) > 0 && versions[0] > version
+}
+
 // Serves reports whether anything is known of a leaf, and whether it was last
 // seen to serve the version.
 func (t *Tracker) Serves(leaf int, version uint64) (known, serves bool) {
