--- a/kernel/snapshot/tracker.go
+++ b/kernel/snapshot/tracker.go
@@ -15,10 +15,10 @@
 // concurrent use: the owner guards it.
 type Tracker struct {
 	view     *view.View
-	seen     map[string][]uint64 // versions by leaf ID
-	places   [][]place           // by leaf index: the shards that the leaf replicates
-	shards   [][]shard           // by upstream and shard
-	users    [][]user            // by upstream: the services that ask it
+	seen     [][]uint64 // versions by leaf index; nil when nothing is known
+	places   [][]place  // by leaf index: the shards that the leaf replicates
+	shards   [][]shard  // by upstream and shard
+	users    [][]user   // by upstream: the services that ask it
 	services map[string]*service
 }
 
@@ -46,13 +46,14 @@
 
 // New returns a tracker that has seen no leaf.
 func New(v *view.View) *Tracker {
-	t := &Tracker{seen: make(map[string][]uint64)}
+	t := &Tracker{view: &view.View{}}
 	t.SetView(v)
 	return t
 }
 
 // SetView takes a new view. What was seen of leaves that are still there is kept.
 func (t *Tracker) SetView(v *view.View) {
+	known := t.byID()
 	t.view = v
 	t.places = make([][]place, len(v.Leaves))
 	t.shards = make([][]shard, len(v.Upstreams))
@@ -64,7 +65,18 @@
 	for u := range v.Upstreams {
 		t.addUpstream(u)
 	}
-	t.recount()
+	t.recount(known)
+}
+
+// byID returns what was seen by leaf ID, which outlives a view.
+func (t *Tracker) byID() map[string][]uint64 {
+	out := make(map[string][]uint64, len(t.seen))
+	for i, versions := range t.seen {
+		if versions != nil {
+			out[t.view.Leaves[i].ID] = versions
+		}
+	}
+	return out
 }
 
 // addService links a service to the upstreams it asks.
@@ -89,47 +101,48 @@
 	}
 }
 
-// recount adds what is known of the view's leaves, and forgets all others.
-func (t *Tracker) recount() {
-	kept := make(map[string][]uint64, len(t.seen))
+// recount adds what is known of the view's leaves; all others are forgotten.
+func (t *Tracker) recount(known map[string][]uint64) {
+	t.seen = make([][]uint64, len(t.view.Leaves))
 	for i := range t.view.Leaves {
-		id := t.view.Leaves[i].ID
-		versions, ok := t.seen[id]
-		if !ok {
-			continue
-		}
-		kept[id] = versions
-		for _, v := range versions {
+		t.seen[i] = known[t.view.Leaves[i].ID]
+		for _, v := range t.seen[i] {
 			t.gain(i, v)
 		}
 	}
-	t.seen = kept
 }
 
-// Observe notes what a leaf says that it serves now.
+// Observe notes what a leaf (an index in the view) says that it serves now. An
+// unchanged word costs O(versions); a change, O(versions) for each shard that
+// the leaf replicates and service that asks it.
 func (t *Tracker) Observe(leaf int, versions []uint64) {
-	if leaf < 0 || leaf >= len(t.view.Leaves) {
+	if leaf < 0 || leaf >= len(t.seen) {
 		return
 	}
-	id := t.view.Leaves[leaf].ID
-	old, known := t.seen[id]
-	if known && slices.Equal(old, versions) {
+	old := t.seen[leaf]
+	if old != nil && slices.Equal(old, versions) {
 		return
 	}
-	fresh := slices.Clone(versions)
+	fresh := append(make([]uint64, 0, len(versions)), versions...)
 	slices.Sort(fresh)
 	fresh = slices.Compact(fresh)
 	for _, v := range old {
-		if _, still := slices.BinarySearch(fresh, v); !still {
+		if !contains(fresh, v) {
 			t.lose(leaf, v)
 		}
 	}
 	for _, v := range fresh {
-		if _, had := slices.BinarySearch(old, v); !had {
+		if !contains(old, v) {
 			t.gain(leaf, v)
 		}
 	}
-	t.seen[id] = fresh
+	t.seen[leaf] = fresh
+}
+
+// contains reports whether a sorted list holds a version.
+func contains(sorted []uint64, version uint64) bool {
+	_, ok := slices.BinarySearch(sorted, version)
+	return ok
 }
 
 // gain counts one more leaf that serves the version.
@@ -228,20 +241,19 @@
 
 // Passed reports whether a leaf was last seen to serve only newer versions.
 func (t *Tracker) Passed(leaf int, version uint64) bool {
-	if leaf < 0 || leaf >= len(t.view.Leaves) {
+	if leaf < 0 || leaf >= len(t.seen) {
 		return false
 	}
-	versions := t.seen[t.view.Leaves[leaf].ID]
+	versions := t.seen[leaf]
 	return len(versions) > 0 && versions[0] > version
 }
 
 // Serves reports whether anything is known of a leaf, and whether it was last
 // seen to serve the version.
 func (t *Tracker) Serves(leaf int, version uint64) (known, serves bool) {
-	if leaf < 0 || leaf >= len(t.view.Leaves) {
+	if leaf < 0 || leaf >= len(t.seen) {
 		return false, false
 	}
-	versions, known := t.seen[t.view.Leaves[leaf].ID]
-	_, serves = slices.BinarySearch(versions, version)
-	return known, serves
+	versions := t.seen[leaf]
+	return versions != nil, contains(versions, version)
 }
