--- a/entry/ledger/ledger_test.go
+++ b/entry/ledger/ledger_test.go
@@ -125,6 +125,45 @@
 	})
 }
 
+// A write whose reply is lost is settled by reading the claim's nonce back.
+func TestLostReplyIsSettledByReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New(1)
+		e := startEntry(t, store, 1, nil)
+		<-e.Ready()
+		store.SetFaults(platformtest.Faults{LoseAfter: 1})
+		mustClaim(t, e, "k")
+	})
+}
+
+// A claim whose caller has gone while it was being written does not block the
+// key: its record is removed.
+func TestAbandonedClaimIsReleased(t *testing.T) {
+	for name, faults := range map[string]platformtest.Faults{
+		"slow store": {Latency: 100 * time.Millisecond},
+		"late write": {Latency: 100 * time.Millisecond, LoseLate: 1, LateBy: 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := platformtest.New(1)
+				a, b := startEntry(t, store, 1, nil), startEntry(t, store, 2, nil)
+				<-a.Ready()
+				<-b.Ready()
+				store.SetFaults(faults)
+				ctx, cancel := context.WithTimeout(t.Context(), 150*time.Millisecond)
+				defer cancel()
+				if _, err := a.Claim(ctx, request("k", time.Second)); err == nil {
+					t.Fatal("claim was granted to a caller that had gone")
+				}
+				time.Sleep(faults.LateBy)
+				store.SetFaults(platformtest.Faults{})
+				time.Sleep(time.Second)
+				mustClaim(t, b, "k")
+			})
+		})
+	}
+}
+
 // An entry that is killed leaves its claim behind, and a resend anywhere hears
 // unknown once the deadline has passed, as the request may have run.
 func TestKilledEntry(t *testing.T) {
--- a/entry/platform/follow.go
+++ b/entry/platform/follow.go
@@ -114,14 +114,18 @@
 		f.handle(Update{Listed: true, Objects: list.Objects, Revision: list.Revision})
 		return nil
 	}
+	begin := time.Now()
 	events, err := f.source.Watch(ctx, f.cfg.Kind, f.since, f.cfg.Wait)
 	if err != nil {
 		return err
 	}
+	f.since = max(f.since, events.Revision)
 	if len(events.Events) > 0 {
 		f.handle(Update{Events: events.Events, Revision: events.Revision})
+	} else if time.Since(begin) < f.cfg.Wait/2 {
+		// The store does not wait: don't ask it without pause.
+		f.sleep(ctx, f.cfg.RetryMin)
 	}
-	f.since = max(f.since, events.Revision)
 	return nil
 }
 
@@ -133,7 +137,12 @@
 	}
 	delay := max(f.backoff.Next(f.cfg.Rand), min(RetryAfter(err), f.cfg.RetryMax))
 	f.cfg.Failed(err, delay)
-	timer := time.NewTimer(delay)
+	f.sleep(ctx, delay)
+}
+
+// sleep waits for d, or less when ctx ends.
+func (f *follower) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
