--- a/entry/executor/knowledge.go
+++ b/entry/executor/knowledge.go
@@ -116,12 +116,27 @@
 	k := s.knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if s.view != k.view {
-		i, ok := k.index[s.view.Leaves[leaf].ID]
-		if !ok {
-			return false, false
-		}
-		leaf = i
+	i, ok := s.index(leaf)
+	if !ok {
+		return false, false
+	}
+	return k.tracker.Serves(i, version)
+}
+
+// Passed implements query.VersionSource.
+func (s *versions) Passed(leaf int, version uint64) bool {
+	k := s.knowledge
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	i, ok := s.index(leaf)
+	return ok && k.tracker.Passed(i, version)
+}
+
+// index turns a leaf's index in the query's view into the tracker's. The lock is held.
+func (s *versions) index(leaf int) (int, bool) {
+	if s.view == s.knowledge.view {
+		return leaf, true
 	}
-	return k.tracker.Serves(leaf, version)
+	i, ok := s.knowledge.index[s.view.Leaves[leaf].ID]
+	return i, ok
 }
