--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -15,6 +15,9 @@
 	Answer callerapi.Answer
 }
 
+// refusedLabel is the metrics' outcome of a refusal.
+const refusedLabel = "not_run"
+
 // Execute runs a request to its answer. The error, if any, is a *RefusedError:
 // the request provably ran nowhere.
 func (e *Executor) Execute(ctx context.Context, req *Request) (*Response, error) {
@@ -25,7 +28,7 @@
 	resp, err := e.execute(ctx, req)
 	meter := e.service(req.Service.Config.Name)
 	if err != nil {
-		meter.Observe(string(query.NotRun), time.Since(req.Start))
+		meter.Observe(refusedLabel, time.Since(req.Start))
 		return nil, err
 	}
 	meter.Observe(resp.Answer.Outcome, time.Since(req.Start))
