Demo: a planned stop; resends apart, later and coming back when told

Callers with a key come back also after 'unknown' when told when to; resends have a report of their own, so that their wait does not stand in a service's latency.

--- a/cmd/fuchsiactl/load.go
+++ b/cmd/fuchsiactl/load.go
@@ -65,6 +65,7 @@
 	flags.DurationVar(&f.plan.Profile.Duration, "duration", 10*time.Second, "length of the run")
 	flags.IntVar(&f.plan.Callers, "callers", 100, "number of callers")
 	flags.Float64Var(&f.plan.ResendShare, "resend-share", 0, "share of queries with a key that are sent twice, to two entries")
+	flags.DurationVar(&f.plan.ResendAfter, "resend-after", 0, "when these are sent again, after the first time")
 	flags.Uint64Var(&f.plan.Seed, "seed", 1, "seed of the schedule")
 	flags.DurationVar(&f.deadline, "deadline", 0, "deadline of each query; 0 is the service's")
 	flags.DurationVar(&f.patience, "patience", 30*time.Second, "most to wait for one answer")
@@ -144,7 +145,7 @@
 	if err := o.print(cmd.OutOrStdout(), reports, loadTable(reports)); err != nil {
 		return err
 	}
-	return loadError(reports[len(reports)-1])
+	return loadError(reports)
 }
 
 // send runs the plan.
@@ -173,10 +174,11 @@
 }
 
 // loadError says what makes a run a failure.
-func loadError(total loadgen.Report) error {
-	if len(total.Faults) > 0 {
-		return fmt.Errorf("answers broke promises: %s", faultText(total.Faults))
+func loadError(reports []loadgen.Report) error {
+	if faults := loadgen.Faults(reports); len(faults) > 0 {
+		return fmt.Errorf("answers broke promises: %s", faultText(faults))
 	}
+	total := reports[len(reports)-1]
 	if total.Queries > 0 && total.Answered.Count == 0 {
 		return errors.New("no query was answered")
 	}
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -44,9 +44,6 @@
 	Reports []loadgen.Report `json:"reports"`
 }
 
-// Total is the report over all services.
-func (p Phase) Total() loadgen.Report { return p.Reports[len(p.Reports)-1] }
-
 // Outcome is what the whole demonstration showed.
 type Outcome struct {
 	Site       string             `json:"site"`
@@ -63,7 +60,7 @@
 func (o *Outcome) Broken() []string {
 	var broken []string
 	for _, p := range o.Phases {
-		for _, f := range p.Total().Faults {
+		for _, f := range loadgen.Faults(p.Reports) {
 			broken = append(broken, fmt.Sprintf("%s: %s in %d answers", p.Name, f.Fault, f.Count))
 		}
 	}
@@ -89,6 +86,7 @@
 	dir     string
 	site    *site.Site
 	runs    []run
+	sender  *loadgen.EntrySender // of the phase under way
 }
 
 // run is one phase's sender and samples, for the check of executions.
@@ -202,6 +200,7 @@
 		{"opening burst", d.options.Peak, d.options.Length, nil},
 		{"lost replica", 0, later, d.loseReplica},
 		{"version change", 0, later, d.changeVersion},
+		{"planned stop", 0, later, d.stopEntry},
 	}
 	for i, p := range phases {
 		profile := loadgen.Profile{Rate: d.options.Rate, Peak: p.peak, Decay: p.length / 4, Duration: p.length}
@@ -219,13 +218,13 @@
 	d.logf("%s: %s", name, profile.Duration)
 	plan := loadgen.Plan{
 		Profile: profile, Services: d.spec.services, Callers: 60, Entries: d.options.Entries,
-		ResendShare: 0.5, Seed: d.options.Seed + uint64(number),
+		ResendShare: 0.5, ResendAfter: resendAfter, Seed: d.options.Seed + uint64(number),
 	}
 	if err := plan.Validate(); err != nil {
 		return Phase{}, err
 	}
-	sender := loadgen.NewEntrySender(loadgen.SenderConfig{
-		Plan: plan, Entries: d.entries(), Tokens: d.spec.tokens, Verify: loadgen.VerifyStandin,
+	d.sender = loadgen.NewEntrySender(loadgen.SenderConfig{
+		Plan: plan, Entries: d.entries(nil), Tokens: d.spec.tokens, Verify: loadgen.VerifyStandin,
 		RunID: "demo-" + strconv.Itoa(number), Patience: patience, Transport: loadgen.NewTransport(),
 	})
 	ended := make(chan error, 1)
@@ -236,11 +235,11 @@
 		}
 		ended <- event(ctx, profile.Duration)
 	}()
-	samples := loadgen.Run(ctx, loadgen.Schedule(plan), sender, loadgen.Options{MaxOpen: maxOpen})
+	samples := loadgen.Run(ctx, loadgen.Schedule(plan), d.sender, loadgen.Options{MaxOpen: maxOpen, Returns: returns})
 	if err := errors.Join(<-ended, ctx.Err()); err != nil {
 		return Phase{}, fmt.Errorf("demo: %s: %w", name, err)
 	}
-	d.runs = append(d.runs, run{sender: sender, samples: samples})
+	d.runs = append(d.runs, run{sender: d.sender, samples: samples})
 	return Phase{Name: name, Reports: loadgen.Summarize(samples, plan.Services)}, nil
 }
 
@@ -248,13 +247,18 @@
 const (
 	patience = 10 * time.Second
 	maxOpen  = 5000
+	returns  = 3
+	// resendAfter is when an impatient caller sends a request again.
+	resendAfter = 30 * time.Millisecond
 )
 
-// entries lists the entries' addresses.
-func (d *demo) entries() []string {
+// entries lists the addresses of all entries but one.
+func (d *demo) entries(except *site.Entry) []string {
 	var addresses []string
 	for _, e := range d.site.Entries() {
-		addresses = append(addresses, e.URL())
+		if e != except {
+			addresses = append(addresses, e.URL())
+		}
 	}
 	return addresses
 }
@@ -287,6 +291,35 @@
 	return nil
 }
 
+// balancerLag is how long the balancer goes on sending to an entry that leaves.
+const balancerLag = time.Second
+
+// stopEntry replaces an entry as maintenance does: a new one is started, the
+// old one is told to stop and must exit with 0, and the balancer lets go late.
+func (d *demo) stopEntry(ctx context.Context, length time.Duration) error {
+	if !wait(ctx, length/4) {
+		return ctx.Err()
+	}
+	old := d.site.Entries()[0]
+	added, err := d.site.AddEntry(d.options.Entries)
+	if err != nil {
+		return err
+	}
+	if err := added.WaitReady(readyTime); err != nil {
+		return err
+	}
+	d.sender.SetEntries(d.entries(nil))
+	d.logf("entry %s is told to stop, %s takes its place", old.ID, added.ID)
+	stopped := make(chan error, 1)
+	go func() { stopped <- old.Stop() }()
+	wait(ctx, balancerLag)
+	d.sender.SetEntries(d.entries(old))
+	return <-stopped
+}
+
+// readyTime bounds the start of an entry.
+const readyTime = 20 * time.Second
+
 // wait reports whether the time passed before the context ended.
 func wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/cmd/internal/loadgen/loadgen_test.go
+++ b/cmd/internal/loadgen/loadgen_test.go
@@ -18,7 +18,7 @@
 	return Plan{
 		Profile:  Profile{Rate: 100, Peak: 1000, Decay: time.Second, Duration: 10 * time.Second},
 		Services: []Service{{Name: "read", Weight: 3}, {Name: "write", Weight: 1, Key: true}},
-		Callers:  5, Entries: 4, ResendShare: 0.5, Seed: 7,
+		Callers:  5, Entries: 4, ResendShare: 0.5, ResendAfter: 30 * time.Millisecond, Seed: 7,
 	}
 }
 
@@ -33,18 +33,20 @@
 		t.Error("another seed gave the same schedule")
 	}
 	var first, last, writes, resends, perEntry int
+	firsts := map[int]Arrival{}
 	for i, a := range arrivals {
 		if i > 0 && a.At < arrivals[i-1].At {
 			t.Fatalf("arrival %d is before the one before it", i)
 		}
 		if a.Resend {
-			before := arrivals[i-1]
-			if !p.Services[a.Service].Key || a.Number != before.Number || a.Caller != before.Caller || a.Entry == before.Entry {
-				t.Fatalf("resend %+v of %+v", a, before)
+			first := firsts[a.Number]
+			if !p.Services[a.Service].Key || a.Service != first.Service || a.Caller != first.Caller || a.Entry == first.Entry || a.At != first.At+p.ResendAfter {
+				t.Fatalf("resend %+v of %+v", a, first)
 			}
 			resends++
 			continue
 		}
+		firsts[a.Number] = a
 		if a.At < time.Second {
 			first++
 		}
@@ -195,6 +197,44 @@
 	}
 }
 
+func TestCallerWithoutKeyDoesNotRepeatWhatMayHaveRun(t *testing.T) {
+	for keyed, returns := range map[bool]int{true: 2, false: 0} {
+		samples, _ := runFake(t, every(0, 1), Options{MaxOpen: 9, Returns: 2}, func(Arrival, int) (time.Duration, Result) {
+			return 0, Result{Kind: Unknown, RetryAfter: time.Millisecond, Keyed: keyed}
+		})
+		if got := samples[0].Returns; got != returns {
+			t.Errorf("keyed %t: came back %d times, want %d", keyed, got, returns)
+		}
+	}
+}
+
+func TestCheckExecutions(t *testing.T) {
+	services := []Service{{Name: "read"}, {Name: "write", Key: true}}
+	ran := []int{0, 1, 2, 0, 1, 1}
+	sample := func(number, service int, kind Kind, resend bool) Sample {
+		return Sample{Arrival: Arrival{Number: number, Service: service, Resend: resend}, Result: Result{Kind: kind}}
+	}
+	samples := []Sample{
+		sample(0, 0, NotRun, false),   // refused, and truly not run
+		sample(1, 0, NotRun, false),   // refused, but ran
+		sample(2, 1, Complete, false), // ran twice
+		sample(2, 1, Complete, true),
+		sample(3, 1, Complete, false), // answered, and never ran
+		sample(4, 1, NotRun, false),   // ran for its resend only
+		sample(4, 1, Complete, true),
+		sample(5, 1, Unknown, false),
+	}
+	got := CheckExecutions(samples, services, func(a Arrival) int { return ran[a.Number] })
+	want := Executions{Keys: 4, Resends: 2, MaxPerKey: 2, Refused: 2, RefusedButRan: 1, AnsweredNotRan: 1}
+	if got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	got.Merge(Executions{Keys: 1, MaxPerKey: 1, Refused: 1})
+	if got.Keys != 5 || got.MaxPerKey != 2 || got.Refused != 3 {
+		t.Errorf("merged %+v", got)
+	}
+}
+
 func TestStopWaitsForOpenQueries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithTimeout(t.Context(), 25*time.Millisecond)
@@ -236,11 +276,15 @@
 		Sample{Arrival: Arrival{Service: 1}, Result: Result{Kind: NotRun, RetryAfter: time.Second}, Latency: 5 * time.Millisecond},
 		Sample{Arrival: Arrival{Service: 1}, Result: Result{Kind: Partial, Share: 0.5, Faults: []string{FaultMixed}}, Latency: time.Millisecond},
 		Sample{Arrival: Arrival{Service: 1}, Result: Result{Kind: Broken}, Latency: time.Hour},
+		Sample{Arrival: Arrival{Service: 1, Resend: true}, Result: Result{Kind: Complete, Faults: []string{FaultMixed, FaultTwice}}, Latency: time.Hour},
 	)
 	reports := Summarize(samples, []Service{{Name: "a"}, {Name: "b"}})
-	if len(reports) != 3 || reports[2].Service != Total || reports[2].Queries != 1003 {
+	if len(reports) != 4 || reports[2].Service != Resends || reports[3].Service != Total || reports[3].Queries != 1003 {
 		t.Fatalf("got %+v", reports)
 	}
+	if all := Faults(reports); !reflect.DeepEqual(all, []FaultCount{{FaultMixed, 2}, {FaultTwice, 1}}) {
+		t.Errorf("faults %+v", all)
+	}
 	a, b := reports[0], reports[1]
 	near := func(what string, got int64, ms int64) {
 		t.Helper()
--- a/cmd/internal/loadgen/report.go
+++ b/cmd/internal/loadgen/report.go
@@ -1,6 +1,7 @@
 package loadgen
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -68,19 +69,54 @@
 	LagP99 int64 `json:"generator_lag_p99_us"`
 }
 
-// Total is the name of the report over all services.
-const Total = "total"
+// Names of the reports that are of no one service.
+const (
+	Total   = "total"
+	Resends = "resends"
+)
 
-// Summarize makes a report of each service, in the order of the plan, and one
-// of all, which is the last.
+// Summarize makes a report of each service, in the order of the plan, one of
+// the resends if there are any, and one of all services, which is the last. A
+// resend is in its own report only: how long it takes says how soon after its
+// query it was sent.
 func Summarize(samples []Sample, services []Service) []Report {
-	reports := make([]Report, 0, len(services)+1)
+	reports := make([]Report, 0, len(services)+2)
 	for i, service := range services {
-		own := func(s Sample) bool { return s.Service == i }
+		own := func(s Sample) bool { return !s.Resend && s.Service == i }
 		reports = append(reports, summarize(service.Name, samples, own))
 	}
-	all := func(Sample) bool { return true }
-	return append(reports, summarize(Total, samples, all))
+	again := summarize(Resends, samples, func(s Sample) bool { return s.Resend })
+	if again.Queries > 0 {
+		reports = append(reports, again)
+	}
+	first := func(s Sample) bool { return !s.Resend }
+	return append(reports, summarize(Total, samples, first))
+}
+
+// Faults adds up the broken promises of all reports but the total.
+func Faults(reports []Report) []FaultCount {
+	sum := map[string]int{}
+	for _, r := range reports {
+		if r.Service == Total {
+			continue
+		}
+		for _, f := range r.Faults {
+			sum[f.Fault] += f.Count
+		}
+	}
+	return faultCounts(sum)
+}
+
+// faultCounts lists counts, most frequent first.
+func faultCounts(counts map[string]int) []FaultCount {
+	out := []FaultCount{}
+	for f, n := range counts {
+		out = append(out, FaultCount{Fault: f, Count: n})
+	}
+	slices.SortFunc(out, func(x, y FaultCount) int {
+		return cmp.Or(cmp.Compare(y.Count, x.Count), cmp.Compare(x.Fault, y.Fault))
+	})
+	return out
 }
 
 // adder collects what a report needs.
@@ -153,11 +189,7 @@
 	for _, k := range Kinds() {
 		r.Kinds = append(r.Kinds, KindCount{Kind: k, Count: a.kinds[k]})
 	}
-	r.Faults = []FaultCount{}
-	for f, n := range a.faults {
-		r.Faults = append(r.Faults, FaultCount{Fault: f, Count: n})
-	}
-	slices.SortFunc(r.Faults, func(x, y FaultCount) int { return y.Count - x.Count })
+	r.Faults = faultCounts(a.faults)
 	r.Answered = latency(a.answered)
 	r.Refused = latency(a.refused)
 	r.LagP99 = a.lag.ValueAtQuantile(99)
--- a/cmd/internal/loadgen/run.go
+++ b/cmd/internal/loadgen/run.go
@@ -43,6 +43,8 @@
 	// RetryAfter is when the entry asked to come back; 0 if it did not.
 	RetryAfter time.Duration
 	Replayed   bool
+	// Keyed says that the query had an Idempotency-Key.
+	Keyed bool
 	// Faults are violations of what an answer promises, such as two versions.
 	Faults []string
 }
@@ -60,7 +62,7 @@
 	Latency time.Duration
 	// Lag is how late the generator itself sent it.
 	Lag time.Duration
-	// Returns counts how often the caller came back after a refusal.
+	// Returns counts how often the caller came back when told to.
 	Returns int
 }
 
@@ -68,7 +70,7 @@
 type Options struct {
 	// MaxOpen is the most queries open at once; ones due above it are Unsent.
 	MaxOpen int
-	// Returns is how often a caller comes back when it is refused with a time.
+	// Returns is how often a caller comes back when it is told when to.
 	Returns int
 	// Progress, if not nil, is called each second with the queries due and ended.
 	Progress func(due, ended int)
@@ -106,7 +108,14 @@
 	return samples[:due]
 }
 
-// send sends one query, and again if it is refused with a time to come back.
+// comesBack reports whether a caller asks again after a result. It does when it
+// is told when to, and nothing ran; or when it can't know, and its key makes
+// sure that asking again runs nothing twice.
+func comesBack(r Result) bool {
+	return r.RetryAfter > 0 && (r.Kind == NotRun || (r.Kind == Unknown && r.Keyed))
+}
+
+// send sends one query, and again if it is told when to come back.
 func send(ctx context.Context, start time.Time, a Arrival, sender Sender, returns int) Sample {
 	planned := start.Add(a.At)
 	s := Sample{Arrival: a, Lag: time.Since(planned)}
@@ -117,7 +126,7 @@
 		result.Retries += s.Retries
 		result.Faults = append(s.Faults, result.Faults...)
 		s.Result = result
-		if result.Kind != NotRun || result.RetryAfter <= 0 || s.Returns >= returns {
+		if !comesBack(result) || s.Returns >= returns {
 			break
 		}
 		if !sleepUntil(ctx, time.Now().Add(result.RetryAfter)) {
--- a/cmd/internal/loadgen/schedule.go
+++ b/cmd/internal/loadgen/schedule.go
@@ -4,6 +4,7 @@
 package loadgen
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -52,9 +53,10 @@
 	Callers int
 	// Entries is the number of entries; arrivals go to them in turn.
 	Entries int
-	// ResendShare of the arrivals with a key are sent again at once, with the
-	// same key, to the next entry.
+	// ResendShare of the arrivals with a key are sent again after ResendAfter,
+	// with the same key, to the next entry.
 	ResendShare float64
+	ResendAfter time.Duration
 	// Seed makes the schedule.
 	Seed uint64
 }
@@ -88,6 +90,8 @@
 		return &PlanError{"callers", "must be at least 1"}
 	case p.Entries < 1:
 		return &PlanError{"entries", "must be at least 1"}
+	case p.ResendAfter < 0:
+		return &PlanError{"resend after", "must not be negative"}
 	case p.ResendShare < 0 || p.ResendShare > 1:
 		return &PlanError{"resend share", "must be in [0, 1]"}
 	}
@@ -123,7 +127,7 @@
 	for number := 0; ; {
 		at += time.Duration(random.ExpFloat64() / highest * float64(time.Second))
 		if at >= p.Profile.Duration {
-			return out
+			break
 		}
 		if random.Float64()*highest >= p.Profile.at(at) {
 			continue
@@ -139,10 +143,13 @@
 		number++
 		if p.Services[a.Service].Key && random.Float64() < p.ResendShare {
 			a.Resend = true
+			a.At += p.ResendAfter
 			a.Entry = (a.Entry + 1) % p.Entries
 			out = append(out, a)
 		}
 	}
+	slices.SortStableFunc(out, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	return out
 }
 
 // pick draws a service by weight.
--- a/cmd/internal/loadgen/sender.go
+++ b/cmd/internal/loadgen/sender.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
@@ -14,7 +15,8 @@
 // EntrySender sends queries to entries over HTTP.
 type EntrySender struct {
 	plan    Plan
-	clients []*entryclient.Client
+	clients atomic.Pointer[[]*entryclient.Client]
+	via     http.RoundTripper
 	tokens  []string
 	body    func(a Arrival) []byte
 	verify  func(body []byte, answer *callerapi.Answer) []string
@@ -25,8 +27,9 @@
 
 // SenderConfig says how to send.
 type SenderConfig struct {
-	Plan    Plan
-	Entries []string // IP:port or URL, one for each Plan.Entries
+	Plan Plan
+	// Entries are IP:port or URL; Arrival.Entry counts through them.
+	Entries []string
 	// Tokens are the callers' bearer tokens; caller i has token i modulo their number.
 	Tokens []string
 	// Body makes a query's body; nil makes a short unique text.
@@ -54,16 +57,31 @@
 func NewEntrySender(c SenderConfig) *EntrySender {
 	s := &EntrySender{
 		plan: c.Plan, tokens: c.Tokens, body: c.Body, verify: c.Verify, runID: c.RunID, patience: c.Patience,
+		via: c.Transport,
 	}
 	if s.body == nil {
 		s.body = s.defaultBody
 	}
-	for _, entry := range c.Entries {
-		s.clients = append(s.clients, entryclient.New(entry, c.Transport))
-	}
+	s.SetEntries(c.Entries)
 	return s
 }
 
+// SetEntries replaces the entries that queries go to from now on, as a balancer
+// does when an instance comes or goes.
+func (s *EntrySender) SetEntries(entries []string) {
+	clients := make([]*entryclient.Client, len(entries))
+	for i, entry := range entries {
+		clients[i] = entryclient.New(entry, s.via)
+	}
+	s.clients.Store(&clients)
+}
+
+// client is the entry that a query goes to.
+func (s *EntrySender) client(a Arrival) *entryclient.Client {
+	clients := *s.clients.Load()
+	return clients[a.Entry%len(clients)]
+}
+
 // defaultBody is the same for a query and its resend, and else unique.
 func (s *EntrySender) defaultBody(a Arrival) []byte {
 	return fmt.Appendf(nil, "%s query %d of caller %d", s.runID, a.Number, a.Caller)
@@ -94,12 +112,15 @@
 	if service.Key {
 		q.Key = fmt.Sprintf("%s-%d", s.runID, a.Number)
 	}
-	answer, err := s.clients[a.Entry].Query(ctx, q)
+	answer, err := s.client(a).Query(ctx, q)
 	if err != nil {
-		return failure(err)
+		result := failure(err)
+		result.Keyed = service.Key
+		return result
 	}
 	result := Result{
 		Kind:       Kind(answer.Outcome),
+		Keyed:      service.Key,
 		Share:      answer.Share,
 		Covered:    len(answer.Results),
 		Sent:       answer.Work.Sent,
--- a/cmd/internal/loadgen/sender_test.go
+++ b/cmd/internal/loadgen/sender_test.go
@@ -87,6 +87,11 @@
 	if all[1] != want {
 		t.Errorf("the resend differs: %+v", all[1])
 	}
+	s.SetEntries([]string{"three:3"})
+	s.Send(t.Context(), Arrival{Number: 6, Entry: 1})
+	if all[3].host != "three:3" {
+		t.Errorf("went to %s, which is off the list", all[3].host)
+	}
 	if all[2].key == want.key || all[2].body == want.body {
 		t.Errorf("another query looks like it: %+v", all[2])
 	}
