--- a/cmd/internal/loadgen/loadgen_test.go
+++ b/cmd/internal/loadgen/loadgen_test.go
@@ -210,7 +210,7 @@
 
 func TestCheckExecutions(t *testing.T) {
 	services := []Service{{Name: "read"}, {Name: "write", Key: true}}
-	ran := []int{0, 1, 2, 0, 1, 1}
+	ran := []int{0, 1, 2, 0, 1, 1, 1, 0}
 	sample := func(number, service int, kind Kind, resend bool) Sample {
 		return Sample{Arrival: Arrival{Number: number, Service: service, Resend: resend}, Result: Result{Kind: kind}}
 	}
@@ -223,14 +223,17 @@
 		sample(4, 1, NotRun, false),   // ran for its resend only
 		sample(4, 1, Complete, true),
 		sample(5, 1, Unknown, false),
+		sample(6, 1, Complete, false), // ran, and its resend was refused
+		sample(6, 1, NotRun, true),
+		sample(7, 1, Unknown, false), // not answered, and not run
 	}
 	got := CheckExecutions(samples, services, func(a Arrival) int { return ran[a.Number] })
-	want := Executions{Keys: 4, Resends: 2, MaxPerKey: 2, Refused: 2, RefusedButRan: 1, AnsweredNotRan: 1}
+	want := Executions{Keys: 6, Resends: 3, MaxPerKey: 2, Refused: 2, RefusedButRan: 1, AnsweredNotRan: 1}
 	if got != want {
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 	got.Merge(Executions{Keys: 1, MaxPerKey: 1, Refused: 1})
-	if got.Keys != 5 || got.MaxPerKey != 2 || got.Refused != 3 {
+	if got.Keys != 7 || got.MaxPerKey != 2 || got.Refused != 3 {
 		t.Errorf("merged %+v", got)
 	}
 }
--- a/standin/leaf/body.go
+++ b/standin/leaf/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -50,7 +51,8 @@
 	return b.Bytes()
 }
 
-// ParseBody reads a body and checks the digest of each line.
+// ParseBody reads a body and checks the digest of each line. A body without a
+// line is an error.
 func ParseBody(body []byte) ([]Line, error) {
 	var lines []Line
 	text := strings.TrimRight(string(body), ".")
@@ -61,6 +63,9 @@
 		}
 		lines = append(lines, line)
 	}
+	if len(lines) == 0 {
+		return nil, errors.New("body: no line")
+	}
 	return lines, nil
 }
 
--- a/standin/leaf/fleet_test.go
+++ b/standin/leaf/fleet_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,6 +152,46 @@
 	}
 }
 
+func TestDownLeafRefusesConnectionsUntilItIsUp(t *testing.T) {
+	f, _ := fleet(t, base())
+	address := f.Members()[0].Address
+	s := f.Leaf("leaf-1")
+	if status, _ := call(t, http.MethodGet, "http://"+address+leafapi.PathHealth, ""); status != 200 {
+		t.Fatalf("the leaf is not up: %d", status)
+	}
+	down := func() { _ = s.SetFaults(Faults{Down: true}) }
+	crash := func() {
+		settings := s.Settings()
+		settings.RestartMS = 600_000
+		_ = s.SetSettings(settings)
+		s.Crash()
+	}
+	for _, end := range []func(){down, crash} {
+		end()
+		if conn, err := net.Dial("tcp", address); !errors.Is(err, syscall.ECONNREFUSED) {
+			if err == nil {
+				conn.Close()
+			}
+			t.Errorf("dial of a leaf that is down: %v", err)
+		}
+		down()
+		_ = s.SetFaults(Faults{})
+		for conn, err := net.Dial("tcp", address); ; conn, err = net.Dial("tcp", address) {
+			if err == nil {
+				conn.Close()
+				break
+			}
+			if !errors.Is(err, syscall.ECONNREFUSED) {
+				t.Fatal(err)
+			}
+			time.Sleep(downPoll)
+		}
+	}
+	if c := s.Stats().Connections; c.Refused != 0 {
+		t.Errorf("a down leaf counts as one at its limit: %+v", c)
+	}
+}
+
 func TestDialCostDelaysTheFirstRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := &listener{open: map[*conn]struct{}{}}
--- a/standin/leaf/listener.go
+++ b/standin/leaf/listener.go
@@ -11,7 +11,7 @@
 	Open     int    `json:"open"`
 	Peak     int    `json:"peak"`
 	Accepted uint64 `json:"accepted"`
-	// Refused were closed as soon as they were accepted.
+	// Refused were over the limit, and closed as soon as they were accepted.
 	Refused uint64 `json:"refused"`
 }
 
@@ -64,6 +64,13 @@
 	}
 }
 
+// use sets the port's listener, once.
+func (l *listener) use(inner net.Listener) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Listener = inner
+}
+
 // current returns the port's listener, opened again if the leaf is up; nil
 // while the leaf is down and its port is closed.
 func (l *listener) current() (net.Listener, error) {
@@ -117,7 +124,10 @@
 func (l *listener) admit(raw net.Conn, g gate) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if g.down || (g.limit > 0 && l.count.Open >= g.limit) {
+	if g.down {
+		return nil
+	}
+	if g.limit > 0 && l.count.Open >= g.limit {
 		l.count.Refused++
 		return nil
 	}
--- a/standin/leaf/server.go
+++ b/standin/leaf/server.go
@@ -73,7 +73,7 @@
 
 // Serve answers on a listener until the context ends. It may be called once.
 func (s *Server) Serve(ctx context.Context, inner net.Listener) error {
-	s.accept.Listener = inner
+	s.accept.use(inner)
 	stop := context.AfterFunc(ctx, s.stop)
 	defer stop()
 	if err := httpserve.Serve(ctx, s.accept, s); err != nil {
