Quarantine what breaks leaves; let its neighbours part ways

Records climb a ladder of clear, suspect, quarantined, and merge by the greater level, so that a success, an operator's lift and a digest all win or lose the same way at every entry. After a break each request of that leaf runs alone on a leaf and at a time that its fingerprint's hash names; both leaves of a request are the same at all entries.

--- a/kernel/quarantine/machine.go
+++ b/kernel/quarantine/machine.go
@@ -1,78 +1,199 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Machine keeps the records of one entry.
 type Machine struct {
 	cfg     Config
 	records map[string]Record
-	good    map[string]bool
+	good    goodSet
+	out     []Action
 }
 
 // New returns a machine that knows no fingerprint.
 func New(cfg Config) *Machine {
-	return &Machine{cfg: cfg, records: make(map[string]Record), good: make(map[string]bool)}
+	return &Machine{cfg: cfg, records: make(map[string]Record), good: goodSet{limit: max(cfg.MaxGood, 1)}}
 }
 
 // Admit decides how a request may run that asks the given number of shards.
+//
+// A canary is skipped for a fan-out of at most canaryAbove shards, whose worst
+// case the operator has accepted, and for a fingerprint that ran to its end
+// before: what breaks a leaf breaks each that runs it.
 func (m *Machine) Admit(fingerprint string, shards, canaryAbove int, now time.Time) Decision {
-	r, ok := m.records[fingerprint]
-	live := ok && now.Before(r.Until)
+	r, ok := m.live(fingerprint, now)
 	switch {
-	case live && r.Level >= LevelQuarantined:
+	case ok && r.Phase() == PhaseQuarantined:
 		return Decision{Mode: ModeRefuse, RetryAfter: r.Until.Sub(now)}
-	case live && r.Level%2 == 1:
+	case ok && r.Phase() == PhaseSuspect:
 		return Decision{Mode: ModeSuspect}
-	case m.good[fingerprint] || canaryAbove == 0 || shards <= canaryAbove:
+	case ok || m.good.has(fingerprint) || canaryAbove <= 0 || shards <= canaryAbove:
 		return Decision{Mode: ModeRun}
+	default:
+		return Decision{Mode: ModeCanary}
 	}
-	return Decision{Mode: ModeCanary}
 }
 
-// Handle takes an event and returns the actions it causes.
+// Handle takes an event and returns the actions it causes. The slice is valid
+// until the next call.
 func (m *Machine) Handle(ev Event, now time.Time) []Action {
+	m.out = m.out[:0]
 	switch ev := ev.(type) {
 	case Observed:
-		return m.observed(ev, now)
+		m.observed(ev, now)
 	case Merged:
 		for _, r := range ev.Records {
-			m.merge(r)
+			m.merge(r, now)
 		}
 	case Lifted:
-		delete(m.records, ev.Fingerprint)
+		if r, ok := m.live(ev.Fingerprint, now); ok && r.Phase() != PhaseClear {
+			m.change(r, PhaseClear, m.cfg.SuspectFor, now)
+		}
+	case Tick:
+		for fingerprint := range m.records {
+			m.live(fingerprint, now)
+		}
 	}
-	return nil
+	return m.out
 }
 
-func (m *Machine) observed(ev Observed, now time.Time) []Action {
+// live returns the record in force now. A quarantine that has passed leaves a
+// suspect behind; any other record that has passed is forgotten.
+func (m *Machine) live(fingerprint string, now time.Time) (Record, bool) {
+	r, ok := m.records[fingerprint]
+	if !ok || now.Before(r.Until) {
+		return r, ok
+	}
+	if r.Phase() == PhaseQuarantined {
+		r.Level = r.next(PhaseSuspect)
+		r.Until = r.Until.Add(m.cfg.SuspectFor)
+		m.records[fingerprint] = r
+		return m.live(fingerprint, now)
+	}
+	delete(m.records, fingerprint)
+	return Record{}, false
+}
+
+// observed learns from the end of an attempt.
+func (m *Machine) observed(ev Observed, now time.Time) {
+	r, ok := m.live(ev.Fingerprint, now)
+	r.Fingerprint = ev.Fingerprint
 	if !ev.Crashed {
-		m.good[ev.Fingerprint] = true
-		delete(m.records, ev.Fingerprint)
-		return nil
+		m.good.add(ev.Fingerprint)
+		if ok && r.Phase() != PhaseClear {
+			m.change(r, PhaseClear, m.cfg.SuspectFor, now)
+		}
+		return
+	}
+	m.good.remove(ev.Fingerprint)
+	switch {
+	case r.Phase() == PhaseClear:
+		m.change(r, PhaseSuspect, m.cfg.SuspectFor, now)
+	case r.Phase() == PhaseSuspect && ev.Solo:
+		m.change(r, PhaseQuarantined, m.cfg.QuarantineFor, now)
+	}
+}
+
+// change moves a record on to a phase and tells of it.
+func (m *Machine) change(r Record, p Phase, lasts time.Duration, now time.Time) {
+	r.Level = r.next(p)
+	r.Until = now.Add(lasts)
+	m.put(r)
+	m.out = append(m.out, Announce{Record: r}, Changed{Fingerprint: r.Fingerprint, Phase: p, Left: lasts})
+}
+
+// merge takes in a peer's record.
+func (m *Machine) merge(r Record, now time.Time) {
+	if r.Level <= 0 || !now.Before(r.Until) {
+		return
+	}
+	old, _ := m.live(r.Fingerprint, now)
+	if r.Level < old.Level || (r.Level == old.Level && !r.Until.After(old.Until)) {
+		return
 	}
-	r := m.records[ev.Fingerprint]
-	r = Record{Fingerprint: ev.Fingerprint, Level: r.Level + 1, Until: now.Add(m.cfg.SuspectFor)}
-	if r.Level > 1 {
-		r.Level, r.Until = LevelQuarantined, now.Add(m.cfg.QuarantineFor)
+	m.put(r)
+	if r.Level > old.Level {
+		m.out = append(m.out, Changed{Fingerprint: r.Fingerprint, Phase: r.Phase(), Left: r.Until.Sub(now)})
 	}
-	m.records[ev.Fingerprint] = r
-	return []Action{Announce{Record: r}}
 }
 
-func (m *Machine) merge(r Record) {
-	old, ok := m.records[r.Fingerprint]
-	if !ok || r.Level > old.Level || (r.Level == old.Level && r.Until.After(old.Until)) {
-		m.records[r.Fingerprint] = r
+// put keeps a record; above the bound the least important one goes.
+func (m *Machine) put(r Record) {
+	m.records[r.Fingerprint] = r
+	if len(m.records) <= m.cfg.MaxRecords {
+		return
 	}
+	least := r
+	for _, x := range m.records {
+		if byImportance(x, least) > 0 {
+			least = x
+		}
+	}
+	delete(m.records, least.Fingerprint)
 }
 
-// Digest returns the records to tell a peer.
+// byImportance orders the quarantined before suspects before the cleared, then
+// those that last longer first.
+func byImportance(a, b Record) int {
+	return cmp.Or(
+		cmp.Compare(b.Phase(), a.Phase()),
+		b.Until.Compare(a.Until),
+		cmp.Compare(a.Fingerprint, b.Fingerprint),
+	)
+}
+
+// Digest returns the most important records to tell a peer.
 func (m *Machine) Digest(now time.Time) []Record {
+	out := m.Records(now)
+	return out[:min(len(out), m.cfg.DigestRecords)]
+}
+
+// Records lists all records in force, the most important first.
+func (m *Machine) Records(now time.Time) []Record {
 	var out []Record
-	for _, r := range m.records {
-		if now.Before(r.Until) && len(out) < m.cfg.DigestRecords {
+	for fingerprint := range m.records {
+		if r, ok := m.live(fingerprint, now); ok {
 			out = append(out, r)
 		}
 	}
+	slices.SortFunc(out, byImportance)
 	return out
 }
+
+// goodSet remembers fingerprints that ran to their end, the older half of them
+// forgotten when the newer half is full.
+type goodSet struct {
+	limit      int
+	young, old map[string]struct{}
+}
+
+// has reports whether a fingerprint is remembered.
+func (s *goodSet) has(fingerprint string) bool {
+	if _, ok := s.young[fingerprint]; ok {
+		return true
+	}
+	_, ok := s.old[fingerprint]
+	return ok
+}
+
+// add remembers a fingerprint.
+func (s *goodSet) add(fingerprint string) {
+	if _, ok := s.young[fingerprint]; ok {
+		return
+	}
+	if s.young == nil || len(s.young) >= (s.limit+1)/2 {
+		s.old = s.young
+		s.young = make(map[string]struct{})
+	}
+	s.young[fingerprint] = struct{}{}
+}
+
+// remove forgets a fingerprint.
+func (s *goodSet) remove(fingerprint string) {
+	delete(s.young, fingerprint)
+	delete(s.old, fingerprint)
+}
--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -7,7 +7,8 @@
 
 // Config sets the times and bounds of a machine.
 type Config struct {
-	// QuarantineFor is how long a fingerprint with two breaks is refused.
+	// QuarantineFor is how long a fingerprint with two breaks is refused. After
+	// that it is a suspect again, so that a resend breaks one leaf at most.
 	QuarantineFor time.Duration
 	// SuspectFor is how long one break, or its clearing, is remembered.
 	SuspectFor time.Duration
@@ -19,18 +20,38 @@
 	DigestRecords int
 }
 
-// Record is the state of a fingerprint. Records merge by the greater Level and,
-// of equal levels, the later Until.
+// Record is the state of a fingerprint. Records merge by the greater Level
+// and, of equal levels, the later Until: the merge is commutative, associative
+// and idempotent.
 type Record struct {
 	Fingerprint string
-	// Level grows with each event: odd is a suspect, even and positive is a
-	// cleared suspect, LevelQuarantined is in quarantine.
+	// Level grows with each change, and its remainder by 3 is the Phase.
 	Level int
 	Until time.Time
 }
 
-// LevelQuarantined is the level of a quarantined fingerprint.
-const LevelQuarantined = 1 << 20
+// Phase is what a record says of its fingerprint.
+type Phase int
+
+// The phases, in the order in which levels pass through them.
+const (
+	PhaseClear       Phase = iota // a success has shown it harmless
+	PhaseSuspect                  // it was on a leaf that broke
+	PhaseQuarantined              // it broke a second leaf, alone
+	phases
+)
+
+// Phase returns the phase of the record's level.
+func (r Record) Phase() Phase { return Phase(r.Level % int(phases)) }
+
+// next is the lowest greater level of a phase.
+func (r Record) next(p Phase) int {
+	up := (int(p) - int(r.Phase()) + int(phases)) % int(phases)
+	if up == 0 {
+		up = int(phases)
+	}
+	return r.Level + up
+}
 
 // Event is an input of the machine.
 type Event interface{ isEvent() }
@@ -60,10 +81,19 @@
 // Action is an output of the machine.
 type Action interface{ isAction() }
 
-// Announce asks to tell the peers of a record at once.
+// Announce asks to tell the peers of a record at once, ahead of the next digest.
 type Announce struct{ Record Record }
 
+// Changed tells the running queries of a fingerprint of its new phase: Cleared
+// and Condemned of the query package, the latter with Left as its RetryAfter.
+type Changed struct {
+	Fingerprint string
+	Phase       Phase
+	Left        time.Duration
+}
+
 func (Announce) isAction() {}
+func (Changed) isAction()  {}
 
 // Mode is how a request may run.
 type Mode int
--- a/kernel/query/attempt.go
+++ b/kernel/query/attempt.go
@@ -58,6 +58,7 @@
 	}
 	m.setState(a, state)
 	m.parts[a.part].drop(id)
+	m.liveCount--
 	return a
 }
 
--- a/kernel/query/machine.go
+++ b/kernel/query/machine.go
@@ -31,6 +31,8 @@
 	open     int     // parts that are asked or wait
 	given    float64 // share given up at the pinned version
 	attempts []attempt
+	// liveCount is the number of attempts whose end is awaited.
+	liveCount int
 	// mayHaveRun is the number of attempts that are not proved not run.
 	mayHaveRun int
 
@@ -63,7 +65,6 @@
 func New(cfg Config) *Machine {
 	m := &Machine{cfg: cfg, view: cfg.View, tallies: make(map[uint64]*tally, 1)}
 	m.gate.open = !cfg.Canary && !cfg.Suspect
-	m.gate.probe = noPart
 	return m
 }
 
@@ -77,6 +78,7 @@
 	m.apply(ev, now)
 	m.fireHedges(now)
 	m.conclude(now)
+	m.nextProbe(now)
 	m.wish(now)
 	return m.out
 }
@@ -98,6 +100,11 @@
 		m.broken(ev, now)
 	case ViewChanged:
 		m.viewChanged(ev.View, now)
+	case Cleared:
+		m.cleared()
+	case Condemned:
+		m.retryAfter = max(m.retryAfter, ev.RetryAfter)
+		m.finish(string(ReasonQuarantined))
 	case Cancel:
 		m.finish(MissingCancelled)
 	case Tick:
@@ -190,6 +197,9 @@
 	if due, ok := m.hedges.next(); ok && due.Before(at) {
 		at = due
 	}
+	if m.gate.after.After(now) && m.gate.after.Before(at) {
+		at = m.gate.after
+	}
 	stale := m.wake.IsZero() || !m.wake.After(now)
 	if stale || at.Before(m.wake) {
 		m.wake = at
--- a/kernel/query/messages.go
+++ b/kernel/query/messages.go
@@ -87,6 +87,12 @@
 // of the view that the query started with.
 type ViewChanged struct{ View *view.View }
 
+// Cleared says that another query has shown the request to be safe.
+type Cleared struct{}
+
+// Condemned says that the request has been put in quarantine.
+type Condemned struct{ RetryAfter time.Duration }
+
 func (Begin) isEvent()       {}
 func (Sent) isEvent()        {}
 func (Reply) isEvent()       {}
@@ -96,6 +102,8 @@
 func (Tick) isEvent()        {}
 func (Cancel) isEvent()      {}
 func (ViewChanged) isEvent() {}
+func (Cleared) isEvent()     {}
+func (Condemned) isEvent()   {}
 
 // DeclineReason says why an attempt did not run.
 type DeclineReason string
--- a/kernel/query/part.go
+++ b/kernel/query/part.go
@@ -10,7 +10,7 @@
 // These stand for the absence of an index.
 const (
 	noLeaf     = -1
-	noPart     = -1
+	noShard    = -1
 	noUpstream = -1
 )
 
@@ -36,6 +36,9 @@
 	tried  []int // leaves
 	tries  int
 	hedged bool
+	// anyLeaf lets a part that runs alone go to any leaf, after the one that
+	// the seed names could not take it.
+	anyLeaf bool
 	// lost is the share given up with the part; forVersion tells that another
 	// version could still give it.
 	lost       float64
@@ -55,7 +58,6 @@
 	m.parts = m.parts[:0]
 	m.open = 0
 	m.given = 0
-	m.gate.probe = noPart
 	m.grids = m.newGrids()
 	t := m.current()
 	t.lost = 0
@@ -110,6 +112,7 @@
 	m.attempts = append(m.attempts, a)
 	id := AttemptID(len(m.attempts))
 	p.live = append(p.live, id)
+	m.liveCount++
 	if !a.hedge {
 		p.tries++
 	}
@@ -118,7 +121,7 @@
 		Part:     Part{Upstream: m.spaces[p.space].now, Range: p.need},
 		Shard:    p.shard,
 		Version:  a.version,
-		Avoid:    m.avoid(p),
+		Avoid:    m.avoid(p, a.solo),
 		Hedge:    a.hedge,
 		Retry:    a.retry,
 		Solo:     a.solo,
@@ -146,8 +149,11 @@
 
 // avoid lists the leaves not to choose: those tried, and those that lack the
 // version unless no other is left: they may have it by now.
-func (m *Machine) avoid(p *part) []int {
+func (m *Machine) avoid(p *part, solo bool) []int {
 	out := slices.Clone(p.tried)
+	if solo && !p.anyLeaf {
+		return m.avoidAllBut(m.probeLeaf(p), p)
+	}
 	lacking, others := 0, 0
 	for _, leaf := range m.leaves(p) {
 		switch {
@@ -198,7 +204,6 @@
 	if p.forVersion {
 		t.lost += p.lost
 	}
-	m.probeEnded(i)
 }
 
 // cover settles a part whose keys are covered.
@@ -217,7 +222,6 @@
 	}
 	p.state = partCovered
 	m.withdrawPart(i)
-	m.probeEnded(i)
 }
 
 // withdrawPart takes back all live attempts of a part.
--- a/kernel/query/replan.go
+++ b/kernel/query/replan.go
@@ -14,15 +14,11 @@
 	old := m.parts[i]
 	m.parts[i].state = partReplaced
 	m.open--
-	if m.gate.probe == i {
-		m.gate.probe = noPart
-	}
 	for _, r := range m.current().covered.Missing(old.space, old.need) {
 		for _, piece := range cut(r, held) {
 			m.replanPiece(old, piece, leaf, now)
 		}
 	}
-	m.nextProbe()
 }
 
 // piece is a range with the word whether the leaf asked holds it.
@@ -61,7 +57,7 @@
 		}
 	}
 	for _, r := range rest {
-		for _, i := range m.added(part{space: old.space, need: r, shard: noPart}) {
+		for _, i := range m.added(part{space: old.space, need: r, shard: noShard}) {
 			m.giveUp(i, MissingNoShard)
 		}
 	}
@@ -142,7 +138,7 @@
 		for t := range p.tried {
 			p.tried[t] = translate(p.tried[t])
 		}
-		p.shard = noPart
+		p.shard = noShard
 		if at := m.shardsOf(p.space, p.need); len(at) > 0 {
 			p.shard = at[0]
 		}
--- a/kernel/query/retry.go
+++ b/kernel/query/retry.go
@@ -63,9 +63,17 @@
 		m.retryPart(a.part, failure{reason: string(ev.Reason)}, now)
 		return
 	}
-	if m.idle(a.part) {
-		m.giveUp(a.part, string(ev.Reason))
+	if !m.idle(a.part) {
+		return
 	}
+	if part := &m.parts[a.part]; a.solo && !part.anyLeaf && m.hasOther(part) {
+		part.anyLeaf = true
+		part.tries--
+		m.gate.cursor = 0
+		m.ask(a.part, attempt{retry: a.retry, solo: true})
+		return
+	}
+	m.giveUp(a.part, string(ev.Reason))
 }
 
 // broken handles the end of an attempt that may have run.
@@ -115,31 +123,20 @@
 	return !f.costs || m.cfg.Budget.TakeRetry(now)
 }
 
-// ask offers a part, or holds it while another part runs alone.
+// ask offers a part, or holds it while the gate is closed.
 func (m *Machine) ask(i int, a attempt) {
 	if m.gate.open {
 		m.offer(i, a)
 		return
 	}
-	if m.gate.probe != noPart && m.gate.probe != i {
-		m.parts[i].state = partWaiting
-		return
-	}
-	m.gate.probe = i
-	a.solo = true
-	m.offer(i, a)
+	m.parts[i].state = partWaiting
 }
 
-// askAll offers all waiting parts, or the one that runs alone.
+// askAll asks all waiting parts.
 func (m *Machine) askAll() {
-	if !m.gate.open {
-		m.gate.cursor = 0
-		m.nextProbe()
-		return
-	}
 	for i := range m.parts {
 		if m.parts[i].state == partWaiting {
-			m.offer(i, attempt{retry: len(m.parts[i].tried) > 0})
+			m.ask(i, attempt{retry: m.parts[i].tries > 0})
 		}
 	}
 }
