--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -44,13 +44,9 @@
 // Phase returns the phase of the record's level.
 func (r Record) Phase() Phase { return Phase(r.Level % int(phases)) }
 
-// next is the lowest greater level of a phase.
+// next is the lowest greater level of another phase.
 func (r Record) next(p Phase) int {
-	up := (int(p) - int(r.Phase()) + int(phases)) % int(phases)
-	if up == 0 {
-		up = int(phases)
-	}
-	return r.Level + up
+	return r.Level + (int(p)-int(r.Phase())+int(phases))%int(phases)
 }
 
 // Event is an input of the machine.
