Carry digests and documents between entries over JSON-RPC

Cause: entries must tell each other of generations, leaving leaves and quarantine. A connection opens with a mutual proof of the shared key; messages are bounded. Ruled out: mutual TLS alone, which small sites would have to run a certificate authority for; TLS can be put under it.

--- /dev/null
+++ b/entry/peer/client.go
@@ -0,0 +1,177 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+)
+
+// Target is a peer as the platform's list names it.
+type Target struct {
+	Instance string
+	Address  string // IP:port
+}
+
+// ClientConfig says who the client is.
+type ClientConfig struct {
+	Instance string
+	Key      []byte
+	TLS      *tls.Config // nil: plain TCP
+	// DialTimeout bounds opening a connection; 0 means one second.
+	DialTimeout time.Duration
+}
+
+// Client calls peers over one kept connection each. It is safe for concurrent use.
+type Client struct {
+	config ClientConfig
+	mu     sync.Mutex
+	conns  map[Target]*jsonrpc2.Conn
+}
+
+// NewClient makes a client.
+func NewClient(c ClientConfig) *Client {
+	if c.DialTimeout == 0 {
+		c.DialTimeout = time.Second
+	}
+	return &Client{config: c, conns: make(map[Target]*jsonrpc2.Conn)}
+}
+
+// Digest exchanges digests with a peer.
+func (c *Client) Digest(ctx context.Context, t Target, d *peerapi.Digest) (*peerapi.Digest, error) {
+	var reply peerapi.Digest
+	if err := c.call(ctx, t, peerapi.MethodDigest, d, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+// Document asks a peer for its document, if newer than above.
+func (c *Client) Document(ctx context.Context, t Target, above uint64) (*peerapi.Document, error) {
+	var reply peerapi.Document
+	if err := c.call(ctx, t, peerapi.MethodDocument, peerapi.DocumentRequest{Above: above}, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+// Keep closes the connections to peers that are not named.
+func (c *Client) Keep(targets []Target) {
+	keep := make(map[Target]bool, len(targets))
+	for _, t := range targets {
+		keep[t] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for t, conn := range c.conns {
+		if !keep[t] {
+			delete(c.conns, t)
+			_ = conn.Close()
+		}
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() { c.Keep(nil) }
+
+// call makes one call. A connection that fails is dropped: the next call opens
+// another. The calls are idempotent, but the caller decides on a second try.
+func (c *Client) call(ctx context.Context, t Target, method string, params, result any) error {
+	conn, err := c.conn(ctx, t)
+	if err != nil {
+		return err
+	}
+	if err := conn.Call(ctx, method, params, result); err != nil {
+		c.drop(t, conn)
+		return &UnreachableError{Address: t.Address, Method: method, Err: err}
+	}
+	return nil
+}
+
+// conn returns the kept connection or opens one.
+func (c *Client) conn(ctx context.Context, t Target) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	conn := c.conns[t]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	conn, err := c.open(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[t]; other != nil {
+		_ = conn.Close() // another call was faster
+		return other, nil
+	}
+	c.conns[t] = conn
+	return conn, nil
+}
+
+// drop forgets a connection that failed.
+func (c *Client) drop(t Target, conn *jsonrpc2.Conn) {
+	c.mu.Lock()
+	if c.conns[t] == conn {
+		delete(c.conns, t)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+// open dials and proves.
+func (c *Client) open(ctx context.Context, t Target) (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
+	defer cancel()
+	raw, err := c.dial(ctx, t.Address)
+	if err != nil {
+		return nil, &UnreachableError{Address: t.Address, Method: "dial", Err: err}
+	}
+	// The connection outlives the call that opened it.
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(raw, boundedCodec{}), jsonrpc2.HandlerWithError(refuseCalls))
+	if err := c.prove(ctx, rpc, t); err != nil {
+		_ = rpc.Close()
+		return nil, err
+	}
+	return rpc, nil
+}
+
+// dial opens the connection below.
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	if c.config.TLS != nil {
+		return (&tls.Dialer{Config: c.config.TLS}).DialContext(ctx, "tcp", address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+// prove gives this side's proof and checks the server's.
+func (c *Client) prove(ctx context.Context, rpc *jsonrpc2.Conn, t Target) error {
+	var challenge peerapi.Challenge
+	if err := rpc.Call(ctx, peerapi.MethodChallenge, struct{}{}, &challenge); err != nil {
+		return &UnreachableError{Address: t.Address, Method: peerapi.MethodChallenge, Err: err}
+	}
+	own := newNonce()
+	hello := peerapi.Hello{Instance: c.config.Instance, Nonce: own, MAC: proof(c.config.Key, roleClient, c.config.Instance, challenge.Nonce, own)}
+	var welcome peerapi.Welcome
+	if err := rpc.Call(ctx, peerapi.MethodHello, hello, &welcome); err != nil {
+		return &AuthError{Address: t.Address, Reason: "refused this instance's proof"}
+	}
+	if welcome.Instance != t.Instance {
+		return &AuthError{Address: t.Address, Reason: "is instance " + welcome.Instance + ", not " + t.Instance}
+	}
+	if !proves(welcome.MAC, c.config.Key, roleServer, welcome.Instance, own, challenge.Nonce) {
+		return &AuthError{Address: t.Address, Reason: "did not prove that it knows the key"}
+	}
+	return nil
+}
+
+// refuseCalls answers a server that calls back.
+func refuseCalls(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go the other way"}
+}
