Add membership: lists, leaving leaves and digests as a state machine

Cause: an upstream that leaves gets no new work seconds later although the list lags 30 s. A mark lives two minutes, since nobody sees the mark of a leaf that gets no work; its age goes with it, so relays don't keep it alive.

--- /dev/null
+++ b/kernel/membership/machine.go
@@ -0,0 +1,222 @@
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// peerState is what is known of a peer by its digests.
+type peerState struct {
+	generation uint64
+	hash       string
+	heard      time.Time // when its state was current, by the age relayed
+	direct     time.Time // when it last spoke to this instance
+	draining   bool
+}
+
+// Machine holds the membership as one entry sees it.
+type Machine struct {
+	cfg      Config
+	rand     *rand.Rand
+	actions  []Action
+	list     map[string]Instance
+	marks    map[string]time.Time // leaf to the time of the freshest sighting
+	peers    map[string]peerState
+	draining bool
+	next     time.Time // of the next round
+	leaving  map[string]bool
+	entries  []string
+}
+
+// New returns a machine that knows only itself.
+func New(cfg Config) *Machine {
+	return &Machine{
+		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		list: make(map[string]Instance), marks: make(map[string]time.Time),
+		peers: make(map[string]peerState), leaving: make(map[string]bool),
+	}
+}
+
+// Handle takes an event and returns the actions it causes.
+func (m *Machine) Handle(ev Event, now time.Time) []Action {
+	m.actions = m.actions[:0]
+	switch ev := ev.(type) {
+	case ListRead:
+		m.readList(ev.Instances)
+	case SawLeaving:
+		m.mark(ev.Leaf, now, now)
+	case DigestReceived:
+		m.receive(ev.Digest, now)
+	case PeerFailed:
+		delete(m.peers, ev.Peer)
+	case SpreadNow:
+		m.push()
+	case Drain:
+		m.draining = true
+		m.push()
+	case Tick:
+		m.tick(now)
+	}
+	m.settle(now)
+	return m.actions
+}
+
+func (m *Machine) act(a Action) { m.actions = append(m.actions, a) }
+
+// readList replaces what the platform says. The list lags, so that nothing else
+// is forgotten for it.
+func (m *Machine) readList(instances []Instance) {
+	clear(m.list)
+	for _, in := range instances {
+		m.list[in.ID] = in
+	}
+}
+
+// mark notes a sighting of a leaving leaf. The first one is told at once.
+func (m *Machine) mark(leaf string, seen, now time.Time) {
+	old, known := m.marks[leaf]
+	if known && !seen.After(old) {
+		return
+	}
+	m.marks[leaf] = seen
+	if !known && now.Sub(seen) < m.cfg.MarkLife {
+		m.push()
+	}
+}
+
+// receive takes in a peer's digest.
+func (m *Machine) receive(d *Digest, now time.Time) {
+	if d.Instance == m.cfg.Instance {
+		return
+	}
+	m.peers[d.Instance] = peerState{generation: d.Generation, hash: d.Hash, heard: now, direct: now, draining: d.Draining}
+	for _, l := range d.Leaving {
+		if l.Age >= 0 {
+			m.mark(l.Leaf, now.Add(-l.Age), now)
+		}
+	}
+	for _, g := range d.Generations {
+		m.relayed(g, now)
+	}
+	m.act(PeerAhead{Peer: m.peer(d.Instance), Generation: d.Generation})
+}
+
+// relayed takes in what a peer heard of another instance. It never replaces
+// what is newer, and never makes a generation go back.
+func (m *Machine) relayed(g RelayedGeneration, now time.Time) {
+	if g.Instance == m.cfg.Instance || g.Age < 0 {
+		return
+	}
+	heard := now.Add(-g.Age)
+	p := m.peers[g.Instance]
+	if !heard.After(p.heard) || g.Generation < p.generation || now.Sub(heard) > m.cfg.MarkLife {
+		return
+	}
+	p.generation, p.heard = g.Generation, heard
+	m.peers[g.Instance] = p
+}
+
+// tick starts a round when it is time, and forgets what is old.
+func (m *Machine) tick(now time.Time) {
+	maps.DeleteFunc(m.marks, func(_ string, seen time.Time) bool { return now.Sub(seen) >= m.cfg.MarkLife })
+	maps.DeleteFunc(m.peers, func(_ string, p peerState) bool { return now.Sub(p.heard) >= m.cfg.MarkLife })
+	if now.Before(m.next) {
+		return
+	}
+	// Rounds are spread, so that instances that started together don't stay in step.
+	m.next = now.Add(m.cfg.Interval/2 + time.Duration(m.rand.Int64N(int64(m.cfg.Interval))))
+	m.send(m.cfg.Fanout)
+}
+
+// push tells some peers at once. Each that learns something new does the same,
+// so that news reaches everyone in a number of steps that grows with the
+// logarithm of the fleet.
+func (m *Machine) push() { m.send(m.cfg.PushFanout) }
+
+// send tells n peers, chosen at random from the list.
+func (m *Machine) send(n int) {
+	peers := m.Peers()
+	m.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers[:min(n, len(peers))] {
+		m.act(SendDigest{Peer: p})
+	}
+}
+
+// settle reports a changed membership and asks for the next Tick.
+func (m *Machine) settle(now time.Time) {
+	leaving, entries := m.computeLeaving(now), m.computeEntries(now)
+	if !maps.Equal(leaving, m.leaving) || !slices.Equal(entries, m.entries) {
+		m.leaving, m.entries = leaving, entries
+		m.act(Changed{})
+	}
+	if m.next.IsZero() {
+		m.next = now
+	}
+	m.act(WakeAt{At: m.next})
+}
+
+// computeLeaving is the OR of the list and the sightings.
+func (m *Machine) computeLeaving(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for id, in := range m.list {
+		if !in.Entry && in.Leaving {
+			out[id] = true
+		}
+	}
+	for leaf, seen := range m.marks {
+		if now.Sub(seen) < m.cfg.MarkLife {
+			out[leaf] = true
+		}
+	}
+	return out
+}
+
+// computeEntries lists the entries that may hold connections: those of the
+// list, leaving ones too, those heard of lately, and this one.
+func (m *Machine) computeEntries(now time.Time) []string {
+	set := map[string]bool{m.cfg.Instance: true}
+	for id, in := range m.list {
+		if in.Entry {
+			set[id] = true
+		}
+	}
+	for id, p := range m.peers {
+		if now.Sub(p.heard) < m.cfg.HeardLife {
+			set[id] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
+// Leaving reports whether a leaf gets no new work.
+func (m *Machine) Leaving(leaf string) bool { return m.leaving[leaf] }
+
+// Entries lists the entries that may hold connections, in order.
+func (m *Machine) Entries() []string { return m.entries }
+
+// Peers lists the other entries of the platform's list, in order.
+func (m *Machine) Peers() []Peer {
+	var out []Peer
+	for id, in := range m.list {
+		if in.Entry && id != m.cfg.Instance && in.PeerAddress != "" {
+			out = append(out, Peer{Instance: id, Address: in.PeerAddress})
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Instance, b.Instance) })
+	return out
+}
+
+// peer returns a peer with its address, if the list has it.
+func (m *Machine) peer(instance string) Peer {
+	return Peer{Instance: instance, Address: m.list[instance].PeerAddress}
+}
+
+// Instances returns the platform's list, in order of ID.
+func (m *Machine) Instances() []Instance {
+	out := slices.Collect(maps.Values(m.list))
+	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/kernel/membership/messages.go
@@ -0,0 +1,130 @@
+// Package membership is the state machine of who is there: entries and leaves
+// of the platform's list, which lags; leaves that say they are leaving; and
+// peers, from the digests that entries send each other. Nothing is agreed here:
+// each fact spreads by itself, ages, and is forgotten.
+package membership
+
+import "time"
+
+// Instance is one line of the platform's list.
+type Instance struct {
+	ID          string
+	Entry       bool   // an entry, else a leaf
+	PeerAddress string // of an entry's peer listener, IP:port
+	Leaving     bool
+}
+
+// Digest is what an entry tells a peer. Its lists are bounded.
+type Digest struct {
+	Instance    string
+	Generation  uint64
+	Hash        string
+	Draining    bool
+	Leaving     []LeavingLeaf
+	Generations []RelayedGeneration
+}
+
+// LeavingLeaf is one leaf's mark with the age of its freshest sighting.
+type LeavingLeaf struct {
+	Leaf string
+	Age  time.Duration
+}
+
+// RelayedGeneration is another instance's generation with the age of the word.
+type RelayedGeneration struct {
+	Instance   string
+	Generation uint64
+	Age        time.Duration
+}
+
+// Event is an input of the machine.
+type Event interface{ isEvent() }
+
+// ListRead gives the platform's list of instances.
+type ListRead struct{ Instances []Instance }
+
+// SawLeaving says that a leaf marked itself as leaving, in a reply or when asked.
+type SawLeaving struct{ Leaf string }
+
+// DigestReceived gives a peer's digest.
+type DigestReceived struct{ Digest *Digest }
+
+// PeerFailed says that a peer did not answer.
+type PeerFailed struct{ Peer string }
+
+// SpreadNow asks to tell some peers at once, for news outside of this machine.
+type SpreadNow struct{}
+
+// Drain says that this instance is leaving.
+type Drain struct{}
+
+// Tick says that a time asked for by WakeAt has passed.
+type Tick struct{}
+
+func (ListRead) isEvent()       {}
+func (SawLeaving) isEvent()     {}
+func (DigestReceived) isEvent() {}
+func (PeerFailed) isEvent()     {}
+func (SpreadNow) isEvent()      {}
+func (Drain) isEvent()          {}
+func (Tick) isEvent()           {}
+
+// Action is an output of the machine.
+type Action interface{ isAction() }
+
+// SendDigest exchanges digests with a peer.
+type SendDigest struct{ Peer Peer }
+
+// Changed says that the set of leaving leaves or of entries is another.
+type Changed struct{}
+
+// PeerAhead tells the generation in force at a peer.
+type PeerAhead struct {
+	Peer       Peer
+	Generation uint64
+}
+
+// WakeAt asks for a Tick at or after At; it replaces an earlier wish.
+type WakeAt struct{ At time.Time }
+
+func (SendDigest) isAction() {}
+func (Changed) isAction()    {}
+func (PeerAhead) isAction()  {}
+func (WakeAt) isAction()     {}
+
+// Peer is another entry.
+type Peer struct {
+	Instance string
+	Address  string // of its peer listener, IP:port
+}
+
+// Config sets the name, times and bounds.
+type Config struct {
+	Instance string
+	// Interval is the time between rounds of digests.
+	Interval time.Duration
+	// Fanout is the number of peers told in a round.
+	Fanout int
+	// PushFanout is the number of peers told at once of news.
+	PushFanout int
+	// MarkLife is how long a sighting of a leaving leaf counts. It must be
+	// longer than the list lags, since nobody sees the mark of a leaf that
+	// gets no work.
+	MarkLife time.Duration
+	// HeardLife is how long a peer counts after its last digest.
+	HeardLife time.Duration
+	// MaxLeaving and MaxGenerations bound the lists of a digest.
+	MaxLeaving     int
+	MaxGenerations int
+	Seed           uint64
+}
+
+// DefaultConfig returns the settings for production.
+func DefaultConfig(instance string, seed uint64) Config {
+	return Config{
+		Instance: instance, Seed: seed,
+		Interval: time.Second, Fanout: 2, PushFanout: 4,
+		MarkLife: 2 * time.Minute, HeardLife: 5 * time.Second,
+		MaxLeaving: 64, MaxGenerations: 16,
+	}
+}
