--- a/plugins/adaptivelimit/adaptivelimit.go
+++ b/plugins/adaptivelimit/adaptivelimit.go
@@ -14,10 +14,12 @@
 
 const (
 	gain = 0.1 // weight of one reply in the moving averages
-	// Wait inside the leaf, as a share of the mean service time, above which
-	// the limit falls and below which it may grow.
-	waitHigh = 2.0
-	waitLow  = 1.0
+	// Wait inside the leaf, in mean service times and divided by the limit,
+	// above which the limit falls and below which it may grow. The higher the
+	// limit, the more of that wait is this entry's own doing; at 1 it is all
+	// the other entries', and lower than 1 there is nothing to go.
+	waitHigh = 5.0
+	waitLow  = 3.5
 	grow     = 1.0 // a limit of n grows by this after n saturated replies
 	shrink   = 0.1 // share by which the limit falls after n replies
 	shedCut  = 0.5 // factor after a shed reply
@@ -58,9 +60,9 @@
 	}
 	p.learn(s, now)
 	switch {
-	case p.wait > waitHigh*p.service:
+	case p.wait*p.limit > waitHigh*p.service:
 		p.limit = max(1, p.limit-shrink)
-	case s.Saturated && p.wait < waitLow*p.service:
+	case s.Saturated && p.wait*p.limit < waitLow*p.service:
 		p.limit = min(float64(p.share), p.limit+grow/max(1, p.limit))
 	}
 }
