--- /dev/null
+++ b/kernel/dispatch/machine_test.go
@@ -0,0 +1,334 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+)
+
+func TestNewNamesTheWrongField(t *testing.T) {
+	good := Policies{Routing: fakePolicy, Order: fakePolicy, Limit: fakePolicy}
+	v := testView(1, 1, 1, 1, 1)
+	for field, cfg := range map[string]Config{
+		"View":             {Policies: good},
+		"Upstream":         {View: v, Upstream: 1, Policies: good},
+		"Policies.Routing": {View: v, Policies: Policies{Routing: "x", Order: fakePolicy, Limit: fakePolicy}},
+		"Policies.Order":   {View: v, Policies: Policies{Routing: fakePolicy, Order: "x", Limit: fakePolicy}},
+		"Policies.Limit":   {View: v, Policies: Policies{Routing: fakePolicy, Order: fakePolicy, Limit: "x"}},
+	} {
+		_, err := New(cfg)
+		var ce *ConfigError
+		if !errors.As(err, &ce) || ce.Field != field {
+			t.Errorf("error %v, want one for %s", err, field)
+		}
+		var unknown *plugin.UnknownError
+		if cfg.View != nil && cfg.Upstream == 0 && !errors.As(err, &unknown) {
+			t.Errorf("error %v does not wrap the unknown plug-in", err)
+		}
+	}
+}
+
+func TestOrderFollowsTheQueryStamp(t *testing.T) {
+	defer func() { fakeNewest = false }()
+	for newest, want := range map[bool]string{false: "[2 3 4]", true: "[4 3 2]"} {
+		fakeNewest = newest
+		m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+		m.Handle(offered(1), start)
+		for _, q := range []int{3, 4, 2} { // offered out of the order of stamps
+			m.Handle(offered(q), start)
+		}
+		var got []uint64
+		running := uint64(1)
+		for range 3 {
+			d := dispatched(m.Handle(reply(int(running), 0), start))
+			if len(d) != 1 {
+				t.Fatalf("dispatched %v, want one", d)
+			}
+			running = d[0]
+			got = append(got, running)
+		}
+		if fmt.Sprint(got) != want {
+			t.Errorf("newest first %v: dispatched %v, want %s", newest, got, want)
+		}
+	}
+}
+
+// TestCallersShareByWeight keeps both callers' queues full, one of them ten
+// times as long, and counts services.
+func TestCallersShareByWeight(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 3))
+	q := 0
+	caller := map[uint64]string{}
+	offer := func(name string, n int) (actions []Action) {
+		for range n {
+			q++
+			o := offered(q)
+			o.Caller = name
+			caller[uint64(q)] = name
+			actions = append(actions, m.Handle(o, start)...)
+		}
+		return actions
+	}
+	running := dispatched(offer("a", 1000))[0]
+	offer("b", 100)
+	served := map[string]int{"a": 1} // the running one
+	for range 79 {
+		running = dispatched(m.Handle(reply(int(running), 0), start))[0]
+		served[caller[running]]++
+	}
+	if served["a"] != 20 || served["b"] != 60 {
+		t.Fatalf("served %v of 80, want a 20 and b 60 by their shares 1 and 3", served)
+	}
+}
+
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+	// Sixty-four replies of 100 ms teach the machine what a reply takes.
+	for q := range 64 {
+		m.Handle(offered(q), start)
+		m.Handle(reply(q, 100*time.Millisecond), start)
+	}
+	short := offered(100)
+	short.Deadline = start.Add(50 * time.Millisecond)
+	wantRefused(t, m.Handle(short, start), query.ReasonDeadline)
+
+	m.Handle(offered(101), start) // occupies the leaf
+	actions := m.Handle(offered(102), start)
+	var wake time.Time
+	for _, a := range actions {
+		if w, ok := a.(WakeAt); ok {
+			wake = w.At
+		}
+	}
+	if wake.IsZero() || !wake.Before(start.Add(second-50*time.Millisecond)) {
+		t.Fatalf("wake-up at %v, want one well before the deadline", wake)
+	}
+	if r := refusal(m.Handle(Tick{}, wake.Add(-time.Millisecond))); r != nil {
+		t.Fatalf("refused %v too early", r)
+	}
+	wantRefused(t, m.Handle(Tick{}, wake), query.ReasonDeadline)
+}
+
+func TestLongQueueIsRefusedWithADelay(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+	m.Handle(offered(0), start)
+	for q := range 64 {
+		m.Handle(reply(q, 100*time.Millisecond), start)
+		m.Handle(offered(q+1), start)
+	}
+	accepted := 0
+	for q := 100; q < 150; q++ {
+		r := refusal(m.Handle(offered(q), start))
+		if r == nil {
+			accepted++
+			continue
+		}
+		if r.Reason != query.ReasonOverloaded || r.RetryAfter < 500*time.Millisecond {
+			t.Fatalf("refusal %+v, want overloaded with the time of the backlog", r)
+		}
+		break
+	}
+	// A second holds ten services of 100 ms, one of which is running.
+	if accepted < 6 || accepted > 10 {
+		t.Fatalf("accepted %d waiting attempts, want about 9", accepted)
+	}
+}
+
+func TestSoloRunsAlone(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 3, 1, 1))
+	m.Handle(offered(1), start)
+	solo := offered(2)
+	solo.Solo = true
+	if d := dispatched(m.Handle(solo, start)); len(d) != 0 {
+		t.Fatalf("dispatched %v beside another attempt", d)
+	}
+	if d := dispatched(m.Handle(offered(3), start)); len(d) != 0 {
+		t.Fatalf("dispatched %v on a leaf that is kept for a solo attempt", d)
+	}
+	if d := dispatched(m.Handle(reply(1, 0), start)); !slices.Equal(d, []uint64{2}) {
+		t.Fatalf("dispatched %v, want the solo attempt alone", d)
+	}
+	if d := dispatched(m.Handle(offered(4), start)); len(d) != 0 {
+		t.Fatalf("dispatched %v beside a solo attempt", d)
+	}
+	if d := dispatched(m.Handle(reply(2, 0), start)); !slices.Equal(d, []uint64{3, 4}) {
+		t.Fatalf("dispatched %v, want what waited", d)
+	}
+}
+
+func TestWithdrawnSoloFreesItsLeaf(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 3, 1, 1))
+	m.Handle(offered(1), start)
+	solo := offered(2)
+	solo.Solo = true
+	m.Handle(solo, start)
+	m.Handle(offered(3), start)
+	if d := dispatched(m.Handle(Withdrawn{Ticket: ticket(2)}, start)); !slices.Equal(d, []uint64{3}) {
+		t.Fatalf("dispatched %v, want what waited behind the solo attempt", d)
+	}
+}
+
+func TestIdleCallerEarnsNoCredit(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+	q := 0
+	offer := func(name string) []uint64 {
+		q++
+		o := offered(q)
+		o.Caller = name
+		return dispatched(m.Handle(o, start))
+	}
+	running := offer("a")[0]
+	for range 50 { // a is served alone for a while
+		offer("a")
+		running = dispatched(m.Handle(reply(int(running), 0), start))[0]
+	}
+	for range 10 {
+		offer("a")
+	}
+	first := q + 1
+	for range 10 {
+		offer("b")
+	}
+	ofB := 0
+	for range 10 {
+		running = dispatched(m.Handle(reply(int(running), 0), start))[0]
+		if int(running) >= first {
+			ofB++
+		}
+	}
+	if ofB < 4 || ofB > 6 {
+		t.Fatalf("the caller that was idle got %d of 10 services, want half", ofB)
+	}
+}
+
+func TestRepeatedEndIsIgnored(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+	m.Handle(offered(1), start)
+	m.Handle(reply(1, 0), start)
+	m.Handle(reply(1, 0), start)
+	m.Handle(offered(2), start)
+	if d := dispatched(m.Handle(offered(3), start)); len(d) != 0 {
+		t.Fatalf("dispatched %v beyond the limit after a repeated end", d)
+	}
+}
+
+// TestSlotGoesToWorkThatCanFinish has replies of 10 or 100 ms, two in three
+// the longer: while others wait, an attempt with 50 ms left is given up.
+func TestSlotGoesToWorkThatCanFinish(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+	for q := range 64 {
+		m.Handle(offered(q), start)
+		latency := 100 * time.Millisecond
+		if q%3 == 0 {
+			latency = 10 * time.Millisecond
+		}
+		m.Handle(reply(q, latency), start)
+	}
+	m.Handle(offered(100), start)
+	tight := offered(101)
+	tight.Deadline = start.Add(300 * time.Millisecond)
+	m.Handle(tight, start)
+	m.Handle(offered(102), start)
+	late := start.Add(250 * time.Millisecond)
+	actions := m.Handle(reply(100, 250*time.Millisecond), late)
+	wantRefused(t, actions, query.ReasonDeadline)
+	if d := dispatched(actions); !slices.Equal(d, []uint64{102}) {
+		t.Fatalf("dispatched %v, want the attempt that can finish", d)
+	}
+}
+
+func TestHedgeAvoidsTheFirstLeaf(t *testing.T) {
+	m := newTestMachine(t, testView(1, 2, 2, 1, 1))
+	first := m.Handle(offered(1), start)[0].(Dispatch)
+	h := offered(1)
+	h.Ticket.Attempt, h.Hedge, h.Avoid = 2, true, []int{first.Leaf}
+	second := m.Handle(h, start)[0].(Dispatch)
+	if second.Leaf == first.Leaf {
+		t.Fatalf("the hedge went to leaf %d again", first.Leaf)
+	}
+	h.Ticket.Attempt, h.Avoid = 3, []int{first.Leaf, second.Leaf}
+	wantRefused(t, m.Handle(h, start), query.ReasonOverloaded)
+	// A retry after both declined may use either again.
+	r := offered(1)
+	r.Ticket.Attempt, r.Retry, r.Avoid = 4, true, []int{first.Leaf, second.Leaf}
+	if d := dispatched(m.Handle(r, start)); len(d) != 1 {
+		t.Fatalf("a retry with all leaves used was not dispatched")
+	}
+}
+
+func TestEjectionTakesABoundedShare(t *testing.T) {
+	defer clear(fakeEjected)
+	m := newTestMachine(t, testView(1, 2, 1, 1, 1))
+	fakeEjected[0] = true
+	d := m.Handle(offered(1), start)[0].(Dispatch)
+	if d.Leaf != 1 {
+		t.Fatalf("leaf %d, want the one that is not ejected", d.Leaf)
+	}
+	if got := dispatched(m.Handle(offered(2), start)); len(got) != 0 {
+		t.Fatalf("dispatched %v to an ejected leaf", got)
+	}
+	fakeEjected[1] = true // all: the bound uses them again
+	if got := dispatched(m.Handle(Tick{}, start)); !slices.Equal(got, []uint64{2}) {
+		t.Fatalf("dispatched %v, want work to go on when all are ejected", got)
+	}
+}
+
+func TestLeavingLeafGetsNoNewWork(t *testing.T) {
+	v := testView(1, 2, 1, 1, 1)
+	m := newTestMachine(t, v)
+	m.Handle(offered(1), start)
+	v2 := testView(1, 2, 1, 1, 1)
+	v2.Leaves[0].Leaving, v2.Leaves[1].Leaving = true, true
+	m.Handle(offered(2), start)
+	m.Handle(offered(3), start) // waits
+	wantRefused(t, m.Handle(ViewChanged{View: v2}, start), query.ReasonNoLeaf)
+	if d := dispatched(m.Handle(reply(1, 0), start)); len(d) != 0 {
+		t.Fatalf("dispatched %v to a leaving leaf", d)
+	}
+	wantRefused(t, m.Handle(offered(4), start), query.ReasonNoLeaf)
+	// It comes back: running attempts from before still end properly.
+	m.Handle(ViewChanged{View: v}, start)
+	m.Handle(reply(2, 0), start)
+	m.Handle(offered(5), start)
+	if got := dispatched(m.Handle(offered(6), start)); len(got) != 1 {
+		t.Fatalf("dispatched %v, want both leaves free again", got)
+	}
+}
+
+func TestRepartitionedShardIsRefused(t *testing.T) {
+	m := newTestMachine(t, testView(2, 1, 1, 1, 1))
+	m.Handle(offered(1), start)
+	m.Handle(offered(2), start)
+	o := offered(3)
+	o.Shard = 1
+	m.Handle(o, start)
+	o.Ticket = ticket(4)
+	m.Handle(o, start)
+	// The second shard's range is now split; the first one's is the same.
+	v := testView(2, 1, 1, 1, 1)
+	v.Upstreams[0].Shards[1].Range.To = 3
+	actions := m.Handle(ViewChanged{View: v}, start)
+	r := refusal(actions)
+	if r == nil || r.Reason != query.ReasonWrongRange || r.Ticket != ticket(4) {
+		t.Fatalf("actions %v, want query 4 alone refused", actions)
+	}
+	if d := dispatched(m.Handle(reply(1, 0), start)); !slices.Equal(d, []uint64{2}) {
+		t.Fatalf("dispatched %v, want the waiting attempt of the unchanged shard", d)
+	}
+	o.Ticket = ticket(5)
+	m.Handle(o, start)
+	v2 := testView(2, 1, 1, 1, 1)
+	v2.Upstreams[0].Shards[0].Range.From = 10
+	v2.Upstreams[0].Shards[1].Range.To = 3
+	m.Handle(ViewChanged{View: v2}, start)
+	actions = m.Handle(reply(3, 0), start)
+	if len(actions) == 0 || actions[0].(Dispatch).Shard != 1 || actions[0].(Dispatch).Ticket != ticket(5) {
+		t.Fatalf("actions %v, want query 5 on its own shard", actions)
+	}
+	wantRefused(t, m.Handle(Offered{Ticket: ticket(9), Shard: 7, Deadline: start.Add(second)}, start), query.ReasonWrongRange)
+}
