--- a/kernel/membership/machine.go
+++ b/kernel/membership/machine.go
@@ -1,294 +1,222 @@
 package membership
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 )
 
-// Bounds and times of the machine.
-const (
-	// MaxMarks and MaxSamples bound a digest's lists.
-	MaxMarks   = 32
-	MaxSamples = 16
-	// Interval is the time between rounds of digests.
-	Interval = time.Second
-	// fanout is the number of peers told each round, pushFanout the number told
-	// at once of news.
-	fanout     = 3
-	pushFanout = 8
-	// heardFor is how long an unlisted entry counts as live after its last digest.
-	heardFor = 10 * time.Second
-	// markFor is how long a drain mark holds without a new sighting. It is
-	// longer than the list lags, so that the list has taken over by then.
-	markFor = 60 * time.Second
-	// probeSpread is the random part before markFor in which an entry probes,
-	// so that the first probe refreshes the mark for most entries.
-	probeSpread = 20 * time.Second
-	// resetAfter is the step back of a sequence, in milliseconds, that no late
-	// digest explains: the entry was replaced and its clock is behind.
-	resetAfter = 10_000
-	// forgetAfter is how long a silent, unlisted entry is remembered.
-	forgetAfter = 5 * time.Minute
-)
-
-// Machine is the membership machine of one entry.
-type Machine struct {
-	self     string
-	zone     string
-	rnd      *rand.Rand
-	sequence uint64
-	inForce  InForce
-	draining bool
-
-	peers       map[string]*peer
-	listLeaving map[string]bool
-	marks       map[string]*mark
-
-	roundAt time.Time
-	actions []Action
-}
-
-// peer is what is known of another entry.
-type peer struct {
-	Entry
-	listed     bool
-	heardAt    time.Time
-	sequence   uint64
-	draining   bool
+// peerState is what is known of a peer by its digests.
+type peerState struct {
 	generation uint64
-	genAt      time.Time // when the generation was true
 	hash       string
+	heard      time.Time // when its state was current, by the age relayed
+	direct     time.Time // when it last spoke to this instance
+	draining   bool
 }
 
-// mark is a leaf's drain mark.
-type mark struct {
-	seenAt  time.Time // latest sighting by anyone
-	clearAt time.Time // sightings up to here are void; zero: none are
-	held    bool
-	probeAt time.Time
+// Machine holds the membership as one entry sees it.
+type Machine struct {
+	cfg      Config
+	rand     *rand.Rand
+	actions  []Action
+	list     map[string]Instance
+	marks    map[string]time.Time // leaf to the time of the freshest sighting
+	peers    map[string]peerState
+	draining bool
+	next     time.Time // of the next round
+	leaving  map[string]bool
+	entries  []string
 }
 
-// New returns the machine of an entry. The random source picks peers.
-func New(self, zone string, rnd *rand.Rand) *Machine {
+// New returns a machine that knows only itself.
+func New(cfg Config) *Machine {
 	return &Machine{
-		self: self, zone: zone, rnd: rnd,
-		peers:       make(map[string]*peer),
-		listLeaving: make(map[string]bool),
-		marks:       make(map[string]*mark),
+		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		list: make(map[string]Instance), marks: make(map[string]time.Time),
+		peers: make(map[string]peerState), leaving: make(map[string]bool),
 	}
 }
 
-// Handle implements machine.Machine.
-func (m *Machine) Handle(event Event, now time.Time) []Action {
+// Handle takes an event and returns the actions it causes.
+func (m *Machine) Handle(ev Event, now time.Time) []Action {
 	m.actions = m.actions[:0]
-	if m.roundAt.IsZero() {
-		m.roundAt = now.Add(time.Duration(m.rnd.Int64N(int64(Interval))))
-	}
-	switch e := event.(type) {
-	case Listed:
-		m.listed(e, now)
-	case Heard:
-		m.heard(e.Digest, now)
-	case LeafDraining:
-		m.sighted(e.Leaf, now, now)
-	case LeafReady:
-		m.ready(e.Leaf, now)
-	case LeafSilent:
-		m.silent(e.Leaf, now)
-	case InForce:
-		m.inForced(e)
+	switch ev := ev.(type) {
+	case ListRead:
+		m.readList(ev.Instances)
+	case SawLeaving:
+		m.mark(ev.Leaf, now, now)
+	case DigestReceived:
+		m.receive(ev.Digest, now)
+	case PeerFailed:
+		delete(m.peers, ev.Peer)
+	case SpreadNow:
+		m.push()
 	case Drain:
 		m.draining = true
 		m.push()
-		m.emit(Changed{})
 	case Tick:
 		m.tick(now)
 	}
-	m.emit(WakeAt{m.nextWake()})
+	m.settle(now)
 	return m.actions
 }
 
-// emit adds an action.
-func (m *Machine) emit(a Action) { m.actions = append(m.actions, a) }
+func (m *Machine) act(a Action) { m.actions = append(m.actions, a) }
 
-// listed takes over the platform's list.
-func (m *Machine) listed(e Listed, now time.Time) {
-	before := m.Live(now)
-	for _, p := range m.peers {
-		p.listed = false
-	}
-	for _, entry := range e.Entries {
-		if entry.ID == m.self {
-			continue
-		}
-		p := m.peer(entry.ID)
-		p.Entry = entry
-		p.listed = true
-	}
-	leaving := make(map[string]bool, len(e.LeavingLeaves))
-	for _, leaf := range e.LeavingLeaves {
-		leaving[leaf] = true
-	}
-	changed := !maps.Equal(leaving, m.listLeaving)
-	m.listLeaving = leaving
-	if changed || !slices.Equal(before, m.Live(now)) {
-		m.emit(Changed{})
+// readList replaces what the platform says. The list lags, so that nothing else
+// is forgotten for it.
+func (m *Machine) readList(instances []Instance) {
+	clear(m.list)
+	for _, in := range instances {
+		m.list[in.ID] = in
 	}
 }
 
-// peer finds or makes the record of an entry.
-func (m *Machine) peer(id string) *peer {
-	p, ok := m.peers[id]
-	if !ok {
-		p = &peer{Entry: Entry{ID: id}}
-		m.peers[id] = p
-	}
-	return p
-}
-
-// heard takes another entry's digest. What is relayed in it counts whatever
-// its order; what the sender says of itself counts only when it is newer.
-func (m *Machine) heard(d Digest, now time.Time) {
-	if d.Instance == m.self {
+// mark notes a sighting of a leaving leaf. The first one is told at once.
+func (m *Machine) mark(leaf string, seen, now time.Time) {
+	old, known := m.marks[leaf]
+	if known && !seen.After(old) {
 		return
 	}
-	before := m.Live(now)
-	p := m.peer(d.Instance)
-	restarted := d.Sequence+resetAfter < p.sequence
-	if d.Sequence > p.sequence || restarted {
-		p.sequence = d.Sequence
-		p.draining = d.Draining
-		p.Zone = d.Zone
-		p.generation, p.hash, p.genAt = d.Generation, d.Hash, now
-	}
-	p.heardAt = now
-	for _, mk := range d.Marks {
-		m.sighted(mk.Leaf, now.Add(-max(0, mk.Age)), now)
-	}
-	for _, s := range d.Samples {
-		m.sampled(s, now)
-	}
-	if !slices.Equal(before, m.Live(now)) {
-		m.emit(Changed{})
+	m.marks[leaf] = seen
+	if !known && now.Sub(seen) < m.cfg.MarkLife {
+		m.push()
 	}
 }
 
-// sampled takes a relayed generation, if it is newer than what is known.
-func (m *Machine) sampled(s Sample, now time.Time) {
-	p, ok := m.peers[s.Instance]
-	if !ok {
+// receive takes in a peer's digest.
+func (m *Machine) receive(d *Digest, now time.Time) {
+	if d.Instance == m.cfg.Instance {
 		return
 	}
-	if at := now.Add(-max(0, s.Age)); at.After(p.genAt) {
-		p.generation, p.genAt = s.Generation, at
+	m.peers[d.Instance] = peerState{generation: d.Generation, hash: d.Hash, heard: now, direct: now, draining: d.Draining}
+	for _, l := range d.Leaving {
+		if l.Age >= 0 {
+			m.mark(l.Leaf, now.Add(-l.Age), now)
+		}
+	}
+	for _, g := range d.Generations {
+		m.relayed(g, now)
 	}
+	m.act(PeerAhead{Peer: m.peer(d.Instance), Generation: d.Generation})
 }
 
-// sighted takes a sighting of a leaf's drain mark. The first one is told to
-// the peers at once.
-func (m *Machine) sighted(leaf string, at, now time.Time) {
-	mk, ok := m.marks[leaf]
-	if !ok {
-		mk = &mark{}
-		m.marks[leaf] = mk
-	}
-	if !at.After(mk.seenAt) || !at.After(mk.clearAt) || now.Sub(at) >= markFor {
+// relayed takes in what a peer heard of another instance. It never replaces
+// what is newer, and never makes a generation go back.
+func (m *Machine) relayed(g RelayedGeneration, now time.Time) {
+	if g.Instance == m.cfg.Instance || g.Age < 0 {
 		return
 	}
-	mk.seenAt = at
-	mk.probeAt = at.Add(markFor - time.Duration(m.rnd.Int64N(int64(probeSpread))))
-	if mk.held {
+	heard := now.Add(-g.Age)
+	p := m.peers[g.Instance]
+	if !heard.After(p.heard) || g.Generation < p.generation || now.Sub(heard) > m.cfg.MarkLife {
 		return
 	}
-	mk.held = true
-	m.emit(Changed{})
-	m.push()
+	p.generation, p.heard = g.Generation, heard
+	m.peers[g.Instance] = p
 }
 
-// ready clears a mark: sightings up to now are void, also relayed ones.
-func (m *Machine) ready(leaf string, now time.Time) {
-	mk, ok := m.marks[leaf]
-	if !ok || !mk.held {
+// tick starts a round when it is time, and forgets what is old.
+func (m *Machine) tick(now time.Time) {
+	maps.DeleteFunc(m.marks, func(_ string, seen time.Time) bool { return now.Sub(seen) >= m.cfg.MarkLife })
+	maps.DeleteFunc(m.peers, func(_ string, p peerState) bool { return now.Sub(p.heard) >= m.cfg.MarkLife })
+	if now.Before(m.next) {
 		return
 	}
-	mk.held = false
-	mk.clearAt = now
-	m.emit(Changed{})
+	// Rounds are spread, so that instances that started together don't stay in step.
+	m.next = now.Add(m.cfg.Interval/2 + time.Duration(m.rand.Int64N(int64(m.cfg.Interval))))
+	m.send(m.cfg.Fanout)
 }
 
-// silent keeps the mark of a leaf that does not answer, and probes again.
-func (m *Machine) silent(leaf string, now time.Time) {
-	if mk, ok := m.marks[leaf]; ok && mk.held {
-		mk.seenAt = now.Add(-probeSpread)
-		mk.probeAt = now.Add(probeSpread)
+// push tells some peers at once. Each that learns something new does the same,
+// so that news reaches everyone in a number of steps that grows with the
+// logarithm of the fleet.
+func (m *Machine) push() { m.send(m.cfg.PushFanout) }
+
+// send tells n peers, chosen at random from the list.
+func (m *Machine) send(n int) {
+	peers := m.Peers()
+	m.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers[:min(n, len(peers))] {
+		m.act(SendDigest{Peer: p})
 	}
 }
 
-// inForced notes this entry's generation and tells peers of a new one at once.
-func (m *Machine) inForced(e InForce) {
-	if e.Generation <= m.inForce.Generation {
-		return
+// settle reports a changed membership and asks for the next Tick.
+func (m *Machine) settle(now time.Time) {
+	leaving, entries := m.computeLeaving(now), m.computeEntries(now)
+	if !maps.Equal(leaving, m.leaving) || !slices.Equal(entries, m.entries) {
+		m.leaving, m.entries = leaving, entries
+		m.act(Changed{})
 	}
-	m.inForce = e
-	m.push()
+	if m.next.IsZero() {
+		m.next = now
+	}
+	m.act(WakeAt{At: m.next})
 }
 
-// tick runs a round of digests, probes and forgetting.
-func (m *Machine) tick(now time.Time) {
-	if !now.Before(m.roundAt) {
-		m.roundAt = now.Add(Interval)
-		m.send(fanout)
-		m.forget(now)
+// computeLeaving is the OR of the list and the sightings.
+func (m *Machine) computeLeaving(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for id, in := range m.list {
+		if !in.Entry && in.Leaving {
+			out[id] = true
+		}
 	}
-	for _, leaf := range slices.Sorted(maps.Keys(m.marks)) {
-		mk := m.marks[leaf]
-		if mk.held && !now.Before(mk.probeAt) {
-			mk.probeAt = now.Add(probeSpread)
-			m.emit(Probe{leaf})
+	for leaf, seen := range m.marks {
+		if now.Sub(seen) < m.cfg.MarkLife {
+			out[leaf] = true
 		}
 	}
+	return out
 }
 
-// forget drops marks and entries of which nothing was heard for long.
-func (m *Machine) forget(now time.Time) {
-	before := len(m.peers)
-	maps.DeleteFunc(m.peers, func(_ string, p *peer) bool {
-		return !p.listed && now.Sub(p.heardAt) > forgetAfter
-	})
-	maps.DeleteFunc(m.marks, func(_ string, mk *mark) bool {
-		return !mk.held && now.Sub(mk.seenAt) > 2*markFor && now.Sub(mk.clearAt) > 2*markFor
-	})
-	if len(m.peers) != before {
-		m.emit(Changed{})
+// computeEntries lists the entries that may hold connections: those of the
+// list, leaving ones too, those heard of lately, and this one.
+func (m *Machine) computeEntries(now time.Time) []string {
+	set := map[string]bool{m.cfg.Instance: true}
+	for id, in := range m.list {
+		if in.Entry {
+			set[id] = true
+		}
+	}
+	for id, p := range m.peers {
+		if now.Sub(p.heard) < m.cfg.HeardLife {
+			set[id] = true
+		}
 	}
+	return slices.Sorted(maps.Keys(set))
 }
 
-// push tells peers of news at once.
-func (m *Machine) push() { m.send(pushFanout) }
+// Leaving reports whether a leaf gets no new work.
+func (m *Machine) Leaving(leaf string) bool { return m.leaving[leaf] }
 
-// send exchanges digests with up to n random peers.
-func (m *Machine) send(n int) {
-	var to []*peer
-	for _, id := range slices.Sorted(maps.Keys(m.peers)) {
-		if p := m.peers[id]; p.listed && p.Address != "" {
-			to = append(to, p)
+// Entries lists the entries that may hold connections, in order.
+func (m *Machine) Entries() []string { return m.entries }
+
+// Peers lists the other entries of the platform's list, in order.
+func (m *Machine) Peers() []Peer {
+	var out []Peer
+	for id, in := range m.list {
+		if in.Entry && id != m.cfg.Instance && in.PeerAddress != "" {
+			out = append(out, Peer{Instance: id, Address: in.PeerAddress})
 		}
 	}
-	m.rnd.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	for _, p := range to[:min(n, len(to))] {
-		m.emit(Send{Peer: p.ID, Address: p.Address})
-	}
+	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(a.Instance, b.Instance) })
+	return out
 }
 
-// nextWake is the time of the next round or probe.
-func (m *Machine) nextWake() time.Time {
-	at := m.roundAt
-	for _, mk := range m.marks {
-		if mk.held && mk.probeAt.Before(at) {
-			at = mk.probeAt
-		}
-	}
-	return at
+// peer returns a peer with its address, if the list has it.
+func (m *Machine) peer(instance string) Peer {
+	return Peer{Instance: instance, Address: m.list[instance].PeerAddress}
+}
+
+// Instances returns the platform's list, in order of ID.
+func (m *Machine) Instances() []Instance {
+	out := slices.Collect(maps.Values(m.list))
+	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return out
 }
--- a/kernel/membership/membership_test.go
+++ b/kernel/membership/membership_test.go
@@ -1,246 +1,254 @@
-package membership_test
+package membership
 
 import (
+	"flag"
 	"fmt"
-	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
-	"github.com/fuchsiaroad/fuchsiaroad/kernel/membership"
+	"pgregory.net/rapid"
 )
 
-const step = 50 * time.Millisecond
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("FUCHSIAROAD_LONG") == "" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// epoch is where the tests' virtual time starts.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// hop is the time of an exchange between two entries.
+const hop = 3 * time.Millisecond
 
-// fleet is a set of entries in virtual time whose digests take one step and
-// may be lost.
+// fleet drives machines in virtual time: each SendDigest is an exchange.
 type fleet struct {
-	now     time.Time
-	entries []*entry
-	rnd     *rand.Rand
-	loss    float64
-	// leaf answers probes.
-	leaf func(id string) membership.Event
-	sent int
+	now      time.Time
+	machines []*Machine
+	wake     []time.Time
+	mail     []letter
+	cut      map[int]bool // machines that no exchange reaches
+	sent     int
 }
 
-type entry struct {
-	*membership.Machine
-	wakeAt time.Time
-	probes int
+// letter is a digest on its way.
+type letter struct {
+	at       time.Time
+	from, to int
+	digest   *Digest
+	answer   bool
 }
 
-func newFleet(n int) *fleet {
-	f := &fleet{now: time.Unix(5000, 0), rnd: rand.New(rand.NewPCG(7, 7))}
-	var list membership.Listed
+// name is an instance's ID.
+func name(i int) string { return fmt.Sprintf("entry-%03d", i) }
+
+// newFleet makes n machines that all know the list.
+func newFleet(n int, leaves ...Instance) *fleet {
+	f := &fleet{now: epoch, wake: make([]time.Time, n), cut: make(map[int]bool)}
+	list := append([]Instance(nil), leaves...)
 	for i := range n {
-		id := fmt.Sprintf("e%03d", i)
-		list.Entries = append(list.Entries, membership.Entry{ID: id, Zone: "z", Address: id})
-		f.entries = append(f.entries, &entry{Machine: membership.New(id, "z", rand.New(rand.NewPCG(1, uint64(i))))})
+		list = append(list, Instance{ID: name(i), Entry: true, PeerAddress: name(i)})
 	}
-	for i := range f.entries {
-		f.handle(i, list)
+	for i := range n {
+		f.machines = append(f.machines, New(DefaultConfig(name(i), uint64(i+1))))
+		f.give(i, ListRead{Instances: list})
 	}
 	return f
 }
 
-// handle gives an event to an entry and carries out its actions.
-func (f *fleet) handle(i int, e membership.Event) {
-	in := f.entries[i]
-	for _, a := range append([]membership.Action(nil), in.Handle(e, f.now)...) {
+// give hands an event to a machine and carries out its actions.
+func (f *fleet) give(i int, ev Event) {
+	for _, a := range f.machines[i].Handle(ev, f.now) {
 		switch a := a.(type) {
-		case membership.WakeAt:
-			in.wakeAt = a.At
-		case membership.Send:
-			f.exchange(i, a.Peer)
-		case membership.Probe:
-			in.probes++
-			f.handle(i, f.leaf(a.Leaf))
+		case WakeAt:
+			f.wake[i] = a.At
+		case SendDigest:
+			var to int
+			_, _ = fmt.Sscanf(a.Peer.Instance, "entry-%d", &to)
+			f.sent++
+			f.mail = append(f.mail, letter{f.now.Add(hop), i, to, f.machines[i].Digest(f.now), true})
 		}
 	}
 }
 
-// exchange sends a digest to a peer and brings back the answer.
-func (f *fleet) exchange(from int, peer string) {
-	f.sent++
-	if f.rnd.Float64() < f.loss {
-		return
-	}
-	to := 0
-	if _, err := fmt.Sscanf(peer, "e%03d", &to); err != nil {
-		panic(err)
+// run lets virtual time pass in steps of a millisecond.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(time.Millisecond) {
+		f.deliver()
+		for i := range f.machines {
+			if !f.now.Before(f.wake[i]) {
+				f.give(i, Tick{})
+			}
+		}
 	}
-	f.handle(to, membership.Heard{Digest: f.entries[from].Digest(f.now)})
-	f.handle(from, membership.Heard{Digest: f.entries[to].Digest(f.now)})
 }
 
-// run lets time pass.
-func (f *fleet) run(d time.Duration) {
-	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
-		for i, e := range f.entries {
-			if !f.now.Before(e.wakeAt) {
-				f.handle(i, membership.Tick{})
+// deliver hands over the letters that have arrived; an exchange has an answer.
+func (f *fleet) deliver() {
+	mail := f.mail
+	f.mail = nil
+	for _, l := range mail {
+		switch {
+		case f.now.Before(l.at):
+			f.mail = append(f.mail, l)
+		case f.cut[l.from] || f.cut[l.to]:
+		default:
+			f.give(l.to, DigestReceived{Digest: l.digest})
+			if l.answer {
+				f.mail = append(f.mail, letter{f.now.Add(hop), l.to, l.from, f.machines[l.to].Digest(f.now), false})
 			}
 		}
 	}
 }
 
-// leaving counts the entries that give a leaf no new work.
-func (f *fleet) leaving(leaf string) int {
+// knowing counts the machines that hold a leaf for leaving.
+func (f *fleet) knowing(leaf string) int {
 	n := 0
-	for _, e := range f.entries {
-		if e.Leaving(leaf) {
+	for _, m := range f.machines {
+		if m.Leaving(leaf) {
 			n++
 		}
 	}
 	return n
 }
 
-// TestLeavingLeafIsKnownWithinThreeSeconds loses four in ten digests, while
-// the list still calls the leaf live.
-func TestLeavingLeafIsKnownWithinThreeSeconds(t *testing.T) {
-	for _, n := range []int{8, 64} {
-		f := newFleet(n)
+// TestLeavingIsKnownWithinThreeSeconds lets one entry see a leaf's mark, while
+// the list says that it is live, at three sizes of the fleet.
+func TestLeavingIsKnownWithinThreeSeconds(t *testing.T) {
+	for _, n := range []int{2, 8, 64} {
+		f := newFleet(n, Instance{ID: "leaf"})
 		f.run(2 * time.Second)
-		f.loss = 0.4
-		f.handle(3, membership.LeafDraining{Leaf: "a"})
+		f.give(0, SawLeaving{Leaf: "leaf"})
 		f.run(3 * time.Second)
-		if got := f.leaving("a"); got != n {
-			t.Errorf("%d of %d entries know that the leaf is leaving", got, n)
+		if got := f.knowing("leaf"); got != n {
+			t.Errorf("%d of %d entries know it after 3 s", got, n)
 		}
 	}
 }
 
-// TestListAloneSuffices checks the list as a source of its own.
-func TestListAloneSuffices(t *testing.T) {
-	f := newFleet(1)
-	f.handle(0, membership.Listed{LeavingLeaves: []string{"a"}})
-	if f.leaving("a") != 1 {
-		t.Error("a listed leaving leaf gets work")
+// TestLeavingIsKnownWithoutPush shows that the rounds alone carry it, later.
+func TestLeavingIsKnownWithoutPush(t *testing.T) {
+	f := newFleet(8, Instance{ID: "leaf"})
+	for _, m := range f.machines {
+		m.cfg.PushFanout = 0
 	}
-	f.handle(0, membership.Listed{})
-	if f.leaving("a") != 0 {
-		t.Error("a leaf that the list calls live again gets no work")
+	f.give(0, SawLeaving{Leaf: "leaf"})
+	f.run(10 * time.Second)
+	if got := f.knowing("leaf"); got != 8 {
+		t.Errorf("%d of 8 entries know it after 10 s of rounds", got)
 	}
 }
 
-// TestReturnedLeafIsAcceptedAgain checks that marks do not keep each other
-// alive by being relayed.
-func TestReturnedLeafIsAcceptedAgain(t *testing.T) {
-	f := newFleet(8)
-	f.leaf = func(id string) membership.Event { return membership.LeafReady{Leaf: id} }
-	f.handle(0, membership.LeafDraining{Leaf: "a"})
+// TestMarkOutlivesTheListsLag keeps a leaf leaving while the list lags and
+// nobody sees its mark any more, and takes it back at last.
+func TestMarkOutlivesTheListsLag(t *testing.T) {
+	f := newFleet(3, Instance{ID: "leaf"})
+	f.give(0, SawLeaving{Leaf: "leaf"})
 	f.run(30 * time.Second)
-	if got := f.leaving("a"); got != 8 {
-		t.Errorf("after 30s only %d entries hold the mark", got)
+	if got := f.knowing("leaf"); got != 3 {
+		t.Errorf("%d of 3 entries still know it after 30 s", got)
 	}
-	f.run(35 * time.Second)
-	if got := f.leaving("a"); got != 0 {
-		t.Errorf("after 65s %d entries still hold the mark", got)
+	f.run(2 * time.Minute)
+	if got := f.knowing("leaf"); got != 0 {
+		t.Errorf("%d entries hold it for leaving long after the last sighting", got)
 	}
 }
 
-// TestLongDrainIsNotForgotten checks that a leaf that drains for long, with
-// the list down, gets no work, and that few probes are spent on it.
-func TestLongDrainIsNotForgotten(t *testing.T) {
+// TestMarksDoNotKeepEachOtherAlive relays a mark among many entries: its age
+// goes with it, so that it ends for all at the same time.
+func TestMarksDoNotKeepEachOtherAlive(t *testing.T) {
 	f := newFleet(8)
-	f.leaf = func(id string) membership.Event { return membership.LeafDraining{Leaf: id} }
-	f.handle(0, membership.LeafDraining{Leaf: "a"})
-	f.run(2 * time.Second)
-	probes := 0
-	for range 300 {
-		f.run(time.Second)
-		if got := f.leaving("a"); got != 8 {
-			t.Fatalf("%d entries hold the mark", got)
-		}
-	}
-	for _, e := range f.entries {
-		probes += e.probes
-	}
-	if probes == 0 || probes > 24 {
-		t.Errorf("%d probes in 300s by 8 entries", probes)
-	}
-}
-
-// TestDeadLeafStaysOut checks that silence is not readiness.
-func TestDeadLeafStaysOut(t *testing.T) {
-	f := newFleet(2)
-	f.leaf = func(id string) membership.Event { return membership.LeafSilent{Leaf: id} }
-	f.handle(0, membership.LeafDraining{Leaf: "a"})
-	f.run(200 * time.Second)
-	if got := f.leaving("a"); got != 2 {
-		t.Errorf("%d entries hold the mark", got)
+	f.give(3, SawLeaving{Leaf: "leaf"})
+	f.run(DefaultConfig("", 0).MarkLife + 5*time.Second)
+	if got := f.knowing("leaf"); got != 0 {
+		t.Errorf("%d entries keep a mark that nobody has seen for its whole life", got)
 	}
 }
 
-// TestLateDigestChangesNothing checks that an older digest does not undo what
-// a newer one said, and that a replaced entry with a clock behind is believed.
-func TestLateDigestChangesNothing(t *testing.T) {
-	f := newFleet(2)
-	f.entries[1].Handle(membership.InForce{Generation: 1}, f.now)
-	old := f.entries[1].Digest(f.now)
-	f.entries[1].Handle(membership.InForce{Generation: 2}, f.now)
-	f.handle(0, membership.Heard{Digest: f.entries[1].Digest(f.now)})
-	f.handle(0, membership.Heard{Digest: old})
-	if got := f.entries[0].Generations(f.now)[1].Generation; got != 2 {
-		t.Errorf("generation %d after a late digest, want 2", got)
+// TestListSaysLeaving takes the platform's own word.
+func TestListSaysLeaving(t *testing.T) {
+	m := New(DefaultConfig("a", 1))
+	m.Handle(ListRead{Instances: []Instance{{ID: "leaf", Leaving: true}}}, epoch)
+	if !m.Leaving("leaf") {
+		t.Error("the list's word is not taken")
 	}
-	old.Sequence -= 3_600_000
-	f.handle(0, membership.Heard{Digest: old})
-	if got := f.entries[0].Generations(f.now)[1].Generation; got != 1 {
-		t.Errorf("generation %d of a replaced entry, want 1", got)
+	m.Handle(ListRead{Instances: []Instance{{ID: "leaf"}}}, epoch)
+	if m.Leaving("leaf") {
+		t.Error("a leaf that the list calls live again is still held for leaving")
 	}
 }
 
-// TestUnlistedEntryCountsWhileHeard checks that shares of connection limits
-// leave room for an entry that the list does not show yet.
-func TestUnlistedEntryCountsWhileHeard(t *testing.T) {
-	f := newFleet(2)
-	fresh := membership.New("new", "z", rand.New(rand.NewPCG(1, 9)))
-	f.handle(0, membership.Heard{Digest: fresh.Digest(f.now)})
-	if got := len(f.entries[0].Live(f.now)); got != 3 {
-		t.Errorf("%d live entries, want 3", got)
+// TestEntriesThatMayHoldConnections counts leaving and merely heard entries.
+func TestEntriesThatMayHoldConnections(t *testing.T) {
+	m := New(DefaultConfig("a", 1))
+	m.Handle(ListRead{Instances: []Instance{{ID: "a", Entry: true}, {ID: "b", Entry: true, Leaving: true}, {ID: "leaf"}}}, epoch)
+	m.Handle(DigestReceived{Digest: &Digest{Instance: "c"}}, epoch)
+	if got := fmt.Sprint(m.Entries()); got != "[a b c]" {
+		t.Errorf("entries %s, want [a b c]", got)
 	}
-	f.now = f.now.Add(11 * time.Second)
-	if got := len(f.entries[0].Live(f.now)); got != 2 {
-		t.Errorf("%d live entries after silence, want 2", got)
+	m.Handle(Tick{}, epoch.Add(time.Minute))
+	if got := fmt.Sprint(m.Entries()); got != "[a b]" {
+		t.Errorf("entries %s after c fell silent, want [a b]", got)
 	}
 }
 
-// TestDigestIsBounded checks that a digest does not grow with the fleet, and
-// that every mark is told in the end.
+// TestDigestIsBounded gives a machine far more than a digest holds.
 func TestDigestIsBounded(t *testing.T) {
-	f := newFleet(100)
-	for i := range f.entries {
-		f.handle(0, membership.Heard{Digest: f.entries[i].Digest(f.now)})
-	}
-	for i := range 200 {
-		f.entries[0].Handle(membership.LeafDraining{Leaf: fmt.Sprint(i)}, f.now.Add(time.Duration(i)))
-	}
-	told := make(map[string]bool)
-	for range 200 {
-		d := f.entries[0].Digest(f.now.Add(time.Second))
-		if len(d.Marks) > membership.MaxMarks || len(d.Samples) > membership.MaxSamples {
-			t.Fatalf("%d marks, %d samples", len(d.Marks), len(d.Samples))
-		}
-		for _, mk := range d.Marks {
-			told[mk.Leaf] = true
+	cfg := DefaultConfig("a", 1)
+	m := New(cfg)
+	for i := range 10 * cfg.MaxLeaving {
+		m.Handle(SawLeaving{Leaf: fmt.Sprintf("leaf-%d", i)}, epoch.Add(time.Duration(i)*time.Millisecond))
+		m.Handle(DigestReceived{Digest: &Digest{Instance: name(i)}}, epoch)
+	}
+	d := m.Digest(epoch.Add(time.Second))
+	if len(d.Leaving) != cfg.MaxLeaving || len(d.Generations) != cfg.MaxGenerations {
+		t.Errorf("%d leaving and %d generations in a digest", len(d.Leaving), len(d.Generations))
+	}
+	if want := fmt.Sprintf("leaf-%d", 10*cfg.MaxLeaving-1); d.Leaving[0].Leaf != want {
+		t.Errorf("the digest starts with %s, want the freshest, %s", d.Leaving[0].Leaf, want)
+	}
+}
+
+// TestGenerationsNeverGoBack gives a machine random relayed generations and
+// checks that what it holds of an instance never falls.
+func TestGenerationsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(DefaultConfig("a", 1))
+		now := epoch
+		held := make(map[string]uint64)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			g := RelayedGeneration{
+				Instance:   name(rapid.IntRange(0, 2).Draw(t, "instance")),
+				Generation: rapid.Uint64Range(0, 5).Draw(t, "generation"),
+				Age:        time.Duration(rapid.IntRange(-10, 5000).Draw(t, "age")) * time.Millisecond,
+			}
+			m.Handle(DigestReceived{Digest: &Digest{Instance: "b", Generations: []RelayedGeneration{g}}}, now)
+			for _, have := range m.Generations(now) {
+				if have.Instance != "b" && have.Generation < held[have.Instance] {
+					t.Fatalf("%s went back from %d to %d", have.Instance, held[have.Instance], have.Generation)
+				}
+				held[have.Instance] = have.Generation
+			}
 		}
-	}
-	if len(told) != 200 {
-		t.Errorf("%d of 200 marks were told", len(told))
-	}
-}
-
-// TestSightingBeforeTheReturnIsVoid relays a sighting that was made before a
-// probe found the leaf ready.
-func TestSightingBeforeTheReturnIsVoid(t *testing.T) {
-	f := newFleet(1)
-	f.handle(0, membership.LeafDraining{Leaf: "a"})
-	f.now = f.now.Add(6 * time.Second)
-	f.handle(0, membership.LeafReady{Leaf: "a"})
-	relayed := membership.Digest{Instance: "x", Sequence: 1, Marks: []membership.Mark{{Leaf: "a", Age: time.Second}}}
-	f.handle(0, membership.Heard{Digest: relayed})
-	if f.leaving("a") != 0 {
-		t.Error("an old sighting took the leaf out again")
+	})
+}
+
+// TestCutEntryHearsAgain cuts an entry off for a while.
+func TestCutEntryHearsAgain(t *testing.T) {
+	f := newFleet(8, Instance{ID: "leaf"})
+	f.cut[7] = true
+	f.give(0, SawLeaving{Leaf: "leaf"})
+	f.run(5 * time.Second)
+	if f.machines[7].Leaving("leaf") {
+		t.Fatal("a cut entry heard")
+	}
+	f.cut[7] = false
+	f.run(5 * time.Second)
+	if !f.machines[7].Leaving("leaf") {
+		t.Error("the entry did not hear after the cut")
 	}
 }
--- a/kernel/membership/messages.go
+++ b/kernel/membership/messages.go
@@ -1,105 +1,130 @@
-// Package membership is the state machine that knows which entries are live
-// and which leaves are leaving. It joins three sources: the platform's list,
-// which lags, the leaves' own drain marks, and the digests of other entries. A
-// leaf is leaving when any of them says so.
+// Package membership is the state machine of who is there: entries and leaves
+// of the platform's list, which lags; leaves that say they are leaving; and
+// peers, from the digests that entries send each other. Nothing is agreed here:
+// each fact spreads by itself, ages, and is forgotten.
 package membership
 
 import "time"
 
-// Entry is one line of the platform's list for an entry instance.
-type Entry struct {
-	ID      string
-	Zone    string
-	Address string // peer address, IP:port
-	Leaving bool
+// Instance is one line of the platform's list.
+type Instance struct {
+	ID          string
+	Entry       bool   // an entry, else a leaf
+	PeerAddress string // of an entry's peer listener, IP:port
+	Leaving     bool
 }
 
-// Mark is the sighting of a leaf's own drain mark.
-type Mark struct {
-	Leaf string
-	Age  time.Duration // since the latest sighting by anyone
+// Digest is what an entry tells a peer. Its lists are bounded.
+type Digest struct {
+	Instance    string
+	Generation  uint64
+	Hash        string
+	Draining    bool
+	Leaving     []LeavingLeaf
+	Generations []RelayedGeneration
 }
 
-// Sample is an instance's generation in force, seen or relayed.
-type Sample struct {
-	Instance   string
-	Generation uint64
-	Age        time.Duration
+// LeavingLeaf is one leaf's mark with the age of its freshest sighting.
+type LeavingLeaf struct {
+	Leaf string
+	Age  time.Duration
 }
 
-// Digest is what one entry tells another. Its lists are bounded by MaxMarks
-// and MaxSamples, so that its size does not grow with the fleet.
-type Digest struct {
+// RelayedGeneration is another instance's generation with the age of the word.
+type RelayedGeneration struct {
 	Instance   string
-	Zone       string
-	Sequence   uint64
 	Generation uint64
-	Hash       string
-	Draining   bool
-	Marks      []Mark // most recent first
-	Samples    []Sample
+	Age        time.Duration
 }
 
 // Event is an input of the machine.
 type Event interface{ isEvent() }
 
-// Listed gives the platform's list.
-type Listed struct {
-	Entries []Entry
-	// LeavingLeaves are the IDs of the leaves that the list calls leaving.
-	LeavingLeaves []string
-}
+// ListRead gives the platform's list of instances.
+type ListRead struct{ Instances []Instance }
 
-// Heard gives another entry's digest. Digests may come late or out of order.
-type Heard struct{ Digest Digest }
+// SawLeaving says that a leaf marked itself as leaving, in a reply or when asked.
+type SawLeaving struct{ Leaf string }
 
-// LeafDraining says that a leaf's own drain mark was seen on a reply or probe.
-type LeafDraining struct{ Leaf string }
+// DigestReceived gives a peer's digest.
+type DigestReceived struct{ Digest *Digest }
 
-// LeafReady says that a leaf answered a probe and showed no drain mark.
-type LeafReady struct{ Leaf string }
+// PeerFailed says that a peer did not answer.
+type PeerFailed struct{ Peer string }
 
-// LeafSilent says that a leaf did not answer a probe.
-type LeafSilent struct{ Leaf string }
-
-// InForce tells this entry's own generation in force.
-type InForce struct {
-	Generation uint64
-	Hash       string
-}
+// SpreadNow asks to tell some peers at once, for news outside of this machine.
+type SpreadNow struct{}
 
-// Drain says that this entry is leaving.
+// Drain says that this instance is leaving.
 type Drain struct{}
 
 // Tick says that a time asked for by WakeAt has passed.
 type Tick struct{}
 
-func (Listed) isEvent()       {}
-func (Heard) isEvent()        {}
-func (LeafDraining) isEvent() {}
-func (LeafReady) isEvent()    {}
-func (LeafSilent) isEvent()   {}
-func (InForce) isEvent()      {}
-func (Drain) isEvent()        {}
-func (Tick) isEvent()         {}
+func (ListRead) isEvent()       {}
+func (SawLeaving) isEvent()     {}
+func (DigestReceived) isEvent() {}
+func (PeerFailed) isEvent()     {}
+func (SpreadNow) isEvent()      {}
+func (Drain) isEvent()          {}
+func (Tick) isEvent()           {}
 
 // Action is an output of the machine.
 type Action interface{ isAction() }
 
-// Send exchanges this entry's digest with a peer.
-type Send struct{ Peer, Address string }
-
-// Probe asks a leaf's health endpoint whether it still drains. The endpoint
-// may mislead: a leaf wrongly called ready declines with its mark.
-type Probe struct{ Leaf string }
+// SendDigest exchanges digests with a peer.
+type SendDigest struct{ Peer Peer }
 
-// Changed says that the set of live entries or of leaving leaves changed.
+// Changed says that the set of leaving leaves or of entries is another.
 type Changed struct{}
 
+// PeerAhead tells the generation in force at a peer.
+type PeerAhead struct {
+	Peer       Peer
+	Generation uint64
+}
+
 // WakeAt asks for a Tick at or after At; it replaces an earlier wish.
 type WakeAt struct{ At time.Time }
 
-func (Send) isAction()    {}
-func (Probe) isAction()   {}
-func (Changed) isAction() {}
-func (WakeAt) isAction()  {}
+func (SendDigest) isAction() {}
+func (Changed) isAction()    {}
+func (PeerAhead) isAction()  {}
+func (WakeAt) isAction()     {}
+
+// Peer is another entry.
+type Peer struct {
+	Instance string
+	Address  string // of its peer listener, IP:port
+}
+
+// Config sets the name, times and bounds.
+type Config struct {
+	Instance string
+	// Interval is the time between rounds of digests.
+	Interval time.Duration
+	// Fanout is the number of peers told in a round.
+	Fanout int
+	// PushFanout is the number of peers told at once of news.
+	PushFanout int
+	// MarkLife is how long a sighting of a leaving leaf counts. It must be
+	// longer than the list lags, since nobody sees the mark of a leaf that
+	// gets no work.
+	MarkLife time.Duration
+	// HeardLife is how long a peer counts after its last digest.
+	HeardLife time.Duration
+	// MaxLeaving and MaxGenerations bound the lists of a digest.
+	MaxLeaving     int
+	MaxGenerations int
+	Seed           uint64
+}
+
+// DefaultConfig returns the settings for production.
+func DefaultConfig(instance string, seed uint64) Config {
+	return Config{
+		Instance: instance, Seed: seed,
+		Interval: time.Second, Fanout: 2, PushFanout: 4,
+		MarkLife: 2 * time.Minute, HeardLife: 5 * time.Second,
+		MaxLeaving: 64, MaxGenerations: 16,
+	}
+}
