Run configuration and membership in one control goroutine

Control runs both machines, does their I/O apart and publishes immutable views; saves of console, API and command line share one path. A fresh entry in an outage of the whole platform asks the peers of its settings (peer.known), since it has no list to find them by. Ruled out: searching entries polling in step (they now spread by a random part).

--- a/config/settings/raw.go
+++ b/config/settings/raw.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"net/url"
 	"regexp"
@@ -48,8 +49,9 @@
 }
 
 type rawPeer struct {
-	Key     string `toml:"key"`
-	KeyFile string `toml:"key_file"`
+	Key     string   `toml:"key"`
+	KeyFile string   `toml:"key_file"`
+	Known   []string `toml:"known"`
 }
 
 type rawTLS struct {
@@ -115,7 +117,7 @@
 			Timeout: timeout(r.Platform.Timeout, "platform.timeout", list),
 			CAFile:  r.Platform.CAFile,
 		},
-		Peer: Peer{Key: []byte(secret(r.Peer.Key, r.Peer.KeyFile, "peer.key", list))},
+		Peer: Peer{Key: []byte(secret(r.Peer.Key, r.Peer.KeyFile, "peer.key", list)), Known: r.Peer.Known},
 		TLS:  TLS(r.TLS),
 		Limits: Limits{
 			BodyBytes:   r.Limits.BodyBytes,
@@ -158,6 +160,9 @@
 	if len(s.Peer.Key) < minPeerKey {
 		list.Addf("peer.key", "it needs at least %d bytes, inline or by peer.key_file", minPeerKey)
 	}
+	for i, known := range s.Peer.Known {
+		address(known, fmt.Sprintf("peer.known[%d]", i), list)
+	}
 	pair(s.TLS.CallersCert, s.TLS.CallersKey, "tls.callers", list)
 	pair(s.TLS.PeersCert, s.TLS.PeersKey, "tls.peers", list)
 	if (s.TLS.PeersCA == "") != (s.TLS.PeersCert == "") {
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -51,6 +51,9 @@
 type Peer struct {
 	// Key is the shared secret of all entries, given inline or read from a file.
 	Key []byte
+	// Known are peer addresses, IP:port, that are asked for the configuration
+	// when the platform can give neither it nor the list of instances.
+	Known []string
 }
 
 // TLS names the PEM files; empty names mean plain text.
--- a/config/settings/settings_test.go
+++ b/config/settings/settings_test.go
@@ -70,6 +70,7 @@
 		{`token = "t"`, `token_file = "does-not-exist"`, "platform.token_file"},
 		{`token = "t"`, "token = \"t\"\ntimeout = \"-1s\"", "platform.timeout"},
 		{`"0123456789abcdef"`, `"short"`, "peer.key"},
+		{`[limits]`, "known = [\"127.0.0.1:1\", \"x\"]\n[limits]", "peer.known[1]"},
 		{`[limits]`, "[limits]\nbody_bytes = 0", "limits.body_bytes"},
 		{`[limits]`, "[limits]\nqueue = 0", "limits.queue"},
 		{`[limits]`, "[limits]\nread_timeout = \"x\"", "limits.read_timeout"},
--- /dev/null
+++ b/entry/control/operators.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/operators"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/rollout"
+)
+
+// nonceBytes is the size of a submission's nonce.
+const nonceBytes = 16
+
+// Current implements operators.Control.
+func (c *Control) Current() (operators.Version, bool) {
+	var current, refused rollout.Version
+	if !c.ask(context.Background(), func(time.Time) { current, refused = c.rollout.Current(), c.rollout.RefusedVersion() }) {
+		return operators.Version{}, false
+	}
+	v := operators.Version{
+		Generation: current.Generation, Base: max(current.Generation, refused.Generation), Hash: current.Hash,
+		TOML: rollout.Text(current.Value), Document: current.Document, Fault: refused.Fault,
+	}
+	return v, current.Generation > 0
+}
+
+// Submit implements operators.Control.
+func (c *Control) Submit(ctx context.Context, s operators.Submission) operators.Outcome {
+	var nonce [nonceBytes]byte
+	_, _ = rand.Read(nonce[:]) // never fails: crypto/rand ends the program instead
+	told := make(chan rollout.Outcome, 1)
+	posted := c.post(ctx, func(time.Time) {
+		c.nextSave++
+		c.waiters[c.nextSave] = told
+		c.roll(rollout.Submit{
+			ID: c.nextSave, Nonce: hex.EncodeToString(nonce[:]), TOML: s.TOML, Hash: s.Hash,
+			Document: s.Document, IfVersion: s.IfVersion,
+		})
+	})
+	if !posted {
+		return operators.Outcome{State: operators.Refused, Reason: "the instance is stopping"}
+	}
+	select {
+	case o := <-told:
+		return outcomeOf(o)
+	case <-ctx.Done():
+	case <-c.closed:
+	}
+	return operators.Outcome{State: operators.Unknown, Reason: "the save was not settled before the submitter left"}
+}
+
+// outcomeOf is the machine's outcome in the operators' words.
+func outcomeOf(o rollout.Outcome) operators.Outcome {
+	out := operators.Outcome{
+		State: operators.State(o.State), Generation: o.Generation, Reason: o.Reason, RetryAfter: o.RetryAfter,
+	}
+	if o.Current != nil {
+		out.Current = &operators.Version{
+			Generation: o.Current.Generation, Base: o.Current.Generation, Hash: o.Current.Hash,
+			TOML: rollout.Text(o.Current.Value), Document: o.Current.Document, Fault: o.Current.Fault,
+		}
+	}
+	return out
+}
+
+// resolve tells a submitter, and the log, what became of a save.
+func (c *Control) resolve(a rollout.Resolve) {
+	c.cfg.Log.Info("save settled", "save", a.ID, "state", a.Outcome.State, "generation", a.Outcome.Generation)
+	told := c.waiters[a.ID]
+	delete(c.waiters, a.ID)
+	select {
+	case told <- a.Outcome:
+	default: // the submitter has its answer; the log has the rest
+	}
+}
+
+// ConfigStatus implements operators.Control.
+func (c *Control) ConfigStatus() callerapi.ConfigStatus {
+	var status callerapi.ConfigStatus
+	c.ask(context.Background(), func(now time.Time) {
+		own := c.rollout.Current()
+		status.Highest = own.Generation
+		status.Instances = append(status.Instances, callerapi.InstanceConfig{Instance: c.cfg.Instance, Generation: own.Generation, Hash: own.Hash})
+		for _, g := range c.membership.Generations(now) {
+			status.Highest = max(status.Highest, g.Generation)
+			status.Instances = append(status.Instances, callerapi.InstanceConfig{
+				Instance: g.Instance, Generation: g.Generation, Hash: g.Hash, AgeMS: g.Age.Milliseconds(),
+			})
+		}
+	})
+	return status
+}
+
+// Instances implements operators.Control.
+func (c *Control) Instances() []platformapi.Instance {
+	if list := c.instances.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -162,7 +162,7 @@
 	if err := rpc.Call(ctx, peerapi.MethodHello, hello, &welcome); err != nil {
 		return &AuthError{Address: t.Address, Reason: "refused this instance's proof"}
 	}
-	if welcome.Instance != t.Instance {
+	if t.Instance != "" && welcome.Instance != t.Instance {
 		return &AuthError{Address: t.Address, Reason: "is instance " + welcome.Instance + ", not " + t.Instance}
 	}
 	if !proves(welcome.MAC, c.config.Key, roleServer, welcome.Instance, own, challenge.Nonce) {
--- a/kernel/rollout/machine.go
+++ b/kernel/rollout/machine.go
@@ -120,10 +120,10 @@
 // pollEvery is the time to the next poll: polls of the whole fleet stay below
 // pollReads a second, and are spread by a random part.
 func (m *Machine) pollEvery() time.Duration {
+	every := max(minPoll, time.Duration(m.instances)*time.Second/pollReads)
 	if m.current.Generation == 0 {
-		return searchEvery
+		every = searchEvery
 	}
-	every := max(minPoll, time.Duration(m.instances)*time.Second/pollReads)
 	return every/2 + time.Duration(m.rnd.Int64N(int64(every)))
 }
 
--- a/kernel/rollout/messages.go
+++ b/kernel/rollout/messages.go
@@ -92,8 +92,9 @@
 
 // PutRefused says that the store provably did not take the update.
 type PutRefused struct {
-	ID     SaveID
-	Reason string
+	ID         SaveID
+	Reason     string
+	RetryAfter time.Duration
 }
 
 // Tick says that a time asked for by WakeAt has passed.
@@ -194,4 +195,6 @@
 	// Current is the version that the submission lost against, in a conflict.
 	Current *Version
 	Reason  string
+	// RetryAfter is the store's hint of when to come back, when refused.
+	RetryAfter time.Duration
 }
--- a/kernel/rollout/save.go
+++ b/kernel/rollout/save.go
@@ -35,8 +35,7 @@
 // lost already.
 func (m *Machine) submit(e Submit, now time.Time) {
 	if e.IfVersion < m.current.Generation {
-		current := m.current
-		m.emit(Resolve{e.ID, Outcome{State: Conflict, Current: &current}})
+		m.emit(Resolve{e.ID, Outcome{State: Conflict, Current: m.newest(m.current)}})
 		return
 	}
 	s := &save{
@@ -89,7 +88,7 @@
 	}
 	s.putting = false
 	if !s.lost {
-		m.finish(s, Outcome{State: Refused, Reason: e.Reason})
+		m.finish(s, Outcome{State: Refused, Reason: e.Reason, RetryAfter: e.RetryAfter})
 	}
 }
 
@@ -115,14 +114,22 @@
 		case Accepted:
 			m.finish(s, Outcome{State: Accepted, Generation: m.generationOf(v, s)})
 		case Conflict:
-			current := v
-			m.finish(s, Outcome{State: Conflict, Current: &current})
+			m.finish(s, Outcome{State: Conflict, Current: m.newest(v)})
 		case Unknown:
 			m.unsettled(s, v, read)
 		}
 	}
 }
 
+// newest is the newer of a seen version and the one in force: what the loser of
+// a race compares its own document with.
+func (m *Machine) newest(v Version) *Version {
+	if v.Generation <= m.current.Generation {
+		v = m.current
+	}
+	return &v
+}
+
 // generationOf is the generation of a save found in the version's history: the
 // version that the next save replaced, or the version itself if it is newest.
 func (m *Machine) generationOf(v Version, s *save) uint64 {
@@ -144,7 +151,7 @@
 	behind := v.Generation <= s.link.Base
 	switch {
 	case s.beaten && !behind:
-		m.finish(s, Outcome{State: Conflict, Current: &v})
+		m.finish(s, Outcome{State: Conflict, Current: m.newest(v)})
 	case read && behind && s.lost && !s.putting && !s.told:
 		m.put(s)
 	}
