--- a/entry/control/control_test.go
+++ b/entry/control/control_test.go
@@ -144,6 +144,7 @@
 				t.Fatalf("round %d: %d of 10 saves over version %d were accepted", round, accepted, base)
 			}
 			f.within(2*time.Second, won)
+			f.holds(time.Second, won)
 			base = won
 		}
 	})
@@ -221,3 +222,21 @@
 		}
 	})
 }
+
+// TestSaverAndStoreGone takes the store away at acceptance and the entry that
+// saved a moment later: what it pushed must be enough.
+func TestSaverAndStoreGone(t *testing.T) {
+	runFleet(t, 8, func(f *fleet) {
+		time.Sleep(settleTime)
+		f.within(2*time.Second, f.accept(f.entries[0], 2))
+		for _, e := range f.entries[1:] {
+			e.noStore.Store(true)
+		}
+		generation := f.accept(f.entries[0], 3)
+		f.entries[0].noStore.Store(true)
+		time.Sleep(10 * time.Millisecond)
+		f.entries[0].stop()
+		f.entries[0].start(99)
+		f.within(5*time.Second, generation)
+	})
+}
--- a/entry/control/fleet_test.go
+++ b/entry/control/fleet_test.go
@@ -137,6 +137,18 @@
 	}
 }
 
+// holds checks that no entry goes back below a generation for a while.
+func (f *fleet) holds(d time.Duration, generation uint64) {
+	f.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, e := range f.entries {
+			if v, _ := e.control.Load().Current(); v.Generation < generation {
+				f.t.Fatalf("%s went back from generation %d to %d", e.id, generation, v.Generation)
+			}
+		}
+	}
+}
+
 // save saves a changed document at an entry over the version it would show.
 func (e *entry) save(slots int) operators.SaveResult {
 	current, _ := e.control.Load().Current()
