Stand-ins: no work for a client that is gone; an outage ends watches

Cause: a leaf with a free slot began work for a request whose client had gone meanwhile, or not, by chance of a select; a waiting watch outlived an outage.

--- a/standin/leaf/leaf_test.go
+++ b/standin/leaf/leaf_test.go
@@ -260,6 +260,15 @@
 		if st := s.Stats(); st.Abandoned != 2 || st.Completed != 2 {
 			t.Errorf("got %+v", st)
 		}
+		left := s.Stats().Left
+		for range 20 { // a free slot and a client that is gone, seen at once
+			if a := run(t, s, ask{attempt: "gone", ctx: ctx}); !a.aborted {
+				t.Errorf("a client that is gone got %+v", a)
+			}
+		}
+		if st := s.Stats(); st.Started != 4 || st.Left != left+20 || st.Running != 0 {
+			t.Errorf("work began for a client that is gone: %+v", st)
+		}
 		mustPatch(t, s, PathFaults, `{"ignore_deadline":true,"ignore_cancel":true}`)
 		ctx, cancel = context.WithCancel(t.Context())
 		cancel()
--- a/standin/leaf/run.go
+++ b/standin/leaf/run.go
@@ -88,14 +88,12 @@
 	if w == nil {
 		return s.decline(req, reason), nil
 	}
-	if !s.waitForSlot(ctx, w) {
-		if expired(ctx) {
-			return s.decline(req, leafapi.DeclineDeadline), nil
-		}
-		s.countLeft()
-		return reply{}, errGone
+	if s.waitForSlot(ctx, w) {
+		defer s.leaveSlot()
+	}
+	if ctx.Err() != nil { // given up before work began, with a slot or without
+		return s.givenUp(ctx, req)
 	}
-	defer s.leaveSlot()
 	s.thaw(life)
 	job, reason := s.begin(req)
 	if reason != "" {
@@ -104,6 +102,15 @@
 	return s.work(life, ctx, job)
 }
 
+// givenUp makes the reply to a request that was given up before it ran.
+func (s *Server) givenUp(ctx context.Context, req request) (reply, error) {
+	if expired(ctx) {
+		return s.decline(req, leafapi.DeclineDeadline), nil
+	}
+	s.countLeft()
+	return reply{}, errGone
+}
+
 // admit gives a request a slot or a place in the queue, or the reason why not.
 func (s *Server) admit(req request) (*waiter, leafapi.Decline) {
 	s.mu.Lock()
@@ -146,7 +153,8 @@
 	return ""
 }
 
-// waitForSlot reports whether the request got a slot before it was given up.
+// waitForSlot waits until the request has a slot or is given up, and reports
+// whether it holds a slot.
 func (s *Server) waitForSlot(ctx context.Context, w *waiter) bool {
 	select {
 	case <-w.ready:
--- a/standin/platform/calls.go
+++ b/standin/platform/calls.go
@@ -260,6 +260,9 @@
 		case <-ctx.Done():
 		case <-changed:
 			s.hang(c.Request().Context(), clientOf(c.Request()))
+			if s.Faults().Outage {
+				return s.turnAway(c, http.StatusServiceUnavailable)
+			}
 		case <-cuts:
 			panic(http.ErrAbortHandler)
 		}
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -194,6 +194,20 @@
 	})
 }
 
+func TestOutageEndsWaitingWatches(t *testing.T) {
+	bubble(t, Settings{}, func(t *testing.T, c caller) {
+		got := make(chan answer, 1)
+		go func() { got <- c.get("/v1/watch/k?wait_ms=60000") }()
+		synctest.Wait()
+		began := time.Now()
+		c.faults(`{"outage":true}`).want(t, 200)
+		(<-got).want(t, 503)
+		if waited := time.Since(began); waited != 0 {
+			t.Errorf("the watch ended after %s", waited)
+		}
+	})
+}
+
 func TestWriteTakesEffectWhileItsReplyIsLost(t *testing.T) {
 	bubble(t, Settings{}, func(t *testing.T, c caller) {
 		c.faults(`{"lose_write_replies":1}`).want(t, 200)
