--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/loadgen"
@@ -73,12 +74,23 @@
 	if n := o.Executions.AnsweredNotRan; n > 0 {
 		broken = append(broken, fmt.Sprintf("%d keys were answered and never ran", n))
 	}
-	for _, id := range o.OverLimit {
-		broken = append(broken, "connection limit of "+id+" was reached")
+	if n := len(o.OverLimit); n > 0 {
+		broken = append(broken, fmt.Sprintf("%d leaves refused a connection over their limit: %s", n, firstOf(o.OverLimit)))
 	}
 	return broken
 }
 
+// namesShown is how many names a list shows.
+const namesShown = 3
+
+// firstOf names the first of a list and says that there are more.
+func firstOf(names []string) string {
+	if len(names) <= namesShown {
+		return strings.Join(names, ", ")
+	}
+	return strings.Join(names[:namesShown], ", ") + " and others"
+}
+
 // demo is a running demonstration.
 type demo struct {
 	options Options
