--- a/cmd/fuchsiactl/demo.go
+++ b/cmd/fuchsiactl/demo.go
@@ -92,6 +92,8 @@
 	t.add(fmt.Sprintf("queries refused as not run: %d; of these run by a leaf: %d", e.Refused, e.RefusedButRan))
 	t.add(fmt.Sprintf("keys answered that no leaf had run: %d", e.AnsweredNotRan))
 	t.add(fmt.Sprintf("leaves that refused a connection over their limit: %d of %d", len(o.OverLimit), o.Leaves))
+	t.add(fmt.Sprintf("calls to the platform in %d s: %d reads, %d writes; %d of them over its rates",
+		o.Platform.Seconds, o.Platform.Reads, o.Platform.Writes, o.Platform.Limited))
 	t.add(fmt.Sprintf("latest that the load generator itself was: %s (p99 of a phase)", milli(worstLag(o))))
 	if broken := o.Broken(); len(broken) > 0 {
 		t.add("BROKEN: " + strings.Join(broken, "; "))
--- a/cmd/fuchsiactl/fuchsiactl_test.go
+++ b/cmd/fuchsiactl/fuchsiactl_test.go
@@ -286,7 +286,8 @@
 
 func TestDemoTable(t *testing.T) {
 	kept := &demo.Outcome{Leaves: 107, Phases: []demo.Phase{{Name: "opening burst", Reports: reports()}},
-		Executions: loadgen.Executions{Keys: 9, Resends: 4, MaxPerKey: 1, Refused: 2}}
+		Executions: loadgen.Executions{Keys: 9, Resends: 4, MaxPerKey: 1, Refused: 2},
+		Platform:   demo.PlatformCalls{Reads: 300, Writes: 40, Limited: 2, Seconds: 26}}
 	broken := *kept
 	broken.Executions = loadgen.Executions{Keys: 9, MaxPerKey: 2, Refused: 2, RefusedButRan: 1, AnsweredNotRan: 1}
 	broken.OverLimit = []string{"titles-0-0"}
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -11,13 +11,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/loadgen"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
-	"github.com/fuchsiaroad/fuchsiaroad/standin/leaf"
 	"github.com/fuchsiaroad/fuchsiaroad/standin/site"
 )
 
@@ -39,58 +36,6 @@
 	Log io.Writer
 }
 
-// Phase is what happened in one part.
-type Phase struct {
-	Name    string           `json:"name"`
-	Reports []loadgen.Report `json:"reports"`
-}
-
-// Outcome is what the whole demonstration showed.
-type Outcome struct {
-	Site       string             `json:"site"`
-	Entries    int                `json:"entries"`
-	Leaves     int                `json:"leaves"`
-	Phases     []Phase            `json:"phases"`
-	Executions loadgen.Executions `json:"executions"`
-	// OverLimit names leaves that had more connections than their limit, or
-	// refused one.
-	OverLimit []string `json:"over_limit"`
-}
-
-// Broken lists the promises that the outcome breaks.
-func (o *Outcome) Broken() []string {
-	var broken []string
-	for _, p := range o.Phases {
-		for _, f := range loadgen.Faults(p.Reports) {
-			broken = append(broken, fmt.Sprintf("%s: %s in %d answers", p.Name, f.Fault, f.Count))
-		}
-	}
-	if o.Executions.MaxPerKey > 1 {
-		broken = append(broken, fmt.Sprintf("an idempotency key was executed %d times", o.Executions.MaxPerKey))
-	}
-	if n := o.Executions.RefusedButRan; n > 0 {
-		broken = append(broken, fmt.Sprintf("%d queries were refused as not run and ran", n))
-	}
-	if n := o.Executions.AnsweredNotRan; n > 0 {
-		broken = append(broken, fmt.Sprintf("%d keys were answered and never ran", n))
-	}
-	if n := len(o.OverLimit); n > 0 {
-		broken = append(broken, fmt.Sprintf("%d leaves refused a connection over their limit: %s", n, firstOf(o.OverLimit)))
-	}
-	return broken
-}
-
-// namesShown is how many names a list shows.
-const namesShown = 3
-
-// firstOf names the first of a list and says that there are more.
-func firstOf(names []string) string {
-	if len(names) <= namesShown {
-		return strings.Join(names, ", ")
-	}
-	return strings.Join(names[:namesShown], ", ") + " and others"
-}
-
 // demo is a running demonstration.
 type demo struct {
 	options Options
@@ -180,192 +125,45 @@
 		Zones:    d.spec.zones,
 	})
 	if err != nil {
-		d.options.Keep = true
+		d.options.Keep = true // the logs say why
 		return fmt.Errorf("demo: start: %w", err)
 	}
-	return ctx.Err()
-}
-
-// leafIDs lists the leaves of a document.
-func leafIDs(doc *document.Document) []string {
-	var ids []string
-	for i := range doc.Upstreams {
-		for _, shard := range doc.Upstreams[i].Shards {
-			for _, l := range shard.Leaves {
-				ids = append(ids, l.ID)
-			}
-		}
-	}
-	return ids
-}
-
-// show runs the phases and checks what leaves ran.
-func (d *demo) show(ctx context.Context) (*Outcome, error) {
-	o := &Outcome{Site: d.options.Site, Entries: d.options.Entries, Leaves: len(d.site.LeafIDs())}
-	later := d.options.Length * 3 / 4
-	phases := []struct {
-		name   string
-		peak   float64
-		length time.Duration
-		event  func(ctx context.Context, length time.Duration) error
-	}{
-		{"opening burst", d.options.Peak, d.options.Length, nil},
-		{"lost replica", 0, later, d.loseReplica},
-		{"version change", 0, later, d.changeVersion},
-		{"planned stop", 0, later, d.stopEntry},
-	}
-	for i, p := range phases {
-		profile := loadgen.Profile{Rate: d.options.Rate, Peak: p.peak, Decay: p.length / 4, Duration: p.length}
-		phase, err := d.phase(ctx, i, p.name, profile, p.event)
-		if err != nil {
-			return nil, err
-		}
-		o.Phases = append(o.Phases, phase)
-	}
-	return o, d.check(o)
-}
-
-// phase sends load while an event happens.
-func (d *demo) phase(ctx context.Context, number int, name string, profile loadgen.Profile, event func(context.Context, time.Duration) error) (Phase, error) {
-	d.logf("%s: %s", name, profile.Duration)
-	plan := loadgen.Plan{
-		Profile: profile, Services: d.spec.services, Callers: 60, Entries: d.options.Entries,
-		ResendShare: 0.5, ResendAfter: resendAfter, Seed: d.options.Seed + uint64(number),
-	}
-	if err := plan.Validate(); err != nil {
-		return Phase{}, err
-	}
-	d.sender = loadgen.NewEntrySender(loadgen.SenderConfig{
-		Plan: plan, Entries: d.entries(nil), Tokens: d.spec.tokens, Verify: loadgen.VerifyStandin,
-		RunID: "demo-" + strconv.Itoa(number), Patience: patience, Transport: loadgen.NewTransport(),
-	})
-	ended := make(chan error, 1)
-	go func() {
-		if event == nil {
-			ended <- nil
-			return
-		}
-		ended <- event(ctx, profile.Duration)
-	}()
-	samples := loadgen.Run(ctx, loadgen.Schedule(plan), d.sender, loadgen.Options{MaxOpen: maxOpen, Returns: returns})
-	if err := errors.Join(<-ended, ctx.Err()); err != nil {
-		return Phase{}, fmt.Errorf("demo: %s: %w", name, err)
+	if err := d.makeReal(); err != nil {
+		return fmt.Errorf("demo: start: %w", err)
 	}
-	d.runs = append(d.runs, run{sender: d.sender, samples: samples})
-	return Phase{Name: name, Reports: loadgen.Summarize(samples, plan.Services)}, nil
+	return ctx.Err()
 }
 
-// The limits of the load.
+// What the platform and the leaves are like on an ordinary day: the platform
+// answers in milliseconds, limits its rates, and its list lags; what leaves say
+// of their load lags too.
 const (
-	patience = 10 * time.Second
-	maxOpen  = 5000
-	returns  = 3
-	// resendAfter is when an impatient caller sends a request again.
-	resendAfter = 30 * time.Millisecond
+	ordinaryPlatform = `{"delay_ms":2,"read_rate":2000,"write_rate":400,"instance_lag_ms":1000}`
+	ordinaryLeaf     = `{"lag_ms":1000}`
 )
 
-// entries lists the addresses of all entries but one.
-func (d *demo) entries(except *site.Entry) []string {
-	var addresses []string
-	for _, e := range d.site.Entries() {
-		if e != except {
-			addresses = append(addresses, e.URL())
-		}
-	}
-	return addresses
-}
-
-// loseReplica takes a leaf down after a quarter of the phase.
-func (d *demo) loseReplica(ctx context.Context, length time.Duration) error {
-	if !wait(ctx, length/4) {
-		return ctx.Err()
+// makeReal gives the stand-ins the weaknesses of an ordinary day.
+func (d *demo) makeReal() error {
+	if err := d.site.PatchPlatform([]byte(ordinaryPlatform)); err != nil {
+		return err
 	}
-	d.logf("leaf %s is lost", d.spec.lost)
-	return d.site.PatchLeafFaults(d.spec.lost, []byte(`{"down":true}`))
-}
-
-// changeVersion lets every leaf serve version 2 too, and later no longer
-// version 1, one leaf after another.
-func (d *demo) changeVersion(ctx context.Context, length time.Duration) error {
-	ids := d.site.LeafIDs()
-	pause := length / 3 / time.Duration(len(ids))
-	for _, versions := range []string{`{"versions":[1,2]}`, `{"versions":[2]}`} {
-		d.logf("leaves take %s", versions)
-		for _, id := range ids {
-			if !wait(ctx, pause) {
-				return ctx.Err()
-			}
-			if err := d.site.PatchLeafSettings(id, []byte(versions)); err != nil {
-				return err
-			}
+	for _, id := range d.site.LeafIDs() {
+		if err := d.site.PatchLeafFaults(id, []byte(ordinaryLeaf)); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-// balancerLag is how long the balancer goes on sending to an entry that leaves.
-const balancerLag = time.Second
-
-// stopEntry replaces an entry as maintenance does: a new one is started, the
-// old one is told to stop and must exit with 0, and the balancer lets go late.
-func (d *demo) stopEntry(ctx context.Context, length time.Duration) error {
-	if !wait(ctx, length/4) {
-		return ctx.Err()
-	}
-	old := d.site.Entries()[0]
-	added, err := d.site.AddEntry(d.options.Entries)
-	if err != nil {
-		return err
-	}
-	if err := added.WaitReady(readyTime); err != nil {
-		return err
-	}
-	d.sender.SetEntries(d.entries(nil))
-	d.logf("entry %s is told to stop, %s takes its place", old.ID, added.ID)
-	stopped := make(chan error, 1)
-	go func() { stopped <- old.Stop() }()
-	wait(ctx, balancerLag)
-	d.sender.SetEntries(d.entries(old))
-	return <-stopped
-}
-
-// readyTime bounds the start of an entry.
-const readyTime = 20 * time.Second
-
-// wait reports whether the time passed before the context ended.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
-// check compares what callers were told with what the leaves recorded.
-func (d *demo) check(o *Outcome) error {
-	started := map[string]int{}
-	for _, id := range d.site.LeafIDs() {
-		record, err := d.site.LeafRecord(id)
-		if err != nil {
-			return fmt.Errorf("demo: record of %s: %w", id, err)
-		}
-		for _, e := range record.Bodies {
-			started[e.Key] += e.Started
-		}
-		stats, err := d.site.LeafStats(id)
-		if err != nil {
-			return fmt.Errorf("demo: counts of %s: %w", id, err)
-		}
-		if id != d.spec.lost && stats.Connections.Refused > 0 {
-			o.OverLimit = append(o.OverLimit, id)
+// leafIDs lists the leaves of a document.
+func leafIDs(doc *document.Document) []string {
+	var ids []string
+	for i := range doc.Upstreams {
+		for _, shard := range doc.Upstreams[i].Shards {
+			for _, l := range shard.Leaves {
+				ids = append(ids, l.ID)
+			}
 		}
 	}
-	for _, r := range d.runs {
-		ran := func(a loadgen.Arrival) int { return started[leaf.Hash(r.sender.Body(a))] }
-		o.Executions.Merge(loadgen.CheckExecutions(r.samples, d.spec.services, ran))
-	}
-	return nil
+	return ids
 }
--- a/cmd/internal/demo/demo_test.go
+++ b/cmd/internal/demo/demo_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -17,6 +19,8 @@
 	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/loadgen"
 	"github.com/fuchsiaroad/fuchsiaroad/config/codec"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/leaf"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/platform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -104,6 +108,32 @@
 	}
 }
 
+func TestPlatformCallsAreThoseBetweenTwoCounts(t *testing.T) {
+	before := platform.Counts{Calls: []platform.CallCount{{Client: "a", Kind: platform.KindPut, Calls: 3, Limited: 1}}}
+	after := platform.Counts{Calls: []platform.CallCount{
+		{Client: "a", Kind: platform.KindPut, Calls: 5, Limited: 1}, {Client: "b", Kind: platform.KindWatch, Calls: 7, Limited: 2},
+		{Client: "b", Kind: platform.KindDelete, Calls: 1},
+	}}
+	if got := platformCalls(before, after); got != (PlatformCalls{Reads: 7, Writes: 3, Limited: 2}) {
+		t.Errorf("got %+v", got)
+	}
+}
+
+func TestOrdinaryDayIsValid(t *testing.T) {
+	var p platform.Faults
+	var l leaf.Faults
+	for text, into := range map[string]any{ordinaryPlatform: &p, ordinaryLeaf: &l} {
+		decoder := json.NewDecoder(strings.NewReader(text))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(into); err != nil {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	if err := errors.Join(p.Validate(), l.Validate()); err != nil {
+		t.Error(err)
+	}
+}
+
 // A failed start must leave no process and say where the logs are.
 func TestFailedStartNamesTheLogs(t *testing.T) {
 	broken := filepath.Join(t.TempDir(), "broken")
