--- a/standin/leaf/fleet_test.go
+++ b/standin/leaf/fleet_test.go
@@ -42,7 +42,7 @@
 	return f, "http://" + control.Addr().String()
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
