--- a/cmd/fuchsiactl/demo.go
+++ b/cmd/fuchsiactl/demo.go
@@ -16,6 +16,7 @@
 // newDemo builds the command that shows a whole site.
 func newDemo(o *options) *cobra.Command {
 	d := demo.Options{}
+	var extra string
 	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Run a whole site on this machine and show what callers get",
@@ -27,7 +28,8 @@
 
 Exit codes: 0 every promise was kept; 1 one was broken, or the demo failed.`,
 		Example: `  go run ./cmd/fuchsiactl demo
-  go run ./cmd/fuchsiactl demo --site capbon --output json`,
+  go run ./cmd/fuchsiactl demo --site capbon --output json
+  go run ./cmd/fuchsiactl demo --extra-settings baseline.toml`,
 		Args: usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if d.Site != demo.Recife && d.Site != demo.CapBon {
@@ -36,6 +38,13 @@
 			if d.Entries < 1 || d.Rate <= 0 || d.Length < time.Second {
 				return &usageError{fmt.Errorf("--entries and --rate must be above 0, --length at least 1s")}
 			}
+			if extra != "" {
+				text, err := os.ReadFile(extra)
+				if err != nil {
+					return &usageError{fmt.Errorf("--extra-settings: %w", err)}
+				}
+				d.ExtraSettings = string(text)
+			}
 			return runDemo(cmd, o, d)
 		},
 	}
@@ -47,6 +56,7 @@
 	flags.DurationVar(&d.Length, "length", 8*time.Second, "length of the opening; the other phases take three quarters of it")
 	flags.Uint64Var(&d.Seed, "seed", 1, "seed of the load and of the leaves")
 	flags.StringVar(&d.Fuchsiaroad, "fuchsiaroad", "", "program of the entry; built with go build if empty")
+	flags.StringVar(&extra, "extra-settings", "", "TOML file added to the settings of every entry, such as a [policy] table")
 	flags.BoolVar(&d.Keep, "keep", false, "keep the folder of settings and logs")
 	_ = cmd.RegisterFlagCompletionFunc("site", cobra.FixedCompletions([]string{demo.Recife, demo.CapBon}, cobra.ShellCompDirectiveNoFileComp))
 	return cmd
--- a/cmd/fuchsiactl/fuchsiactl_test.go
+++ b/cmd/fuchsiactl/fuchsiactl_test.go
@@ -173,6 +173,7 @@
 		{"load --entry x:1 --service a --plot a.gif", exitUsage, "--plot"},
 		{"demo --site lisbon", exitUsage, "lisbon"},
 		{"demo --rate 0", exitUsage, "--rate"},
+		{"demo --extra-settings no-such-file", exitUsage, "no-such-file"},
 	} {
 		_, stderr, code := command(t, strings.Fields(c.args)...)
 		if code != c.code || !strings.Contains(stderr, c.text) {
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -30,6 +30,9 @@
 	// Length is the time of the opening; the other phases take three quarters of it.
 	Length time.Duration
 	Seed   uint64
+	// ExtraSettings is TOML added to every entry's settings, such as its
+	// [policy] table.
+	ExtraSettings string
 	// Keep leaves the folder of settings and logs.
 	Keep bool
 	// Log takes a line for each step.
@@ -123,6 +126,8 @@
 		Leaf:     d.spec.leafTemplate(d.options.Seed),
 		Entries:  d.options.Entries,
 		Zones:    d.spec.zones,
+
+		ExtraSettings: d.options.ExtraSettings,
 	})
 	if err != nil {
 		d.options.Keep = true // the logs say why
