Platform stand-in: its end does not wait for slow writes

Cause: a write that outlives its client also outlived the stand-in: SIGTERM waited for the whole delay. It now ends with the stand-in, without effect.

--- a/cmd/fuchsiactl/standin.go
+++ b/cmd/fuchsiactl/standin.go
@@ -60,7 +60,7 @@
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&listen, "listen", listenAnywhere, "address to listen on")
-	flags.StringVar(&settingsFile, "settings", "", "JSON file of settings; flags come before it")
+	flags.StringVar(&settingsFile, "settings", "", "JSON file of settings, which go over the flags")
 	flags.StringVar(&s.Token, "platform-token", "", "bearer token that calls must carry; empty takes any")
 	flags.Uint64Var(&s.Seed, "seed", 1, "seed of the faults by share")
 	flags.IntVar(&s.History, "history", platform.DefaultHistory, "events kept for watches")
--- a/standin/platform/calls.go
+++ b/standin/platform/calls.go
@@ -53,10 +53,14 @@
 			return s.turnAway(c, http.StatusServiceUnavailable)
 		}
 		if kind == KindPut || kind == KindDelete {
-			// A write that is under way is not stopped by its client.
-			ctx = context.WithoutCancel(ctx)
+			// A write that is under way is stopped by the end of the
+			// stand-in, and not by its client.
+			ctx = s.life
 		}
 		pause(ctx, s.Faults().DelayMS)
+		if s.life.Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
 		return next(c)
 	}
 }
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -349,6 +349,42 @@
 	})
 }
 
+func TestEndDoesNotWaitForSlowWrites(t *testing.T) {
+	server := New(Settings{})
+	if err := server.SetFaults(Faults{DelayMS: time.Hour.Milliseconds()}); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended, written := make(chan error, 1), make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, listener) }()
+	go func() {
+		url := "http://" + listener.Addr().String() + "/v1/objects/k/a?if_version=0"
+		req, _ := http.NewRequest(http.MethodPut, url, strings.NewReader(`{"value":"b25l"}`))
+		resp, err := (&http.Client{Transport: &http.Transport{}}).Do(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+		written <- err
+	}()
+	for server.Counts().Total(KindPut) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if err := <-written; err == nil {
+		t.Error("the write was answered")
+	}
+	if _, found := server.Object("k", "a"); found {
+		t.Error("the write took effect at the end")
+	}
+}
+
 func TestTokenAndServe(t *testing.T) {
 	server := New(Settings{Token: "secret"})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -23,6 +23,8 @@
 type Server struct {
 	token   string
 	handler http.Handler
+	life    context.Context // ends with Serve
+	end     context.CancelFunc
 
 	mu        sync.Mutex
 	store     *store
@@ -56,8 +58,11 @@
 	if s.History <= 0 {
 		s.History = DefaultHistory
 	}
+	life, end := context.WithCancel(context.Background())
 	srv := &Server{
 		token:     s.Token,
+		life:      life,
+		end:       end,
 		store:     newStore(s.History),
 		changed:   make(chan struct{}),
 		cuts:      make(chan struct{}),
@@ -75,8 +80,10 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
 
 // Serve answers on a listener until the context ends. Calls that wait then are
-// broken off.
+// broken off. It may be called once.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, s.end)
+	defer stop()
 	if err := httpserve.Serve(ctx, listener, s); err != nil {
 		return fmt.Errorf("platform stand-in: serve: %w", err)
 	}
