--- a/kernel/query/attempt.go
+++ b/kernel/query/attempt.go
@@ -57,7 +57,7 @@
 		return nil
 	}
 	m.setState(a, state)
-	m.parts[a.part].drop(id)
+	m.parts[a.part].live.drop(id)
 	m.liveCount--
 	return a
 }
--- a/kernel/query/gate.go
+++ b/kernel/query/gate.go
@@ -117,7 +117,7 @@
 		if !a.hedge {
 			p.tries--
 		}
-		if len(p.live) == 0 {
+		if p.live.n == 0 {
 			p.state = partWaiting
 		}
 	}
--- a/kernel/query/hedge.go
+++ b/kernel/query/hedge.go
@@ -71,7 +71,7 @@
 // hedge offers a second attempt of a part.
 func (m *Machine) hedge(i int, now time.Time) {
 	p := &m.parts[i]
-	if p.state != partOpen || len(p.live) != 1 || p.hedged || !m.gate.open {
+	if p.state != partOpen || p.live.n != 1 || p.hedged || !m.gate.open {
 		return
 	}
 	if !now.Before(m.cfg.Deadline) || !m.hasOther(p) || !m.cfg.Budget.TakeHedge(now) {
--- a/kernel/query/machine.go
+++ b/kernel/query/machine.go
@@ -127,6 +127,8 @@
 	if !m.idempotent() && len(upstreams) > 1 {
 		upstreams = upstreams[:1]
 	}
+	m.parts = make([]part, 0, m.cfg.Service.Shards)
+	m.attempts = make([]attempt, 0, m.cfg.Service.Shards)
 	m.spaces = make([]space, len(upstreams))
 	for i, u := range upstreams {
 		m.spaces[i] = space{first: u, now: u}
--- a/kernel/query/part.go
+++ b/kernel/query/part.go
@@ -32,7 +32,7 @@
 	shard  int
 	state  partState
 	reason string
-	live   []AttemptID
+	live   liveAttempts
 	tried  []int // leaves
 	tries  int
 	hedged bool
@@ -46,10 +46,27 @@
 	next       int // the next part of the cell plus one
 }
 
-// drop forgets a live attempt.
-func (p *part) drop(id AttemptID) {
-	if i := slices.Index(p.live, id); i >= 0 {
-		p.live = slices.Delete(p.live, i, i+1)
+// liveAttempts are the attempts of a part whose end is awaited: one, and its
+// hedge.
+type liveAttempts struct {
+	ids [2]AttemptID
+	n   int
+}
+
+// add appends an attempt.
+func (l *liveAttempts) add(id AttemptID) {
+	l.ids[l.n] = id
+	l.n++
+}
+
+// drop forgets an attempt.
+func (l *liveAttempts) drop(id AttemptID) {
+	for i := range l.n {
+		if l.ids[i] == id {
+			l.n--
+			l.ids[i] = l.ids[l.n]
+			return
+		}
 	}
 }
 
@@ -94,7 +111,7 @@
 		piece := p
 		piece.need = p.need.Intersect(grid.Cell(c))
 		piece.state = partWaiting
-		piece.live = nil
+		piece.live = liveAttempts{}
 		piece.next = m.spaces[p.space].cells[c]
 		m.parts = append(m.parts, piece)
 		m.spaces[p.space].cells[c] = len(m.parts)
@@ -111,7 +128,7 @@
 	a.version = m.version
 	m.attempts = append(m.attempts, a)
 	id := AttemptID(len(m.attempts))
-	p.live = append(p.live, id)
+	p.live.add(id)
 	m.liveCount++
 	if !a.hedge {
 		p.tries++
@@ -226,7 +243,7 @@
 
 // withdrawPart takes back all live attempts of a part.
 func (m *Machine) withdrawPart(i int) {
-	for len(m.parts[i].live) > 0 {
-		m.withdraw(m.parts[i].live[0])
+	for m.parts[i].live.n > 0 {
+		m.withdraw(m.parts[i].live.ids[0])
 	}
 }
--- a/kernel/query/reply.go
+++ b/kernel/query/reply.go
@@ -35,6 +35,10 @@
 	}
 	p := &m.parts[a.part]
 	universe := m.grids[p.space].Universe()
+	if len(ev.Ranges) == 1 {
+		r := ev.Ranges[0]
+		return universe.Contains(r) && r.Overlaps(p.need)
+	}
 	var set keyrange.Set
 	for _, r := range ev.Ranges {
 		if r.Empty() || !universe.Contains(r) || set.Overlaps(r) {
@@ -51,8 +55,12 @@
 	if m.version == 0 {
 		m.pinFirst(ev.Version)
 	}
-	set := keyrange.NewSet(ev.Ranges...)
-	r := stored{space: space, ranges: set.Ranges(), leaf: ev.Leaf, body: ev.Body}
+	ranges := ev.Ranges
+	if len(ranges) > 1 {
+		set := keyrange.NewSet(ranges...)
+		ranges = set.Ranges()
+	}
+	r := stored{space: space, ranges: ranges, leaf: ev.Leaf, body: ev.Body}
 	if !m.tally(ev.Version).add(r) {
 		m.count.ignored++
 		m.askRest(a.part, ev.Leaf, whole(m.parts[a.part]), now)
@@ -102,7 +110,7 @@
 	case len(missing) == 0:
 		m.cover(i)
 	case p.state != partOpen && p.state != partWaiting:
-	case i == replied && len(p.live) > 0:
+	case i == replied && p.live.n > 0:
 		// A hedge is still running; it may bring the rest.
 	case i == replied:
 		m.askRest(i, noLeaf, nil, now)
--- a/kernel/query/retry.go
+++ b/kernel/query/retry.go
@@ -95,7 +95,7 @@
 // idle reports whether a part is unsettled and has no live attempt.
 func (m *Machine) idle(i int) bool {
 	p := &m.parts[i]
-	return (p.state == partOpen || p.state == partWaiting) && len(p.live) == 0
+	return (p.state == partOpen || p.state == partWaiting) && p.live.n == 0
 }
 
 // retryPart asks a part again, elsewhere, or gives it up.
