Name an attempt's leaves by the view of its offer

A runtime fixes the index when it takes the offer, so a newer view between offer and send made the machine avoid a wrong leaf. The offer's view is kept with the attempt and translated by leaf ID. Seen to fail without the translation. 30,000 random cases of each property passed.

--- a/kernel/query/attempt.go
+++ b/kernel/query/attempt.go
@@ -1,6 +1,10 @@
 package query
 
-import "time"
+import (
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
 
 // attemptState is how far an attempt got.
 type attemptState uint8
@@ -31,6 +35,7 @@
 
 // attempt is one offer of a part.
 type attempt struct {
+	view    *view.View // of its offer, by which its events name leaves
 	part    int
 	leaf    int // as its Sent named it
 	version uint64
@@ -104,8 +109,7 @@
 	m.setState(a, stateSent)
 	a.leaf = ev.Leaf
 	a.sentAt = now.Sub(m.cfg.Start)
-	p := &m.parts[a.part]
-	p.tried = append(p.tried, ev.Leaf)
+	m.noteTried(a, ev.Leaf)
 	m.count.sent++
 	if a.hedge {
 		m.count.hedges++
@@ -115,3 +119,19 @@
 	}
 	m.scheduleHedge(ev.Attempt, a, now)
 }
+
+// here is a leaf, named by the view of an attempt's offer, in the current view.
+func (m *Machine) here(a *attempt, leaf int) int {
+	if a.view == m.view {
+		return leaf
+	}
+	return translate(a.view, m.view, m.spaces[m.parts[a.part].space].now, leaf)
+}
+
+// noteTried remembers a leaf for the part of an attempt.
+func (m *Machine) noteTried(a *attempt, leaf int) {
+	if leaf = m.here(a, leaf); leaf != noLeaf {
+		p := &m.parts[a.part]
+		p.tried = append(p.tried, leaf)
+	}
+}
--- a/kernel/query/gate.go
+++ b/kernel/query/gate.go
@@ -72,7 +72,7 @@
 func (m *Machine) mayGoBack(a attempt) {
 	p := &m.parts[a.part]
 	if m.gate.proved && !m.hasOther(p) {
-		p.tried = []int{a.leaf}
+		p.tried = []int{m.here(&a, a.leaf)}
 	}
 }
 
--- a/kernel/query/machine_test.go
+++ b/kernel/query/machine_test.go
@@ -120,7 +120,7 @@
 		w.handle(query.NotSent{Attempt: id, Reason: rapid.SampledFrom([]query.DeclineReason{query.ReasonOverloaded, query.ReasonNoLeaf, query.ReasonDeadline}).Draw(t, "refused")})
 	case what == 1:
 		a.ended = true
-		w.handle(query.NotSent{Attempt: id, Reason: query.ReasonDialFailed, Leaf: leaves[0]})
+		w.handle(query.NotSent{Attempt: id, Reason: query.ReasonDialFailed, Leaf: w.named(a, leaves[0])})
 	default:
 		w.send(id, rapid.SampledFrom(leaves).Draw(t, "leaf"))
 	}
--- a/kernel/query/messages.go
+++ b/kernel/query/messages.go
@@ -81,10 +81,10 @@
 // Cancel says that the caller has gone.
 type Cancel struct{}
 
-// ViewChanged gives a newer view: what is asked from here on is planned by its
-// shards, and Offer and the leaf of Sent use its indexes. The later events of
-// an attempt name the leaf as its Sent did; the answer's parts use the indexes
-// of the view that the query started with.
+// ViewChanged gives a newer view: what is offered from here on is planned by
+// its shards and uses its indexes. The events of an attempt name leaves by the
+// view of its Offer; the answer's parts use the indexes of the view that the
+// query started with.
 type ViewChanged struct{ View *view.View }
 
 // Cleared says that another query has shown the request to be safe.
--- a/kernel/query/part.go
+++ b/kernel/query/part.go
@@ -9,9 +9,9 @@
 
 // These stand for the absence of an index.
 const (
-	noLeaf     = -1
+	noLeaf     = view.NoLeaf
 	noShard    = -1
-	noUpstream = -1
+	noUpstream = view.NoUpstream
 )
 
 // partState is what becomes of a part.
@@ -123,6 +123,7 @@
 func (m *Machine) offer(i int, a attempt) {
 	p := &m.parts[i]
 	p.state = partOpen
+	a.view = m.view
 	a.part = i
 	a.leaf = noLeaf
 	a.version = m.version
--- a/kernel/query/replan.go
+++ b/kernel/query/replan.go
@@ -127,16 +127,16 @@
 // viewChanged takes a newer view. Parts that were given up because no leaf of
 // the old shards held them are asked again; running attempts go on.
 func (m *Machine) viewChanged(v *view.View, now time.Time) {
-	translate := translation(m.view, v)
+	old := m.view
 	for i := range m.spaces {
 		m.spaces[i].order = nil
-		m.spaces[i].now = upstreamNamed(v, m.cfg.View.Upstreams[m.spaces[i].first].Name)
+		m.spaces[i].now = v.UpstreamByName(m.cfg.View.Upstreams[m.spaces[i].first].Name)
 	}
 	m.view = v
 	for i := range len(m.parts) {
 		p := &m.parts[i]
 		for t := range p.tried {
-			p.tried[t] = translate(p.tried[t])
+			p.tried[t] = translate(old, v, m.spaces[p.space].now, p.tried[t])
 		}
 		p.shard = noShard
 		if at := m.shardsOf(p.space, p.need); len(at) > 0 {
@@ -162,11 +162,6 @@
 	return reason == string(ReasonWrongRange) || reason == string(ReasonNoLeaf) || reason == MissingNoShard
 }
 
-// upstreamNamed returns the index of an upstream, or noUpstream.
-func upstreamNamed(v *view.View, name string) int {
-	return slices.IndexFunc(v.Upstreams, func(u view.Upstream) bool { return u.Name == name })
-}
-
 // reopen takes back that a part was given up.
 func (m *Machine) reopen(i int) {
 	p := &m.parts[i]
@@ -179,19 +174,10 @@
 	m.open++
 }
 
-// translation maps leaf indexes of one view to those of another.
-func translation(old, v *view.View) func(int) int {
-	index := make(map[string]int, len(v.Leaves))
-	for i := range v.Leaves {
-		index[v.Leaves[i].ID] = i
-	}
-	return func(leaf int) int {
-		if leaf < 0 || leaf >= len(old.Leaves) {
-			return noLeaf
-		}
-		if i, ok := index[old.Leaves[leaf].ID]; ok {
-			return i
-		}
+// translate turns a leaf's index of one view into that of another, or noLeaf.
+func translate(from, to *view.View, upstream, leaf int) int {
+	if leaf < 0 || leaf >= len(from.Leaves) || upstream == noUpstream {
 		return noLeaf
 	}
+	return to.Upstreams[upstream].Leaf(from.Leaves[leaf].ID)
 }
--- a/kernel/query/reply.go
+++ b/kernel/query/reply.go
@@ -63,14 +63,14 @@
 	r := stored{space: space, ranges: ranges, leaf: ev.Leaf, body: ev.Body}
 	if !m.tally(ev.Version).add(r) {
 		m.count.ignored++
-		m.askRest(a.part, ev.Leaf, whole(m.parts[a.part]), now)
+		m.askRest(a.part, m.here(&a, ev.Leaf), whole(m.parts[a.part]), now)
 		return
 	}
 	m.score(ev.Version)
 	m.checkSettle(now)
 	if ev.Version != m.version {
 		// The attempt asked for any version: the leaf may have the pinned one too.
-		m.askRest(a.part, ev.Leaf, whole(m.parts[a.part]), now)
+		m.askRest(a.part, m.here(&a, ev.Leaf), whole(m.parts[a.part]), now)
 		return
 	}
 	for _, i := range m.partsAt(space, r.ranges) {
--- a/kernel/query/retry.go
+++ b/kernel/query/retry.go
@@ -25,7 +25,7 @@
 		return
 	}
 	if p.state == stateQueued {
-		m.parts[p.part].tried = append(m.parts[p.part].tried, ev.Leaf)
+		m.noteTried(p, ev.Leaf)
 	}
 	a := m.end(ev.Attempt, stateDeclined)
 	if a == nil {
@@ -34,7 +34,7 @@
 	}
 	if ev.Reason == ReasonWrongRange && m.idempotent() && len(ev.Ranges) > 0 {
 		if m.idle(a.part) {
-			m.replan(a.part, ev.Leaf, ev.Ranges, now)
+			m.replan(a.part, m.here(a, ev.Leaf), ev.Ranges, now)
 		}
 		return
 	}
@@ -58,8 +58,7 @@
 	}
 	m.retryAfter = max(m.retryAfter, ev.RetryAfter)
 	if ev.Reason == ReasonDialFailed {
-		part := &m.parts[a.part]
-		part.tried = append(part.tried, ev.Leaf)
+		m.noteTried(a, ev.Leaf)
 		m.retryPart(a.part, failure{reason: string(ev.Reason)}, now)
 		return
 	}
--- a/kernel/query/world_test.go
+++ b/kernel/query/world_test.go
@@ -57,11 +57,12 @@
 // tried is the test's own record of one attempt.
 type tried struct {
 	offer query.Offer
-	leaf  int  // as sent
-	sent  bool // Sent was delivered
-	ended bool // an end was delivered
-	taken bool // withdrawn
-	clean bool // proved not run
+	view  *view.View // of the offer
+	leaf  int        // as sent
+	sent  bool       // Sent was delivered
+	ended bool       // an end was delivered
+	taken bool       // withdrawn
+	clean bool       // proved not run
 }
 
 func (a *tried) live() bool { return !a.ended && !a.taken }
@@ -240,7 +241,7 @@
 	if !shard.Range.Overlaps(o.Part.Range) {
 		w.t.Fatalf("offer of %v to the shard of %v", o.Part.Range, shard.Range)
 	}
-	w.attempts = append(w.attempts, &tried{offer: o, clean: true})
+	w.attempts = append(w.attempts, &tried{offer: o, view: w.view, clean: true})
 }
 
 // checkRunning checks that a query which is not finished waits for something,
@@ -279,16 +280,24 @@
 // send delivers Sent.
 func (w *world) send(id query.AttemptID, leaf int) {
 	a := w.attempts[id-1]
-	a.sent, a.clean, a.leaf = true, false, leaf
+	a.sent, a.clean, a.leaf = true, false, w.named(a, leaf)
 	w.sentTo[id] = w.view.Leaves[leaf].ID
-	w.handle(query.Sent{Attempt: id, Leaf: leaf})
+	w.handle(query.Sent{Attempt: id, Leaf: a.leaf})
 }
 
-// allowed lists the leaves that dispatch might choose for an offer.
+// named is a leaf of the current view by the view of an attempt's offer.
+func (w *world) named(a *tried, leaf int) int {
+	return a.view.Upstreams[a.offer.Part.Upstream].Leaf(w.view.Leaves[leaf].ID)
+}
+
+// allowed lists the leaves that dispatch might choose for an offer, whose shard
+// is of the current view while what it avoids is of its own.
 func (w *world) allowed(o query.Offer) []int {
+	named := w.attempts[o.Attempt-1].view
 	var out []int
 	for _, l := range w.view.Upstreams[o.Part.Upstream].Shards[o.Shard].Leaves {
-		if !slices.Contains(o.Avoid, l) {
+		id := w.view.Leaves[l].ID
+		if !slices.ContainsFunc(o.Avoid, func(a int) bool { return named.Leaves[a].ID == id }) {
 			out = append(out, l)
 		}
 	}
