--- a/bench/burst/params.go
+++ b/bench/burst/params.go
@@ -73,7 +73,6 @@
 	OneQueue bool
 	// NoCancel lets running work run on after its query has ended.
 	NoCancel bool
-	blind    bool
 	// MostAttempts bounds the attempts of one part.
 	MostAttempts int
 }
--- a/kernel/dispatch/admission_test.go
+++ b/kernel/dispatch/admission_test.go
@@ -82,7 +82,11 @@
 		for range 50 {
 			a.Admit(request, []Fitter{fakeFit{2 * time.Second}}, start)
 		}
-		seen[a.Admit(request, []Fitter{fakeFit{2 * time.Second}}, start).RetryAfter] = true
+		after := a.Admit(request, []Fitter{fakeFit{2 * time.Second}}, start).RetryAfter
+		if after < 2*time.Second || after > mostRetryAfter {
+			t.Fatalf("come back after %v, want within the bounds", after)
+		}
+		seen[after] = true
 	}
 	if len(seen) < 9 {
 		t.Fatalf("%d different times at 10 entries", len(seen))
--- a/kernel/dispatch/machine_test.go
+++ b/kernel/dispatch/machine_test.go
@@ -261,6 +261,27 @@
 	}
 }
 
+// TestHedgeStopsNearCapacity has a queue that takes longer than a reply.
+func TestHedgeStopsNearCapacity(t *testing.T) {
+	m := newTestMachine(t, testView(1, 2, 1, 1, 1))
+	for q := range 64 {
+		m.Handle(offered(q), start)
+		m.Handle(reply(q, 10*time.Millisecond), start)
+	}
+	first := m.Handle(offered(100), start)[0].(Dispatch)
+	m.Handle(offered(101), start)
+	h := offered(100)
+	h.Ticket.Attempt, h.Hedge, h.Avoid = 2, true, []int{first.Leaf}
+	if r := refusal(m.Handle(h, start)); r != nil {
+		t.Fatalf("%v: a hedge may wait for a busy leaf when nothing else does", r)
+	}
+	for q := range 10 {
+		m.Handle(offered(200+q), start)
+	}
+	h.Ticket.Attempt = 3
+	wantRefused(t, m.Handle(h, start), query.ReasonOverloaded)
+}
+
 func TestEjectionTakesABoundedShare(t *testing.T) {
 	defer clear(fakeEjected)
 	m := newTestMachine(t, testView(1, 2, 1, 1, 1))
