--- /dev/null
+++ b/entry/executor/run.go
@@ -0,0 +1,182 @@
+package executor
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// run is one query in progress, driven by one goroutine.
+type run struct {
+	executor    *Executor
+	request     *Request
+	id          string
+	stamp       uint64
+	fingerprint string
+	repetition  *repetition
+	versions    *versions
+	machine     *query.Machine
+	mail        *mailbox
+	ctx         context.Context // ends with the caller or with the answer
+	attempts    map[query.AttemptID]*attempt
+	// view is the newest view that the machine knows; pools is by its indexes.
+	view   *view.View
+	pools  map[int]*pool
+	timer  *time.Timer
+	answer *query.Answer
+}
+
+// newToken makes an unguessable id: 128 random bits in hex.
+func newToken() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // never fails: crypto/rand ends the program instead
+	return hex.EncodeToString(b[:])
+}
+
+// drive runs the query to its answer.
+func (r *run) drive() *query.Answer {
+	r.timer = time.NewTimer(time.Hour)
+	r.timer.Stop()
+	defer r.timer.Stop()
+	defer r.mail.close()
+	r.handle(query.Begin{})
+	done := r.ctx.Done()
+	var events []query.Event
+	for r.answer == nil {
+		select {
+		case <-r.mail.wake:
+			events = r.mail.take(events)
+			for _, ev := range events {
+				r.handle(ev)
+			}
+		case <-r.timer.C:
+			r.handle(query.Tick{})
+		case <-done:
+			done = nil
+			r.handle(query.Cancel{})
+		}
+	}
+	return r.answer
+}
+
+// handle gives one event to the machine and carries out its actions.
+func (r *run) handle(ev query.Event) {
+	if r.answer != nil {
+		return
+	}
+	now := time.Now()
+	r.heed(ev, now)
+	for _, action := range r.machine.Handle(ev, now) {
+		r.act(action)
+	}
+}
+
+// heed does what an event means outside of the machine.
+func (r *run) heed(ev query.Event, now time.Time) {
+	switch ev := ev.(type) {
+	case query.ViewChanged:
+		r.follow(ev.View)
+	case query.Declined:
+		if ev.Reason == query.ReasonOverloaded {
+			r.repetition.shed(now)
+		}
+	case query.NotSent:
+		if ev.Reason == query.ReasonOverloaded {
+			r.repetition.shed(now)
+		}
+	}
+}
+
+// follow moves the query to a newer view, by whose indexes it speaks from here on.
+func (r *run) follow(v *view.View) {
+	r.view = v
+	r.versions.view = v
+	clear(r.pools)
+}
+
+// act carries out one action.
+func (r *run) act(action query.Action) {
+	switch action := action.(type) {
+	case query.Offer:
+		r.offer(action)
+	case query.Withdraw:
+		r.withdraw(action.Attempt)
+	case query.WakeAt:
+		r.timer.Reset(max(time.Until(action.At), 0))
+	case query.Verdict:
+		r.verdict(action)
+	case query.Finish:
+		answer := action.Answer
+		r.answer = &answer
+	}
+}
+
+// offer puts an attempt into its upstream's pool.
+func (r *run) offer(o query.Offer) {
+	a := &attempt{
+		ticket: dispatch.Ticket{Query: r.stamp, Attempt: o.Attempt},
+		run:    r, view: r.view, offer: o, token: newToken(),
+	}
+	r.attempts[o.Attempt] = a
+	if o.Hedge {
+		r.executor.decide(a, telemetry.Decision{Part: partQuery, What: "hedge"})
+	}
+	if o.Retry {
+		r.executor.decide(a, telemetry.Decision{Part: partQuery, What: "retry"})
+	}
+	a.pool = r.pool(o.Part.Upstream)
+	a.pool.offer(a)
+}
+
+// pool returns the pool of an upstream, looked up once per query.
+func (r *run) pool(upstream int) *pool {
+	p, ok := r.pools[upstream]
+	if !ok {
+		p = r.executor.pool(r.view, upstream)
+		r.pools[upstream] = p
+	}
+	return p
+}
+
+// withdraw takes an attempt back.
+func (r *run) withdraw(id query.AttemptID) {
+	if a, ok := r.attempts[id]; ok {
+		a.pool.withdraw(a.ticket)
+	}
+}
+
+// verdict tells the quarantine how an attempt ended on its leaf.
+func (r *run) verdict(v query.Verdict) {
+	a, ok := r.attempts[v.Attempt]
+	if !ok {
+		return
+	}
+	e := r.executor
+	news := e.guard.observe(quarantine.Observed{Fingerprint: r.fingerprint, Leaf: a.leafName(v.Leaf), Crashed: v.Crashed, Solo: a.offer.Solo}, time.Now())
+	if v.Crashed {
+		e.decide(a, telemetry.Decision{Part: partQuery, What: "suspect", Leaf: a.leafName(v.Leaf), Why: r.fingerprint})
+	}
+	if news {
+		e.config.Sightings.SpreadNow()
+	}
+}
+
+// leafName is the ID of a leaf by its index in the attempt's view.
+func (a *attempt) leafName(leaf int) string {
+	if leaf < 0 || leaf >= len(a.view.Leaves) {
+		return ""
+	}
+	return a.view.Leaves[leaf].ID
+}
+
+// leafIndex is the index of a leaf in the attempt's view.
+func (a *attempt) leafIndex(id string) int {
+	return a.view.Upstreams[a.offer.Part.Upstream].Leaf(id)
+}
--- /dev/null
+++ b/kernel/quarantine/quarantine.go
@@ -0,0 +1,109 @@
+// Package quarantine decides what may run of a request that was on a leaf when
+// it broke. Requests are known by their fingerprint, an opaque keyed hash of
+// caller, service and body.
+package quarantine
+
+import "time"
+
+// Config sets the times and bounds of a machine.
+type Config struct {
+	// QuarantineFor is how long a fingerprint with two breaks is refused. After
+	// that it is a suspect again, so that a resend breaks one leaf at most.
+	QuarantineFor time.Duration
+	// SuspectFor is how long one break, or its clearing, is remembered.
+	SuspectFor time.Duration
+	// MaxRecords bounds the suspects and quarantined fingerprints kept.
+	MaxRecords int
+	// MaxGood bounds the known-good fingerprints kept.
+	MaxGood int
+	// DigestRecords bounds the records told to a peer.
+	DigestRecords int
+}
+
+// Record is the state of a fingerprint. Records merge by the greater Level
+// and, of equal levels, the later Until: the merge is commutative, associative
+// and idempotent.
+type Record struct {
+	Fingerprint string
+	// Level grows with each change, and its remainder by 3 is the Phase.
+	Level int
+	Until time.Time
+}
+
+// Phase is what a record says of its fingerprint.
+type Phase int
+
+// The phases, in the order in which levels pass through them.
+const (
+	PhaseClear       Phase = iota // a success has shown it harmless
+	PhaseSuspect                  // it was on a leaf that broke
+	PhaseQuarantined              // it broke a second leaf, alone
+	phases
+)
+
+// Phase returns the phase of the record's level.
+func (r Record) Phase() Phase { return Phase(r.Level % int(phases)) }
+
+// next is the lowest greater level of another phase.
+func (r Record) next(p Phase) int {
+	return r.Level + (int(p)-int(r.Phase())+int(phases))%int(phases)
+}
+
+// Event is an input of the machine.
+type Event interface{ isEvent() }
+
+// Observed is how an attempt ended on a leaf.
+type Observed struct {
+	Fingerprint string
+	Leaf        string
+	Crashed     bool // false: it ran to its end
+	Solo        bool // it ran alone: a canary or a suspect
+}
+
+// Merged brings a peer's records.
+type Merged struct{ Records []Record }
+
+// Lifted is an operator's word that a fingerprint may run again.
+type Lifted struct{ Fingerprint string }
+
+// Tick lets records expire.
+type Tick struct{}
+
+func (Observed) isEvent() {}
+func (Merged) isEvent()   {}
+func (Lifted) isEvent()   {}
+func (Tick) isEvent()     {}
+
+// Action is an output of the machine.
+type Action interface{ isAction() }
+
+// Announce asks to tell the peers of a record at once, ahead of the next digest.
+type Announce struct{ Record Record }
+
+// Changed tells the running queries of a fingerprint of its new phase: Cleared
+// and Condemned of the query package, the latter with Left as its RetryAfter.
+type Changed struct {
+	Fingerprint string
+	Phase       Phase
+	Left        time.Duration
+}
+
+func (Announce) isAction() {}
+func (Changed) isAction()  {}
+
+// Mode is how a request may run.
+type Mode int
+
+// The modes.
+const (
+	ModeRun     Mode = iota // as any other
+	ModeCanary              // one part alone first
+	ModeSuspect             // one part alone first, and a second break ends it
+	ModeRefuse              // not at all, until RetryAfter has passed
+)
+
+// Decision is how a request may run.
+type Decision struct {
+	Mode       Mode
+	RetryAfter time.Duration
+}
