--- a/bench/experiment/sets.go
+++ b/bench/experiment/sets.go
@@ -38,6 +38,7 @@
 	"fairness":   {"A quiet caller beside a loud one at three times the capacity, equal shares.", fairness},
 	"hints":      {"Load endpoints that are 200 ms late, and one of two that lies, over five seeds.", hints},
 	"home":       {"One home entry per shard, 1.25 ms further each way, beside eight entries.", home},
+	"opening":    {"The first moments of a burst, with nothing known yet; useful work of all that arrived then.", opening},
 	"return":     {"A burst of two seconds whose refused callers come back when told.", returning},
 }
 
@@ -244,3 +245,17 @@
 	}
 	return out
 }
+
+func opening() []job {
+	var out []job
+	for _, shards := range []int{1, 20, 100} {
+		for _, first := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second} {
+			for _, load := range []float64{1.5, 3} {
+				p := burst.Default(shards, load)
+				p.Duration, p.Warm = first, 0
+				out = append(out, named(p, "first "+first.String()), named(p.Baseline(), "first "+first.String()+", baseline"))
+			}
+		}
+	}
+	return out
+}
--- a/kernel/dispatch/change.go
+++ b/kernel/dispatch/change.go
@@ -22,6 +22,11 @@
 	for _, s := range old {
 		m.move(s, moved[s.keys])
 	}
+	for _, a := range m.running {
+		if s := moved[a.shard.keys]; s != nil {
+			a.shard = s
+		}
+	}
 	for _, s := range m.shards {
 		m.serve(s, now)
 	}
@@ -63,7 +68,7 @@
 func (m *Machine) install(v *view.View) {
 	m.setWeights(v)
 	m.byIndex = make(map[int]*leaf)
-	m.shards = nil
+	m.shards, m.stalled = nil, nil
 	for _, l := range m.leaves {
 		l.index, l.shards, l.leaving = -1, nil, true
 	}
--- a/kernel/dispatch/estimate.go
+++ b/kernel/dispatch/estimate.go
@@ -39,12 +39,13 @@
 	leastQuantile   = 0.05
 	mostQuantile    = 0.9
 	refreshInterval = 64
+	firstRefresh    = 20
 )
 
 func (t *times) observe(d time.Duration) {
 	t.sketch.Observe(d)
 	t.seen++
-	if t.seen%refreshInterval != 0 {
+	if t.seen%refreshInterval != 0 && t.seen != firstRefresh {
 		return
 	}
 	t.least = t.sketch.Quantile(leastQuantile)
--- a/kernel/dispatch/expiry.go
+++ b/kernel/dispatch/expiry.go
@@ -50,6 +50,9 @@
 	for a := m.expiry.first(); a != nil && m.hopeless(a, now); a = m.expiry.first() {
 		m.unqueue(a)
 		m.refuse(a.ticket, query.ReasonDeadline, m.drainTime(a.shard))
+		if a.solo {
+			m.serve(a.shard, now) // the leaf that was kept for it is free
+		}
 	}
 }
 
@@ -79,7 +82,7 @@
 		return
 	}
 	at := a.deadline.Add(-m.needed(a))
-	if a.shard.inFlight() == 0 {
+	if len(m.stalled) > 0 {
 		at = earlier(at, now.Add(pollInterval))
 	}
 	if !m.wake.IsZero() && !at.Before(m.wake) && m.wake.After(now) {
--- a/kernel/dispatch/leaf.go
+++ b/kernel/dispatch/leaf.go
@@ -36,6 +36,8 @@
 	leaves []*leaf
 	queue  fairQueue
 	order  plugin.Order
+	// stalled says that the shard is in Machine.stalled.
+	stalled bool
 	// meanLatency is a moving average of replies' latency, in seconds.
 	meanLatency float64
 }
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -31,10 +31,12 @@
 	weights   map[string]float64 // caller shares by name
 	running   map[Ticket]*attempt
 	waiting   map[Ticket]*attempt
-	times     times
-	expiry    expiryHeap
-	wake      time.Time // the Tick asked for, zero for none
-	actions   []Action
+	// stalled are the shards with waiting work and none running.
+	stalled []*shard
+	times   times
+	expiry  expiryHeap
+	wake    time.Time // the Tick asked for, zero for none
+	actions []Action
 
 	candidates []plugin.Candidate // scratch
 	chosen     []*leaf            // scratch, beside candidates
@@ -204,15 +206,18 @@
 	}
 }
 
-// tick serves all that a passed wake-up may have made possible, such as the
-// end of an ejection.
+// tick serves the shards that no reply will wake, such as those whose leaves
+// were all ejected.
 func (m *Machine) tick(now time.Time) {
 	m.wake = time.Time{}
 	m.expire(now)
-	for _, s := range m.shards {
-		if s.queue.length > 0 {
-			m.serve(s, now)
-		}
+	stalled := m.stalled
+	m.stalled = nil
+	for _, s := range stalled {
+		s.stalled = false
+	}
+	for _, s := range stalled {
+		m.serve(s, now)
 	}
 }
 
--- a/kernel/dispatch/serve.go
+++ b/kernel/dispatch/serve.go
@@ -13,6 +13,7 @@
 	for s.queue.length > 0 {
 		a, i, why := m.next(s, now)
 		if a == nil {
+			m.stall(s)
 			return
 		}
 		if m.hopeless(a, now) {
@@ -24,6 +25,15 @@
 	}
 }
 
+// stall notes a shard that has waiting work and no running attempt whose end
+// would serve it.
+func (m *Machine) stall(s *shard) {
+	if !s.stalled && s.inFlight() == 0 {
+		s.stalled = true
+		m.stalled = append(m.stalled, s)
+	}
+}
+
 // next finds the attempt to serve and its leaf: callers in turn, and within a
 // caller the order policy's end of the queue. The leaf is m.chosen[i].
 func (m *Machine) next(s *shard, now time.Time) (a *attempt, i int, why string) {
