--- a/kernel/repetition/budget.go
+++ b/kernel/repetition/budget.go
@@ -35,13 +35,19 @@
 	retry bucket
 }
 
-// NewBudget returns empty buckets that earn the given shares in [0, 1] per
-// first sub-request.
+// NewBudget returns buckets that earn the given shares in [0, 1] per first
+// sub-request. The retry bucket starts full, unless its share is 0: a retry
+// follows a proof that nothing ran, and the first leaf that declines should
+// not cost an answer. The hedge bucket starts empty.
 func NewBudget(hedgeShare, retryShare float64) *Budget {
-	return &Budget{
+	b := &Budget{
 		hedge: bucket{perDeposit: hedgeShare, burst: hedgeBurst},
 		retry: bucket{perDeposit: retryShare, burst: retryBurst},
 	}
+	if retryShare > 0 {
+		b.retry.tokens = retryBurst
+	}
+	return b
 }
 
 // HedgeFill is how full the hedge bucket is, in [0, 1].
--- a/plugins/budgeted/budgeted_test.go
+++ b/plugins/budgeted/budgeted_test.go
@@ -70,6 +70,13 @@
 func TestRetriesAreBudgeted(t *testing.T) {
 	p := New(settings)
 	retries := 0
+	for p.TakeRetry(time.Time{}) { // what a new budget holds
+		retries++
+	}
+	if retries != 10 {
+		t.Fatalf("%d retries at first, want 10", retries)
+	}
+	retries = 0
 	for range 1000 {
 		p.Deposit()
 		for p.TakeRetry(time.Time{}) {
--- a/plugins/twochoices/health.go
+++ b/plugins/twochoices/health.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	failureGain = 0.3
+	failureGain = 0.45
 	// A leaf is ejected when its failures are above ejectAt and exceed the
 	// average of the other leaves by ejectMargin.
 	ejectAt     = 0.65
