--- a/entry/operators/api.go
+++ b/entry/operators/api.go
@@ -17,6 +17,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
 	"github.com/fuchsiaroad/fuchsiaroad/config/codec"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/server"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
@@ -164,18 +165,31 @@
 	return c.JSON(http.StatusOK, platformapi.Instances{Instances: list})
 }
 
-// QuarantineList is the answer of GET /v1/quarantine.
+// QuarantineList is the answer of GET /v1/quarantine: the suspects, with one
+// crash, and what is in quarantine, with two.
 type QuarantineList struct {
 	Quarantine []peerapi.Quarantined `json:"quarantine"`
 }
 
 // getQuarantine answers GET /v1/quarantine.
 func (a *API) getQuarantine(c echo.Context) error {
-	list := a.config.Quarantine.Quarantine()
-	if list == nil {
-		list = []peerapi.Quarantined{}
+	return c.JSON(http.StatusOK, QuarantineList{a.quarantined()})
+}
+
+// quarantined lists what is under suspicion or in quarantine. The records of
+// the executor, which peers merge, also tell of fingerprints that were cleared,
+// and count phases where operators count crashes.
+func (a *API) quarantined() []peerapi.Quarantined {
+	out := []peerapi.Quarantined{}
+	for _, q := range a.config.Quarantine.Quarantine() {
+		phase := quarantine.Record{Level: q.Crashes}.Phase()
+		if phase == quarantine.PhaseClear {
+			continue
+		}
+		q.Crashes = int(phase)
+		out = append(out, q)
 	}
-	return c.JSON(http.StatusOK, QuarantineList{list})
+	return out
 }
 
 // deleteQuarantine answers DELETE /v1/quarantine, for one fingerprint or all.
@@ -187,7 +201,7 @@
 		a.config.Quarantine.LiftQuarantine(fingerprints[0])
 		return c.NoContent(http.StatusNoContent)
 	}
-	for _, q := range a.config.Quarantine.Quarantine() {
+	for _, q := range a.quarantined() {
 		a.config.Quarantine.LiftQuarantine(q.Fingerprint)
 	}
 	return c.NoContent(http.StatusNoContent)
