--- a/entry/operators/reply.go
+++ b/entry/operators/reply.go
@@ -45,7 +45,7 @@
 // replyOf states a result for the wire.
 func replyOf(r SaveResult) SaveReply {
 	reply := SaveReply{State: r.State, Generation: r.Generation, Hash: r.Hash, Diff: r.Diff, Faults: faultsForWire(r.Faults)}
-	reply.Status, reply.Title = statusOf(r.State)
+	reply.Status, reply.Title = StatusOf(r.State)
 	reply.Type = problemType + "save-" + string(r.State)
 	reply.Detail = Explain(r)
 	reply.RetryAfterMS = r.RetryAfter.Milliseconds()
@@ -58,8 +58,8 @@
 	return reply
 }
 
-// statusOf is the HTTP status and title of a state.
-func statusOf(s State) (int, string) {
+// StatusOf is the HTTP status and title of a state.
+func StatusOf(s State) (int, string) {
 	switch s {
 	case Accepted:
 		return http.StatusOK, "The document was saved"
