--- a/entry/console/matter.go
+++ b/entry/console/matter.go
@@ -156,6 +156,11 @@
 		Services:    in.list("services"),
 		Operator:    in.flag("operator"),
 	}
+	for _, o := range c.Callers {
+		if o.TokenSHA256 == item.TokenSHA256 && o.Name != item.Name {
+			in.faults.addf("token_sha256", "caller %s has the same token", o.Name)
+		}
+	}
 	var at int
 	c.Callers, at = place(c.Callers, item, name == "", func(o document.Caller) string { return o.Name })
 	return edit{doc: c, prefix: itemPath(kindCaller, at)}
--- a/entry/console/pages.go
+++ b/entry/console/pages.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"crypto/hmac"
 	"fmt"
 	"html/template"
 	"io/fs"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -144,6 +146,7 @@
 // statusPage shows the generation in force per instance.
 type statusPage struct {
 	Saved     uint64 // the generation that was just saved; 0 for none
+	Refresh   string // the path of this page
 	At, Of    int    // instances that have Saved or a later one, of all
 	Highest   uint64
 	Instances []statusLine
@@ -158,10 +161,39 @@
 	Age      time.Duration
 }
 
+// Query parameters of the status page after a save. The proof keeps a link made
+// elsewhere from telling of a save that never was.
+const (
+	paramSaved = "saved"
+	paramProof = "proof"
+)
+
+// savedPath is the status page that tells of a save.
+func (c *Console) savedPath(generation uint64) string {
+	saved := strconv.FormatUint(generation, 10)
+	return pathStatus + "?" + url.Values{paramSaved: {saved}, paramProof: {c.sessions.mac(paramSaved, saved)}}.Encode()
+}
+
+// saved is the generation of the save that the page tells of; 0 for none.
+func (c *Console) saved(ctx echo.Context) uint64 {
+	saved := ctx.QueryParam(paramSaved)
+	if !hmac.Equal([]byte(ctx.QueryParam(paramProof)), []byte(c.sessions.mac(paramSaved, saved))) {
+		return 0
+	}
+	generation, err := strconv.ParseUint(saved, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return generation
+}
+
 // getStatus shows where which generation is in force.
 func (c *Console) getStatus(ctx echo.Context) error {
 	s := newStatusPage(c.config.Control.ConfigStatus(), c.config.Control.Instances())
-	s.Saved, _ = strconv.ParseUint(ctx.QueryParam("saved"), 10, 64)
+	s.Refresh = pathStatus
+	if s.Saved = c.saved(ctx); s.Saved > 0 {
+		s.Refresh = c.savedPath(s.Saved)
+	}
 	for _, i := range s.Instances {
 		if i.Heard && i.State.Generation >= s.Saved {
 			s.At++
--- a/entry/console/save.go
+++ b/entry/console/save.go
@@ -146,7 +146,7 @@
 	c.config.Log.Info("document submitted", "matter", s.matter.kind(), "over", s.opened, "outcome", string(result.State), "generation", result.Generation)
 	switch result.State {
 	case operators.Accepted:
-		return ctx.Redirect(http.StatusSeeOther, fmt.Sprintf("%s?saved=%d", pathStatus, result.Generation))
+		return ctx.Redirect(http.StatusSeeOther, c.savedPath(result.Generation))
 	case operators.Conflict:
 		return c.conflict(ctx, s, result)
 	case operators.Invalid:
