--- a/entry/console/browser_test.go
+++ b/entry/console/browser_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/config/samples"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/console"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/operators"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/operators/operatorstest"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 )
@@ -40,27 +41,36 @@
 // entry is a console over a control, with a clock.
 type entry struct {
 	control *operatorstest.Control
+	key     string
+	secure  bool
 	echo    *echo.Echo
 	now     time.Time
 }
 
-func newEntry(t *testing.T, control *operatorstest.Control, key string, secure bool) *entry {
+func newEntry(t testing.TB, control *operatorstest.Control, key string, secure bool) *entry {
+	t.Helper()
+	e := &entry{control: control, key: key, secure: secure, now: start}
+	e.serve(t, control)
+	return e
+}
+
+// serve makes a console over a control.
+func (e *entry) serve(t testing.TB, control operators.Control) {
 	t.Helper()
-	e := &entry{control: control, echo: echo.New(), now: start}
 	c, err := console.New(console.Config{
-		Control: control, Views: control, Log: noLog{}, FleetKey: []byte(key), Secure: secure,
+		Control: control, Views: e.control, Log: noLog{}, FleetKey: []byte(e.key), Secure: e.secure,
 		Now: func() time.Time { return e.now },
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
+	e.echo = echo.New()
 	c.Register(e.echo)
-	return e
 }
 
 // browser keeps cookies and reads forms, as an operator's does.
 type browser struct {
-	t       *testing.T
+	t       testing.TB
 	entry   *entry
 	cookies map[string]*http.Cookie
 	header  http.Header
@@ -68,12 +78,12 @@
 	last    *httptest.ResponseRecorder
 }
 
-func newBrowser(t *testing.T, e *entry) *browser {
+func newBrowser(t testing.TB, e *entry) *browser {
 	return &browser{t: t, entry: e, cookies: map[string]*http.Cookie{}, header: http.Header{}}
 }
 
 // signedIn is a browser whose operator has logged in.
-func signedIn(t *testing.T, e *entry) *browser {
+func signedIn(t testing.TB, e *entry) *browser {
 	t.Helper()
 	b := newBrowser(t, e)
 	b.login(samples.Token("operator"))
@@ -96,9 +106,8 @@
 	b.submit(url.Values{"token": {token}})
 }
 
-// send sends a request and reads the page.
-func (b *browser) send(method, path string, form url.Values) {
-	b.t.Helper()
+// exchange sends a request with the browser's cookies.
+func (b *browser) exchange(method, path string, form url.Values) *httptest.ResponseRecorder {
 	req := httptest.NewRequest(method, path, strings.NewReader(form.Encode()))
 	for name, values := range b.header {
 		req.Header[name] = values
@@ -109,8 +118,15 @@
 	for _, c := range b.cookies {
 		req.AddCookie(c)
 	}
-	b.last = httptest.NewRecorder()
-	b.entry.echo.ServeHTTP(b.last, req)
+	rec := httptest.NewRecorder()
+	b.entry.echo.ServeHTTP(rec, req)
+	return rec
+}
+
+// send sends a request and reads the page.
+func (b *browser) send(method, path string, form url.Values) {
+	b.t.Helper()
+	b.last = b.exchange(method, path, form)
 	for _, c := range b.last.Result().Cookies() {
 		b.cookies[c.Name] = c
 	}
