Tell a conflict with an invalid stored version as that

A save that lost against a stored version which is no valid document was told to bring its change into it, with the whole document as the difference; the console named the generation in force as the one stored meanwhile, which was not true. Both now name the stored generation and its fault, and the next save replaces it.

--- a/entry/console/form.go
+++ b/entry/console/form.go
@@ -106,7 +106,9 @@
 	// Faults link to the fields at fault, General are the others.
 	Faults  []faultLink
 	General []generalFault
-	Diff    string
+	// Diff is what saving the form now would change in generation DiffOver.
+	Diff     string
+	DiffOver uint64
 }
 
 // notice tells what became of a save.
--- a/entry/console/save.go
+++ b/entry/console/save.go
@@ -187,10 +187,10 @@
 	}
 	e, faults := s.change(current.Document)
 	r.Diff = codec.Diff(current.Document, e.doc)
-	s.opened = max(current.Base, current.Generation)
+	s.opened = current.Stored()
 	p := s.page(current.Document)
 	p.showFaults(faults)
-	p.Diff = r.Diff
+	p.Diff, p.DiffOver = r.Diff, current.Generation
 	p.Notice = noticeOf(r)
 	return c.render(ctx, http.StatusConflict, "form", s.title(), p)
 }
--- a/entry/console/save_test.go
+++ b/entry/console/save_test.go
@@ -223,6 +223,22 @@
 	}
 }
 
+// TestInvalidVersionMeanwhile loses against a version that is not a valid
+// document, and replaces it at the second try.
+func TestInvalidVersionMeanwhile(t *testing.T) {
+	b := newOperator(t)
+	b.get(callerPage)
+	b.entry.control.Break("line 1: no TOML")
+	b.submit(url.Values{"share": {"5"}})
+	if b.last.Code != http.StatusConflict || !b.says("generation 8 was stored meanwhile and is not a valid document") || !b.says("would change in generation 7") || !b.says("+share = 5") {
+		t.Errorf("%d\n%s", b.last.Code, content(find(b.page, "main")))
+	}
+	b.submit(nil)
+	if b.last.Code != http.StatusSeeOther || share(inForce(b)) != 5 {
+		t.Errorf("insisting: %d", b.last.Code)
+	}
+}
+
 // TestInputIsEscaped sends markup and looks for it in the page.
 func TestInputIsEscaped(t *testing.T) {
 	b := newOperator(t)
--- a/entry/operators/api_test.go
+++ b/entry/operators/api_test.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// TestConflictWithAnInvalidVersion saves over what is in force while the store
+// holds something newer that is no document, and then over that.
+func TestConflictWithAnInvalidVersion(t *testing.T) {
+	c := operatorstest.New(generation, doc())
+	c.Break("line 1: no TOML")
+	rec, reply := put(t, c, generation, codec.Format(changed(9)))
+	if rec.Code != http.StatusConflict || reply.Generation != generation+1 || reply.Diff != "" || !strings.Contains(reply.Detail, "not a valid document (line 1: no TOML)") {
+		t.Errorf("%d %+v", rec.Code, reply)
+	}
+	if rec, reply = put(t, c, reply.Generation, codec.Format(changed(9))); rec.Code != http.StatusOK {
+		t.Errorf("over that: %d %+v", rec.Code, reply)
+	}
+}
+
 // TestOutcomesAreTold checks status, state and words of each outcome.
 func TestOutcomesAreTold(t *testing.T) {
 	for fault, want := range map[operatorstest.Fault]struct {
--- a/entry/operators/control.go
+++ b/entry/operators/control.go
@@ -42,7 +42,8 @@
 	View() *view.View
 }
 
-// Version is the configuration in force at this instance.
+// Version is the configuration in force at this instance, or one that a save
+// lost against. The latter has a Fault and no Document if it is not valid.
 type Version struct {
 	Generation uint64
 	// Base is the version that a save names when its form is opened now. It is
@@ -55,6 +56,10 @@
 	Fault    string
 }
 
+// Stored is the generation of the store's newest version, valid or not, as far
+// as this one tells of it.
+func (v *Version) Stored() uint64 { return max(v.Base, v.Generation) }
+
 // Submission is a validated document to be saved.
 type Submission struct {
 	TOML     []byte
--- a/entry/operators/operatorstest/control.go
+++ b/entry/operators/operatorstest/control.go
@@ -138,6 +138,9 @@
 func (c *Control) store(s operators.Submission) operators.Outcome {
 	if s.IfVersion != c.version.Base {
 		current := c.version
+		if current.Fault != "" {
+			current = operators.Version{Generation: current.Base, Base: current.Base, Fault: current.Fault}
+		}
 		return operators.Outcome{State: operators.Conflict, Current: &current}
 	}
 	c.put(c.version.Base+1, s.Document)
--- a/entry/operators/reply.go
+++ b/entry/operators/reply.go
@@ -50,7 +50,7 @@
 	reply.Detail = Explain(r)
 	reply.RetryAfterMS = r.RetryAfter.Milliseconds()
 	if r.State == Conflict && r.Current != nil {
-		reply.Generation = r.Current.Generation
+		reply.Generation = r.Current.Stored()
 	}
 	if len(r.Faults) > 0 {
 		reply.Field = r.Faults[0].Path
@@ -97,7 +97,9 @@
 	switch {
 	case r.Current == nil:
 		return "nothing was changed: a newer version is stored, which can't be read yet; read it and save again"
-	case r.Diff == "" && r.Current.Document != nil:
+	case r.Current.Document == nil || r.Current.Fault != "":
+		return fmt.Sprintf("nothing was changed: generation %d was stored meanwhile and is not a valid document (%s); save over that generation to replace it", r.Current.Stored(), r.Current.Fault)
+	case r.Diff == "":
 		return fmt.Sprintf("generation %d, stored meanwhile, says the same as this document: nothing is left to save", r.Current.Generation)
 	}
 	return fmt.Sprintf("nothing was changed: generation %d was stored meanwhile; bring your change into it and save again", r.Current.Generation)
--- a/entry/operators/save.go
+++ b/entry/operators/save.go
@@ -18,7 +18,7 @@
 	hash := codec.Hash(doc)
 	outcome := control.Submit(ctx, Submission{TOML: toml, Hash: hash, Document: doc, IfVersion: ifVersion})
 	result := SaveResult{Outcome: outcome, Hash: hash}
-	if outcome.State == Conflict && outcome.Current != nil {
+	if outcome.State == Conflict && outcome.Current != nil && outcome.Current.Document != nil {
 		result.Diff = codec.Diff(outcome.Current.Document, doc)
 	}
 	return result
