--- a/entry/console/browser_test.go
+++ b/entry/console/browser_test.go
@@ -58,7 +58,7 @@
 func (e *entry) serve(t testing.TB, control operators.Control) {
 	t.Helper()
 	c, err := console.New(console.Config{
-		Control: control, Views: e.control, Log: noLog{}, FleetKey: []byte(e.key), Secure: e.secure,
+		Control: control, Views: e.control, Quarantine: e.control, Log: noLog{}, FleetKey: []byte(e.key), Secure: e.secure,
 		Now: func() time.Time { return e.now },
 	})
 	if err != nil {
--- a/entry/console/console.go
+++ b/entry/console/console.go
@@ -18,12 +18,13 @@
 
 // Paths of the console.
 const (
-	Root         = "/console/"
-	pathLogin    = Root + "login"
-	pathLogout   = Root + "logout"
-	pathStatus   = Root + "status"
-	pathDocument = Root + "document"
-	pathStyle    = Root + "style.css"
+	Root           = "/console/"
+	pathLogin      = Root + "login"
+	pathLogout     = Root + "logout"
+	pathStatus     = Root + "status"
+	pathDocument   = Root + "document"
+	pathQuarantine = Root + "quarantine"
+	pathStyle      = Root + "style.css"
 )
 
 // Limits on what is read of a request.
@@ -56,7 +57,9 @@
 type Config struct {
 	Control operators.Control
 	Views   operators.Views
-	Log     Log
+	// Quarantine is the executor's.
+	Quarantine operators.Quarantine
+	Log        Log
 	// FleetKey is the secret that all entries share. The key of the sessions is
 	// derived from it, so that every entry knows them.
 	FleetKey []byte
@@ -114,6 +117,8 @@
 	e.GET(Root, c.getOverview, private...)
 	e.GET(pathStatus, c.getStatus, private...)
 	e.GET(pathDocument, c.getDocument, private...)
+	e.GET(pathQuarantine, c.getQuarantine, private...)
+	e.POST(pathQuarantine, c.postQuarantine, private...)
 	for _, m := range matters {
 		c.registerMatter(e, m, private)
 	}
--- a/entry/console/form_test.go
+++ b/entry/console/form_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/net/html"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
 	"github.com/fuchsiaroad/fuchsiaroad/config/codec"
 	"github.com/fuchsiaroad/fuchsiaroad/config/samples"
@@ -236,8 +237,9 @@
 func TestPagesAreUsableWithoutAScript(t *testing.T) {
 	b := newOperator(t)
 	b.entry.control.List = []platformapi.Instance{{ID: "entry-9", Role: platformapi.RoleEntry}}
+	b.entry.control.Records = []peerapi.Quarantined{{Fingerprint: "f", Crashes: 1}}
 	paths := []string{
-		console.Root, console.Root + "status", console.Root + "document", console.Root + "login", sitePage, upstreamPage,
+		console.Root, console.Root + "status", console.Root + "document", console.Root + "quarantine", console.Root + "login", sitePage, upstreamPage,
 		servicePage, callerPage, newUpstream, newService, newCaller, removeCaller, console.Root + "service/edit/none",
 	}
 	for _, path := range paths {
@@ -289,6 +291,32 @@
 	}
 }
 
+// TestQuarantine lifts one fingerprint, and tries one that is not listed.
+func TestQuarantine(t *testing.T) {
+	b := newOperator(t)
+	b.entry.control.Records = []peerapi.Quarantined{{Fingerprint: "cleared", Crashes: 3}, {Fingerprint: "f2", Crashes: 2, LeftMS: 61_400}, {Fingerprint: "f1", Crashes: 4}}
+	b.get(console.Root + "quarantine")
+	var cells []string
+	for n := range find(b.page, "tbody").Descendants() {
+		if n.Data == "td" || n.Data == "th" {
+			cells = append(cells, strings.TrimSpace(content(n)))
+		}
+	}
+	if text := strings.Join(cells, ", "); text != "f2, 2, in quarantine, 1m1s, Lift f2, f1, 1, under suspicion, 0s, Lift f1" {
+		t.Errorf("it says %q", text)
+	}
+	page := b.page
+	b.submit(nil)
+	if b.last.Code != http.StatusSeeOther || strings.Join(b.entry.control.Lifted, " ") != "f2" {
+		t.Errorf("%d, lifted %v", b.last.Code, b.entry.control.Lifted)
+	}
+	b.page = page
+	b.submit(url.Values{"fingerprint": {"cleared"}})
+	if b.last.Code != http.StatusNotFound || len(b.entry.control.Lifted) != 1 {
+		t.Errorf("not listed: %d, lifted %v", b.last.Code, b.entry.control.Lifted)
+	}
+}
+
 var csrfValue = regexp.MustCompile(`name="csrf" value="[^"]*"`)
 
 // TestPages compares whole pages.
--- a/entry/console/pages.go
+++ b/entry/console/pages.go
@@ -27,7 +27,7 @@
 )
 
 // pageNames are the pages, each a file of its own.
-var pageNames = []string{"document", "error", "form", "login", "overview", "status"}
+var pageNames = []string{"document", "error", "form", "login", "overview", "quarantine", "status"}
 
 // pages holds the parsed templates.
 type pages struct {
--- a/entry/operators/api.go
+++ b/entry/operators/api.go
@@ -173,15 +173,15 @@
 
 // getQuarantine answers GET /v1/quarantine.
 func (a *API) getQuarantine(c echo.Context) error {
-	return c.JSON(http.StatusOK, QuarantineList{a.quarantined()})
+	return c.JSON(http.StatusOK, QuarantineList{Quarantined(a.config.Quarantine)})
 }
 
-// quarantined lists what is under suspicion or in quarantine. The records of
+// Quarantined lists what is under suspicion or in quarantine. The records of
 // the executor, which peers merge, also tell of fingerprints that were cleared,
 // and count phases where operators count crashes.
-func (a *API) quarantined() []peerapi.Quarantined {
+func Quarantined(from Quarantine) []peerapi.Quarantined {
 	out := []peerapi.Quarantined{}
-	for _, q := range a.config.Quarantine.Quarantine() {
+	for _, q := range from.Quarantine() {
 		phase := quarantine.Record{Level: q.Crashes}.Phase()
 		if phase == quarantine.PhaseClear {
 			continue
@@ -201,7 +201,7 @@
 		a.config.Quarantine.LiftQuarantine(fingerprints[0])
 		return c.NoContent(http.StatusNoContent)
 	}
-	for _, q := range a.quarantined() {
+	for _, q := range Quarantined(a.config.Quarantine) {
 		a.config.Quarantine.LiftQuarantine(q.Fingerprint)
 	}
 	return c.NoContent(http.StatusNoContent)
