--- a/entry/console/browser_test.go
+++ b/entry/console/browser_test.go
@@ -106,8 +106,8 @@
 	b.submit(url.Values{"token": {token}})
 }
 
-// exchange sends a request with the browser's cookies.
-func (b *browser) exchange(method, path string, form url.Values) *httptest.ResponseRecorder {
+// request is a request with the browser's cookies.
+func (b *browser) request(method, path string, form url.Values) *http.Request {
 	req := httptest.NewRequest(method, path, strings.NewReader(form.Encode()))
 	for name, values := range b.header {
 		req.Header[name] = values
@@ -118,8 +118,13 @@
 	for _, c := range b.cookies {
 		req.AddCookie(c)
 	}
+	return req
+}
+
+// exchange sends a request.
+func (b *browser) exchange(method, path string, form url.Values) *httptest.ResponseRecorder {
 	rec := httptest.NewRecorder()
-	b.entry.echo.ServeHTTP(rec, req)
+	b.entry.echo.ServeHTTP(rec, b.request(method, path, form))
 	return rec
 }
 
