Weigh timeouts and late cancellations less than refusals when ejecting

A leaf that swallows requests was never seen to fail where hedges answered for it; its late cancellations count now. Broken variants found by the tests: timeouts without weight, with the weight of refusals, late cancellations without weight.

--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -180,7 +180,9 @@
 	s := plugin.Sample{
 		OK:        ev.Outcome == OutcomeReply,
 		Shed:      ev.Outcome == OutcomeShed,
-		Failed:    ev.Outcome == OutcomeDialFailed || ev.Outcome == OutcomeBroken || ev.Outcome == OutcomeTimeout,
+		Failed:    ev.Outcome == OutcomeDialFailed || ev.Outcome == OutcomeBroken,
+		TimedOut:  ev.Outcome == OutcomeTimeout,
+		Cancelled: ev.Outcome == OutcomeCancelled,
 		Latency:   ev.Latency,
 		Service:   ev.Service,
 		Saturated: a.saturated,
--- a/kernel/plugin/policy.go
+++ b/kernel/plugin/policy.go
@@ -16,10 +16,15 @@
 
 // Sample is the end of one dispatched attempt as policies see it.
 type Sample struct {
-	// At most one of OK, Shed and Failed is true; none is for a cancelled attempt.
-	OK     bool // a whole reply came
-	Shed   bool // the leaf declined it as overloaded
-	Failed bool // no connection, a broken exchange, or the deadline passed
+	// At most one of these is true; none is for an attempt that was cancelled
+	// or declined for another reason.
+	OK       bool // a whole reply came
+	Shed     bool // the leaf declined it as overloaded
+	Failed   bool // no connection or a broken exchange
+	TimedOut bool // the deadline passed while it ran
+	// Cancelled says that it was withdrawn while it ran, for instance because
+	// another copy answered first.
+	Cancelled bool
 	// Latency is the time from dispatch to the end.
 	Latency time.Duration
 	// Service is the time it held a slot of the leaf, 0 when the leaf did not say.
--- a/plugins/twochoices/health.go
+++ b/plugins/twochoices/health.go
@@ -3,7 +3,14 @@
 import "time"
 
 const (
+	// Weights of one outcome in the moving average of failure: a declined or
+	// broken attempt and a reply, an attempt that met its deadline, which
+	// overload does to good leaves too, and one that was cancelled late.
 	failureGain = 0.45
+	timeoutGain = 0.15
+	lateGain    = 0.05
+	// lateFactor times the mean latency of all leaves makes a cancelled attempt late.
+	lateFactor = 2
 	// A leaf is ejected when its failures are above ejectAt and exceed the
 	// average of the other leaves by ejectMargin.
 	ejectAt     = 0.65
@@ -40,8 +47,8 @@
 func (h *health) inconclusive() { h.probing = false }
 
 // outcome takes one result and reports whether the leaf has just come back.
-func (h *health) outcome(failed bool, others float64, now time.Time) bool {
-	h.failures += failureGain * (value(failed) - h.failures)
+func (h *health) outcome(failed bool, gain, others float64, now time.Time) bool {
+	h.failures += gain * (value(failed) - h.failures)
 	if h.ejected {
 		return h.judge(failed, now)
 	}
--- a/plugins/twochoices/twochoices.go
+++ b/plugins/twochoices/twochoices.go
@@ -121,18 +121,38 @@
 		average(&l.mean, s.Latency)
 		average(&p.mean, s.Latency)
 	}
-	if !s.OK && !s.Shed && !s.Failed {
+	gain := p.gain(s)
+	if gain == 0 {
 		l.health.inconclusive()
 		return
 	}
+	if s.Cancelled {
+		average(&l.mean, s.Latency) // it took at least that long
+	}
 	before := l.health.failures
-	back := l.health.outcome(!s.OK, p.others(before), now)
+	back := l.health.outcome(!s.OK, gain, p.others(before), now)
 	p.failures += l.health.failures - before
 	if back {
 		l.slowFrom = now
 	}
 }
 
+// gain is the weight of an outcome in a leaf's average of failure, 0 for one
+// that shows nothing. A cancelled attempt shows something when it was late: a
+// leaf that swallows requests is otherwise hidden by the hedges that answer.
+func (p *policy) gain(s plugin.Sample) float64 {
+	switch {
+	case s.OK, s.Shed, s.Failed:
+		return failureGain
+	case s.TimedOut:
+		return timeoutGain
+	case s.Cancelled && p.mean > 0 && s.Latency.Seconds() > lateFactor*p.mean:
+		return lateGain
+	default:
+		return 0
+	}
+}
+
 // others is the average failure of all leaves but one that has the given failure.
 func (p *policy) others(own float64) float64 {
 	return (p.failures - own) / float64(max(1, len(p.leaves)-1))
--- a/plugins/twochoices/twochoices_test.go
+++ b/plugins/twochoices/twochoices_test.go
@@ -144,6 +144,45 @@
 	}
 }
 
+// TestSwallowedRequestsEject has a leaf that takes requests and never answers:
+// they time out, or are cancelled when a hedge answers.
+func TestSwallowedRequestsEject(t *testing.T) {
+	for name, s := range map[string]plugin.Sample{
+		"timed out": {TimedOut: true, Latency: 200 * time.Millisecond},
+		"cancelled": {Cancelled: true, Latency: 40 * time.Millisecond},
+	} {
+		p := newPolicy()
+		n := 0
+		for ; n < 100 && p.Usable(1, start); n++ {
+			p.Finished(0, ok(10*time.Millisecond), start)
+			if n == 0 {
+				p.Finished(1, ok(10*time.Millisecond), start)
+			}
+			p.Finished(1, s, start)
+		}
+		if n > 40 {
+			t.Errorf("%s: still usable after %d swallowed requests", name, n)
+		}
+	}
+}
+
+// TestOverloadEjectsNone has both leaves time out now and then, as overload
+// makes them, and lose hedges as stragglers do.
+func TestOverloadEjectsNone(t *testing.T) {
+	p := newPolicy()
+	for i := range 200 {
+		key := i % 2
+		p.Finished(key, ok(10*time.Millisecond), start)
+		if i%20 < 3 {
+			p.Finished(1, plugin.Sample{TimedOut: true, Latency: 200 * time.Millisecond}, start)
+			p.Finished(1, plugin.Sample{Cancelled: true, Latency: 40 * time.Millisecond}, start)
+		}
+		if !p.Usable(1, start) {
+			t.Fatalf("ejected by three timeouts in a row")
+		}
+	}
+}
+
 // TestFailureOfAllEjectsNone checks that ejection compares with the others.
 func TestFailureOfAllEjectsNone(t *testing.T) {
 	p := newPolicy()
