--- a/cmd/fuchsiactl/demo.go
+++ b/cmd/fuchsiactl/demo.go
@@ -16,6 +16,7 @@
 // newDemo builds the command that shows a whole site.
 func newDemo(o *options) *cobra.Command {
 	d := demo.Options{}
+	var extra string
 	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Run a whole site on this machine and show what callers get",
@@ -27,7 +28,8 @@
 
 Exit codes: 0 every promise was kept; 1 one was broken, or the demo failed.`,
 		Example: `  go run ./cmd/fuchsiactl demo
-  go run ./cmd/fuchsiactl demo --site capbon --output json`,
+  go run ./cmd/fuchsiactl demo --site capbon --output json
+  go run ./cmd/fuchsiactl demo --extra-settings baseline.toml`,
 		Args: usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if d.Site != demo.Recife && d.Site != demo.CapBon {
@@ -36,6 +38,13 @@
 			if d.Entries < 1 || d.Rate <= 0 || d.Length < time.Second {
 				return &usageError{fmt.Errorf("--entries and --rate must be above 0, --length at least 1s")}
 			}
+			if extra != "" {
+				text, err := os.ReadFile(extra)
+				if err != nil {
+					return &usageError{fmt.Errorf("--extra-settings: %w", err)}
+				}
+				d.ExtraSettings = string(text)
+			}
 			return runDemo(cmd, o, d)
 		},
 	}
@@ -47,6 +56,7 @@
 	flags.DurationVar(&d.Length, "length", 8*time.Second, "length of the opening; the other phases take three quarters of it")
 	flags.Uint64Var(&d.Seed, "seed", 1, "seed of the load and of the leaves")
 	flags.StringVar(&d.Fuchsiaroad, "fuchsiaroad", "", "program of the entry; built with go build if empty")
+	flags.StringVar(&extra, "extra-settings", "", "TOML file added to the settings of every entry, such as a [policy] table")
 	flags.BoolVar(&d.Keep, "keep", false, "keep the folder of settings and logs")
 	_ = cmd.RegisterFlagCompletionFunc("site", cobra.FixedCompletions([]string{demo.Recife, demo.CapBon}, cobra.ShellCompDirectiveNoFileComp))
 	return cmd
@@ -92,6 +102,9 @@
 	t.add(fmt.Sprintf("queries refused as not run: %d; of these run by a leaf: %d", e.Refused, e.RefusedButRan))
 	t.add(fmt.Sprintf("keys answered that no leaf had run: %d", e.AnsweredNotRan))
 	t.add(fmt.Sprintf("leaves that refused a connection over their limit: %d of %d", len(o.OverLimit), o.Leaves))
+	t.add(fmt.Sprintf("calls to the platform in %d s: %d reads, %d writes; %d of them over its rates",
+		o.Platform.Seconds, o.Platform.Reads, o.Platform.Writes, o.Platform.Limited))
+	t.add(fmt.Sprintf("latest that the load generator itself was: %s (p99 of a phase)", milli(worstLag(o))))
 	if broken := o.Broken(); len(broken) > 0 {
 		t.add("BROKEN: " + strings.Join(broken, "; "))
 	} else {
@@ -100,6 +113,18 @@
 	return t
 }
 
+// worstLag is the generator's lag in the phase where it was highest, in
+// microseconds. On a busy machine it stands in all latencies.
+func worstLag(o *demo.Outcome) int64 {
+	var worst int64
+	for _, p := range o.Phases {
+		for _, r := range p.Reports {
+			worst = max(worst, r.LagP99)
+		}
+	}
+	return worst
+}
+
 // mixed counts the answers that mix versions.
 func mixed(r loadgen.Report) int {
 	for _, f := range r.Faults {
--- a/entry/operators/reply.go
+++ b/entry/operators/reply.go
@@ -45,12 +45,12 @@
 // replyOf states a result for the wire.
 func replyOf(r SaveResult) SaveReply {
 	reply := SaveReply{State: r.State, Generation: r.Generation, Hash: r.Hash, Diff: r.Diff, Faults: faultsForWire(r.Faults)}
-	reply.Status, reply.Title = statusOf(r.State)
+	reply.Status, reply.Title = StatusOf(r.State)
 	reply.Type = problemType + "save-" + string(r.State)
 	reply.Detail = Explain(r)
 	reply.RetryAfterMS = r.RetryAfter.Milliseconds()
 	if r.State == Conflict && r.Current != nil {
-		reply.Generation = r.Current.Generation
+		reply.Generation = r.Current.Stored()
 	}
 	if len(r.Faults) > 0 {
 		reply.Field = r.Faults[0].Path
@@ -58,8 +58,8 @@
 	return reply
 }
 
-// statusOf is the HTTP status and title of a state.
-func statusOf(s State) (int, string) {
+// StatusOf is the HTTP status and title of a state.
+func StatusOf(s State) (int, string) {
 	switch s {
 	case Accepted:
 		return http.StatusOK, "The document was saved"
@@ -97,7 +97,9 @@
 	switch {
 	case r.Current == nil:
 		return "nothing was changed: a newer version is stored, which can't be read yet; read it and save again"
-	case r.Diff == "" && r.Current.Document != nil:
+	case r.Current.Document == nil || r.Current.Fault != "":
+		return fmt.Sprintf("nothing was changed: generation %d was stored meanwhile and is not a valid document (%s); save over that generation to replace it", r.Current.Stored(), r.Current.Fault)
+	case r.Diff == "":
 		return fmt.Sprintf("generation %d, stored meanwhile, says the same as this document: nothing is left to save", r.Current.Generation)
 	}
 	return fmt.Sprintf("nothing was changed: generation %d was stored meanwhile; bring your change into it and save again", r.Current.Generation)
