--- a/cmd/fuchsiactl/fuchsiactl_test.go
+++ b/cmd/fuchsiactl/fuchsiactl_test.go
@@ -173,6 +173,7 @@
 		{"load --entry x:1 --service a --plot a.gif", exitUsage, "--plot"},
 		{"demo --site lisbon", exitUsage, "lisbon"},
 		{"demo --rate 0", exitUsage, "--rate"},
+		{"demo --extra-settings no-such-file", exitUsage, "no-such-file"},
 	} {
 		_, stderr, code := command(t, strings.Fields(c.args)...)
 		if code != c.code || !strings.Contains(stderr, c.text) {
@@ -268,6 +269,7 @@
 		sample(1, false, loadgen.Complete, 10), sample(1, true, loadgen.Unknown, 3), sample(1, false, loadgen.Broken, 9),
 	}
 	list[1].Faults = []string{loadgen.FaultMixed}
+	list[2].Refusals, list[2].RefusalWait = 1, 2*time.Millisecond
 	return loadgen.Summarize(list, []loadgen.Service{{Name: "advice"}, {Name: "family-notice", Key: true}})
 }
 
@@ -285,7 +287,8 @@
 
 func TestDemoTable(t *testing.T) {
 	kept := &demo.Outcome{Leaves: 107, Phases: []demo.Phase{{Name: "opening burst", Reports: reports()}},
-		Executions: loadgen.Executions{Keys: 9, Resends: 4, MaxPerKey: 1, Refused: 2}}
+		Executions: loadgen.Executions{Keys: 9, Resends: 4, MaxPerKey: 1, Refused: 2},
+		Platform:   demo.PlatformCalls{Reads: 300, Writes: 40, Limited: 2, Seconds: 26}}
 	broken := *kept
 	broken.Executions = loadgen.Executions{Keys: 9, MaxPerKey: 2, Refused: 2, RefusedButRan: 1, AnsweredNotRan: 1}
 	broken.OverLimit = []string{"titles-0-0"}
