Prove a connection by a health question before it carries a request

Now a refused connection is a failed dial, which is proved not run. The site's list also names all entries before the first starts. Ruled out: telling a refusal from a crash by how fast the connection closes.

--- a/bench/overhead/main.go
+++ b/bench/overhead/main.go
@@ -208,4 +208,6 @@
 }
 
 // added is the difference of one quantile.
-func (m *measurer) added(q float64) int64 { return m.via.ValueAtQuantile(q) - m.direct.ValueAtQuantile(q) }
+func (m *measurer) added(q float64) int64 {
+	return m.via.ValueAtQuantile(q) - m.direct.ValueAtQuantile(q)
+}
--- a/cmd/fuchsiactl/root.go
+++ b/cmd/fuchsiactl/root.go
@@ -76,6 +76,7 @@
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
 	root.AddCommand(
 		newQuery(o),
+		newConfig(o),
 		newInstances(o),
 		newServices(o),
 		newQuarantine(o),
--- a/entry/leafclient/conns.go
+++ b/entry/leafclient/conns.go
@@ -80,7 +80,12 @@
 		lc.places.release()
 		return nil, err
 	}
-	return &countedConn{Conn: conn, leaf: lc}, nil
+	counted := &countedConn{Conn: conn, leaf: lc}
+	if err := prove(ctx, counted, address); err != nil {
+		_ = counted.Close()
+		return nil, fmt.Errorf("new connection: %w", err)
+	}
+	return counted, nil
 }
 
 // countedConn gives its place back some time after it is closed.
--- a/entry/leafclient/leafclient_test.go
+++ b/entry/leafclient/leafclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +24,17 @@
 // handler is a leaf that answers as told.
 type handler func(w http.ResponseWriter, r *http.Request)
 
+// withHealth answers health questions and leaves the rest to the handler.
+func withHealth(h handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == leafapi.PathHealth {
+			_, _ = w.Write([]byte(`{"id":"leaf-1","ready":true}`))
+			return
+		}
+		h(w, r)
+	})
+}
+
 // good writes a whole reply; change may spoil it first.
 func good(change func(h http.Header)) handler {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -41,7 +53,7 @@
 // exchange runs one attempt against the handler and reports whether it was sent.
 func exchange(t *testing.T, h handler) (*Reply, bool, error) {
 	t.Helper()
-	srv := httptest.NewServer(http.HandlerFunc(h))
+	srv := httptest.NewServer(withHealth(h))
 	defer srv.Close()
 	c := New(1 << 16)
 	defer c.Close()
@@ -125,7 +137,7 @@
 // request that net/http might repeat by itself.
 func TestStaleConnectionIsNotReplayed(t *testing.T) {
 	var calls atomic.Int64
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv := httptest.NewServer(withHealth(func(w http.ResponseWriter, r *http.Request) {
 		if calls.Add(1) == 1 {
 			good(func(http.Header) {})(w, r)
 			return
@@ -184,7 +196,7 @@
 // a new connection and on a kept one, the leaf must see nothing.
 func TestRecalledIsNotSent(t *testing.T) {
 	var calls atomic.Int64
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv := httptest.NewServer(withHealth(func(w http.ResponseWriter, r *http.Request) {
 		calls.Add(1)
 		good(func(http.Header) {})(w, r)
 	}))
@@ -203,3 +215,30 @@
 		t.Errorf("the leaf saw %d requests, want 2", calls.Load())
 	}
 }
+
+// TestRefusedConnectionIsNotSent closes each new connection at once, as a leaf
+// over its connection limit does: the request provably did not run.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	c := New(1 << 16)
+	defer c.Close()
+	target := Target{ID: "full", Address: l.Addr().String(), Connections: 1}
+	_, err = c.Run(context.Background(), target, &Request{Range: keyrange.Range{From: 0, To: 1}}, func() bool { t.Error("sent over a refused connection"); return true })
+	var dial *DialError
+	if !errors.As(err, &dial) {
+		t.Fatalf("error %v, want a DialError", err)
+	}
+}
--- a/standin/site/entry.go
+++ b/standin/site/entry.go
@@ -37,14 +37,26 @@
 %s
 `
 
-// AddEntry starts an entry. Its ID is new with each start: instances are
-// replaced, not restarted, and keep nothing.
+// AddEntry starts an entry, which the platform's list names from now on.
 func (s *Site) AddEntry(number int) (*Entry, error) {
-	e := &Entry{Number: number, site: s}
+	e, err := s.newEntry(number)
+	if err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
-	starts := len(s.leaving)
+	s.entries = append(s.entries, e)
 	s.mu.Unlock()
-	e.ID = fmt.Sprintf("entry-%d-%d", number, starts)
+	if err := s.tellInstances(); err != nil {
+		return nil, err
+	}
+	return e, e.start()
+}
+
+// newEntry gives an entry its name and addresses. Its ID is new each time:
+// instances are replaced, not restarted, and keep nothing.
+func (s *Site) newEntry(number int) (*Entry, error) {
+	e := &Entry{Number: number, site: s}
+	e.ID = fmt.Sprintf("entry-%d-%d", number, s.starts.Add(1))
 	if len(s.options.Zones) > 0 {
 		e.Zone = s.options.Zones[number%len(s.options.Zones)]
 	} else {
@@ -57,13 +69,7 @@
 	if e.PeerAddress, err = freeAddress(); err != nil {
 		return nil, err
 	}
-	if err := e.start(); err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	s.entries = append(s.entries, e)
-	s.mu.Unlock()
-	return e, s.SetLeaving(e.ID, false)
+	return e, nil
 }
 
 // start writes the settings and starts the process.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
@@ -58,6 +59,7 @@
 	PlatformURL    string
 	LeafControlURL string
 
+	starts  atomic.Int64 // numbers the entries
 	mu      sync.Mutex
 	entries []*Entry
 	leaving map[string]bool // instances that the platform's list calls leaving
@@ -85,7 +87,17 @@
 		return err
 	}
 	for i := range s.options.Entries {
-		if _, err := s.AddEntry(i); err != nil {
+		e, err := s.newEntry(i)
+		if err != nil {
+			return err
+		}
+		s.entries = append(s.entries, e)
+	}
+	if err := s.tellInstances(); err != nil {
+		return err
+	}
+	for _, e := range s.Entries() {
+		if err := e.start(); err != nil {
 			return err
 		}
 	}
@@ -225,7 +237,9 @@
 // Close ends every process of the site.
 func (s *Site) Close() error {
 	for _, e := range s.Entries() {
-		e.process.kill()
+		if e.process != nil {
+			e.process.kill()
+		}
 	}
 	for _, p := range []*process{s.leaves, s.platform} {
 		if p != nil {
