Hold one connection a leaf until the list of instances is known

Cause: path.txtar gave partial answers for failed dials on a busy machine: an entry that had the document before the list took itself for the only one and opened nearly all connections of each leaf. Seen failing first: TestBlindEntryHoldsOneConnection gets 23 without the rule.

--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -41,6 +41,7 @@
 	rolloutAt    time.Time
 	membershipAt time.Time
 	sequence     uint64
+	listKnown    bool // the platform's list was read once
 	nextSave     rollout.SaveID
 	waiters      map[rollout.SaveID]chan rollout.Outcome
 
@@ -211,11 +212,7 @@
 	if v.Document == nil {
 		return
 	}
-	entries := c.membership.Entries()
-	share := func(u *document.Upstream, leafID string) int {
-		return c.cfg.Placement.Share(leafID, u.ConnectionLimit, c.cfg.Instance, entries)
-	}
-	built := view.Build(v.Generation, v.Hash, v.Document, c.membership.Leaving, share)
+	built := view.Build(v.Generation, v.Hash, v.Document, c.membership.Leaving, c.shares())
 	c.sequence++
 	built.Sequence = c.sequence
 	c.view.Store(built)
@@ -223,3 +220,18 @@
 		c.cfg.Publish(built)
 	}
 }
+
+// blindShare is the connections to a leaf that an instance opens before it has
+// read the platform's list: it can't know how many others share the leaf's limit.
+const blindShare = 1
+
+// shares gives this instance's share of each leaf's connection limit.
+func (c *Control) shares() func(u *document.Upstream, leafID string) int {
+	if !c.listKnown {
+		return func(u *document.Upstream, _ string) int { return min(blindShare, u.ConnectionLimit) }
+	}
+	entries := c.membership.Entries()
+	return func(u *document.Upstream, leafID string) int {
+		return c.cfg.Placement.Share(leafID, u.ConnectionLimit, c.cfg.Instance, entries)
+	}
+}
--- a/entry/control/members.go
+++ b/entry/control/members.go
@@ -46,7 +46,12 @@
 			Leaving: in.State == platformapi.StateLeaving,
 		})
 	}
+	first := !c.listKnown
+	c.listKnown = true
 	c.member(event)
+	if first {
+		c.publish() // the shares are known now
+	}
 	var keep []peer.Target
 	for _, p := range c.membership.Peers() {
 		keep = append(keep, targetOf(p))
