--- a/cmd/fuchsiactl/fuchsiactl_test.go
+++ b/cmd/fuchsiactl/fuchsiactl_test.go
@@ -239,7 +239,7 @@
 
 func TestHelp(t *testing.T) {
 	out, _, _ := command(t, "--help")
-	for _, name := range []string{"completion", "demo", "instances", "load", "quarantine", "query", "services", "standin", "version"} {
+	for _, name := range []string{"completion", "config", "demo", "instances", "load", "quarantine", "query", "services", "standin", "version"} {
 		if !strings.Contains(out, "\n  "+name+" ") {
 			t.Errorf("the help does not list %s", name)
 		}
--- a/cmd/fuchsiactl/root.go
+++ b/cmd/fuchsiactl/root.go
@@ -75,6 +75,7 @@
 	flags.StringVar(&o.token, "token", os.Getenv(envToken), "bearer token of the caller (or "+envToken+")")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
 	root.AddCommand(
+		newConfig(o),
 		newQuery(o),
 		newInstances(o),
 		newServices(o),
