Platform stand-in: a longer lag does not bring an older list back

Cause: setting the lag after the start showed clients a list from before the last entries had been listed; entries took larger shares of the leaves' connections. What lags is late, and does not go back (stale reads are for that). The broken variant (by time only) was seen to fail the test.

--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -346,6 +346,10 @@
 		if got := state(); got != platformapi.StateLeaving {
 			t.Errorf("after the lag: %s", got)
 		}
+		c.faults(`{"instance_lag_ms":60000}`).want(t, 200)
+		if got := state(); got != platformapi.StateLeaving {
+			t.Errorf("a longer lag brought the older list back: %s", got)
+		}
 	})
 }
 
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -36,6 +36,7 @@
 	reads     *rate.Limiter
 	writes    *rate.Limiter
 	instances []instanceList // oldest first
+	shown     int            // index of the newest list that a client has seen
 	calls     map[callKey]*CallCount
 	waiting   int
 	lost      uint64
@@ -180,17 +181,19 @@
 	return slices.Clone(s.instances[len(s.instances)-1].instances)
 }
 
-// laggedInstances is the list as clients see it.
+// laggedInstances is the list as clients see it. A longer lag does not bring an
+// older list back: what lags is late, and does not go back.
 func (s *Server) laggedInstances() []platformapi.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	shown := time.Now().Add(-time.Duration(s.faults.InstanceLagMS) * time.Millisecond)
-	for _, list := range slices.Backward(s.instances) {
-		if !list.from.After(shown) {
-			return slices.Clone(list.instances)
+	for i, list := range slices.Backward(s.instances) {
+		if i <= s.shown || !list.from.After(shown) {
+			s.shown = i
+			break
 		}
 	}
-	return nil
+	return slices.Clone(s.instances[s.shown].instances)
 }
 
 // Counts returns the calls counted, ordered by client and kind.
