Demo: count refused connections by phase

Cause: whether the start of the fleet or the joining of an entry exceeds the limit of connections could not be seen.

--- a/cmd/fuchsiactl/demo.go
+++ b/cmd/fuchsiactl/demo.go
@@ -101,7 +101,12 @@
 	t.add(fmt.Sprintf("idempotency keys: %d, %d of them sent twice; most executions of one: %d", e.Keys, e.Resends, e.MaxPerKey))
 	t.add(fmt.Sprintf("queries refused as not run: %d; of these run by a leaf: %d", e.Refused, e.RefusedButRan))
 	t.add(fmt.Sprintf("keys answered that no leaf had run: %d", e.AnsweredNotRan))
-	t.add(fmt.Sprintf("leaves that refused a connection over their limit: %d of %d", len(o.OverLimit), o.Leaves))
+	var refused []string
+	for _, p := range o.Phases {
+		refused = append(refused, fmt.Sprintf("%s %d", p.Name, p.Refused))
+	}
+	t.add(fmt.Sprintf("leaves that refused a connection over their limit: %d of %d (connections refused: %s)",
+		len(o.OverLimit), o.Leaves, strings.Join(refused, ", ")))
 	t.add(fmt.Sprintf("calls to the platform in %d s: %d reads, %d writes; %d of them over its rates",
 		o.Platform.Seconds, o.Platform.Reads, o.Platform.Writes, o.Platform.Limited))
 	t.add(fmt.Sprintf("latest that the load generator itself was: %s (p99 of a phase)", milli(worstLag(o))))
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -47,6 +47,7 @@
 	site    *site.Site
 	runs    []run
 	sender  *loadgen.EntrySender // of the phase under way
+	refused map[string]uint64    // connections over the limit so far, by leaf
 }
 
 // run is one phase's sender and samples, for the check of executions.
@@ -65,7 +66,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("demo: %w", err)
 	}
-	d := &demo{options: o, spec: spec, dir: dir}
+	d := &demo{options: o, spec: spec, dir: dir, refused: map[string]uint64{}}
 	defer func() { err = errors.Join(err, d.close()) }()
 	if err := d.start(ctx); err != nil {
 		return nil, err
--- a/cmd/internal/demo/outcome.go
+++ b/cmd/internal/demo/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/loadgen"
@@ -13,6 +14,10 @@
 type Phase struct {
 	Name    string           `json:"name"`
 	Reports []loadgen.Report `json:"reports"`
+	// Refused counts connections that leaves closed as over their limit, from
+	// the end of the phase before to the end of this one; the first phase has
+	// those of the start too.
+	Refused uint64 `json:"refused_connections"`
 }
 
 // Outcome is what the whole demonstration showed.
@@ -91,6 +96,25 @@
 	return p
 }
 
+// countRefused adds up the connections that leaves have closed as over their
+// limit since the last call, and notes which leaves did.
+func (d *demo) countRefused(o *Outcome) (uint64, error) {
+	var added uint64
+	for _, id := range d.site.LeafIDs() {
+		stats, err := d.site.LeafStats(id)
+		if err != nil {
+			return 0, fmt.Errorf("demo: counts of %s: %w", id, err)
+		}
+		now := stats.Connections.Refused
+		if now > 0 && !slices.Contains(o.OverLimit, id) {
+			o.OverLimit = append(o.OverLimit, id)
+		}
+		added += now - d.refused[id]
+		d.refused[id] = now
+	}
+	return added, nil
+}
+
 // check compares what callers were told with what the leaves recorded.
 func (d *demo) check(o *Outcome) error {
 	started := map[string]int{}
@@ -102,13 +126,6 @@
 		for _, e := range record.Bodies {
 			started[e.Key] += e.Started
 		}
-		stats, err := d.site.LeafStats(id)
-		if err != nil {
-			return fmt.Errorf("demo: counts of %s: %w", id, err)
-		}
-		if id != d.spec.lost && stats.Connections.Refused > 0 {
-			o.OverLimit = append(o.OverLimit, id)
-		}
 	}
 	for _, r := range d.runs {
 		ran := func(a loadgen.Arrival) int { return started[leaf.Hash(r.sender.Body(a))] }
--- a/cmd/internal/demo/phases.go
+++ b/cmd/internal/demo/phases.go
@@ -37,6 +37,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if phase.Refused, err = d.countRefused(o); err != nil {
+			return nil, err
+		}
 		o.Phases = append(o.Phases, phase)
 	}
 	after, err := d.site.PlatformCounts()
