--- a/bench/experiment/decisions.go
+++ b/bench/experiment/decisions.go
@@ -30,12 +30,23 @@
 	b.WriteString("| decision | leaves | ns | bytes | allocations |\n|---|---|---|---|---|\n")
 	for _, d := range decisions.All {
 		for _, n := range decisions.Sizes {
-			r := testing.Benchmark(d.Make(n))
+			r := testing.Benchmark(func(b *testing.B) {
+				step := d.Make(n)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					step(i)
+				}
+			})
 			c := cost{d.Name, n, r.NsPerOp(), r.AllocedBytesPerOp(), r.AllocsPerOp()}
 			costs = append(costs, c)
 			fmt.Fprintf(&b, "| %s | %d | %d | %d | %d |\n", c.Decision, c.Leaves, c.NS, c.Bytes, c.Allocs)
 		}
 	}
+	b.WriteString("\n| leaves | state of an entry's machine, bytes a leaf |\n|---|---|\n")
+	for _, n := range decisions.Sizes[1:] {
+		fmt.Fprintf(&b, "| %d | %d |\n", n, decisions.State(n)/uint64(n))
+	}
 	data, err := json.MarshalIndent(costs, "", " ")
 	if err != nil {
 		return fmt.Errorf("encode decisions: %w", err)
