Drop attempts from the expiry heap when they stop waiting

They stayed until their deadline came up, so that memory grew with the rate times the longest deadline. Fair shares are summed in a fixed order, so that a replay gives the same figures with many callers.

--- a/bench/burst/burst_test.go
+++ b/bench/burst/burst_test.go
@@ -25,11 +25,15 @@
 }
 
 func TestSameSeedSameResult(t *testing.T) {
-	a, b := mustRun(t, short(5, 1.5)), mustRun(t, short(5, 1.5))
+	p := short(5, 1.5)
+	for i := range 10 { // many callers, whose order in a map would differ
+		p.Callers = append(p.Callers, Caller{Name: string(rune('b' + i)), Share: 1 + i, Part: 0.09})
+	}
+	p.Callers[0].Part = 0.1
+	a, b := mustRun(t, p), mustRun(t, p)
 	if !reflect.DeepEqual(a, b) {
 		t.Fatalf("two runs differ:\n%+v\n%+v", a, b)
 	}
-	p := short(5, 1.5)
 	p.Seed = 2
 	if reflect.DeepEqual(a, mustRun(t, p)) {
 		t.Fatal("another seed gives the same result")
--- a/kernel/dispatch/change.go
+++ b/kernel/dispatch/change.go
@@ -42,6 +42,7 @@
 		m.release(a)
 		if to == nil || !to.present() {
 			delete(m.waiting, a.ticket)
+			m.expiry.remove(a)
 			a.queued = false
 			reason := query.ReasonWrongRange
 			if to != nil {
--- a/kernel/dispatch/expiry.go
+++ b/kernel/dispatch/expiry.go
@@ -7,8 +7,8 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 )
 
-// expiryHeap orders waiting attempts by deadline. Attempts that wait no more
-// are dropped when they come up.
+// expiryHeap orders waiting attempts by deadline. Each knows its place, so that
+// one that waits no more leaves in O(log n) and nothing of it is kept.
 type expiryHeap []*attempt
 
 // Len, Less, Swap, Push and Pop implement heap.Interface.
@@ -18,10 +18,17 @@
 func (h expiryHeap) Less(i, j int) bool { return h[i].deadline.Before(h[j].deadline) }
 
 // Swap exchanges two attempts.
-func (h expiryHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
 
 // Push appends an attempt.
-func (h *expiryHeap) Push(x any) { *h = append(*h, x.(*attempt)) }
+func (h *expiryHeap) Push(x any) {
+	a := x.(*attempt)
+	a.place = len(*h)
+	*h = append(*h, a)
+}
 
 // Pop removes the last attempt.
 func (h *expiryHeap) Pop() any {
@@ -29,20 +36,27 @@
 	a := old[len(old)-1]
 	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
+	a.place = noPlace
 	return a
 }
 
+// noPlace is attempt.place outside the heap.
+const noPlace = -1
+
 func (h *expiryHeap) push(a *attempt) { heap.Push(h, a) }
 
-// first returns the waiting attempt with the earliest deadline.
-func (h *expiryHeap) first() *attempt {
-	for len(*h) > 0 {
-		if a := (*h)[0]; a.queued {
-			return a
-		}
-		heap.Pop(h)
+func (h *expiryHeap) remove(a *attempt) {
+	if a.place != noPlace {
+		heap.Remove(h, a.place)
+	}
+}
+
+// first returns the waiting attempt with the earliest deadline, or nil.
+func (h expiryHeap) first() *attempt {
+	if len(h) == 0 {
+		return nil
 	}
-	return nil
+	return h[0]
 }
 
 // expire refuses, at once, what can't finish any more.
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -79,7 +79,7 @@
 	}
 	a := &attempt{
 		ticket: ev.Ticket, shard: s, caller: ev.Caller, deadline: ev.Deadline,
-		offered: now, hedge: ev.Hedge, solo: ev.Solo,
+		offered: now, hedge: ev.Hedge, solo: ev.Solo, place: noPlace,
 	}
 	m.setAvoid(a, ev)
 	if a.hedge && !m.hedgeFits(a) {
@@ -96,8 +96,10 @@
 	}
 	m.waiting[a.ticket] = a
 	s.queue.push(a, m.weight(a.caller))
-	m.expiry.push(a)
 	m.serve(s, now)
+	if a.queued {
+		m.expiry.push(a)
+	}
 }
 
 // setAvoid turns view indexes into leaves. A retry that would avoid every leaf
@@ -147,6 +149,7 @@
 func (m *Machine) unqueue(a *attempt) {
 	delete(m.waiting, a.ticket)
 	a.shard.queue.remove(a)
+	m.expiry.remove(a)
 	m.release(a)
 }
 
--- a/kernel/dispatch/property_test.go
+++ b/kernel/dispatch/property_test.go
@@ -174,6 +174,9 @@
 
 // idle checks that no attempt waits for a leaf that could take it.
 func (c *model) idle(m *Machine) {
+	if len(m.expiry) != len(m.waiting) {
+		c.t.Fatalf("%d attempts may expire, %d wait", len(m.expiry), len(m.waiting))
+	}
 	for _, l := range m.leaves {
 		if l.reserved != nil && !l.reserved.queued {
 			c.t.Fatalf("leaf %s is kept for %v, which does not wait", l.id, l.reserved.ticket)
--- a/kernel/dispatch/queue.go
+++ b/kernel/dispatch/queue.go
@@ -21,6 +21,7 @@
 	// saturated is plugin.Sample.Saturated, noted at dispatch.
 	saturated bool
 	queued    bool
+	place     int // in the expiry heap
 }
 
 // avoids reports whether the attempt must not go to the leaf.
--- a/kernel/dispatch/serve.go
+++ b/kernel/dispatch/serve.go
@@ -136,6 +136,7 @@
 func (m *Machine) dispatch(a *attempt, l *leaf, why string, now time.Time) {
 	delete(m.waiting, a.ticket)
 	a.shard.queue.serve(a)
+	m.expiry.remove(a)
 	m.release(a)
 	a.leaf, a.started = l, now
 	l.inFlight++
--- a/kernel/dispatch/usage.go
+++ b/kernel/dispatch/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -20,6 +21,7 @@
 
 // callerUsage is one caller's decayed counts.
 type callerUsage struct {
+	name              string
 	offered, admitted float64
 	share             float64
 	last              time.Time
@@ -28,6 +30,7 @@
 // usage remembers what each caller has lately been given of the admissions.
 type usage struct {
 	callers map[string]*callerUsage
+	order   []*callerUsage // as they came, so that sums are the same in each run
 	swept   time.Time
 }
 
@@ -40,14 +43,15 @@
 	u.sweep(now)
 	c := u.callers[caller]
 	if c == nil {
-		c = &callerUsage{last: now}
+		c = &callerUsage{name: caller, last: now}
 		u.callers[caller] = c
+		u.order = append(u.order, c)
 	}
 	c.decay(now)
 	c.share = float64(max(1, share))
 	c.offered++
 	admitted, shares := 0.0, 0.0
-	for _, o := range u.callers {
+	for _, o := range u.order {
 		o.decay(now)
 		admitted += o.admitted
 		shares += o.share
@@ -79,10 +83,12 @@
 		return
 	}
 	u.swept = now
-	for name, c := range u.callers {
+	u.order = slices.DeleteFunc(u.order, func(c *callerUsage) bool {
 		c.decay(now)
-		if c.offered < forgetBelow {
-			delete(u.callers, name)
+		if c.offered >= forgetBelow {
+			return false
 		}
-	}
+		delete(u.callers, c.name)
+		return true
+	})
 }
