--- a/kernel/dispatch/property_test.go
+++ b/kernel/dispatch/property_test.go
@@ -144,6 +144,21 @@
 				next.Leaves = append([]view.Leaf(nil), v.Leaves...)
 				i := rapid.IntRange(0, len(next.Leaves)-1).Draw(t, "leaf")
 				next.Leaves[i].Leaving = !next.Leaves[i].Leaving
+				next.Leaves[i].Connections = rapid.IntRange(0, 3).Draw(t, "share")
+				v, c.v = &next, &next
+				c.take(m.Handle(ViewChanged{View: v}, c.now))
+			},
+			"repartition": func(t *rapid.T) {
+				next := *v
+				up := v.Upstreams[0]
+				up.Shards = append([]view.Shard(nil), up.Shards...)
+				i, j := rapid.IntRange(0, shards-1).Draw(t, "one"), rapid.IntRange(0, shards-1).Draw(t, "other")
+				if i == j {
+					up.Shards[i].Range.To++
+				} else { // the ranges change their places, and their leaves with them
+					up.Shards[i], up.Shards[j] = up.Shards[j], up.Shards[i]
+				}
+				next.Upstreams = []view.Upstream{up}
 				v, c.v = &next, &next
 				c.take(m.Handle(ViewChanged{View: v}, c.now))
 			},
@@ -174,6 +189,11 @@
 
 // idle checks that no attempt waits for a leaf that could take it.
 func (c *model) idle(m *Machine) {
+	for ticket, r := range c.running {
+		if m.running[ticket] == nil {
+			c.t.Fatalf("%v runs on leaf %d and the machine forgot it", ticket, r.Leaf)
+		}
+	}
 	if len(m.expiry) != len(m.waiting) {
 		c.t.Fatalf("%d attempts may expire, %d wait", len(m.expiry), len(m.waiting))
 	}
