Let no slow past lock out later work

With replies of 500 ms remembered, a service with a deadline of 200 ms was refused, and without traffic nothing could correct that. After a second without replies the quantiles refuse nothing, an idle shard always takes a query, and 40 new replies outweigh the past.

--- a/kernel/dispatch/estimate.go
+++ b/kernel/dispatch/estimate.go
@@ -29,6 +29,7 @@
 type times struct {
 	sketch repetition.Latency
 	seen   int
+	last   time.Time     // of the last reply
 	least  time.Duration // low quantile
 	median time.Duration
 	most   time.Duration // high quantile
@@ -42,7 +43,23 @@
 	firstRefresh    = 20
 )
 
-func (t *times) observe(d time.Duration) {
+// What was seen before a silence of staleAfter says little of now: it refuses
+// nothing until a reply comes, and staleWeight new replies outweigh it.
+const (
+	staleAfter  = time.Second
+	staleWeight = 40
+)
+
+// known reports whether the quantiles describe the present. If silence were
+// taken for slowness, refusals would keep it silent for ever.
+func (t *times) known(now time.Time) bool { return now.Sub(t.last) <= staleAfter }
+
+func (t *times) observe(d time.Duration, now time.Time) {
+	if !t.known(now) {
+		t.sketch.Fade(staleWeight)
+		t.seen, t.least, t.median, t.most = 0, 0, 0, 0
+	}
+	t.last = now
 	t.sketch.Observe(d)
 	t.seen++
 	if t.seen%refreshInterval != 0 && t.seen != firstRefresh {
@@ -78,6 +95,10 @@
 func (m *Machine) Fit(caller string, within, patience time.Duration) (fit, total int, wait time.Duration) {
 	w := m.weight(caller)
 	for _, s := range m.shards {
+		if s.idle() {
+			fit++ // whatever is known of it may be old: let it show
+			continue
+		}
 		d := m.callerWait(s, caller, w)
 		wait = max(wait, d)
 		if d <= patience && d+m.times.median <= within {
@@ -89,7 +110,7 @@
 
 // fits reports whether the attempt would be dispatched early enough.
 func (m *Machine) fits(a *attempt, now time.Time) bool {
-	if m.unbounded {
+	if m.unbounded || a.shard.idle() || !m.times.known(now) {
 		return true
 	}
 	wait := m.callerWait(a.shard, a.caller, m.weight(a.caller))
--- a/kernel/dispatch/expiry.go
+++ b/kernel/dispatch/expiry.go
@@ -73,13 +73,13 @@
 // hopeless reports whether the attempt can't finish by its deadline if it
 // started now.
 func (m *Machine) hopeless(a *attempt, now time.Time) bool {
-	return !now.Add(m.needed(a)).Before(a.deadline)
+	return !now.Add(m.needed(a, now)).Before(a.deadline)
 }
 
 // needed is the least time to finish. While other work waits it is the median,
 // so that a slot goes to work which more likely than not finishes in time.
-func (m *Machine) needed(a *attempt) time.Duration {
-	if m.unbounded {
+func (m *Machine) needed(a *attempt, now time.Time) time.Duration {
+	if m.unbounded || !m.times.known(now) {
 		return 0
 	}
 	if a.shard.queue.length > 1 {
@@ -95,7 +95,7 @@
 	if a == nil {
 		return
 	}
-	at := a.deadline.Add(-m.needed(a))
+	at := a.deadline.Add(-m.needed(a, now))
 	if len(m.stalled) > 0 {
 		at = earlier(at, now.Add(pollInterval))
 	}
--- a/kernel/dispatch/leaf.go
+++ b/kernel/dispatch/leaf.go
@@ -60,3 +60,6 @@
 	}
 	return n
 }
+
+// idle reports whether nothing of this entry waits or runs on the shard.
+func (s *shard) idle() bool { return s.queue.length == 0 && s.inFlight() == 0 }
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -195,7 +195,7 @@
 	m.routing.Finished(a.leaf.key, s, now)
 	if s.OK {
 		a.shard.observe(ev.Latency)
-		m.times.observe(ev.Latency)
+		m.times.observe(ev.Latency, now)
 	}
 }
 
--- a/kernel/dispatch/machine_test.go
+++ b/kernel/dispatch/machine_test.go
@@ -114,6 +114,36 @@
 	wantRefused(t, m.Handle(Tick{}, wake), query.ReasonDeadline)
 }
 
+// TestSlowPastDoesNotLockOut has replies of 500 ms, and then a service whose
+// deadline is 200 ms: if the past refused it for ever, no reply could show
+// that the upstream is fast again.
+func TestSlowPastDoesNotLockOut(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+	for q := range 200 {
+		m.Handle(offered(q), start)
+		m.Handle(reply(q, 500*time.Millisecond), start)
+	}
+	now := start.Add(staleAfter + 1)
+	short := func(q int) Offered {
+		o := offered(q)
+		o.Deadline = now.Add(200 * time.Millisecond)
+		return o
+	}
+	if fit, total, _ := m.Fit("a", 200*time.Millisecond, 0); fit != total {
+		t.Fatalf("%d of %d shards fit although nothing runs", fit, total)
+	}
+	for q := 1000; q < 1064; q++ {
+		if d := dispatched(m.Handle(short(q), now)); len(d) != 1 {
+			t.Fatalf("query %d was not dispatched after a silence", q)
+		}
+		now = now.Add(10 * time.Millisecond)
+		m.Handle(reply(q, 10*time.Millisecond), now)
+	}
+	if e := m.Estimate(now); e.Median < 9*time.Millisecond || e.Median > 11*time.Millisecond {
+		t.Fatalf("median %v after fast replies, want theirs", e.Median)
+	}
+}
+
 func TestLongQueueIsRefusedWithADelay(t *testing.T) {
 	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
 	m.Handle(offered(0), start)
--- a/kernel/repetition/latency.go
+++ b/kernel/repetition/latency.go
@@ -35,11 +35,22 @@
 	}
 }
 
+// Fade bounds the weight of what was seen so far by the given number of
+// observations, so that as many new ones outweigh it.
+func (l *Latency) Fade(most int) {
+	if l.total > float32(most) {
+		l.scale(float32(most) / l.total)
+	}
+}
+
 // halve ages what has been seen.
-func (l *Latency) halve() {
+func (l *Latency) halve() { l.scale(0.5) }
+
+// scale multiplies all weights.
+func (l *Latency) scale(by float32) {
 	l.total = 0
 	for i := range l.counts {
-		l.counts[i] /= 2
+		l.counts[i] *= by
 		l.total += l.counts[i]
 	}
 }
--- a/kernel/repetition/repetition_test.go
+++ b/kernel/repetition/repetition_test.go
@@ -114,3 +114,20 @@
 		t.Fatalf("quantile %v long after the slow time, want about 1 ms", d)
 	}
 }
+
+func TestFadedPastIsOutweighed(t *testing.T) {
+	var l Latency
+	for range 2000 {
+		l.Observe(time.Second)
+	}
+	l.Fade(40)
+	if d := l.Quantile(0.5); d < 900*time.Millisecond {
+		t.Fatalf("median %v right after fading, want what was seen", d)
+	}
+	for range 60 {
+		l.Observe(time.Millisecond)
+	}
+	if d := l.Quantile(0.5); d > 2*time.Millisecond {
+		t.Fatalf("median %v after as many new observations, want the new", d)
+	}
+}
