--- /dev/null
+++ b/entry/ledger/cost_test.go
@@ -0,0 +1,115 @@
+package ledger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/platform"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/platform/platformtest"
+)
+
+// cost is what claims cost at a load.
+type cost struct {
+	mu      sync.Mutex
+	latency []time.Duration
+	refused int
+	writes  int
+	records int
+	bytes   int
+	largest int
+}
+
+// LedgerClaim implements Meter.
+func (c *cost) LedgerClaim(result string, latency time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if result != "granted" {
+		c.refused++
+		return
+	}
+	c.latency = append(c.latency, latency)
+}
+
+// LedgerWrite implements Meter.
+func (c *cost) LedgerWrite(records, bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes++
+	c.records += records
+	c.bytes += bytes
+	c.largest = max(c.largest, bytes)
+}
+
+// quantile is a quantile of the latencies, which are sorted.
+func (c *cost) quantile(q float64) time.Duration {
+	return c.latency[int(q*float64(len(c.latency)-1))].Round(100 * time.Microsecond)
+}
+
+// measure lets eight entries take claims at random moments, rate a second in
+// all, through a store that answers in 2 to 6 ms, and gives what it cost.
+func measure(t *testing.T, buckets, rate int, span time.Duration) (*cost, *platformtest.Store) {
+	const entries = 8
+	store := platformtest.New(1)
+	c := &cost{}
+	var fleet []*entry
+	for i := range entries {
+		fleet = append(fleet, startEntry(t, store, byte(i), func(cfg *Config) { cfg.Buckets, cfg.Meter = buckets, c }))
+	}
+	time.Sleep(time.Second)
+	store.SetFaults(platformtest.Faults{Latency: 2 * time.Millisecond, Jitter: 4 * time.Millisecond})
+	rng := rand.New(rand.NewPCG(uint64(rate), uint64(buckets)))
+	var callers sync.WaitGroup
+	for i := range int(span.Seconds() * float64(rate)) {
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / float64(rate)))
+		e := fleet[rng.IntN(entries)]
+		callers.Go(func() {
+			grant, err := e.Claim(t.Context(), request(fmt.Sprint(i), time.Second))
+			if err != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			grant.Record(complete)
+		})
+	}
+	callers.Wait()
+	for _, e := range fleet {
+		if err := e.Flush(t.Context()); err != nil {
+			t.Error(err)
+		}
+	}
+	slices.Sort(c.latency)
+	return c, store
+}
+
+// TestCostOfClaims logs what claims cost the store: FUCHSIAROAD_LONG=1 runs
+// the whole table of docs/design/ledger.md. All claims must be granted at the
+// rate of today.
+func TestCostOfClaims(t *testing.T) {
+	span, rates := 2*time.Second, []int{300}
+	if os.Getenv("FUCHSIAROAD_LONG") == "1" {
+		span, rates = 20*time.Second, []int{100, 300, 1000}
+	}
+	for _, buckets := range []int{16, 64, 256} {
+		for _, rate := range rates {
+			t.Run(fmt.Sprintf("%d buckets %d a second", buckets, rate), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					c, store := measure(t, buckets, rate, span)
+					claims := float64(len(c.latency))
+					puts, gets := float64(store.Calls(platform.CallPut)), float64(store.Calls(platform.CallGet))
+					t.Logf("granted %.0f refused %d; per claim: writes %.2f reads %.2f; writes/s %.0f reads/s %.0f; latency p50 %v p99 %v; mean %d B largest %d B",
+						claims, c.refused, puts/claims, gets/claims, puts/span.Seconds(), gets/span.Seconds(),
+						c.quantile(0.5), c.quantile(0.99), c.bytes/c.writes, c.largest)
+					if rate <= 300 && c.refused > 0 {
+						t.Errorf("%d claims were refused", c.refused)
+					}
+				})
+			})
+		}
+	}
+}
