--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -15,6 +15,9 @@
 	Answer callerapi.Answer
 }
 
+// refusedLabel is the metrics' outcome of a refusal.
+const refusedLabel = "not_run"
+
 // Execute runs a request to its answer. The error, if any, is a *RefusedError:
 // the request provably ran nowhere.
 func (e *Executor) Execute(ctx context.Context, req *Request) (*Response, error) {
@@ -25,7 +28,7 @@
 	resp, err := e.execute(ctx, req)
 	meter := e.service(req.Service.Config.Name)
 	if err != nil {
-		meter.Observe(string(query.NotRun), time.Since(req.Start))
+		meter.Observe(refusedLabel, time.Since(req.Start))
 		return nil, err
 	}
 	meter.Observe(resp.Answer.Outcome, time.Since(req.Start))
@@ -55,15 +58,17 @@
 	r := &run{
 		executor: e, request: req, id: newToken(), stamp: e.nextStamp(req.Start),
 		fingerprint: fingerprint, mail: newMailbox(), ctx: ctx,
-		attempts: make(map[query.AttemptID]*attempt), pools: make(map[int]*pool),
+		attempts: make(map[query.AttemptID]*attempt),
+		view:     req.View, pools: make(map[int]*pool),
+		versions: &versions{knowledge: e.knowledge, view: req.View},
 	}
 	repetition := e.repetition(req.Service)
 	r.repetition = repetition
 	r.machine = query.New(query.Config{
 		View: req.View, Service: req.Service, Start: req.Start, Deadline: req.Deadline,
-		Versions:   versions{e.knowledge, req.View},
+		Versions:   r.versions,
 		Budget:     repetition,
-		HedgeAfter: repetition.hedgeAfter(req),
+		HedgeAfter: repetition.hedgeAfter(r),
 		Canary:     mode == quarantine.ModeCanary,
 		Suspect:    mode == quarantine.ModeSuspect,
 		Seed:       seed(fingerprint),
@@ -80,7 +85,9 @@
 		return nil, refused
 	}
 	r.repetition.deposit(r.request.Service.Shards)
+	r.executor.register(r)
 	answer := r.drive()
+	r.executor.unregister(r)
 	r.dropQueued()
 	r.account(answer)
 	r.executor.answered(r, answer)
@@ -92,6 +99,8 @@
 
 // dropQueued takes back what the answer no longer needs.
 func (r *run) dropQueued() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for id := range r.attempts {
 		r.withdraw(id)
 	}
@@ -127,7 +136,7 @@
 		out.Missing = append(out.Missing, callerapi.Missing{Part: r.part(m.Part), Reason: missing(m)})
 	}
 	for _, res := range a.Results {
-		out.Results = append(out.Results, callerapi.Result{Part: r.part(res.Part), Body: res.Body})
+		out.Results = append(out.Results, callerapi.Result{Part: r.part(res.Part), More: res.More, Body: res.Body})
 	}
 	return out
 }
--- a/entry/executor/knowledge.go
+++ b/entry/executor/knowledge.go
@@ -17,9 +17,12 @@
 	tracker *snapshot.Tracker
 	index   map[string]int // leaf ID to index in view
 	heard   map[string]time.Time
+	broke   map[string]time.Time // when a connection to the leaf last broke
 }
 
-func newKnowledge() *knowledge { return &knowledge{heard: make(map[string]time.Time)} }
+func newKnowledge() *knowledge {
+	return &knowledge{heard: make(map[string]time.Time), broke: make(map[string]time.Time)}
+}
 
 // follow moves the tracker to a newer view.
 func (k *knowledge) follow(v *view.View) {
@@ -33,10 +36,12 @@
 	for i := range v.Leaves {
 		k.index[v.Leaves[i].ID] = i
 	}
-	maps.DeleteFunc(k.heard, func(id string, _ time.Time) bool {
+	gone := func(id string, _ time.Time) bool {
 		_, ok := k.index[id]
 		return !ok
-	})
+	}
+	maps.DeleteFunc(k.heard, gone)
+	maps.DeleteFunc(k.broke, gone)
 	if k.tracker == nil {
 		k.tracker = snapshot.New(v)
 		return
@@ -58,51 +63,84 @@
 	}
 }
 
-// lastHeard is when the leaf last said something.
+// sawBreak notes that a connection to the leaf broke.
+func (k *knowledge) sawBreak(leafID string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.broke[leafID] = now
+}
+
+// up reports whether the leaf has answered since it last broke a connection.
+func (k *knowledge) up(leafID string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.heard[leafID].Before(k.broke[leafID])
+}
+
+// lastHeard is when the leaf last said something; the zero time if it has
+// broken a connection since.
 func (k *knowledge) lastHeard(leafID string) time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.heard[leafID].Before(k.broke[leafID]) {
+		return time.Time{}
+	}
 	return k.heard[leafID]
 }
 
-// versions is the knowledge as one query sees it, with the indexes of its view.
+// versions is the knowledge as one query sees it, by the indexes of its view.
 type versions struct {
 	knowledge *knowledge
 	view      *view.View
 }
 
 // Pin implements query.VersionSource.
-func (s versions) Pin(service string) uint64 {
+func (s *versions) Pin(service string) uint64 {
 	s.knowledge.mu.Lock()
 	defer s.knowledge.mu.Unlock()
 	return s.knowledge.tracker.Pin(service)
 }
 
 // Next implements query.VersionSource.
-func (s versions) Next(service string, after uint64) uint64 {
+func (s *versions) Next(service string, after uint64) uint64 {
 	s.knowledge.mu.Lock()
 	defer s.knowledge.mu.Unlock()
 	return s.knowledge.tracker.Next(service, after)
 }
 
 // Share implements query.VersionSource.
-func (s versions) Share(service string, version uint64) float64 {
+func (s *versions) Share(service string, version uint64) float64 {
 	s.knowledge.mu.Lock()
 	defer s.knowledge.mu.Unlock()
 	return s.knowledge.tracker.Share(service, version)
 }
 
 // Serves implements query.VersionSource.
-func (s versions) Serves(leaf int, version uint64) (known, serves bool) {
+func (s *versions) Serves(leaf int, version uint64) (known, serves bool) {
+	k := s.knowledge
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	i, ok := s.index(leaf)
+	if !ok {
+		return false, false
+	}
+	return k.tracker.Serves(i, version)
+}
+
+// Passed implements query.VersionSource.
+func (s *versions) Passed(leaf int, version uint64) bool {
 	k := s.knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if s.view != k.view {
-		i, ok := k.index[s.view.Leaves[leaf].ID]
-		if !ok {
-			return false, false
-		}
-		leaf = i
+	i, ok := s.index(leaf)
+	return ok && k.tracker.Passed(i, version)
+}
+
+// index turns a leaf's index in the query's view into the tracker's. The lock is held.
+func (s *versions) index(leaf int) (int, bool) {
+	if s.view == s.knowledge.view {
+		return leaf, true
 	}
-	return k.tracker.Serves(leaf, version)
+	i, ok := s.knowledge.index[s.view.Leaves[leaf].ID]
+	return i, ok
 }
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"sync"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
 // run is one query in progress, driven by one goroutine.
@@ -20,13 +22,20 @@
 	stamp       uint64
 	fingerprint string
 	repetition  *repetition
-	machine     *query.Machine
+	versions    *versions
 	mail        *mailbox
 	ctx         context.Context // ends with the caller or with the answer
-	attempts    map[query.AttemptID]*attempt
-	pools       map[int]*pool // by upstream index in the request's view
-	timer       *time.Timer
-	answer      *query.Answer
+
+	// mu guards what follows. The query's goroutine holds it for each event,
+	// and an exchange while it asks for leave to send.
+	mu       sync.Mutex
+	machine  *query.Machine
+	attempts map[query.AttemptID]*attempt
+	// view is the newest view that the machine knows; pools is by its indexes.
+	view   *view.View
+	pools  map[int]*pool
+	timer  *time.Timer
+	answer *query.Answer
 }
 
 // newToken makes an unguessable id: 128 random bits in hex.
@@ -45,7 +54,7 @@
 	r.handle(query.Begin{})
 	done := r.ctx.Done()
 	var events []query.Event
-	for r.answer == nil {
+	for !r.answered() {
 		select {
 		case <-r.mail.wake:
 			events = r.mail.take(events)
@@ -62,16 +71,69 @@
 	return r.answer
 }
 
-// handle gives one event to the machine and carries out its actions.
+// answered reports whether the query has its answer.
+func (r *run) answered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answer != nil
+}
+
+// handle gives one event to the machine.
 func (r *run) handle(ev query.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.step(ev)
+}
+
+// maySend tells the machine that the attempt's bytes go out now, and reports
+// whether they may. It is asked right before they do: no event can come between
+// the machine's word and the sending, so that an answer "not run" stays true.
+func (r *run) maySend(a *attempt, leaf int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answer != nil || a.withdrawn {
+		return false
+	}
+	r.step(query.Sent{Attempt: a.offer.Attempt, Leaf: leaf})
+	return !a.withdrawn
+}
+
+// step gives one event to the machine and carries out its actions. The lock is
+// held; pools never take it, they only put events into the mailbox.
+func (r *run) step(ev query.Event) {
 	if r.answer != nil {
 		return
 	}
-	for _, action := range r.machine.Handle(ev, time.Now()) {
+	now := time.Now()
+	r.heed(ev, now)
+	for _, action := range r.machine.Handle(ev, now) {
 		r.act(action)
 	}
 }
 
+// heed does what an event means outside of the machine.
+func (r *run) heed(ev query.Event, now time.Time) {
+	switch ev := ev.(type) {
+	case query.ViewChanged:
+		r.follow(ev.View)
+	case query.Declined:
+		if ev.Reason == query.ReasonOverloaded {
+			r.repetition.shed(now)
+		}
+	case query.NotSent:
+		if ev.Reason == query.ReasonOverloaded {
+			r.repetition.shed(now)
+		}
+	}
+}
+
+// follow moves the query to a newer view, by whose indexes it speaks from here on.
+func (r *run) follow(v *view.View) {
+	r.view = v
+	r.versions.view = v
+	clear(r.pools)
+}
+
 // act carries out one action.
 func (r *run) act(action query.Action) {
 	switch action := action.(type) {
@@ -93,7 +155,7 @@
 func (r *run) offer(o query.Offer) {
 	a := &attempt{
 		ticket: dispatch.Ticket{Query: r.stamp, Attempt: o.Attempt},
-		run:    r, offer: o, token: newToken(),
+		run:    r, view: r.view, offer: o, token: newToken(),
 	}
 	r.attempts[o.Attempt] = a
 	if o.Hedge {
@@ -102,14 +164,15 @@
 	if o.Retry {
 		r.executor.decide(a, telemetry.Decision{Part: partQuery, What: "retry"})
 	}
-	r.pool(o.Part.Upstream).offer(a)
+	a.pool = r.pool(o.Part.Upstream)
+	a.pool.offer(a)
 }
 
 // pool returns the pool of an upstream, looked up once per query.
 func (r *run) pool(upstream int) *pool {
 	p, ok := r.pools[upstream]
 	if !ok {
-		p = r.executor.pool(r.request.View, upstream)
+		p = r.executor.pool(r.view, upstream)
 		r.pools[upstream] = p
 	}
 	return p
@@ -117,8 +180,9 @@
 
 // withdraw takes an attempt back.
 func (r *run) withdraw(id query.AttemptID) {
-	if a, ok := r.attempts[id]; ok {
-		r.pool(a.offer.Part.Upstream).withdraw(a.ticket)
+	if a, ok := r.attempts[id]; ok && !a.withdrawn {
+		a.withdrawn = true
+		a.pool.withdraw(a.ticket)
 	}
 }
 
@@ -129,24 +193,22 @@
 		return
 	}
 	e := r.executor
-	news := e.guard.observe(quarantine.Observed{Fingerprint: r.fingerprint, Leaf: a.leafName(r, v.Leaf), Crashed: v.Crashed, Solo: a.offer.Solo}, time.Now())
+	actions := e.guard.observe(quarantine.Observed{Fingerprint: r.fingerprint, Leaf: a.leafName(v.Leaf), Crashed: v.Crashed, Solo: a.offer.Solo}, time.Now())
 	if v.Crashed {
-		e.decide(a, telemetry.Decision{Part: partQuery, What: "suspect", Leaf: a.leafName(r, v.Leaf), Why: r.fingerprint})
-	}
-	if news {
-		e.config.Sightings.SpreadNow()
+		e.decide(a, telemetry.Decision{Part: partQuery, What: "suspect", Leaf: a.leafName(v.Leaf), Why: r.fingerprint})
 	}
+	e.carryOut(actions)
 }
 
-// leafName is the ID of the leaf that the query's view calls by index.
-func (a *attempt) leafName(r *run, leaf int) string {
-	if leaf < 0 || leaf >= len(r.request.View.Leaves) {
+// leafName is the ID of a leaf by its index in the attempt's view.
+func (a *attempt) leafName(leaf int) string {
+	if leaf < 0 || leaf >= len(a.view.Leaves) {
 		return ""
 	}
-	return r.request.View.Leaves[leaf].ID
+	return a.view.Leaves[leaf].ID
 }
 
-// leafIndex is the index of a leaf in the query's own view.
-func (r *run) leafIndex(a *attempt, id string) int {
-	return r.request.View.Upstreams[a.offer.Part.Upstream].Leaf(id)
+// leafIndex is the index of a leaf in the attempt's view.
+func (a *attempt) leafIndex(id string) int {
+	return a.view.Upstreams[a.offer.Part.Upstream].Leaf(id)
 }
--- a/entry/leafclient/conns.go
+++ b/entry/leafclient/conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -79,14 +80,31 @@
 		lc.places.release()
 		return nil, err
 	}
-	return &countedConn{Conn: conn, leaf: lc}, nil
+	counted := &countedConn{Conn: conn, leaf: lc}
+	if err := prove(ctx, counted, address); err != nil {
+		_ = counted.Close()
+		return nil, fmt.Errorf("new connection: %w", err)
+	}
+	return counted, nil
 }
 
 // countedConn gives its place back some time after it is closed.
 type countedConn struct {
 	net.Conn
-	leaf *leafConn
-	once sync.Once
+	leaf    *leafConn
+	once    sync.Once
+	blocked atomic.Bool // an attempt was recalled: nothing more is written
+}
+
+// ErrRecalled says that an attempt was recalled before it was sent.
+var ErrRecalled = errors.New("recalled before it was sent")
+
+// Write writes, unless the attempt that took the connection was recalled.
+func (c *countedConn) Write(b []byte) (int, error) {
+	if c.blocked.Load() {
+		return 0, ErrRecalled
+	}
+	return c.Conn.Write(b)
 }
 
 // Close closes the connection. The place stays taken for the time of a dial:
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -31,10 +31,12 @@
 	weights   map[string]float64 // caller shares by name
 	running   map[Ticket]*attempt
 	waiting   map[Ticket]*attempt
-	times     times
-	expiry    expiryHeap
-	wake      time.Time // the Tick asked for, zero for none
-	actions   []Action
+	// stalled are the shards with waiting work and none running.
+	stalled []*shard
+	times   times
+	expiry  expiryHeap
+	wake    time.Time // the Tick asked for, zero for none
+	actions []Action
 
 	candidates []plugin.Candidate // scratch
 	chosen     []*leaf            // scratch, beside candidates
@@ -117,14 +119,14 @@
 	a.avoid = nil
 }
 
-// hedgeFits reports whether a hedge can go at once: a second copy takes idle
-// room only and never waits before or beside first attempts.
+// hedgeFits reports whether a hedge may be queued: there is another leaf for
+// it, and the queue is so short that the copy adds nothing to an overload.
 func (m *Machine) hedgeFits(a *attempt) bool {
-	if a.shard.queue.length > 0 {
+	if m.drainTime(a.shard) > m.times.median {
 		return false
 	}
 	for _, l := range a.shard.leaves {
-		if l.room() && !a.avoids(l) {
+		if !l.leaving && l.share > 0 && !a.avoids(l) {
 			return true
 		}
 	}
@@ -178,7 +180,9 @@
 	s := plugin.Sample{
 		OK:        ev.Outcome == OutcomeReply,
 		Shed:      ev.Outcome == OutcomeShed,
-		Failed:    ev.Outcome == OutcomeDialFailed || ev.Outcome == OutcomeBroken || ev.Outcome == OutcomeTimeout,
+		Failed:    ev.Outcome == OutcomeDialFailed || ev.Outcome == OutcomeBroken,
+		TimedOut:  ev.Outcome == OutcomeTimeout,
+		Cancelled: ev.Outcome == OutcomeCancelled,
 		Latency:   ev.Latency,
 		Service:   ev.Service,
 		Saturated: a.saturated,
@@ -204,15 +208,18 @@
 	}
 }
 
-// tick serves all that a passed wake-up may have made possible, such as the
-// end of an ejection.
+// tick serves the shards that no reply will wake, such as those whose leaves
+// were all ejected.
 func (m *Machine) tick(now time.Time) {
 	m.wake = time.Time{}
 	m.expire(now)
-	for _, s := range m.shards {
-		if s.queue.length > 0 {
-			m.serve(s, now)
-		}
+	stalled := m.stalled
+	m.stalled = nil
+	for _, s := range stalled {
+		s.stalled = false
+	}
+	for _, s := range stalled {
+		m.serve(s, now)
 	}
 }
 
--- a/kernel/query/messages.go
+++ b/kernel/query/messages.go
@@ -81,12 +81,18 @@
 // Cancel says that the caller has gone.
 type Cancel struct{}
 
-// ViewChanged gives a newer view: what is asked from here on is planned by its
-// shards, and Offer and the leaf of Sent use its indexes. The later events of
-// an attempt name the leaf as its Sent did; the answer's parts use the indexes
-// of the view that the query started with.
+// ViewChanged gives a newer view: what is offered from here on is planned by
+// its shards and uses its indexes. The events of an attempt name leaves by the
+// view of its Offer; the answer's parts use the indexes of the view that the
+// query started with.
 type ViewChanged struct{ View *view.View }
 
+// Cleared says that another query has shown the request to be safe.
+type Cleared struct{}
+
+// Condemned says that the request has been put in quarantine.
+type Condemned struct{ RetryAfter time.Duration }
+
 func (Begin) isEvent()       {}
 func (Sent) isEvent()        {}
 func (Reply) isEvent()       {}
@@ -96,6 +102,8 @@
 func (Tick) isEvent()        {}
 func (Cancel) isEvent()      {}
 func (ViewChanged) isEvent() {}
+func (Cleared) isEvent()     {}
+func (Condemned) isEvent()   {}
 
 // DeclineReason says why an attempt did not run.
 type DeclineReason string
--- a/kernel/query/part.go
+++ b/kernel/query/part.go
@@ -9,9 +9,9 @@
 
 // These stand for the absence of an index.
 const (
-	noLeaf     = -1
-	noPart     = -1
-	noUpstream = -1
+	noLeaf     = view.NoLeaf
+	noShard    = -1
+	noUpstream = view.NoUpstream
 )
 
 // partState is what becomes of a part.
@@ -32,10 +32,13 @@
 	shard  int
 	state  partState
 	reason string
-	live   []AttemptID
+	live   liveAttempts
 	tried  []int // leaves
 	tries  int
 	hedged bool
+	// anyLeaf lets a part that runs alone go to any leaf, after the one that
+	// the seed names could not take it.
+	anyLeaf bool
 	// lost is the share given up with the part; forVersion tells that another
 	// version could still give it.
 	lost       float64
@@ -43,10 +46,27 @@
 	next       int // the next part of the cell plus one
 }
 
-// drop forgets a live attempt.
-func (p *part) drop(id AttemptID) {
-	if i := slices.Index(p.live, id); i >= 0 {
-		p.live = slices.Delete(p.live, i, i+1)
+// liveAttempts are the attempts of a part whose end is awaited: one, and its
+// hedge.
+type liveAttempts struct {
+	ids [2]AttemptID
+	n   int
+}
+
+// add appends an attempt.
+func (l *liveAttempts) add(id AttemptID) {
+	l.ids[l.n] = id
+	l.n++
+}
+
+// drop forgets an attempt.
+func (l *liveAttempts) drop(id AttemptID) {
+	for i := range l.n {
+		if l.ids[i] == id {
+			l.n--
+			l.ids[i] = l.ids[l.n]
+			return
+		}
 	}
 }
 
@@ -55,7 +75,6 @@
 	m.parts = m.parts[:0]
 	m.open = 0
 	m.given = 0
-	m.gate.probe = noPart
 	m.grids = m.newGrids()
 	t := m.current()
 	t.lost = 0
@@ -92,7 +111,7 @@
 		piece := p
 		piece.need = p.need.Intersect(grid.Cell(c))
 		piece.state = partWaiting
-		piece.live = nil
+		piece.live = liveAttempts{}
 		piece.next = m.spaces[p.space].cells[c]
 		m.parts = append(m.parts, piece)
 		m.spaces[p.space].cells[c] = len(m.parts)
@@ -104,12 +123,14 @@
 func (m *Machine) offer(i int, a attempt) {
 	p := &m.parts[i]
 	p.state = partOpen
+	a.view = m.view
 	a.part = i
 	a.leaf = noLeaf
 	a.version = m.version
 	m.attempts = append(m.attempts, a)
 	id := AttemptID(len(m.attempts))
-	p.live = append(p.live, id)
+	p.live.add(id)
+	m.liveCount++
 	if !a.hedge {
 		p.tries++
 	}
@@ -118,7 +139,7 @@
 		Part:     Part{Upstream: m.spaces[p.space].now, Range: p.need},
 		Shard:    p.shard,
 		Version:  a.version,
-		Avoid:    m.avoid(p),
+		Avoid:    m.avoid(p, a.solo),
 		Hedge:    a.hedge,
 		Retry:    a.retry,
 		Solo:     a.solo,
@@ -145,20 +166,26 @@
 }
 
 // avoid lists the leaves not to choose: those tried, and those that lack the
-// version unless all do: then what was seen may be old, and one is asked.
-func (m *Machine) avoid(p *part) []int {
+// version unless no other is left: they may have it by now.
+func (m *Machine) avoid(p *part, solo bool) []int {
 	out := slices.Clone(p.tried)
-	all := m.leaves(p)
-	lacking := 0
-	for _, leaf := range all {
-		if m.lacks(leaf) {
+	if solo && !p.anyLeaf {
+		return m.avoidAllBut(m.probeLeaf(p), p)
+	}
+	lacking, others := 0, 0
+	for _, leaf := range m.leaves(p) {
+		switch {
+		case slices.Contains(p.tried, leaf):
+		case m.lacks(leaf):
 			lacking++
+		default:
+			others++
 		}
 	}
-	if lacking == 0 || lacking == len(all) {
+	if lacking == 0 || others == 0 {
 		return out
 	}
-	for _, leaf := range all {
+	for _, leaf := range m.leaves(p) {
 		if m.lacks(leaf) && !slices.Contains(out, leaf) {
 			out = append(out, leaf)
 		}
@@ -169,7 +196,8 @@
 // hasOther reports whether the shard has a leaf that may still be tried.
 func (m *Machine) hasOther(p *part) bool {
 	for _, leaf := range m.leaves(p) {
-		if !slices.Contains(p.tried, leaf) && !m.view.Leaves[leaf].Leaving && !m.lacks(leaf) {
+		passed := m.version != 0 && m.cfg.Versions.Passed(leaf, m.version)
+		if !passed && !m.view.Leaves[leaf].Leaving && !slices.Contains(p.tried, leaf) {
 			return true
 		}
 	}
@@ -194,7 +222,6 @@
 	if p.forVersion {
 		t.lost += p.lost
 	}
-	m.probeEnded(i)
 }
 
 // cover settles a part whose keys are covered.
@@ -213,12 +240,11 @@
 	}
 	p.state = partCovered
 	m.withdrawPart(i)
-	m.probeEnded(i)
 }
 
 // withdrawPart takes back all live attempts of a part.
 func (m *Machine) withdrawPart(i int) {
-	for len(m.parts[i].live) > 0 {
-		m.withdraw(m.parts[i].live[0])
+	for m.parts[i].live.n > 0 {
+		m.withdraw(m.parts[i].live.ids[0])
 	}
 }
--- a/kernel/query/replan.go
+++ b/kernel/query/replan.go
@@ -14,15 +14,11 @@
 	old := m.parts[i]
 	m.parts[i].state = partReplaced
 	m.open--
-	if m.gate.probe == i {
-		m.gate.probe = noPart
-	}
 	for _, r := range m.current().covered.Missing(old.space, old.need) {
 		for _, piece := range cut(r, held) {
 			m.replanPiece(old, piece, leaf, now)
 		}
 	}
-	m.nextProbe()
 }
 
 // piece is a range with the word whether the leaf asked holds it.
@@ -61,7 +57,7 @@
 		}
 	}
 	for _, r := range rest {
-		for _, i := range m.added(part{space: old.space, need: r, shard: noPart}) {
+		for _, i := range m.added(part{space: old.space, need: r, shard: noShard}) {
 			m.giveUp(i, MissingNoShard)
 		}
 	}
@@ -131,18 +127,18 @@
 // viewChanged takes a newer view. Parts that were given up because no leaf of
 // the old shards held them are asked again; running attempts go on.
 func (m *Machine) viewChanged(v *view.View, now time.Time) {
-	translate := translation(m.view, v)
+	old := m.view
 	for i := range m.spaces {
 		m.spaces[i].order = nil
-		m.spaces[i].now = upstreamNamed(v, m.cfg.View.Upstreams[m.spaces[i].first].Name)
+		m.spaces[i].now = v.UpstreamByName(m.cfg.View.Upstreams[m.spaces[i].first].Name)
 	}
 	m.view = v
 	for i := range len(m.parts) {
 		p := &m.parts[i]
 		for t := range p.tried {
-			p.tried[t] = translate(p.tried[t])
+			p.tried[t] = translate(old, v, m.spaces[p.space].now, p.tried[t])
 		}
-		p.shard = noPart
+		p.shard = noShard
 		if at := m.shardsOf(p.space, p.need); len(at) > 0 {
 			p.shard = at[0]
 		}
@@ -166,11 +162,6 @@
 	return reason == string(ReasonWrongRange) || reason == string(ReasonNoLeaf) || reason == MissingNoShard
 }
 
-// upstreamNamed returns the index of an upstream, or noUpstream.
-func upstreamNamed(v *view.View, name string) int {
-	return slices.IndexFunc(v.Upstreams, func(u view.Upstream) bool { return u.Name == name })
-}
-
 // reopen takes back that a part was given up.
 func (m *Machine) reopen(i int) {
 	p := &m.parts[i]
@@ -183,19 +174,10 @@
 	m.open++
 }
 
-// translation maps leaf indexes of one view to those of another.
-func translation(old, v *view.View) func(int) int {
-	index := make(map[string]int, len(v.Leaves))
-	for i := range v.Leaves {
-		index[v.Leaves[i].ID] = i
-	}
-	return func(leaf int) int {
-		if leaf < 0 || leaf >= len(old.Leaves) {
-			return noLeaf
-		}
-		if i, ok := index[old.Leaves[leaf].ID]; ok {
-			return i
-		}
+// translate turns a leaf's index of one view into that of another, or noLeaf.
+func translate(from, to *view.View, upstream, leaf int) int {
+	if leaf < 0 || leaf >= len(from.Leaves) || upstream == noUpstream {
 		return noLeaf
 	}
+	return to.Upstreams[upstream].Leaf(from.Leaves[leaf].ID)
 }
--- a/standin/leaf/server.go
+++ b/standin/leaf/server.go
@@ -73,7 +73,7 @@
 
 // Serve answers on a listener until the context ends. It may be called once.
 func (s *Server) Serve(ctx context.Context, inner net.Listener) error {
-	s.accept.Listener = inner
+	s.accept.use(inner)
 	stop := context.AfterFunc(ctx, s.stop)
 	defer stop()
 	if err := httpserve.Serve(ctx, s.accept, s); err != nil {
@@ -142,6 +142,7 @@
 	s.wake()
 	s.mu.Unlock()
 	if goesDown {
+		s.accept.shutPort()
 		s.accept.closeOpen()
 	}
 	return nil
@@ -169,6 +170,9 @@
 	restart := time.Duration(s.settings.RestartMS) * time.Millisecond
 	s.rebirth(time.Now().Add(restart))
 	s.mu.Unlock()
+	if restart > 0 {
+		s.accept.shutPort()
+	}
 	s.accept.closeOpen()
 }
 
