--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -9,7 +9,6 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/platform"
-	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/membership"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/rollout"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
@@ -41,7 +40,7 @@
 	rolloutAt    time.Time
 	membershipAt time.Time
 	sequence     uint64
-	listKnown    bool // the platform's list was read once
+	shares       shares
 	nextSave     rollout.SaveID
 	waiters      map[rollout.SaveID]chan rollout.Outcome
 
@@ -60,6 +59,7 @@
 		marks:      make(chan string, marksLength),
 		closed:     make(chan struct{}),
 		waiters:    make(map[rollout.SaveID]chan rollout.Outcome),
+		shares:     newShares(),
 	}
 }
 
@@ -98,8 +98,10 @@
 // untilWake is the time to the next tick of a machine.
 func (c *Control) untilWake() time.Duration {
 	at := c.membershipAt
-	if !c.rolloutAt.IsZero() && c.rolloutAt.Before(at) {
-		at = c.rolloutAt
+	for _, other := range []time.Time{c.rolloutAt, c.shares.growAt()} {
+		if !other.IsZero() && other.Before(at) {
+			at = other
+		}
 	}
 	return max(0, time.Until(at))
 }
@@ -113,6 +115,9 @@
 	if !now.Before(c.membershipAt) {
 		c.member(membership.Tick{})
 	}
+	if at := c.shares.growAt(); !at.IsZero() && !now.Before(at) {
+		c.publish()
+	}
 }
 
 // spawn runs I/O apart from the control goroutine.
@@ -212,7 +217,8 @@
 	if v.Document == nil {
 		return
 	}
-	built := view.Build(v.Generation, v.Hash, v.Document, c.membership.Leaving, c.shares())
+	c.shares.begin(time.Now())
+	built := view.Build(v.Generation, v.Hash, v.Document, c.membership.Leaving, c.share)
 	c.sequence++
 	built.Sequence = c.sequence
 	c.view.Store(built)
@@ -220,18 +226,3 @@
 		c.cfg.Publish(built)
 	}
 }
-
-// blindShare is the connections to a leaf that an instance opens before it has
-// read the platform's list: it can't know how many others share the leaf's limit.
-const blindShare = 1
-
-// shares gives this instance's share of each leaf's connection limit.
-func (c *Control) shares() func(u *document.Upstream, leafID string) int {
-	if !c.listKnown {
-		return func(u *document.Upstream, _ string) int { return min(blindShare, u.ConnectionLimit) }
-	}
-	entries := c.membership.Entries()
-	return func(u *document.Upstream, leafID string) int {
-		return c.cfg.Placement.Share(leafID, u.ConnectionLimit, c.cfg.Instance, entries)
-	}
-}
--- a/entry/control/members.go
+++ b/entry/control/members.go
@@ -28,6 +28,7 @@
 		case membership.PeerAhead:
 			c.roll(rollout.PeerAhead{Peer: a.Peer.Instance, Generation: a.Generation})
 		case membership.Changed:
+			c.shares.follow(c.membership.Entries(), time.Now())
 			c.rollout.SetInstances(len(c.membership.Entries()))
 			c.publish()
 		case membership.WakeAt:
@@ -46,12 +47,11 @@
 			Leaving: in.State == platformapi.StateLeaving,
 		})
 	}
-	first := !c.listKnown
-	c.listKnown = true
-	c.member(event)
-	if first {
-		c.publish() // the shares are known now
+	if !c.shares.listKnown {
+		c.shares.listKnown = true
+		c.shares.changed = time.Now()
 	}
+	c.member(event)
 	var keep []peer.Target
 	for _, p := range c.membership.Peers() {
 		keep = append(keep, targetOf(p))
