Count timeouts in the time that a queue takes

Only replies did, so that behind leaves that answer nothing in time a queue looked as fast as before.

--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -193,8 +193,10 @@
 	}
 	a.leaf.limit.Finished(s, now)
 	m.routing.Finished(a.leaf.key, s, now)
+	if s.OK || s.TimedOut {
+		a.shard.observe(ev.Latency) // either way it held its place for so long
+	}
 	if s.OK {
-		a.shard.observe(ev.Latency)
 		m.times.observe(ev.Latency, now)
 	}
 }
--- a/kernel/dispatch/machine_test.go
+++ b/kernel/dispatch/machine_test.go
@@ -144,6 +144,22 @@
 	}
 }
 
+// TestTimeoutsCountAsSlow has an upstream that answers nothing in time.
+func TestTimeoutsCountAsSlow(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+	for q := range 10 {
+		m.Handle(offered(q), start)
+		end := reply(q, 200*time.Millisecond)
+		end.Outcome = OutcomeTimeout
+		m.Handle(end, start)
+	}
+	m.Handle(offered(100), start)
+	m.Handle(offered(101), start)
+	if e := m.Estimate(start); e.Wait != 200*time.Millisecond {
+		t.Fatalf("wait %v behind work that times out after 200 ms", e.Wait)
+	}
+}
+
 func TestLongQueueIsRefusedWithADelay(t *testing.T) {
 	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
 	m.Handle(offered(0), start)
