--- a/entry/leafclient/leafclient_test.go
+++ b/entry/leafclient/leafclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +24,17 @@
 // handler is a leaf that answers as told.
 type handler func(w http.ResponseWriter, r *http.Request)
 
+// withHealth answers health questions and leaves the rest to the handler.
+func withHealth(h handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == leafapi.PathHealth {
+			_, _ = w.Write([]byte(`{"id":"leaf-1","ready":true}`))
+			return
+		}
+		h(w, r)
+	})
+}
+
 // good writes a whole reply; change may spoil it first.
 func good(change func(h http.Header)) handler {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -41,7 +53,7 @@
 // exchange runs one attempt against the handler and reports whether it was sent.
 func exchange(t *testing.T, h handler) (*Reply, bool, error) {
 	t.Helper()
-	srv := httptest.NewServer(http.HandlerFunc(h))
+	srv := httptest.NewServer(withHealth(h))
 	defer srv.Close()
 	c := New(1 << 16)
 	defer c.Close()
@@ -49,7 +61,7 @@
 	defer cancel()
 	target := Target{ID: "leaf-1", Address: strings.TrimPrefix(srv.URL, "http://"), Connections: 2}
 	sent := false
-	reply, err := c.Run(ctx, target, &Request{ID: "q", Attempt: "a1", Range: keyrange.Range{From: 0, To: 10}}, func() { sent = true })
+	reply, err := c.Run(ctx, target, &Request{ID: "q", Attempt: "a1", Range: keyrange.Range{From: 0, To: 10}}, func() bool { sent = true; return true })
 	return reply, sent, err
 }
 
@@ -114,7 +126,7 @@
 	c := New(1 << 16)
 	defer c.Close()
 	target := Target{ID: "gone", Address: "127.0.0.1:1", Connections: 1}
-	_, err = c.Run(context.Background(), target, &Request{Range: keyrange.Range{From: 0, To: 1}}, func() { t.Error("sent without a connection") })
+	_, err = c.Run(context.Background(), target, &Request{Range: keyrange.Range{From: 0, To: 1}}, func() bool { t.Error("sent without a connection"); return true })
 	var dial *DialError
 	if !errors.As(err, &dial) {
 		t.Fatalf("error %v, want a DialError", err)
@@ -125,7 +137,7 @@
 // request that net/http might repeat by itself.
 func TestStaleConnectionIsNotReplayed(t *testing.T) {
 	var calls atomic.Int64
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv := httptest.NewServer(withHealth(func(w http.ResponseWriter, r *http.Request) {
 		if calls.Add(1) == 1 {
 			good(func(http.Header) {})(w, r)
 			return
@@ -137,7 +149,7 @@
 	defer c.Close()
 	target := Target{ID: "leaf-1", Address: strings.TrimPrefix(srv.URL, "http://"), Connections: 1}
 	for range 2 {
-		_, _ = c.Run(context.Background(), target, &Request{Attempt: "a", Range: keyrange.Range{From: 0, To: 1}}, func() {})
+		_, _ = c.Run(context.Background(), target, &Request{Attempt: "a", Range: keyrange.Range{From: 0, To: 1}}, func() bool { return true })
 	}
 	if calls.Load() != 2 {
 		t.Fatalf("the leaf saw %d requests, want 2", calls.Load())
@@ -179,3 +191,54 @@
 		t.Fatal("a share that shrank below its use is not reported")
 	}
 }
+
+// TestRecalledIsNotSent takes leave to send away once a connection is there: on
+// a new connection and on a kept one, the leaf must see nothing.
+func TestRecalledIsNotSent(t *testing.T) {
+	var calls atomic.Int64
+	srv := httptest.NewServer(withHealth(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		good(func(http.Header) {})(w, r)
+	}))
+	defer srv.Close()
+	c := New(1 << 16)
+	defer c.Close()
+	target := Target{ID: "leaf-1", Address: strings.TrimPrefix(srv.URL, "http://"), Connections: 2}
+	for i, leave := range []bool{false, true, false, true} {
+		_, err := c.Run(context.Background(), target, &Request{Attempt: "a", Body: []byte("x"), Range: keyrange.Range{From: 0, To: 1}}, func() bool { return leave })
+		var dial *DialError
+		if leave != (err == nil) || (!leave && !errors.As(err, &dial)) {
+			t.Errorf("attempt %d with leave %v: %v", i, leave, err)
+		}
+	}
+	if calls.Load() != 2 {
+		t.Errorf("the leaf saw %d requests, want 2", calls.Load())
+	}
+}
+
+// TestRefusedConnectionIsNotSent closes each new connection at once, as a leaf
+// over its connection limit does: the request provably did not run.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	c := New(1 << 16)
+	defer c.Close()
+	target := Target{ID: "full", Address: l.Addr().String(), Connections: 1}
+	_, err = c.Run(context.Background(), target, &Request{Range: keyrange.Range{From: 0, To: 1}}, func() bool { t.Error("sent over a refused connection"); return true })
+	var dial *DialError
+	if !errors.As(err, &dial) {
+		t.Fatalf("error %v, want a DialError", err)
+	}
+}
