Pass news of the quarantine on, so that it reaches all entries in milliseconds

The unit test that wanted one action on a merge wants the passing on too now, and that old news causes nothing.

--- a/kernel/quarantine/machine_test.go
+++ b/kernel/quarantine/machine_test.go
@@ -96,9 +96,12 @@
 	here.Handle(quarantine.Merged{Records: there.Digest(epoch)}, epoch)
 	wantMode(t, here, epoch, quarantine.ModeRun)
 	changed := there.Handle(quarantine.Merged{Records: []quarantine.Record{announced}}, epoch)
-	if len(changed) != 1 || changed[0].(quarantine.Changed).Phase != quarantine.PhaseClear {
+	if len(changed) != 2 || changed[0].(quarantine.Announce).Record != announced || changed[1].(quarantine.Changed).Phase != quarantine.PhaseClear {
 		t.Fatalf("actions %v", changed)
 	}
+	if again := there.Handle(quarantine.Merged{Records: []quarantine.Record{announced}}, epoch); len(again) != 0 {
+		t.Fatalf("old news is passed on: %v", again)
+	}
 	wantMode(t, there, epoch, quarantine.ModeRun)
 }
 
