--- a/entry/ledger/cost_test.go
+++ b/entry/ledger/cost_test.go
@@ -53,7 +53,7 @@
 
 // measure lets eight entries take claims at random moments, rate a second in
 // all, through a store that answers in 2 to 6 ms, and gives what it cost.
-func measure(t *testing.T, buckets, rate int, span time.Duration) (*cost, *platformtest.Store) {
+func measure(t *testing.T, buckets, rate int, span time.Duration, writeRate float64) (*cost, *platformtest.Store) {
 	const entries = 8
 	store := platformtest.New(1)
 	c := &cost{}
@@ -62,7 +62,7 @@
 		fleet = append(fleet, startEntry(t, store, byte(i), func(cfg *Config) { cfg.Buckets, cfg.Meter = buckets, c }))
 	}
 	time.Sleep(time.Second)
-	store.SetFaults(platformtest.Faults{Latency: 2 * time.Millisecond, Jitter: 4 * time.Millisecond})
+	store.SetFaults(platformtest.Faults{Latency: 2 * time.Millisecond, Jitter: 4 * time.Millisecond, WriteRate: writeRate})
 	rng := rand.New(rand.NewPCG(uint64(rate), uint64(buckets)))
 	var callers sync.WaitGroup
 	for i := range int(span.Seconds() * float64(rate)) {
@@ -99,7 +99,7 @@
 		for _, rate := range rates {
 			t.Run(fmt.Sprintf("%d buckets %d a second", buckets, rate), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					c, store := measure(t, buckets, rate, span)
+					c, store := measure(t, buckets, rate, span, 0)
 					claims := float64(len(c.latency))
 					puts, gets := float64(store.Calls(platform.CallPut)), float64(store.Calls(platform.CallGet))
 					t.Logf("granted %.0f refused %d; per claim: writes %.2f reads %.2f; writes/s %.0f reads/s %.0f; latency p50 %v p99 %v; mean %d B largest %d B",
@@ -113,3 +113,24 @@
 		}
 	}
 }
+
+// A store that takes 400 writes a second goes on granting claims at its pace
+// when three times as many come as it can take: the rest is refused.
+func TestOverloadDoesNotCollapse(t *testing.T) {
+	const span, writeRate = 5 * time.Second, 400
+	granted := make(map[int]float64)
+	for _, rate := range []int{150, 300, 600, 1200} {
+		synctest.Test(t, func(t *testing.T) {
+			c, store := measure(t, DefaultBuckets, rate, span, writeRate)
+			granted[rate] = float64(len(c.latency)) / span.Seconds()
+			t.Logf("%d claims/s come: granted %.0f/s, refused %.0f/s, writes asked for %.0f/s, latency p50 %v p99 %v",
+				rate, granted[rate], float64(c.refused)/span.Seconds(), float64(store.Calls(platform.CallPut))/span.Seconds(), c.quantile(0.5), c.quantile(0.99))
+		})
+	}
+	if granted[150] < 140 {
+		t.Errorf("within the rate %.0f of 150 claims/s are granted", granted[150])
+	}
+	if granted[1200] < 0.8*granted[300] {
+		t.Errorf("%.0f claims/s are granted in overload, %.0f before it", granted[1200], granted[300])
+	}
+}
--- a/entry/platform/platformtest/store.go
+++ b/entry/platform/platformtest/store.go
@@ -34,6 +34,9 @@
 	// is lost: before an effect, after it, and with an effect LateBy later.
 	LoseBefore, LoseAfter, LoseLate float64
 	LateBy                          time.Duration
+	// WriteRate is the most writes a second, more get RateLimitedError; 0 is
+	// no limit. Up to a tenth of a second's writes may come at once.
+	WriteRate float64
 }
 
 // Store is the in-memory object API.
@@ -45,6 +48,8 @@
 	objects  map[id][]platformapi.Object // history, the last is the present
 	calls    map[platform.Call]int
 	changed  chan struct{}
+	tokens   float64 // writes that may come at once now
+	filledAt time.Time
 }
 
 // id names an object.
@@ -212,6 +217,9 @@
 	if f.Down {
 		return 0, &platform.UnavailableError{Call: platform.CallPut, Err: ErrFault}
 	}
+	if !s.allowWrite() {
+		return 0, &platform.RateLimitedError{Call: platform.CallPut}
+	}
 	if !d.delay(ctx) {
 		return 0, &platform.UnknownEffectError{Call: platform.CallPut, Err: ctx.Err()}
 	}
@@ -229,6 +237,27 @@
 	return s.apply(kind, name, ifVersion, value)
 }
 
+// burstTime is the time whose writes may come at once under a WriteRate.
+const burstTime = 0.1
+
+// allowWrite takes a token of the write rate, if there is one.
+func (s *Store) allowWrite() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rate := s.faults.WriteRate
+	if rate <= 0 {
+		return true
+	}
+	now := time.Now()
+	s.tokens = min(rate*burstTime, s.tokens+rate*now.Sub(s.filledAt).Seconds())
+	s.filledAt = now
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
+}
+
 // apply does a conditional write.
 func (s *Store) apply(kind, name string, ifVersion uint64, value []byte) (uint64, error) {
 	s.mu.Lock()
