Close the gate when reads work but writes don't, and back off from such writes

Cause: reads that succeeded reset the gate's count, so a store over its write rate, or one that takes no writes, was asked again and again; and a bucket whose writes kept an unknown effect was written and read back without pause (found as a test that never ended when the gate was broken in a trial).

Seen to fail first: reads counted for the gate (the test does not end), delays reset by a probe, no bound on writes of unknown effect in a row.

--- a/entry/ledger/calls.go
+++ b/entry/ledger/calls.go
@@ -63,12 +63,13 @@
 	})
 }
 
-// readBucket reads a bucket and tells what the read showed.
+// readBucket reads a bucket and tells what the read showed. A read that
+// succeeds tells the gate nothing: the store may read and yet take no writes.
 func readBucket(ctx context.Context, store Store, i int) message {
 	obj, err := store.Get(ctx, platformapi.KindLedger, bucketName(i))
 	var notFound *platform.NotFoundError
 	if errors.As(err, &notFound) {
-		return callMessage{bucket: i, event: ledger.ReadDone{}, gate: ledger.CallDone{}}
+		return callMessage{bucket: i, event: ledger.ReadDone{}}
 	}
 	if err != nil {
 		wait := platform.RetryAfter(err)
@@ -77,9 +78,9 @@
 	records, err := ledger.Decode(obj.Value)
 	if err != nil {
 		// The store works; this bucket does not.
-		return callMessage{bucket: i, event: ledger.ReadFailed{}, gate: ledger.CallDone{}, err: err}
+		return callMessage{bucket: i, event: ledger.ReadFailed{}, err: err}
 	}
-	return callMessage{bucket: i, event: ledger.ReadDone{Version: obj.Version, Records: records}, gate: ledger.CallDone{}}
+	return callMessage{bucket: i, event: ledger.ReadDone{Version: obj.Version, Records: records}}
 }
 
 // writeBucket writes a bucket and tells what is known of the write's effect.
--- a/entry/ledger/ledger_test.go
+++ b/entry/ledger/ledger_test.go
@@ -270,11 +270,24 @@
 
 // While the store is down an entry probes it alone: claims cost no calls.
 func TestOutageCostsFewCalls(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults platformtest.Faults
+		most   int
+	}{
+		"down":           {platformtest.Faults{Down: true}, 30},
+		"takes no write": {platformtest.Faults{LoseBefore: 1}, 200},
+	} {
+		t.Run(name, func(t *testing.T) { outageCost(t, test.faults, test.most) })
+	}
+}
+
+// outageCost counts the calls of a minute of outage.
+func outageCost(t *testing.T, faults platformtest.Faults, most int) {
 	synctest.Test(t, func(t *testing.T) {
 		store := platformtest.New(1)
 		e := startEntry(t, store, 1, func(c *Config) { c.Buckets = 64 })
 		<-e.Ready()
-		store.SetFaults(platformtest.Faults{Down: true})
+		store.SetFaults(faults)
 		for i := range 200 {
 			_, _ = e.Claim(t.Context(), request(fmt.Sprint("warm", i), time.Second))
 		}
@@ -284,8 +297,9 @@
 			time.Sleep(60 * time.Millisecond)
 		}
 		calls := store.Calls(platform.CallGet) + store.Calls(platform.CallPut) - before
-		if calls > 30 {
-			t.Fatalf("a minute of outage cost %d calls, want 30 at most", calls)
+		t.Logf("a minute of outage cost %d calls", calls)
+		if calls > most {
+			t.Fatalf("want %d at most", most)
 		}
 	})
 }
--- a/entry/ledger/messages.go
+++ b/entry/ledger/messages.go
@@ -38,7 +38,7 @@
 type callMessage struct {
 	bucket int
 	event  ledger.Event
-	// gate tells the gate how the store answered.
+	// gate tells the gate how the store answered; nil tells it nothing.
 	gate ledger.GateEvent
 	err  error
 }
--- a/entry/ledger/runtime.go
+++ b/entry/ledger/runtime.go
@@ -94,7 +94,9 @@
 			r.log.Warn("Store call failed.", "bucket", m.bucket, "err", m.err)
 		}
 		r.handle(m.bucket, m.event)
-		r.toGate(m.gate)
+		if m.gate != nil {
+			r.toGate(m.gate)
+		}
 	case probeMessage:
 		if m.err != nil {
 			r.log.Warn("Probe failed.", "err", m.err)
--- a/kernel/ledger/bucket_test.go
+++ b/kernel/ledger/bucket_test.go
@@ -228,6 +228,22 @@
 	b.expect(ReadDone{Version: 6, Records: first.Records}, Granted{})
 }
 
+// A store that reads but whose writes do nothing is not asked without pause.
+func TestWritesWithoutEffectBackOff(t *testing.T) {
+	b := start(t)
+	b.expect(b.claimOf(1, 1), Write{})
+	for range 2 {
+		b.expect(WriteUnknown{}, Read{})
+		b.expect(ReadDone{Version: 5}, Write{})
+	}
+	b.expect(WriteUnknown{}, Unavailable{})
+	b.expect(Tick{})
+	b.later(b.m.cfg.RetryMax)
+	b.expect(Tick{}, Read{})
+	b.expect(ReadDone{Version: 5}, Write{}) // without the claim, to end the doubt
+	b.expect(WriteDone{Version: 6}, Persisted{})
+}
+
 func TestTimedOutClaimIsReleasedLater(t *testing.T) {
 	b := start(t)
 	first := b.expect(b.claimOf(1, 1), Write{})[0].(Write)
--- a/kernel/ledger/gate.go
+++ b/kernel/ledger/gate.go
@@ -10,7 +10,7 @@
 // GateEvent is an input of the gate.
 type GateEvent interface{ isGateEvent() }
 
-// CallDone says that the store answered a call, be it by a conflict.
+// CallDone says that the store took a write, or answered it by a conflict.
 type CallDone struct{}
 
 // CallFailed says that the store did not answer, or refused a call for its rate.
@@ -53,7 +53,8 @@
 
 // Gate decides for all buckets of an entry whether the store takes claims.
 // While it is closed one probe at a time is made, with growing jittered delays,
-// in place of a call per bucket and claim. It begins closed, with a probe due.
+// in place of a call per bucket and claim. A probe only reads, so the delays
+// begin anew only when a write succeeds. It begins closed, with a probe due.
 type Gate struct {
 	// Failures in a row close the gate.
 	Failures int
@@ -80,6 +81,7 @@
 	switch e := event.(type) {
 	case CallDone:
 		g.failed = 0
+		g.backoff.Reset()
 	case CallFailed:
 		g.failed++
 		if g.open && g.failed >= g.Failures {
@@ -90,7 +92,6 @@
 		g.probing = false
 		g.open = true
 		g.failed = 0
-		g.backoff.Reset()
 		return []GateAction{Open{}}
 	case ProbeFailed:
 		g.probing = false
--- a/kernel/ledger/gate_test.go
+++ b/kernel/ledger/gate_test.go
@@ -41,3 +41,25 @@
 	expect(GateTick{}, Probe{})
 	expect(ProbeDone{}, Open{})
 }
+
+// A store that reads but takes no writes is tried ever less often.
+func TestGateBacksOffFromAStoreThatTakesNoWrites(t *testing.T) {
+	g := NewGate(1, DefaultConfig(), rand.New(rand.NewPCG(1, 2)))
+	now := worldStart
+	g.Handle(GateTick{}, now)
+	g.Handle(ProbeDone{}, now)
+	var delay time.Duration
+	for range 10 {
+		delay = g.Handle(CallFailed{}, now)[0].(Close).RetryAfter
+		now = now.Add(delay)
+		g.Handle(GateTick{}, now)
+		g.Handle(ProbeDone{}, now)
+	}
+	if delay < g.backoff.Max/2 {
+		t.Fatalf("after ten closings the delay is %v", delay)
+	}
+	g.Handle(CallDone{}, now)
+	if again := g.Handle(CallFailed{}, now)[0].(Close).RetryAfter; again > 2*g.backoff.Min {
+		t.Fatalf("after a success the delay is %v", again)
+	}
+}
--- a/kernel/ledger/machine.go
+++ b/kernel/ledger/machine.go
@@ -40,6 +40,10 @@
 	opWrite
 )
 
+// maxUnknowns is how many writes in a row may have an unknown effect, with no
+// later version seen, before the bucket backs off.
+const maxUnknowns = 3
+
 // Machine is the ledger of one bucket at one entry. It implements
 // machine.Machine[Event, Action].
 type Machine struct {
@@ -61,6 +65,7 @@
 	doubt     bool
 	doubtBase uint64
 	recheck   bool
+	unknowns  int // writes of unknown effect since the doubt began
 
 	claims  map[ClaimID]*claim
 	byKey   map[Key]*claim // waiting, granted and settling
@@ -131,7 +136,7 @@
 	case WriteRefused:
 		m.failed(e.RetryAfter, now)
 	case WriteUnknown:
-		m.writeUnknown()
+		m.writeUnknown(now)
 	case StoreDown:
 		m.down = true
 		m.retryAt = now.Add(e.RetryAfter)
@@ -219,11 +224,14 @@
 	m.version = version
 	m.records = records
 	m.seenAt = now
-	m.backoff.Reset()
 	if m.doubt && version > m.doubtBase {
 		m.doubt = false
 		m.recheck = false
 	}
+	if !m.doubt {
+		m.unknowns = 0
+		m.backoff.Reset()
+	}
 	for _, c := range m.waiting {
 		c.fresh = c.asked
 	}
@@ -232,7 +240,7 @@
 // writeUnknown notes which records may have been, or may yet be, stored. The
 // write is conditional on a version, so a repetition of it on the same version
 // is safe: at most one of them takes effect.
-func (m *Machine) writeUnknown() {
+func (m *Machine) writeUnknown(now time.Time) {
 	m.op = opNone
 	m.doubt = true
 	m.doubtBase = m.inFlight.IfVersion
@@ -244,6 +252,10 @@
 			}
 		}
 	}
+	m.unknowns++
+	if m.unknowns >= maxUnknowns {
+		m.failed(0, now)
+	}
 }
 
 // failed ends a read or a write that was refused: what waits is refused, and
