Look at the deadline again before the first byte; test the queued log

Cause: a pause may end after the deadline with the context's timer not yet fired. Seen failing first: TestRecalledAttemptIsNotSent with leave always given ran 2 times after refusals.

--- a/entry/executor/atmostonce.go
+++ b/entry/executor/atmostonce.go
@@ -64,6 +64,7 @@
 	var held *ledger.HeldError
 	var mismatch *ledger.MismatchError
 	var unavailable *ledger.UnavailableError
+	var bad *ledger.RequestError
 	switch {
 	case errors.As(err, &held):
 		return heldAnswer(held), nil
@@ -71,6 +72,8 @@
 		return nil, refuse(RefusedKeyMismatch, 0, mismatch.Error())
 	case errors.As(err, &unavailable):
 		return nil, refuse(RefusedUnavailable, max(unavailable.RetryAfter, leastRetryAfter), unavailable.Error())
+	case errors.As(err, &bad):
+		return nil, refuse(RefusedBadClaim, 0, bad.Error())
 	default:
 		return nil, refuse(RefusedUnavailable, leastRetryAfter, "the claim was not confirmed")
 	}
--- a/entry/executor/errors.go
+++ b/entry/executor/errors.go
@@ -18,6 +18,7 @@
 	RefusedDraining    RefusedReason = "draining"     // this instance is stopping
 	RefusedQuarantined RefusedReason = "quarantined"  // the request broke leaves before
 	RefusedKeyRequired RefusedReason = "key-required" // the service demands an Idempotency-Key
+	RefusedBadClaim    RefusedReason = "bad-claim"    // the request can't be claimed, whenever it comes
 	RefusedKeyMismatch RefusedReason = "key-mismatch" // the key was used with another body
 )
 
--- a/entry/executor/executor_test.go
+++ b/entry/executor/executor_test.go
@@ -342,3 +342,32 @@
 		}
 	})
 }
+
+// TestRecalledAttemptIsNotSent has leaves whose connection comes only after the
+// query was answered: the answer "not run" must stay true.
+func TestRecalledAttemptIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		defer b.close()
+		late := func(_ context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error) {
+			time.Sleep(2 * time.Second) // past the deadline, deaf to the context
+			if !sent() {
+				return nil, &leafclient.DialError{Leaf: t.ID, Err: leafclient.ErrRecalled}
+			}
+			b.leaves.count(t.ID)
+			return &leafclient.Reply{Version: 1, Ranges: []keyrange.Range{r.Range}}, nil
+		}
+		b.leaves.by["l0-a"], b.leaves.by["l0-b"] = late, late
+		for _, service := range []string{"ask", "note"} {
+			_, err := b.ask(t.Context(), service)
+			var refused *RefusedError
+			if !errors.As(err, &refused) {
+				t.Errorf("%s: %v, want a refusal", service, err)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		if n := b.leaves.executions(); n != 0 {
+			t.Errorf("refused as not run, and ran %d times later", n)
+		}
+	})
+}
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/ledger"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
@@ -91,8 +92,8 @@
 func (r *run) maySend(a *attempt, leaf int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.answer != nil || a.withdrawn {
-		return false
+	if r.answer != nil || a.withdrawn || !ledger.MayDispatch(r.request.Deadline, time.Now()) {
+		return false // a paused instance finds its deadline passed here
 	}
 	r.step(query.Sent{Attempt: a.offer.Attempt, Leaf: leaf})
 	return !a.withdrawn
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -78,7 +78,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("platform client: %w", err)
 	}
-	n.ledger, err = ledger.New(ledger.Config{Store: n.store})
+	n.ledger, err = ledger.New(ledger.Config{
+		Store: n.store, Logger: log.Logger("ledger"), Meter: ledgerMeter{n.metrics.Scope.SubScope("ledger")},
+	})
 	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
--- a/entry/server/errors.go
+++ b/entry/server/errors.go
@@ -68,6 +68,8 @@
 	switch r.Reason {
 	case executor.RefusedKeyRequired:
 		p.Status, p.Field = http.StatusBadRequest, callerapi.HeaderIdempotencyKey
+	case executor.RefusedBadClaim:
+		p.Status = http.StatusBadRequest
 	case executor.RefusedKeyMismatch:
 		p.Status, p.Field = http.StatusUnprocessableEntity, callerapi.HeaderIdempotencyKey
 	case executor.RefusedQuarantined:
--- a/entry/telemetry/log.go
+++ b/entry/telemetry/log.go
@@ -4,6 +4,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"strconv"
@@ -14,6 +15,9 @@
 	"github.com/charmbracelet/log"
 )
 
+// timeFormat is RFC 3339 with microseconds.
+const timeFormat = "2006-01-02T15:04:05.000000Z07:00"
+
 // queueLength bounds the records that wait for the sink.
 const queueLength = 8192
 
@@ -43,6 +47,7 @@
 	drops     atomic.Int64
 	decisions bool
 	level     log.Level
+	json      bool
 	closeOnce sync.Once
 	mu        sync.RWMutex
 	closed    bool
@@ -56,6 +61,7 @@
 	msg      string
 	pairs    []any
 	decision Decision
+	raw      []byte // a line that is formatted already
 }
 
 // NewLog starts the writing goroutine on the sink.
@@ -64,13 +70,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: %w", o.Level, err)
 	}
-	l := &Log{queue: make(chan record, queueLength), done: make(chan struct{}), decisions: o.Decisions, level: level}
+	l := &Log{queue: make(chan record, queueLength), done: make(chan struct{}), decisions: o.Decisions, level: level, json: o.JSON}
 	go l.write(newWriter(sink, o, level))
 	return l, nil
 }
 
 // writer formats records with one logger per part.
 type writer struct {
+	sink  io.Writer
 	base  *log.Logger
 	parts map[string]*log.Logger
 	now   time.Time
@@ -78,14 +85,14 @@
 
 // newWriter makes the library's logger; its clock is the record's own time.
 func newWriter(sink io.Writer, o Options, level log.Level) *writer {
-	w := &writer{parts: make(map[string]*log.Logger)}
+	w := &writer{sink: sink, parts: make(map[string]*log.Logger)}
 	formatter := log.TextFormatter
 	if o.JSON {
 		formatter = log.JSONFormatter
 	}
 	w.base = log.NewWithOptions(sink, log.Options{
 		Level: level, Formatter: formatter, ReportTimestamp: true,
-		TimeFormat:   "2006-01-02T15:04:05.000000Z07:00",
+		TimeFormat:   timeFormat,
 		TimeFunction: func(time.Time) time.Time { return w.now },
 	})
 	return w
@@ -106,6 +113,10 @@
 	defer close(l.done)
 	for r := range l.queue {
 		w.now = r.at
+		if r.raw != nil {
+			_, _ = w.sink.Write(r.raw) // a log that can't be written has nowhere to say so
+			continue
+		}
 		if r.decision.What == "" {
 			w.part(r.part).Log(r.level, r.msg, r.pairs...)
 			continue
@@ -171,6 +182,25 @@
 	<-l.done
 }
 
+// Logger returns a logger of the library for a part that wants one. Its lines
+// are formatted by the caller's goroutine and queued like all others.
+func (l *Log) Logger(part string) *log.Logger {
+	formatter := log.TextFormatter
+	if l.json {
+		formatter = log.JSONFormatter
+	}
+	return log.NewWithOptions(lineQueue{l}, log.Options{Prefix: part, Level: l.level, Formatter: formatter, ReportTimestamp: true, TimeFormat: timeFormat})
+}
+
+// lineQueue queues formatted lines.
+type lineQueue struct{ log *Log }
+
+// Write implements io.Writer.
+func (q lineQueue) Write(line []byte) (int, error) {
+	q.log.put(record{raw: bytes.Clone(line)})
+	return len(line), nil
+}
+
 // Part returns the logger of one part, whose name prefixes its lines.
 func (l *Log) Part(name string) *Part { return &Part{log: l, name: name} }
 
--- /dev/null
+++ b/entry/telemetry/log_test.go
@@ -0,0 +1,104 @@
+package telemetry
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// gatedSink takes nothing until the gate opens.
+type gatedSink struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	buf  bytes.Buffer
+}
+
+func (s *gatedSink) Write(b []byte) (int, error) {
+	<-s.gate
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(b)
+}
+
+func (s *gatedSink) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.String()
+}
+
+// TestTrafficNeverWaitsOnTheSink logs more than the queue holds to a sink that
+// stands still: no virtual time passes, and the rest is counted as dropped.
+func TestTrafficNeverWaitsOnTheSink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sink := &gatedSink{gate: make(chan struct{})}
+		l, err := NewLog(sink, Options{Level: "info", Decisions: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		const extra = 100
+		for i := range queueLength + extra {
+			l.Decide(Decision{Part: "dispatch", What: "dispatch", Query: uint64(i)})
+		}
+		// One record may be in the writer's hands.
+		if d := l.Dropped(); d < extra-1 || d > extra {
+			t.Errorf("%d dropped, want %d", d, extra)
+		}
+		close(sink.gate)
+		l.Close()
+		if n := int64(strings.Count(sink.String(), "\n")); n != queueLength+extra-l.Dropped() {
+			t.Errorf("%d lines written", n)
+		}
+		l.Decide(Decision{Part: "dispatch", What: "late"}) // must not panic
+	})
+}
+
+// TestLines checks prefix, fields, level and the record's own time.
+func TestLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var buf bytes.Buffer
+		l, err := NewLog(&buf, Options{Level: "info", Decisions: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Part("node").Debug("unseen")
+		l.Part("node").Info("serving", "instance", "a")
+		l.Logger("ledger").Warn("slow", "bucket", 3)
+		l.Decide(Decision{Part: "query", What: "answer", Query: 7, Why: "complete", Took: time.Millisecond})
+		l.Close()
+		want := "2000-01-01T00:00:00.000000Z INFO node: serving instance=a\n" +
+			"2000-01-01T00:00:00.000000Z WARN ledger: slow bucket=3\n" +
+			"2000-01-01T00:00:00.000000Z INFO query: answer query=7 why=complete took=1ms\n"
+		if got := strings.ReplaceAll(buf.String(), "+00:00", "Z"); got != want {
+			t.Errorf("got\n%swant\n%s", got, want)
+		}
+	})
+}
+
+// TestUnknownLevel names the wrong setting.
+func TestUnknownLevel(t *testing.T) {
+	if _, err := NewLog(io.Discard, Options{Level: "loud"}); err == nil || !strings.Contains(err.Error(), "loud") {
+		t.Errorf("error %v", err)
+	}
+}
+
+// BenchmarkDecide measures what one decision line costs its traffic goroutine.
+func BenchmarkDecide(b *testing.B) {
+	l, err := NewLog(io.Discard, Options{Level: "info", Decisions: true})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Decide(Decision{Part: "dispatch", What: "dispatch", Query: 1, Shard: "titles 0-1", Leaf: "titles-0-0", Why: "cheaper of two"})
+	}
+	b.ReportMetric(float64(l.Dropped())/float64(b.N), "drops/op")
+}
