Share less under locks in the executor

Cause: each query took one lock some twenty times, and each attempt drew its own random id. Ruled out as needless: withdrawing all attempts after the answer, which the query machine has done by then.

--- a/entry/executor/admit.go
+++ b/entry/executor/admit.go
@@ -7,7 +7,6 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
-	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
 // admission guards a service's admission policy by a lock.
@@ -16,18 +15,6 @@
 	policy *dispatch.Admission
 }
 
-// admission returns the policy of a service; it outlives queries.
-func (e *Executor) admission(s *view.Service) *admission {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	a, ok := e.admissions[s.Config.Name]
-	if !ok {
-		a = &admission{policy: dispatch.NewAdmission(e.config.Seed)}
-		e.admissions[s.Config.Name] = a
-	}
-	return a
-}
-
 // admit decides on a whole query before any part of it is queued: a query of
 // which too few parts would finish in time is refused at once, and costs the
 // leaves nothing.
@@ -41,7 +28,7 @@
 	for _, upstream := range r.request.Service.Upstreams {
 		fitters = append(fitters, r.pool(upstream))
 	}
-	a := e.admission(r.request.Service)
+	a := r.service.admission
 	a.mu.Lock()
 	decision := a.policy.Admit(dispatch.QueryRequest{
 		Caller: r.request.Caller.Name, Share: r.request.Caller.Share,
@@ -55,11 +42,11 @@
 	return refuse(RefusedOverloaded, decision.RetryAfter, "too few parts would finish in time")
 }
 
-// answered tells the admission policy how an admitted query ended.
-func (e *Executor) answered(r *run, answer *query.Answer) {
+// tellAdmission tells the admission policy how an admitted query ended.
+func (r *run) tellAdmission(answer *query.Answer) {
 	useful := answer.Share > 0 && answer.Share >= r.request.Service.Config.LeastCoverage
 	late := !useful && shortOfTime(answer)
-	a := e.admission(r.request.Service)
+	a := r.service.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.policy.Answered(useful, late, time.Now())
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -26,7 +26,7 @@
 	defer e.inFlight.Done()
 	defer e.running.Add(-1)
 	resp, err := e.execute(ctx, req)
-	meter := e.service(req.Service.Config.Name)
+	meter := e.service(req.Service).metrics
 	if err != nil {
 		meter.Observe(refusedLabel, time.Since(req.Start))
 		return nil, err
@@ -56,19 +56,19 @@
 // newRun makes the query's machine and its place in the order of work.
 func (e *Executor) newRun(ctx context.Context, req *Request, fingerprint string, mode quarantine.Mode) *run {
 	r := &run{
-		executor: e, request: req, id: newToken(), stamp: e.nextStamp(req.Start),
+		executor: e, request: req, id: newToken(), secret: newToken(), stamp: e.nextStamp(req.Start),
 		fingerprint: fingerprint, mail: newMailbox(), ctx: ctx,
 		attempts: make(map[query.AttemptID]*attempt),
 		view:     req.View, pools: make(map[int]*pool),
 		versions: &versions{knowledge: e.knowledge, view: req.View},
 	}
-	repetition := e.repetition(req.Service)
-	r.repetition = repetition
+	r.service = e.service(req.Service)
+	r.repetition = r.service.repetition.Load()
 	r.machine = query.New(query.Config{
 		View: req.View, Service: req.Service, Start: req.Start, Deadline: req.Deadline,
 		Versions:   r.versions,
-		Budget:     repetition,
-		HedgeAfter: repetition.hedgeAfter(r),
+		Budget:     r.repetition,
+		HedgeAfter: r.repetition.hedgeAfter(r),
 		Canary:     mode == quarantine.ModeCanary,
 		Suspect:    mode == quarantine.ModeSuspect,
 		Seed:       seed(fingerprint),
@@ -88,27 +88,17 @@
 	r.executor.register(r)
 	answer := r.drive()
 	r.executor.unregister(r)
-	r.dropQueued()
 	r.account(answer)
-	r.executor.answered(r, answer)
+	r.tellAdmission(answer)
 	if answer.Outcome == query.NotRun {
 		return nil, refusal(answer)
 	}
 	return &Response{Answer: r.convert(answer)}, nil
 }
 
-// dropQueued takes back what the answer no longer needs.
-func (r *run) dropQueued() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for id := range r.attempts {
-		r.withdraw(id)
-	}
-}
-
 // account counts what the query cost.
 func (r *run) account(a *query.Answer) {
-	m := r.executor.service(r.request.Service.Config.Name)
+	m := r.service.metrics
 	m.Sent.Inc(int64(a.Sent))
 	m.Covered.Inc(int64(len(a.Results)))
 	m.Hedges.Inc(int64(a.Hedges))
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -68,12 +68,12 @@
 	inFlight  sync.WaitGroup
 	running   atomic.Int64
 
-	mu          sync.Mutex
-	pools       map[string]*pool // by upstream name
-	meter       map[string]*telemetry.ServiceMetrics
-	runs        map[*run]struct{}
-	repetitions map[string]*repetition // by service name
-	admissions  map[string]*admission  // by service name
+	mu       sync.RWMutex
+	pools    map[string]*pool         // by upstream name
+	services map[string]*serviceState // by service name
+
+	runsMu sync.Mutex
+	runs   map[*run]struct{}
 }
 
 // New makes an executor. The policies must have passed their Check.
@@ -83,11 +83,8 @@
 		knowledge: newKnowledge(),
 		guard:     newGuard(c.FleetKey),
 		pools:     make(map[string]*pool),
-		meter:     make(map[string]*telemetry.ServiceMetrics),
-
-		runs:        make(map[*run]struct{}),
-		repetitions: make(map[string]*repetition),
-		admissions:  make(map[string]*admission),
+		services:  make(map[string]*serviceState),
+		runs:      make(map[*run]struct{}),
 	}
 }
 
@@ -123,29 +120,28 @@
 	}
 }
 
-// service returns the instruments of a service.
-func (e *Executor) service(name string) *telemetry.ServiceMetrics {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	m, ok := e.meter[name]
+// pool returns the pool of an upstream, brought up to the view.
+func (e *Executor) pool(v *view.View, upstream int) *pool {
+	name := v.Upstreams[upstream].Name
+	e.mu.RLock()
+	p, ok := e.pools[name]
+	e.mu.RUnlock()
 	if !ok {
-		m = e.config.Metrics.Service(name)
-		e.meter[name] = m
+		p = e.addPool(name, v, upstream)
 	}
-	return m
+	p.follow(v)
+	return p
 }
 
-// pool returns the pool of an upstream, brought up to the view.
-func (e *Executor) pool(v *view.View, upstream int) *pool {
-	name := v.Upstreams[upstream].Name
+// addPool makes the pool of an upstream, unless another goroutine has just done so.
+func (e *Executor) addPool(name string, v *view.View, upstream int) *pool {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	p, ok := e.pools[name]
 	if !ok {
 		p = newPool(e, name, v, upstream)
 		e.pools[name] = p
 	}
-	e.mu.Unlock()
-	p.follow(v)
 	return p
 }
 
@@ -153,10 +149,12 @@
 // and tells the queries in flight, which may have to ask split shards again.
 func (e *Executor) Follow(v *view.View) {
 	e.knowledge.follow(v)
-	e.mu.Lock()
+	e.mu.RLock()
 	pools := slices.Collect(maps.Values(e.pools))
+	e.mu.RUnlock()
+	e.runsMu.Lock()
 	runs := slices.Collect(maps.Keys(e.runs))
-	e.mu.Unlock()
+	e.runsMu.Unlock()
 	for _, p := range pools {
 		p.follow(v)
 	}
@@ -167,15 +165,15 @@
 
 // register makes a query hear of new views.
 func (e *Executor) register(r *run) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.runsMu.Lock()
+	defer e.runsMu.Unlock()
 	e.runs[r] = struct{}{}
 }
 
 // unregister ends that.
 func (e *Executor) unregister(r *run) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.runsMu.Lock()
+	defer e.runsMu.Unlock()
 	delete(e.runs, r)
 }
 
--- a/entry/executor/guard.go
+++ b/entry/executor/guard.go
@@ -123,8 +123,8 @@
 	default:
 		return
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.runsMu.Lock()
+	defer e.runsMu.Unlock()
 	for r := range e.runs {
 		if r.fingerprint == c.Fingerprint {
 			r.mail.put(ev)
--- a/entry/executor/policies.go
+++ b/entry/executor/policies.go
@@ -46,28 +46,18 @@
 // repetition guards a service's repetition policy by a lock. It outlives
 // queries, since budgets are earned over many of them.
 type repetition struct {
-	executor *Executor
-	mu       sync.Mutex
-	policy   plugin.Repetition
-	config   plugin.RepetitionConfig
+	mu     sync.Mutex
+	policy plugin.Repetition
+	config plugin.RepetitionConfig
 }
 
-// repetition returns the policy of a service, made anew when its budgets change.
-func (e *Executor) repetition(s *view.Service) *repetition {
-	config := plugin.RepetitionConfig{HedgeBudget: s.Config.HedgeBudget, HedgeQuantile: s.Config.HedgeQuantile, RetryBudget: s.Config.RetryBudget}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	r, ok := e.repetitions[s.Config.Name]
-	if ok && r.config == config {
-		return r
-	}
-	newPolicy, err := plugin.Repetitions.Get(e.config.Policies.Repetition)
+// newRepetition makes the policy of the given name.
+func newRepetition(name string, config plugin.RepetitionConfig) *repetition {
+	newPolicy, err := plugin.Repetitions.Get(name)
 	if err != nil {
 		panic(err) // Policies.Check ran before: the registry is fixed
 	}
-	r = &repetition{executor: e, policy: newPolicy(config), config: config}
-	e.repetitions[s.Config.Name] = r
-	return r
+	return &repetition{policy: newPolicy(config), config: config}
 }
 
 // TakeHedge implements query.Budget.
--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
@@ -16,6 +17,7 @@
 type pool struct {
 	executor *Executor
 	name     string
+	sequence atomic.Uint64 // of view, to see without the lock that it is new enough
 
 	mu       sync.Mutex
 	machine  *dispatch.Machine
@@ -49,14 +51,18 @@
 		panic(err) // the view is valid and Policies.Check ran before
 	}
 	p.machine = machine
+	p.sequence.Store(v.Sequence)
 	return p
 }
 
 // follow moves the pool to a newer view. A view without the upstream leaves
 // the pool at its last view, to finish what it has.
 func (p *pool) follow(v *view.View) {
+	if v.Sequence <= p.sequence.Load() {
+		return
+	}
 	p.mu.Lock()
-	if p.view == v || v.Sequence <= p.view.Sequence {
+	if v.Sequence <= p.view.Sequence {
 		p.mu.Unlock()
 		return
 	}
@@ -66,6 +72,7 @@
 		return
 	}
 	p.view, p.upstream = v, upstream
+	p.sequence.Store(v.Sequence)
 	p.handleAndUnlock(dispatch.ViewChanged{View: v})
 }
 
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"strconv"
 	"sync"
 	"time"
 
@@ -20,8 +21,10 @@
 	executor    *Executor
 	request     *Request
 	id          string
+	secret      string // makes the attempts' ids unguessable
 	stamp       uint64
 	fingerprint string
+	service     *serviceState
 	repetition  *repetition
 	versions    *versions
 	mail        *mailbox
@@ -46,6 +49,13 @@
 	return hex.EncodeToString(b[:])
 }
 
+// attemptToken is the attempt's id on the wire. It can't be guessed without
+// having seen another attempt of the same query, which goes to other leaves of
+// the same caller's request.
+func (r *run) attemptToken(id query.AttemptID) string {
+	return r.secret + "-" + strconv.FormatUint(uint64(id), 16)
+}
+
 // drive runs the query to its answer.
 func (r *run) drive() *query.Answer {
 	r.timer = time.NewTimer(time.Hour)
@@ -156,7 +166,7 @@
 func (r *run) offer(o query.Offer) {
 	a := &attempt{
 		ticket: dispatch.Ticket{Query: r.stamp, Attempt: o.Attempt},
-		run:    r, view: r.view, offer: o, token: newToken(),
+		run:    r, view: r.view, offer: o, token: r.attemptToken(o.Attempt),
 	}
 	r.attempts[o.Attempt] = a
 	if o.Hedge {
