--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -31,6 +31,7 @@
 	cfg        Config
 	rollout    *rollout.Machine
 	membership *membership.Machine
+	rnd        *rand.Rand
 
 	ctx    context.Context // of Run; set before anything runs
 	inbox  chan func(now time.Time)
@@ -55,6 +56,7 @@
 		cfg:        cfg,
 		rollout:    rollout.New(rand.New(rand.NewPCG(cfg.Seed, 1))),
 		membership: membership.New(membership.DefaultConfig(cfg.Instance, cfg.Seed)),
+		rnd:        rand.New(rand.NewPCG(cfg.Seed, 4)),
 		inbox:      make(chan func(time.Time), inboxLength),
 		marks:      make(chan string, marksLength),
 		closed:     make(chan struct{}),
--- a/entry/control/spread.go
+++ b/entry/control/spread.go
@@ -18,6 +18,9 @@
 // larger fleet it tells some, and they tell others.
 const pushAll = 64
 
+// maxAsked bounds the listed peers that one search asks for the document.
+const maxAsked = 16
+
 // roll gives the rollout machine an event and carries out its actions.
 func (c *Control) roll(e rollout.Event) {
 	actions := append([]rollout.Action(nil), c.rollout.Handle(e, time.Now())...)
@@ -139,10 +142,13 @@
 	c.askAllPeers()
 }
 
-// askAllPeers asks every listed peer, and those of the settings.
+// askAllPeers asks the listed peers, and those of the settings. In a large
+// fleet it asks some at random; the next search asks others.
 func (c *Control) askAllPeers() {
 	asked := make(map[string]bool)
-	for _, p := range c.membership.Peers() {
+	peers := c.membership.Peers()
+	c.rnd.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, p := range peers[:min(len(peers), maxAsked)] {
 		asked[p.Address] = true
 		c.spawn(func(ctx context.Context) { c.fetch(ctx, targetOf(p)) })
 	}
--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -134,7 +134,7 @@
 		return nil, &UnreachableError{Address: t.Address, Method: "dial", Err: err}
 	}
 	// The connection outlives the call that opened it.
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(raw, boundedCodec{}), jsonrpc2.HandlerWithError(refuseCalls))
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(raw, boundedCodec{}), jsonrpc2.HandlerWithError(refuseCalls), quietly)
 	if err := c.prove(ctx, rpc, t); err != nil {
 		_ = rpc.Close()
 		return nil, err
--- a/entry/peer/codec.go
+++ b/entry/peer/codec.go
@@ -6,8 +6,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
+
+	"github.com/sourcegraph/jsonrpc2"
 )
 
+// quietly keeps the library from writing to the standard logger: what goes
+// wrong on a connection is told by the errors of the calls on it.
+var quietly = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // maxMessage bounds one message, in bytes: a document of the largest size fits.
 const maxMessage = 2 << 20
 
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -79,7 +79,7 @@
 		return
 	}
 	session := &session{server: s, nonce: newNonce()}
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), jsonrpc2.HandlerWithError(session.handle))
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), jsonrpc2.HandlerWithError(session.handle), quietly)
 	s.conns[rpc] = struct{}{}
 	hello := time.AfterFunc(helloTime, func() {
 		if session.peer() == "" {
