--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -71,9 +71,13 @@
 	}
 	n := &Node{settings: s, log: log, metrics: telemetry.NewMetrics(), stop: make(chan struct{}), started: time.Now()}
 	n.leaves = leafclient.New(maxReply)
+	transport, err := platformTransport(s.Platform)
+	if err != nil {
+		return nil, err
+	}
 	n.store, err = platform.New(platform.Config{
 		URL: s.Platform.Address, Token: s.Platform.Token, Instance: s.Instance, Timeout: s.Platform.Timeout,
-		Meter: platformMeter{n.metrics.Scope.SubScope("platform")},
+		Meter: platformMeter{n.metrics.Scope.SubScope("platform")}, Transport: transport,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("platform client: %w", err)
--- a/entry/node/tls.go
+++ b/entry/node/tls.go
@@ -5,11 +5,13 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/config/settings"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/platform"
 )
 
 // certificateCheck is how often a certificate's files are looked at.
@@ -141,3 +143,23 @@
 	}
 	return pool, nil
 }
+
+// platformTransport trusts the authority of the settings; nil is the client's
+// own transport, which trusts the system's.
+func platformTransport(s settings.Platform) (http.RoundTripper, error) {
+	if s.CAFile == "" {
+		return nil, nil
+	}
+	roots, err := authority(s.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	return &http.Transport{
+		TLSClientConfig:     &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots},
+		MaxIdleConnsPerHost: platform.DefaultConcurrency,
+		IdleConnTimeout:     platformIdle,
+	}, nil
+}
+
+// platformIdle is how long an unused connection to the platform is kept.
+const platformIdle = 90 * time.Second
--- a/entry/node/tls_test.go
+++ b/entry/node/tls_test.go
@@ -11,6 +11,8 @@
 	"encoding/pem"
 	"math/big"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -193,3 +195,34 @@
 		t.Error("missing files are no error")
 	}
 }
+
+// TestPlatformsAuthority trusts the platform's certificate by the settings'
+// authority, and not by another.
+func TestPlatformsAuthority(t *testing.T) {
+	srv := httptest.NewTLSServer(http.NotFoundHandler())
+	defer srv.Close()
+	good := filepath.Join(t.TempDir(), "ca.pem")
+	block := &pem.Block{Type: "CERTIFICATE", Bytes: srv.Certificate().Raw}
+	if err := os.WriteFile(good, pem.EncodeToMemory(block), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	bad := filepath.Join(t.TempDir(), "other.pem")
+	if err := os.WriteFile(bad, newIssuer(t, "other").pem, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for file, want := range map[string]bool{good: true, bad: false} {
+		transport, err := platformTransport(settings.Platform{CAFile: file})
+		if err != nil {
+			t.Fatal(err)
+		}
+		client := &http.Client{Transport: transport}
+		resp, err := client.Get(srv.URL)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if (err == nil) != want {
+			t.Errorf("%s: %v", filepath.Base(file), err)
+		}
+		client.CloseIdleConnections()
+	}
+}
