--- a/entry/leafclient/conns.go
+++ b/entry/leafclient/conns.go
@@ -50,7 +50,7 @@
 func newLeafConn(t Target) *leafConn {
 	lc := &leafConn{limiter: rate.NewLimiter(rate.Inf, 1), dialCost: t.DialCost}
 	if t.DialCost > 0 {
-		lc.limiter = rate.NewLimiter(rate.Every(t.DialCost), max(t.Connections, 1))
+		lc.limiter = rate.NewLimiter(rate.Every(t.DialCost), 1)
 	}
 	lc.transport = &http.Transport{
 		DialContext:         lc.dial,
