Keep relayed marks from growing younger; tell old marks now and then only

The age of a relayed sighting lacks the time on the way, so every hop made the mark younger and told again; and each digest carried all marks. A relayed sighting now counts only when it is fresher by more than an exchange may take, and sightings older than 10 s are told eight at a time, at random. Seen failing: no slack (the mark outlives its life between two entries), a fixed choice of old marks (9 of 201 told), fresh marks left out (1 of 2 know after 3 s).

--- a/entry/control/digest_bench_test.go
+++ b/entry/control/digest_bench_test.go
@@ -74,7 +74,7 @@
 	for i := range marks {
 		first.SawLeaving(fmt.Sprintf("upstream-name-%d-0", i))
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(12 * time.Second) // the marks are no longer fresh
 	bytes.Store(0)
 	cpu := cpuTime(b)
 	b.ResetTimer()
--- a/kernel/membership/digest.go
+++ b/kernel/membership/digest.go
@@ -17,23 +17,24 @@
 	}
 }
 
-// digestLeaving lists the freshest sightings first.
+// digestLeaving lists fresh sightings, the freshest first, and a few older
+// ones chosen at random: nearly everyone knows those, and an entry that does
+// not hears of them within some rounds.
 func (m *Machine) digestLeaving(now time.Time) []LeavingLeaf {
-	leaves := slices.SortedFunc(maps.Keys(m.marks), func(a, b string) int {
-		if c := m.marks[b].Compare(m.marks[a]); c != 0 {
-			return c
+	var fresh, old []LeavingLeaf
+	for _, leaf := range slices.Sorted(maps.Keys(m.marks)) {
+		l := LeavingLeaf{Leaf: leaf, Age: now.Sub(m.marks[leaf])}
+		switch {
+		case l.Age < m.cfg.FreshFor:
+			fresh = append(fresh, l)
+		case l.Age < m.cfg.MarkLife:
+			old = append(old, l)
 		}
-		return cmp.Compare(a, b)
-	})
-	var out []LeavingLeaf
-	for _, leaf := range leaves {
-		age := now.Sub(m.marks[leaf])
-		if age >= m.cfg.MarkLife || len(out) == m.cfg.MaxLeaving {
-			break
-		}
-		out = append(out, LeavingLeaf{Leaf: leaf, Age: age})
 	}
-	return out
+	slices.SortStableFunc(fresh, func(a, b LeavingLeaf) int { return cmp.Compare(a.Age, b.Age) })
+	fresh = fresh[:min(len(fresh), m.cfg.MaxLeaving)]
+	m.rand.Shuffle(len(old), func(i, j int) { old[i], old[j] = old[j], old[i] })
+	return append(fresh, old[:min(len(old), m.cfg.MaxOld, m.cfg.MaxLeaving-len(fresh))]...)
 }
 
 // digestGenerations relays a random sample of other instances' generations.
--- a/kernel/membership/machine.go
+++ b/kernel/membership/machine.go
@@ -47,7 +47,7 @@
 	case ListRead:
 		m.readList(ev.Instances)
 	case SawLeaving:
-		m.mark(ev.Leaf, now, now)
+		m.sighted(ev.Leaf, now)
 	case DigestReceived:
 		m.receive(ev.Digest, now)
 	case PeerFailed:
@@ -75,14 +75,29 @@
 	}
 }
 
-// mark notes a sighting of a leaving leaf. The first one is told at once.
-func (m *Machine) mark(leaf string, seen, now time.Time) {
+// relaySlack is how much fresher a relayed sighting must be to replace a known
+// one. It is more than an exchange may take: the age of a relayed sighting lacks
+// the time on the way, and without the slack relays would make marks younger.
+const relaySlack = 2 * time.Second
+
+// sighted notes a sighting by this instance.
+func (m *Machine) sighted(leaf string, now time.Time) {
+	_, known := m.marks[leaf]
+	m.marks[leaf] = now
+	if !known {
+		m.push()
+	}
+}
+
+// relayedMark notes a sighting by another instance. One that is new here is
+// told on at once, while it is fresh.
+func (m *Machine) relayedMark(leaf string, seen, now time.Time) {
 	old, known := m.marks[leaf]
-	if known && !seen.After(old) {
+	if now.Sub(seen) >= m.cfg.MarkLife || (known && !seen.After(old.Add(relaySlack))) {
 		return
 	}
 	m.marks[leaf] = seen
-	if !known && now.Sub(seen) < m.cfg.MarkLife {
+	if !known && now.Sub(seen) < m.cfg.FreshFor {
 		m.push()
 	}
 }
@@ -95,7 +110,7 @@
 	m.peers[d.Instance] = peerState{generation: d.Generation, hash: d.Hash, heard: now, direct: now, draining: d.Draining}
 	for _, l := range d.Leaving {
 		if l.Age >= 0 {
-			m.mark(l.Leaf, now.Add(-l.Age), now)
+			m.relayedMark(l.Leaf, now.Add(-l.Age), now)
 		}
 	}
 	for _, g := range d.Generations {
--- a/kernel/membership/membership_test.go
+++ b/kernel/membership/membership_test.go
@@ -252,3 +252,47 @@
 		t.Error("the entry did not hear after the cut")
 	}
 }
+
+// TestOldMarksAreToldNowAndThen checks that a digest in steady state carries
+// few marks, and that each of many is told in the end.
+func TestOldMarksAreToldNowAndThen(t *testing.T) {
+	f := newFleet(1)
+	for i := range 200 {
+		f.give(0, SawLeaving{Leaf: fmt.Sprint(i)})
+	}
+	f.now = f.now.Add(20 * time.Second)
+	f.give(0, SawLeaving{Leaf: "fresh"})
+	told := make(map[string]bool)
+	for range 300 {
+		d := f.machines[0].Digest(f.now)
+		if len(d.Leaving) != 9 || d.Leaving[0].Leaf != "fresh" {
+			t.Fatalf("marks of a digest: %v", d.Leaving)
+		}
+		for _, l := range d.Leaving {
+			told[l.Leaf] = true
+		}
+	}
+	if len(told) != 201 {
+		t.Errorf("%d of 201 marks were told", len(told))
+	}
+}
+
+// TestSlowRelaysDoNotKeepMarksAlive passes a mark back and forth over a slow
+// network, of whose delay the ages know nothing.
+func TestSlowRelaysDoNotKeepMarksAlive(t *testing.T) {
+	f := newFleet(2)
+	f.give(0, SawLeaving{Leaf: "a"})
+	begin := f.now
+	for f.machines[0].Leaving("a") {
+		for i := range f.machines {
+			d := f.machines[i].Digest(f.now)
+			f.now = f.now.Add(500 * time.Millisecond)
+			f.give(1-i, DigestReceived{Digest: d})
+		}
+		f.give(0, Tick{})
+		f.give(1, Tick{})
+		if life := f.now.Sub(begin); life > 125*time.Second {
+			t.Fatalf("the mark is alive after %v", life)
+		}
+	}
+}
--- a/kernel/membership/messages.go
+++ b/kernel/membership/messages.go
@@ -111,12 +111,16 @@
 	// longer than the list lags, since nobody sees the mark of a leaf that
 	// gets no work.
 	MarkLife time.Duration
+	// FreshFor is how long a sighting is told in every digest.
+	FreshFor time.Duration
 	// HeardLife is how long a peer counts after its last digest.
 	HeardLife time.Duration
 	// MaxLeaving and MaxGenerations bound the lists of a digest.
 	MaxLeaving     int
 	MaxGenerations int
-	Seed           uint64
+	// MaxOld bounds the sightings in a digest that are not fresh.
+	MaxOld int
+	Seed   uint64
 }
 
 // DefaultConfig returns the settings for production.
@@ -125,6 +129,7 @@
 		Instance: instance, Seed: seed,
 		Interval: time.Second, Fanout: 2, PushFanout: 4,
 		MarkLife: 2 * time.Minute, HeardLife: 5 * time.Second,
-		MaxLeaving: 64, MaxGenerations: 16,
+		FreshFor:   10 * time.Second,
+		MaxLeaving: 64, MaxGenerations: 16, MaxOld: 8,
 	}
 }
