--- a/entry/executor/executor_test.go
+++ b/entry/executor/executor_test.go
@@ -22,7 +22,7 @@
 )
 
 // behaviour is what a fake leaf does with one attempt.
-type behaviour func(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func()) (*leafclient.Reply, error)
+type behaviour func(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error)
 
 // fakeLeaves stands in for the leaf client. It counts what ran where.
 type fakeLeaves struct {
@@ -32,7 +32,7 @@
 	ran     map[string]int       // the same by leaf
 }
 
-func (f *fakeLeaves) Run(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func()) (*leafclient.Reply, error) {
+func (f *fakeLeaves) Run(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error) {
 	f.mu.Lock()
 	b := f.by[t.ID]
 	f.mu.Unlock()
@@ -59,7 +59,7 @@
 
 // serve answers after d with the newest of the versions, or declines another.
 func (f *fakeLeaves) serve(d time.Duration, versions ...uint64) behaviour {
-	return func(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func()) (*leafclient.Reply, error) {
+	return func(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error) {
 		sent()
 		version := versions[len(versions)-1]
 		if r.Version != 0 {
@@ -84,12 +84,12 @@
 }
 
 // noConnection fails before anything is sent.
-func noConnection(_ context.Context, t leafclient.Target, _ *leafclient.Request, _ func()) (*leafclient.Reply, error) {
+func noConnection(_ context.Context, t leafclient.Target, _ *leafclient.Request, _ func() bool) (*leafclient.Reply, error) {
 	return nil, &leafclient.DialError{Leaf: t.ID, Err: errors.New("refused")}
 }
 
 // breaks runs and then breaks.
-func (f *fakeLeaves) breaks(_ context.Context, t leafclient.Target, _ *leafclient.Request, sent func()) (*leafclient.Reply, error) {
+func (f *fakeLeaves) breaks(_ context.Context, t leafclient.Target, _ *leafclient.Request, sent func() bool) (*leafclient.Reply, error) {
 	sent()
 	f.count(t.ID)
 	return nil, &leafclient.BrokenError{Leaf: t.ID, Cause: leafclient.CauseClosed, Err: io.ErrUnexpectedEOF}
@@ -342,3 +342,32 @@
 		}
 	})
 }
+
+// TestRecalledAttemptIsNotSent has leaves whose connection comes only after the
+// query was answered: the answer "not run" must stay true.
+func TestRecalledAttemptIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		defer b.close()
+		late := func(_ context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error) {
+			time.Sleep(2 * time.Second) // past the deadline, deaf to the context
+			if !sent() {
+				return nil, &leafclient.DialError{Leaf: t.ID, Err: leafclient.ErrRecalled}
+			}
+			b.leaves.count(t.ID)
+			return &leafclient.Reply{Version: 1, Ranges: []keyrange.Range{r.Range}}, nil
+		}
+		b.leaves.by["l0-a"], b.leaves.by["l0-b"] = late, late
+		for _, service := range []string{"ask", "note"} {
+			_, err := b.ask(t.Context(), service)
+			var refused *RefusedError
+			if !errors.As(err, &refused) {
+				t.Errorf("%s: %v, want a refusal", service, err)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		if n := b.leaves.executions(); n != 0 {
+			t.Errorf("refused as not run, and ran %d times later", n)
+		}
+	})
+}
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -4,10 +4,13 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/ledger"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
@@ -18,14 +21,20 @@
 	executor    *Executor
 	request     *Request
 	id          string
+	secret      string // makes the attempts' ids unguessable
 	stamp       uint64
 	fingerprint string
+	service     *serviceState
 	repetition  *repetition
 	versions    *versions
-	machine     *query.Machine
 	mail        *mailbox
 	ctx         context.Context // ends with the caller or with the answer
-	attempts    map[query.AttemptID]*attempt
+
+	// mu guards what follows. The query's goroutine holds it for each event,
+	// and an exchange while it asks for leave to send.
+	mu       sync.Mutex
+	machine  *query.Machine
+	attempts map[query.AttemptID]*attempt
 	// view is the newest view that the machine knows; pools is by its indexes.
 	view   *view.View
 	pools  map[int]*pool
@@ -40,6 +49,13 @@
 	return hex.EncodeToString(b[:])
 }
 
+// attemptToken is the attempt's id on the wire. It can't be guessed without
+// having seen another attempt of the same query, which goes to other leaves of
+// the same caller's request.
+func (r *run) attemptToken(id query.AttemptID) string {
+	return r.secret + "-" + strconv.FormatUint(uint64(id), 16)
+}
+
 // drive runs the query to its answer.
 func (r *run) drive() *query.Answer {
 	r.timer = time.NewTimer(time.Hour)
@@ -49,7 +65,7 @@
 	r.handle(query.Begin{})
 	done := r.ctx.Done()
 	var events []query.Event
-	for r.answer == nil {
+	for !r.answered() {
 		select {
 		case <-r.mail.wake:
 			events = r.mail.take(events)
@@ -66,8 +82,36 @@
 	return r.answer
 }
 
-// handle gives one event to the machine and carries out its actions.
+// answered reports whether the query has its answer.
+func (r *run) answered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answer != nil
+}
+
+// handle gives one event to the machine.
 func (r *run) handle(ev query.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.step(ev)
+}
+
+// maySend tells the machine that the attempt's bytes go out now, and reports
+// whether they may. It is asked right before they do: no event can come between
+// the machine's word and the sending, so that an answer "not run" stays true.
+func (r *run) maySend(a *attempt, leaf int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answer != nil || a.withdrawn || !ledger.MayDispatch(r.request.Deadline, time.Now()) {
+		return false // a paused instance finds its deadline passed here
+	}
+	r.step(query.Sent{Attempt: a.offer.Attempt, Leaf: leaf})
+	return !a.withdrawn
+}
+
+// step gives one event to the machine and carries out its actions. The lock is
+// held; pools never take it, they only put events into the mailbox.
+func (r *run) step(ev query.Event) {
 	if r.answer != nil {
 		return
 	}
@@ -122,7 +166,7 @@
 func (r *run) offer(o query.Offer) {
 	a := &attempt{
 		ticket: dispatch.Ticket{Query: r.stamp, Attempt: o.Attempt},
-		run:    r, view: r.view, offer: o, token: newToken(),
+		run:    r, view: r.view, offer: o, token: r.attemptToken(o.Attempt),
 	}
 	r.attempts[o.Attempt] = a
 	if o.Hedge {
@@ -147,7 +191,8 @@
 
 // withdraw takes an attempt back.
 func (r *run) withdraw(id query.AttemptID) {
-	if a, ok := r.attempts[id]; ok {
+	if a, ok := r.attempts[id]; ok && !a.withdrawn {
+		a.withdrawn = true
 		a.pool.withdraw(a.ticket)
 	}
 }
@@ -159,13 +204,11 @@
 		return
 	}
 	e := r.executor
-	news := e.guard.observe(quarantine.Observed{Fingerprint: r.fingerprint, Leaf: a.leafName(v.Leaf), Crashed: v.Crashed, Solo: a.offer.Solo}, time.Now())
+	actions := e.guard.observe(quarantine.Observed{Fingerprint: r.fingerprint, Leaf: a.leafName(v.Leaf), Crashed: v.Crashed, Solo: a.offer.Solo}, time.Now())
 	if v.Crashed {
 		e.decide(a, telemetry.Decision{Part: partQuery, What: "suspect", Leaf: a.leafName(v.Leaf), Why: r.fingerprint})
 	}
-	if news {
-		e.config.Sightings.SpreadNow()
-	}
+	e.carryOut(actions)
 }
 
 // leafName is the ID of a leaf by its index in the attempt's view.
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -79,7 +79,7 @@
 	}
 	a := &attempt{
 		ticket: ev.Ticket, shard: s, caller: ev.Caller, deadline: ev.Deadline,
-		offered: now, hedge: ev.Hedge, solo: ev.Solo,
+		offered: now, hedge: ev.Hedge, solo: ev.Solo, place: noPlace,
 	}
 	m.setAvoid(a, ev)
 	if a.hedge && !m.hedgeFits(a) {
@@ -96,8 +96,10 @@
 	}
 	m.waiting[a.ticket] = a
 	s.queue.push(a, m.weight(a.caller))
-	m.expiry.push(a)
 	m.serve(s, now)
+	if a.queued {
+		m.expiry.push(a)
+	}
 }
 
 // setAvoid turns view indexes into leaves. A retry that would avoid every leaf
@@ -147,6 +149,7 @@
 func (m *Machine) unqueue(a *attempt) {
 	delete(m.waiting, a.ticket)
 	a.shard.queue.remove(a)
+	m.expiry.remove(a)
 	m.release(a)
 }
 
@@ -180,7 +183,9 @@
 	s := plugin.Sample{
 		OK:        ev.Outcome == OutcomeReply,
 		Shed:      ev.Outcome == OutcomeShed,
-		Failed:    ev.Outcome == OutcomeDialFailed || ev.Outcome == OutcomeBroken || ev.Outcome == OutcomeTimeout,
+		Failed:    ev.Outcome == OutcomeDialFailed || ev.Outcome == OutcomeBroken,
+		TimedOut:  ev.Outcome == OutcomeTimeout,
+		Cancelled: ev.Outcome == OutcomeCancelled,
 		Latency:   ev.Latency,
 		Service:   ev.Service,
 		Saturated: a.saturated,
@@ -188,9 +193,11 @@
 	}
 	a.leaf.limit.Finished(s, now)
 	m.routing.Finished(a.leaf.key, s, now)
+	if s.OK || s.TimedOut {
+		a.shard.observe(ev.Latency) // either way it held its place for so long
+	}
 	if s.OK {
-		a.shard.observe(ev.Latency)
-		m.times.observe(ev.Latency)
+		m.times.observe(ev.Latency, now)
 	}
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
@@ -58,6 +59,7 @@
 	PlatformURL    string
 	LeafControlURL string
 
+	starts  atomic.Int64 // numbers the entries
 	mu      sync.Mutex
 	entries []*Entry
 	leaving map[string]bool // instances that the platform's list calls leaving
@@ -85,7 +87,17 @@
 		return err
 	}
 	for i := range s.options.Entries {
-		if _, err := s.AddEntry(i); err != nil {
+		e, err := s.newEntry(i)
+		if err != nil {
+			return err
+		}
+		s.entries = append(s.entries, e)
+	}
+	if err := s.tellInstances(); err != nil {
+		return err
+	}
+	for _, e := range s.Entries() {
+		if err := e.start(); err != nil {
 			return err
 		}
 	}
@@ -225,7 +237,9 @@
 // Close ends every process of the site.
 func (s *Site) Close() error {
 	for _, e := range s.Entries() {
-		e.process.kill()
+		if e.process != nil {
+			e.process.kill()
+		}
 	}
 	for _, p := range []*process{s.leaves, s.platform} {
 		if p != nil {
@@ -238,17 +252,16 @@
 // path is a file of the site's folder.
 func (s *Site) path(name string) string { return filepath.Join(s.options.Dir, name) }
 
-// freeAddress finds a free port of the loopback address.
+// freeAddress finds a free port of the loopback address for an entry.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := FreePorts(1)
 	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
+		return "", err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return fmt.Sprintf("127.0.0.1:%d", port), nil
 }
 
-// Ports for leaves are given out upwards from a start that differs from process
+// Ports are given out upwards from a start that differs from process
 // to process, below the range that the system gives out by itself.
 const (
 	firstPort = 20000
@@ -260,8 +273,8 @@
 	nextPort = firstPort + os.Getpid()*97%(lastPort-firstPort)
 )
 
-// FreePorts finds n consecutive free ports of the loopback address for leaves
-// and returns the first. No two calls of a process get the same.
+// FreePorts finds n consecutive free ports of the loopback address and returns
+// the first. No two calls of a process get the same.
 func FreePorts(n int) (int, error) {
 	portMu.Lock()
 	defer portMu.Unlock()
