Keep services' metrics apart, and say when to come back

- Names of services in labels had their hyphens and dots replaced, so title-search and title.search shared one counter.
Values of labels now keep both signs.
- fuchsiactl dropped the time to come back from a refusal.

Decisions were also queued at levels that never write them.

--- a/cmd/internal/entryclient/errors.go
+++ b/cmd/internal/entryclient/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
 )
@@ -37,7 +38,8 @@
 	Problem callerapi.Problem
 }
 
-// Error returns the entry, the title and the detail, with the field at fault.
+// Error returns the entry, the title and the detail, with the field at fault
+// and the time to come back, where the entry gave them.
 func (e *ProblemError) Error() string {
 	text := fmt.Sprintf("entry %s: %d %s", e.Entry, e.Problem.Status, e.Problem.Title)
 	if e.Problem.Field != "" {
@@ -46,5 +48,8 @@
 	if e.Problem.Detail != "" {
 		text += ": " + e.Problem.Detail
 	}
+	if e.Problem.RetryAfterMS > 0 {
+		text += fmt.Sprintf("; come back in %v", time.Duration(e.Problem.RetryAfterMS)*time.Millisecond)
+	}
 	return text
 }
--- a/entry/telemetry/log.go
+++ b/entry/telemetry/log.go
@@ -149,13 +149,13 @@
 
 // Decide logs one decision, if decisions are on.
 func (l *Log) Decide(d Decision) {
-	if l.decisions {
+	if l.DecisionsOn() {
 		l.put(record{at: time.Now(), level: log.InfoLevel, decision: d})
 	}
 }
 
 // DecisionsOn reports whether decisions are logged, to save building them.
-func (l *Log) DecisionsOn() bool { return l.decisions }
+func (l *Log) DecisionsOn() bool { return l.decisions && l.level <= log.InfoLevel }
 
 // Dropped is the number of records that found the queue full.
 func (l *Log) Dropped() int64 { return l.drops.Load() }
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -17,6 +17,19 @@
 // latencyBuckets are the upper bounds of latency histograms.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(500*time.Microsecond, 1.5, 20)
 
+// sanitize is Prometheus' own rule for names and keys. Values keep hyphens and
+// dots, which names of services have: without them two services could share an
+// instrument.
+var sanitize = tally.SanitizeOptions{
+	NameCharacters: tallyprom.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:  tallyprom.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters: tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: []rune{'_', '-', '.'},
+	},
+	ReplacementCharacter: tally.DefaultReplacementCharacter,
+}
+
 // Metrics holds the entry's instruments. No instrument has a caller's name in
 // it: callers may be rivals.
 type Metrics struct {
@@ -31,7 +44,7 @@
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "fuchsiaroad", CachedReporter: reporter,
-		Separator: tallyprom.DefaultSeparator, SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+		Separator: tallyprom.DefaultSeparator, SanitizeOptions: &sanitize,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Metrics{Scope: scope, handler: reporter.HTTPHandler(), closer: closer}
