Let a fresh instance hear its peers before it enforces the store's first word

Cause: restart_stale.txtar, an entry started while the store answers from an old state served a generation below the one in force. Ruled out: waiting for all peers.

--- a/kernel/rollout/machine.go
+++ b/kernel/rollout/machine.go
@@ -13,6 +13,11 @@
 	minPoll = time.Second
 	// searchEvery is the time between searches while there is no document.
 	searchEvery = 250 * time.Millisecond
+	// firstHold is how long a fresh instance holds its first document back to
+	// hear its peers, and holdAskEvery how often it asks them meanwhile: the
+	// store may answer from an old state, and its peers have what is in force.
+	firstHold    = 500 * time.Millisecond
+	holdAskEvery = 100 * time.Millisecond
 	// askTimeout is the time after which another peer may be asked.
 	askTimeout = 500 * time.Millisecond
 )
@@ -27,6 +32,13 @@
 	reading bool
 	empty   bool // the last answered read found no object
 
+	// first is the highest version seen while it is held back; its generation
+	// is 0 when none is. It is enforced at holdEnd.
+	first       Version
+	firstSource Source
+	holdEnd     time.Time
+	holdAskAt   time.Time
+
 	pollAt  time.Time
 	askedAt time.Time
 	asked   uint64 // highest generation asked of a peer and not yet answered
@@ -136,7 +148,7 @@
 
 // seen takes a version from any source.
 func (m *Machine) seen(e Seen, now time.Time) {
-	m.consider(e.Version, e.Source)
+	m.consider(e.Version, e.Source, now)
 	switch e.Source {
 	case SourceStore:
 		m.readEnded(now)
@@ -149,7 +161,7 @@
 
 // consider puts a version in force if it is newer than the one in force. This
 // is the only place that changes the version in force.
-func (m *Machine) consider(v Version, source Source) {
+func (m *Machine) consider(v Version, source Source, now time.Time) {
 	if v.Generation == m.current.Generation && v.Fault == "" && v.Hash != m.current.Hash {
 		m.emit(Reject{v.Generation, source, "another document at the generation in force"})
 		return
@@ -161,11 +173,58 @@
 		m.refuse(v, source)
 		return
 	}
+	if m.current.Generation == 0 && (source == SourceStore || source == SourceWatch) {
+		m.hold(v, source, now)
+		return
+	}
+	m.enforce(v, source)
+}
+
+// enforce puts a version in force.
+func (m *Machine) enforce(v Version, source Source) {
+	m.first = Version{}
 	m.current = v
 	m.emit(Enforce{v, source})
 	m.emit(Push{All: source == SourceSave})
 }
 
+// hold keeps the highest version that the store gave a fresh instance for a
+// while. What a peer gives is in force there, and is enforced at once.
+func (m *Machine) hold(v Version, source Source, now time.Time) {
+	if m.first.Generation == 0 {
+		m.holdEnd = now.Add(firstHold)
+		m.holdAskAt = now
+	}
+	if v.Generation > m.first.Generation {
+		m.first, m.firstSource = v, source
+	}
+	m.tickHold(now)
+}
+
+// tickHold asks the peers while a first version is held back, and enforces it
+// at the end.
+func (m *Machine) tickHold(now time.Time) {
+	switch {
+	case m.first.Generation == 0:
+	case !now.Before(m.holdEnd):
+		m.enforce(m.first, m.firstSource)
+	case !now.Before(m.holdAskAt):
+		m.holdAskAt = now.Add(holdAskEvery)
+		m.emit(AskAllPeers{})
+	}
+}
+
+// nextHold is when tickHold has something to do; zero when nothing is held.
+func (m *Machine) nextHold() time.Time {
+	if m.first.Generation == 0 {
+		return time.Time{}
+	}
+	if m.holdEnd.Before(m.holdAskAt) {
+		return m.holdEnd
+	}
+	return m.holdAskAt
+}
+
 // refuse notes a version that is not a valid document, once per generation. A
 // peer's word is not proof of what the store holds, so it is reported only.
 func (m *Machine) refuse(v Version, source Source) {
@@ -196,6 +255,7 @@
 	if !m.pollAt.IsZero() && !now.Before(m.pollAt) {
 		m.read()
 	}
+	m.tickHold(now)
 	m.tickSaves(now)
 }
 
@@ -205,6 +265,9 @@
 	if !m.reading && !m.pollAt.IsZero() && (at.IsZero() || m.pollAt.Before(at)) {
 		at = m.pollAt
 	}
+	if hold := m.nextHold(); !hold.IsZero() && (at.IsZero() || hold.Before(at)) {
+		at = hold
+	}
 	if at.IsZero() {
 		return
 	}
--- a/kernel/rollout/save.go
+++ b/kernel/rollout/save.go
@@ -75,7 +75,7 @@
 		return
 	}
 	s.version.Generation = e.Generation
-	m.consider(s.version, SourceSave)
+	m.consider(s.version, SourceSave, time.Time{})
 	m.finish(s, Outcome{State: Accepted, Generation: e.Generation})
 }
 
