--- /dev/null
+++ b/entry/node/assemble.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/console"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/control"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/operators"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/server"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+)
+
+// newControl makes control and what it speaks to peers with. The executor does
+// not exist yet: control reaches it through the node.
+func (n *Node) newControl() error {
+	s := n.settings
+	var err error
+	if n.peerTLS, err = peersTLS(s.TLS); err != nil {
+		return err
+	}
+	placement, err := plugin.Placements.Get(s.Policy.Placement)
+	if err != nil {
+		return err
+	}
+	n.peers = peer.NewClient(peer.ClientConfig{Instance: s.Instance, Key: s.Peer.Key, TLS: n.peerTLS})
+	n.control = control.New(control.Config{
+		Instance: s.Instance, Zone: s.Zone, Store: n.store, Peers: n.peers, Known: s.Peer.Known,
+		Placement: placement(plugin.PlacementConfig{Headroom: placementHeadroom}), Quarantine: fleetQuarantine{n}, Publish: n.publish,
+		Log: n.log.Part("control"), Seed: uint64(time.Now().UnixNano()),
+	})
+	n.peerServe = peer.NewServer(peer.ServerConfig{Instance: s.Instance, Key: s.Peer.Key, Handler: n.control})
+	return nil
+}
+
+// placementHeadroom is the number of live entries that any entry's list may
+// miss without a leaf's connection limit being exceeded.
+const placementHeadroom = 2
+
+// fleetQuarantine gives control the executor's quarantine.
+type fleetQuarantine struct{ node *Node }
+
+// Quarantine implements control.Quarantine.
+func (q fleetQuarantine) Quarantine() []peerapi.Quarantined { return q.node.executor.Quarantine() }
+
+// MergeQuarantine implements control.Quarantine.
+func (q fleetQuarantine) MergeQuarantine(list []peerapi.Quarantined) {
+	q.node.executor.MergeQuarantine(list)
+}
+
+// newServers makes the HTTP servers. Operators' routes are on the callers'
+// address unless they have one of their own.
+func (n *Node) newServers() error {
+	s := n.settings
+	callers, err := callersTLS(s.TLS)
+	if err != nil {
+		return err
+	}
+	config := server.Config{
+		Executor: n.executor, Views: n, Lifecycle: &n.lifecycle, Ready: n.notReady, Status: n.status,
+		Metrics: n.metrics.Handler(), TLS: callers,
+		Limits: server.Limits{BodyBytes: s.Limits.BodyBytes, HeaderBytes: s.Limits.HeaderBytes, ReadTimeout: s.Limits.ReadTimeout, IdleTimeout: s.Limits.IdleTimeout},
+	}
+	n.server = server.New(config)
+	router := n.server.Echo()
+	if s.Listen.Operators != "" && s.Listen.Operators != s.Listen.Callers {
+		n.operators = server.New(config)
+		router = n.operators.Echo()
+	}
+	operators.New(operators.Config{Control: n.control, Quarantine: n.executor, Views: n, FirstToken: s.Platform.Token}).Register(router)
+	pages, err := console.New(console.Config{
+		Control: n.control, Views: n, Quarantine: n.executor, Log: n.log.Part("console"), FleetKey: s.Peer.Key, Secure: callers != nil,
+	})
+	if err != nil {
+		return fmt.Errorf("console: %w", err)
+	}
+	pages.Register(router)
+	return nil
+}
--- /dev/null
+++ b/entry/node/listen.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net"
+)
+
+// listeners are the sockets of a node.
+type listeners struct {
+	callers, peers net.Listener
+	operators      net.Listener // nil when operators share the callers' address
+}
+
+// listen opens all sockets, or none.
+func (n *Node) listen() (l listeners, err error) {
+	defer func() {
+		if err != nil {
+			l.close()
+		}
+	}()
+	if l.callers, err = net.Listen("tcp", n.settings.Listen.Callers); err != nil {
+		return l, fmt.Errorf("listen for callers: %w", err)
+	}
+	if l.peers, err = net.Listen("tcp", n.settings.Listen.Peers); err != nil {
+		return l, fmt.Errorf("listen for peers: %w", err)
+	}
+	if n.peerTLS != nil {
+		l.peers = tls.NewListener(l.peers, n.peerTLS)
+	}
+	if n.operators == nil {
+		return l, nil
+	}
+	if l.operators, err = net.Listen("tcp", n.settings.Listen.Operators); err != nil {
+		return l, fmt.Errorf("listen for operators: %w", err)
+	}
+	return l, nil
+}
+
+// close gives the sockets up that were opened.
+func (l listeners) close() {
+	for _, s := range []net.Listener{l.callers, l.peers, l.operators} {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -9,27 +9,22 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/config/settings"
-	"github.com/fuchsiaroad/fuchsiaroad/entry/console"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/control"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/ledger"
-	"github.com/fuchsiaroad/fuchsiaroad/entry/operators"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/platform"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/probe"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/server"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
-	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
@@ -102,73 +97,6 @@
 	return n, nil
 }
 
-// newControl makes control and what it speaks to peers with. The executor does
-// not exist yet: control reaches it through the node.
-func (n *Node) newControl() error {
-	s := n.settings
-	var err error
-	if n.peerTLS, err = peersTLS(s.TLS); err != nil {
-		return err
-	}
-	placement, err := plugin.Placements.Get(s.Policy.Placement)
-	if err != nil {
-		return err
-	}
-	n.peers = peer.NewClient(peer.ClientConfig{Instance: s.Instance, Key: s.Peer.Key, TLS: n.peerTLS})
-	n.control = control.New(control.Config{
-		Instance: s.Instance, Zone: s.Zone, Store: n.store, Peers: n.peers, Known: s.Peer.Known,
-		Placement: placement(plugin.PlacementConfig{Headroom: placementHeadroom}), Quarantine: fleetQuarantine{n}, Publish: n.publish,
-		Log: n.log.Part("control"), Seed: uint64(time.Now().UnixNano()),
-	})
-	n.peerServe = peer.NewServer(peer.ServerConfig{Instance: s.Instance, Key: s.Peer.Key, Handler: n.control})
-	return nil
-}
-
-// placementHeadroom is the number of live entries that any entry's list may
-// miss without a leaf's connection limit being exceeded.
-const placementHeadroom = 2
-
-// fleetQuarantine gives control the executor's quarantine.
-type fleetQuarantine struct{ node *Node }
-
-// Quarantine implements control.Quarantine.
-func (q fleetQuarantine) Quarantine() []peerapi.Quarantined { return q.node.executor.Quarantine() }
-
-// MergeQuarantine implements control.Quarantine.
-func (q fleetQuarantine) MergeQuarantine(list []peerapi.Quarantined) {
-	q.node.executor.MergeQuarantine(list)
-}
-
-// newServers makes the HTTP servers. Operators' routes are on the callers'
-// address unless they have one of their own.
-func (n *Node) newServers() error {
-	s := n.settings
-	callers, err := callersTLS(s.TLS)
-	if err != nil {
-		return err
-	}
-	config := server.Config{
-		Executor: n.executor, Views: n, Lifecycle: &n.lifecycle, Ready: n.notReady, Status: n.status,
-		Metrics: n.metrics.Handler(), TLS: callers,
-		Limits: server.Limits{BodyBytes: s.Limits.BodyBytes, HeaderBytes: s.Limits.HeaderBytes, ReadTimeout: s.Limits.ReadTimeout, IdleTimeout: s.Limits.IdleTimeout},
-	}
-	n.server = server.New(config)
-	router := n.server.Echo()
-	if s.Listen.Operators != "" && s.Listen.Operators != s.Listen.Callers {
-		n.operators = server.New(config)
-		router = n.operators.Echo()
-	}
-	operators.New(operators.Config{Control: n.control, Quarantine: n.executor, Views: n, FirstToken: s.Platform.Token}).Register(router)
-	pages, err := console.New(console.Config{
-		Control: n.control, Views: n, Quarantine: n.executor, Log: n.log.Part("console"), FleetKey: s.Peer.Key, Secure: callers != nil,
-	})
-	if err != nil {
-		return fmt.Errorf("console: %w", err)
-	}
-	pages.Register(router)
-	return nil
-}
-
 // View is the view in force; nil before there is a document.
 func (n *Node) View() *view.View { return n.view.Load() }
 
@@ -213,96 +141,6 @@
 	return err
 }
 
-// listeners are the sockets of a node.
-type listeners struct {
-	callers, peers net.Listener
-	operators      net.Listener // nil when operators share the callers' address
-}
-
-// listen opens all sockets, or none.
-func (n *Node) listen() (l listeners, err error) {
-	defer func() {
-		if err != nil {
-			l.close()
-		}
-	}()
-	if l.callers, err = net.Listen("tcp", n.settings.Listen.Callers); err != nil {
-		return l, fmt.Errorf("listen for callers: %w", err)
-	}
-	if l.peers, err = net.Listen("tcp", n.settings.Listen.Peers); err != nil {
-		return l, fmt.Errorf("listen for peers: %w", err)
-	}
-	if n.peerTLS != nil {
-		l.peers = tls.NewListener(l.peers, n.peerTLS)
-	}
-	if n.operators == nil {
-		return l, nil
-	}
-	if l.operators, err = net.Listen("tcp", n.settings.Listen.Operators); err != nil {
-		return l, fmt.Errorf("listen for operators: %w", err)
-	}
-	return l, nil
-}
-
-// close gives the sockets up that were opened.
-func (l listeners) close() {
-	for _, s := range []net.Listener{l.callers, l.peers, l.operators} {
-		if s != nil {
-			_ = s.Close()
-		}
-	}
-}
-
-// awaitStop waits for Stop and carries the graceful stop out.
-func (n *Node) awaitStop(ctx context.Context) {
-	select {
-	case <-n.stop:
-	case <-ctx.Done():
-	}
-	n.drain(context.WithoutCancel(ctx))
-}
-
-// drain stops the instance without cutting a request off.
-func (n *Node) drain(ctx context.Context) {
-	log := n.log.Part("node")
-	n.lifecycle.set(phaseLeaving)
-	n.control.SetDraining()
-	log.Info("leaving: still serving until the balancer has let go")
-	n.lifecycle.waitQuiet(ctx, n.settings.Limits.DrainTime)
-	n.lifecycle.set(phaseRefusing)
-	log.Info("finishing what is in flight", "queries", n.executor.Running())
-	finish, cancel := context.WithTimeout(ctx, n.longestDeadline()+finishTime)
-	defer cancel()
-	if err := n.executor.Wait(finish); err != nil {
-		log.Error("requests were still in flight at the end", "queries", n.executor.Running())
-	}
-	flush, cancelFlush := context.WithTimeout(ctx, flushTime)
-	defer cancelFlush()
-	if err := n.ledger.Flush(flush); err != nil {
-		log.Error("outcomes were not all recorded", "err", err)
-	}
-	for _, s := range []*server.Server{n.server, n.operators} {
-		if s == nil {
-			continue
-		}
-		if err := s.Shutdown(finish); err != nil {
-			log.Error("connections were still open at the end", "err", err)
-		}
-	}
-	log.Info("stopped")
-}
-
-// longestDeadline is the longest that a query in flight may take.
-func (n *Node) longestDeadline() time.Duration {
-	var longest time.Duration
-	if v := n.View(); v != nil {
-		for _, s := range v.Services {
-			longest = max(longest, s.Config.Deadline)
-		}
-	}
-	return longest
-}
-
 // close gives up what New opened.
 func (n *Node) close() {
 	n.leaves.Close()
