--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -77,7 +77,9 @@
 		names := entryNames(n)
 		return func() { p.Share("data-0-0", 25, names[0], names) }
 	})
+	plain := func(n int) float64 { return bytesOf(wire(newMember(n).Digest(epoch.Add(time.Hour)))) }
 	return []Series{
+		series("digest without leaving leaves", "B", "entries", entrySizes, plain),
 		series("digest with 64 leaving leaves", "B", "entries", entrySizes, digest),
 		series("digest: take one in, make one, encode and decode it", "us", "entries", entrySizes, exchange),
 		series("membership, memory", "B", "entries", entrySizes, kept(newMember)),
--- a/bench/capacity/path.go
+++ b/bench/capacity/path.go
@@ -24,8 +24,9 @@
 const (
 	pathQueries = 600 // at each size
 	pathWorkers = 4
-	pathWarm    = 8 * time.Second // until the connections of the share are open
-	pathQuiet   = 5 * time.Second // without queries, for the cost of control
+	pathWarm    = 8 * time.Second  // until the connections of the share are open
+	pathRest    = 3 * time.Second  // until an entry starts to ask quiet leaves itself
+	pathQuiet   = 12 * time.Second // without queries, for the cost of control
 	entryBinary = "fuchsiaroad"
 	ticksPerSec = 100 // of /proc/PID/stat
 )
@@ -117,6 +118,11 @@
 	if err != nil {
 		return pathCost{}, err
 	}
+	time.Sleep(pathRest)
+	resting, err := processorTime(pid)
+	if err != nil {
+		return pathCost{}, err
+	}
 	time.Sleep(pathQuiet)
 	rested, err := processorTime(pid)
 	if err != nil {
@@ -129,7 +135,7 @@
 	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	return pathCost{
 		queryUS: float64((asked - before).Microseconds()) / pathQueries,
-		quietUS: max(1, float64((rested-asked).Microseconds())/pathQuiet.Seconds()),
+		quietUS: max(1, float64((rested-resting).Microseconds())/pathQuiet.Seconds()),
 		bytes:   resident,
 		files:   float64(len(files)),
 	}, err
