--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/ledger"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
@@ -19,8 +21,10 @@
 	executor    *Executor
 	request     *Request
 	id          string
+	secret      string // makes the attempts' ids unguessable
 	stamp       uint64
 	fingerprint string
+	service     *serviceState
 	repetition  *repetition
 	versions    *versions
 	mail        *mailbox
@@ -45,6 +49,13 @@
 	return hex.EncodeToString(b[:])
 }
 
+// attemptToken is the attempt's id on the wire. It can't be guessed without
+// having seen another attempt of the same query, which goes to other leaves of
+// the same caller's request.
+func (r *run) attemptToken(id query.AttemptID) string {
+	return r.secret + "-" + strconv.FormatUint(uint64(id), 16)
+}
+
 // drive runs the query to its answer.
 func (r *run) drive() *query.Answer {
 	r.timer = time.NewTimer(time.Hour)
@@ -91,8 +102,8 @@
 func (r *run) maySend(a *attempt, leaf int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.answer != nil || a.withdrawn {
-		return false
+	if r.answer != nil || a.withdrawn || !ledger.MayDispatch(r.request.Deadline, time.Now()) {
+		return false // a paused instance finds its deadline passed here
 	}
 	r.step(query.Sent{Attempt: a.offer.Attempt, Leaf: leaf})
 	return !a.withdrawn
@@ -155,7 +166,7 @@
 func (r *run) offer(o query.Offer) {
 	a := &attempt{
 		ticket: dispatch.Ticket{Query: r.stamp, Attempt: o.Attempt},
-		run:    r, view: r.view, offer: o, token: newToken(),
+		run:    r, view: r.view, offer: o, token: r.attemptToken(o.Attempt),
 	}
 	r.attempts[o.Attempt] = a
 	if o.Hedge {
