Exchange with an entry in one place

fuchsiactl's save had a copy of the client's exchange, and two commands read the document in force on their own. The tests of both packages pass unchanged.

--- a/cmd/fuchsiactl/config.go
+++ b/cmd/fuchsiactl/config.go
@@ -165,6 +165,11 @@
 		_, doc, err := readDocument(cmd, args[0])
 		return doc, err
 	}
+	return documentInForce(cmd, o)
+}
+
+// documentInForce reads the document that is in force at the entry.
+func documentInForce(cmd *cobra.Command, o *options) (*document.Document, error) {
 	client, err := o.client()
 	if err != nil {
 		return nil, err
--- a/cmd/fuchsiactl/config_client.go
+++ b/cmd/fuchsiactl/config_client.go
@@ -1,14 +1,11 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
@@ -16,9 +13,6 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/operators"
 )
 
-// maxReply bounds the answer to an operator, in bytes.
-const maxReply = 16 << 20
-
 // saveConfig sends a document. A reply of any state is no error; the errors are
 // those of package entryclient.
 func (o *options) saveConfig(ctx context.Context, text []byte, ifVersion uint64) (*operators.SaveReply, error) {
@@ -32,35 +26,15 @@
 
 // exchange asks the entry as an operator and reads its JSON answer.
 func (o *options) exchange(ctx context.Context, method, path string, body []byte, into any) error {
-	if _, err := o.client(); err != nil {
-		return err
-	}
-	base := o.entry
-	if !strings.Contains(base, "://") {
-		base = "http://" + base
-	}
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, strings.TrimSuffix(base, "/")+path, bytes.NewReader(body))
+	client, err := o.client()
 	if err != nil {
-		return &usageError{fmt.Errorf("--entry: %w", err)}
-	}
-	// A nil GetBody keeps the transport from sending a save twice by itself.
-	req.GetBody = nil
-	req.Header.Set("Authorization", "Bearer "+o.token)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil && !connected {
-		return &entryclient.DialError{Entry: base, Err: err}
-	}
-	if err != nil {
-		return &entryclient.BrokenError{Entry: base, Err: err}
+		return err
 	}
-	defer resp.Body.Close()
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	reply, err := client.Exchange(ctx, method, path, o.token, nil, body)
 	if err != nil {
-		return &entryclient.BrokenError{Entry: base, Err: err}
+		return err
 	}
-	return readAnswer(base, resp.StatusCode, answer, into)
+	return readAnswer(client.Base(), reply.Status, reply.Body, into)
 }
 
 // errNoState marks an answer to a save that does not tell its state.
--- a/cmd/fuchsiactl/services.go
+++ b/cmd/fuchsiactl/services.go
@@ -8,7 +8,6 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/fuchsiaroad/fuchsiaroad/config/codec"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 )
 
@@ -34,18 +33,10 @@
 		Long:  "Services lists the query services of the configuration in force at an entry. It needs an operator's token.",
 		Args:  usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			client, err := o.client()
+			doc, err := documentInForce(cmd, o)
 			if err != nil {
 				return err
 			}
-			state, err := client.Config(cmd.Context(), o.token)
-			if err != nil {
-				return err
-			}
-			doc, err := codec.Parse([]byte(state.Document))
-			if err != nil {
-				return fmt.Errorf("document of generation %d: %w", state.Generation, err)
-			}
 			lines := serviceLines(doc)
 			return o.print(cmd.OutOrStdout(), lines, serviceTable(lines))
 		},
--- a/cmd/internal/entryclient/client.go
+++ b/cmd/internal/entryclient/client.go
@@ -103,15 +103,32 @@
 	return c.call(ctx, http.MethodGet, path, token, nil, nil, into)
 }
 
+// Reply is what an entry answered.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
 // call does one exchange and reads its JSON answer.
 func (c *Client) call(ctx context.Context, method, path, token string, header http.Header, body []byte, into any) error {
+	reply, err := c.Exchange(ctx, method, path, token, header, body)
+	if err != nil {
+		return err
+	}
+	return c.read(reply, into)
+}
+
+// Exchange sends a request once and returns the answer, of any status. The
+// error is a *DialError or a *BrokenError.
+func (c *Client) Exchange(ctx context.Context, method, path, token string, header http.Header, body []byte) (*Reply, error) {
 	sent := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return &DialError{Entry: c.base, Err: err}
+		return nil, &DialError{Entry: c.base, Err: err}
 	}
-	// A nil GetBody keeps the transport from sending a query twice by itself.
+	// A nil GetBody keeps the transport from sending a request twice by itself.
 	req.GetBody = nil
 	for name, values := range header {
 		req.Header[name] = values
@@ -121,12 +138,19 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return c.failure(err, sent)
+		return nil, c.failure(err, sent)
 	}
 	defer resp.Body.Close()
-	return c.read(resp, into)
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, &BrokenError{Entry: c.base, Err: err}
+	}
+	return &Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: answer}, nil
 }
 
+// Base is the entry's base URL.
+func (c *Client) Base() string { return c.base }
+
 // failure tells a request that never left from one that may have run.
 func (c *Client) failure(err error, sent bool) error {
 	if !sent {
@@ -136,18 +160,14 @@
 }
 
 // read decodes an answer or a problem.
-func (c *Client) read(resp *http.Response, into any) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return &BrokenError{Entry: c.base, Err: err}
-	}
-	if problem := problemOf(resp, body, into); problem != nil {
+func (c *Client) read(reply *Reply, into any) error {
+	if problem := problemOf(reply, into); problem != nil {
 		return &ProblemError{Entry: c.base, Problem: *problem}
 	}
 	if into == nil {
 		return nil
 	}
-	if err := json.Unmarshal(body, into); err != nil {
+	if err := json.Unmarshal(reply.Body, into); err != nil {
 		return &BrokenError{Entry: c.base, Err: err}
 	}
 	if answer, ok := into.(*callerapi.Answer); ok && answer.Outcome == "" {
@@ -161,17 +181,17 @@
 
 // problemOf returns the problem that a response states, or nil. An answer to a
 // query may come with any status.
-func problemOf(resp *http.Response, body []byte, into any) *callerapi.Problem {
-	problem := &callerapi.Problem{Status: resp.StatusCode, Title: http.StatusText(resp.StatusCode)}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), contentProblem) {
-		if err := json.Unmarshal(body, problem); err == nil {
+func problemOf(reply *Reply, into any) *callerapi.Problem {
+	problem := &callerapi.Problem{Status: reply.Status, Title: http.StatusText(reply.Status)}
+	if strings.HasPrefix(reply.ContentType, contentProblem) {
+		if err := json.Unmarshal(reply.Body, problem); err == nil {
 			return problem
 		}
 		problem.Detail = "the entry's explanation can't be read"
 		return problem
 	}
 	_, isQuery := into.(*callerapi.Answer)
-	if resp.StatusCode >= http.StatusBadRequest && !isQuery {
+	if reply.Status >= http.StatusBadRequest && !isQuery {
 		return problem
 	}
 	return nil
