Write each log record as one line

A refused document's faults, or any error with line breaks, went over several lines of the log, and text from outside could look like a record of its own. Seen failing without the change. Lines of the ledger's logger, which is the library's own, are not covered.

--- a/entry/telemetry/log.go
+++ b/entry/telemetry/log.go
@@ -7,7 +7,10 @@
 	"bytes"
 	"fmt"
 	"io"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -118,13 +121,42 @@
 			continue
 		}
 		if r.decision.What == "" {
-			w.part(r.part).Log(r.level, r.msg, r.pairs...)
+			w.part(r.part).Log(r.level, r.msg, oneLine(r.pairs)...)
 			continue
 		}
 		w.part(r.decision.Part).Log(r.level, r.decision.What, r.decision.pairs()...)
 	}
 }
 
+// lineBreaks joins the lines of a value, such as a list of faults. A record is
+// one line, whatever an error or another program's answer holds.
+var lineBreaks = regexp.MustCompile(`\s*[\r\n]+\s*`)
+
+// oneLine takes the line breaks out of keys and values. The slice is the
+// caller's and stays as it is.
+func oneLine(pairs []any) []any {
+	out := pairs
+	for i, p := range pairs {
+		var text string
+		switch p := p.(type) {
+		case string:
+			text = p
+		case error:
+			text = p.Error()
+		case fmt.Stringer:
+			text = p.String()
+		}
+		if !strings.ContainsAny(text, "\r\n") {
+			continue
+		}
+		if &out[0] == &pairs[0] {
+			out = slices.Clone(pairs)
+		}
+		out[i] = lineBreaks.ReplaceAllString(strings.TrimSpace(text), "; ")
+	}
+	return out
+}
+
 // pairs lists the fields that are set.
 func (d *Decision) pairs() []any {
 	out := make([]any, 0, 10)
--- a/entry/telemetry/log_test.go
+++ b/entry/telemetry/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"strings"
 	"sync"
@@ -102,3 +103,54 @@
 	}
 	b.ReportMetric(float64(l.Dropped())/float64(b.N), "drops/op")
 }
+
+// TestLevelBoundsLines checks that neither parts nor decisions write below the level.
+func TestLevelBoundsLines(t *testing.T) {
+	for _, tc := range []struct {
+		level string
+		want  string
+	}{
+		{"debug", "DEBU node: d|INFO node: i|WARN node: w|INFO query: answer query=7|"},
+		{"info", "INFO node: i|WARN node: w|INFO query: answer query=7|"},
+		{"warn", "WARN node: w|"},
+	} {
+		var sink bytes.Buffer
+		l, err := NewLog(&sink, Options{Level: tc.level, Decisions: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		p := l.Part("node")
+		p.Debug("d")
+		p.Info("i")
+		p.Warn("w")
+		l.Decide(Decision{Part: "query", What: "answer", Query: 7})
+		if l.DecisionsOn() != strings.Contains(tc.want, "answer") {
+			t.Errorf("level %s: decisions on is %v", tc.level, l.DecisionsOn())
+		}
+		l.Close()
+		var got strings.Builder
+		for line := range strings.Lines(sink.String()) {
+			_, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
+			got.WriteString(rest + "|")
+		}
+		if got.String() != tc.want {
+			t.Errorf("level %s: got %q, want %q", tc.level, got.String(), tc.want)
+		}
+	}
+}
+
+// TestRecordIsOneLine logs values with line breaks, as an error or a string.
+func TestRecordIsOneLine(t *testing.T) {
+	var sink bytes.Buffer
+	l, err := NewLog(&sink, Options{Level: "info"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Part("control").Error("refused", "err", errors.New("invalid document: a\n  b\r\n  c\n"), "reason", "x\n2000-01-01 INFO node: forged", "generation", 3)
+	l.Close()
+	_, got, _ := strings.Cut(sink.String(), " ")
+	want := `ERRO control: refused err="invalid document: a; b; c" reason="x; 2000-01-01 INFO node: forged" generation=3` + "\n"
+	if got != want {
+		t.Errorf("got  %swant %s", got, want)
+	}
+}
