--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
@@ -22,10 +23,10 @@
 // the request provably ran nowhere.
 func (e *Executor) Execute(ctx context.Context, req *Request) (*Response, error) {
 	e.inFlight.Add(1)
-	e.running.Add(1)
 	defer e.inFlight.Done()
+	running := e.running.Add(1)
 	defer e.running.Add(-1)
-	resp, err := e.execute(ctx, req)
+	resp, err := e.bounded(ctx, req, running)
 	meter := e.service(req.Service).metrics
 	if err != nil {
 		meter.Observe(refusedLabel, time.Since(req.Start))
@@ -35,6 +36,17 @@
 	return resp, nil
 }
 
+// bounded refuses a query beyond the most that may be in progress.
+func (e *Executor) bounded(ctx context.Context, req *Request, running int64) (*Response, error) {
+	if e.config.MaxQueries > 0 && running > int64(e.config.MaxQueries) {
+		return nil, refuse(RefusedOverloaded, jitter(leastRetryAfter), "too many queries are in progress at this instance")
+	}
+	return e.execute(ctx, req)
+}
+
+// jitter spreads callers that come back: between one and two times d.
+func jitter(d time.Duration) time.Duration { return d + rand.N(d) }
+
 // execute claims the key of a non-idempotent request before anything else.
 func (e *Executor) execute(ctx context.Context, req *Request) (*Response, error) {
 	if req.Service.Config.Idempotent {
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -55,6 +55,10 @@
 	Seed uint64
 	// FleetKey is the entries' shared secret; fingerprints are keyed by it.
 	FleetKey []byte
+	// MaxQueries is the most queries in progress at once; 0 sets no bound.
+	MaxQueries int
+	// MaxQueue is the most attempts that wait per shard; 0 sets no bound but time.
+	MaxQueue int
 	// Ledger claims the keys of non-idempotent requests.
 	Ledger Ledger
 }
--- a/entry/executor/executor_test.go
+++ b/entry/executor/executor_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -371,3 +372,27 @@
 		}
 	})
 }
+
+// TestQueriesInProgressAreBounded sends more at once than may be in progress.
+func TestQueriesInProgressAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1)
+		defer b.close()
+		b.executor.config.MaxQueries = 3
+		var refusals atomic.Int64
+		var wg sync.WaitGroup
+		for range 5 {
+			wg.Go(func() {
+				_, err := b.ask(t.Context(), "ask")
+				var refused *RefusedError
+				if errors.As(err, &refused) && refused.Reason == RefusedOverloaded && refused.RetryAfter > 0 {
+					refusals.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		if n := refusals.Load(); n != 2 {
+			t.Errorf("%d refused of 5, want 2", n)
+		}
+	})
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -60,7 +60,7 @@
 
 // New assembles a node. It does no I/O but opening the log.
 func New(s *settings.Settings, logSink io.Writer) (*Node, error) {
-	log, err := telemetry.NewLog(logSink, telemetry.Options{Level: s.Log.Level, JSON: s.Log.Format == "json", Decisions: true})
+	log, err := telemetry.NewLog(logSink, telemetry.Options{Level: s.Log.Level, Format: s.Log.Format, Decisions: true})
 	if err != nil {
 		return nil, err
 	}
@@ -89,6 +89,7 @@
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, Sightings: n.control, Log: n.log, Metrics: n.metrics, Policies: policies(s.Policy),
 		Zone: s.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: s.Peer.Key, Ledger: n.ledger,
+		MaxQueries: s.Limits.Queries, MaxQueue: s.Limits.Queue,
 	})
 	n.prober = probe.New(probe.Config{Leaves: n.leaves, Learner: n.executor, View: n.View, Warmed: func() { n.warmed.Store(true) }})
 	if err := n.newServers(); err != nil {
--- a/entry/telemetry/log.go
+++ b/entry/telemetry/log.go
@@ -38,11 +38,16 @@
 // Options say how logs are written.
 type Options struct {
 	Level string // debug, info, warn, error
-	JSON  bool
+	// Format is "text", "logfmt" or "json".
+	Format string
 	// Decisions turns the lines of routing and placement decisions on.
 	Decisions bool
 }
 
+// formatters are the library's, by the names of Options.Format; text is the
+// default.
+var formatters = map[string]log.Formatter{"text": log.TextFormatter, "logfmt": log.LogfmtFormatter, "json": log.JSONFormatter}
+
 // Log is the queued logger. Close it to flush.
 type Log struct {
 	queue     chan record
@@ -50,7 +55,7 @@
 	drops     atomic.Int64
 	decisions bool
 	level     log.Level
-	json      bool
+	formatter log.Formatter
 	closeOnce sync.Once
 	mu        sync.RWMutex
 	closed    bool
@@ -73,7 +78,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: %w", o.Level, err)
 	}
-	l := &Log{queue: make(chan record, queueLength), done: make(chan struct{}), decisions: o.Decisions, level: level, json: o.JSON}
+	l := &Log{queue: make(chan record, queueLength), done: make(chan struct{}), decisions: o.Decisions, level: level, formatter: formatters[o.Format]}
 	go l.write(newWriter(sink, o, level))
 	return l, nil
 }
@@ -89,12 +94,8 @@
 // newWriter makes the library's logger; its clock is the record's own time.
 func newWriter(sink io.Writer, o Options, level log.Level) *writer {
 	w := &writer{sink: sink, parts: make(map[string]*log.Logger)}
-	formatter := log.TextFormatter
-	if o.JSON {
-		formatter = log.JSONFormatter
-	}
 	w.base = log.NewWithOptions(sink, log.Options{
-		Level: level, Formatter: formatter, ReportTimestamp: true,
+		Level: level, Formatter: formatters[o.Format], ReportTimestamp: true,
 		TimeFormat:   timeFormat,
 		TimeFunction: func(time.Time) time.Time { return w.now },
 	})
@@ -217,11 +218,7 @@
 // Logger returns a logger of the library for a part that wants one. Its lines
 // are formatted by the caller's goroutine and queued like all others.
 func (l *Log) Logger(part string) *log.Logger {
-	formatter := log.TextFormatter
-	if l.json {
-		formatter = log.JSONFormatter
-	}
-	return log.NewWithOptions(lineQueue{l}, log.Options{Prefix: part, Level: l.level, Formatter: formatter, ReportTimestamp: true, TimeFormat: timeFormat})
+	return log.NewWithOptions(lineQueue{l}, log.Options{Prefix: part, Level: l.level, Formatter: l.formatter, ReportTimestamp: true, TimeFormat: timeFormat})
 }
 
 // lineQueue queues formatted lines.
--- a/kernel/dispatch/config.go
+++ b/kernel/dispatch/config.go
@@ -36,7 +36,9 @@
 	// Zone is this entry's availability zone.
 	Zone     string
 	Policies Policies
-	Seed     uint64
+	// Queue is the most attempts that wait per shard; 0 sets no bound but time.
+	Queue int
+	Seed  uint64
 }
 
 // ConfigError says which field of Config is wrong.
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -18,19 +18,20 @@
 
 // Machine dispatches the attempts of one upstream at one entry.
 type Machine struct {
-	upstream  string
-	zone      string
-	unbounded bool
-	newOrder  func() plugin.Order
-	newLimit  func() plugin.Limit
-	routing   plugin.Routing
-	leaves    map[string]*leaf
-	keys      int // next leaf key
-	byIndex   map[int]*leaf
-	shards    []*shard
-	weights   map[string]float64 // caller shares by name
-	running   map[Ticket]*attempt
-	waiting   map[Ticket]*attempt
+	queueBound int // most attempts that wait per shard; 0: no bound
+	upstream   string
+	zone       string
+	unbounded  bool
+	newOrder   func() plugin.Order
+	newLimit   func() plugin.Limit
+	routing    plugin.Routing
+	leaves     map[string]*leaf
+	keys       int // next leaf key
+	byIndex    map[int]*leaf
+	shards     []*shard
+	weights    map[string]float64 // caller shares by name
+	running    map[Ticket]*attempt
+	waiting    map[Ticket]*attempt
 	// stalled are the shards with waiting work and none running.
 	stalled []*shard
 	times   times
@@ -90,7 +91,7 @@
 		m.refuse(ev.Ticket, query.ReasonDeadline, m.drainTime(s))
 		return
 	}
-	if !m.fits(a, now) {
+	if m.full(s) || !m.fits(a, now) {
 		m.refuse(ev.Ticket, query.ReasonOverloaded, m.drainTime(s))
 		return
 	}
@@ -102,6 +103,11 @@
 	}
 }
 
+// full reports whether the shard's queue has reached its bound.
+func (m *Machine) full(s *shard) bool {
+	return m.queueBound > 0 && s.queue.length >= m.queueBound
+}
+
 // setAvoid turns view indexes into leaves. A retry that would avoid every leaf
 // avoids none: its earlier attempts provably did not run.
 func (m *Machine) setAvoid(a *attempt, ev Offered) {
