--- a/cmd/fuchsiaroad/pages_test.go
+++ b/cmd/fuchsiaroad/pages_test.go
@@ -187,6 +187,21 @@
 	}
 }
 
+// TestDesignNotesAreListed compares the index with the folder.
+func TestDesignNotesAreListed(t *testing.T) {
+	found, err := filepath.Glob(filepath.Join(root, "docs/design/*.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var notes []string
+	for _, path := range found {
+		if name := filepath.Base(path); name != "README.md" {
+			notes = append(notes, name)
+		}
+	}
+	same(t, "design notes", notes, matches(`(?m)^\| \[([a-z-]+\.md)\]`, read(t, "docs/design/README.md")))
+}
+
 // TestExamplesAreGood checks the files that the README's first query uses.
 func TestExamplesAreGood(t *testing.T) {
 	if _, err := codec.Parse([]byte(read(t, "docs/examples/titles.toml"))); err != nil {
