Show entries that are not heard in config status

The table listed only instances that were heard, so one that was cut off, or had another peer key, was missing from the list and the list looked complete. The console had it already. Seen failing with the old command: no line for entry-3.

--- a/cmd/fuchsiactl/config_apply.go
+++ b/cmd/fuchsiactl/config_apply.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
 	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/entryclient"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/operators"
 )
@@ -120,22 +121,40 @@
 		Short: "Show the generation in force per instance",
 		Long: `Status shows the generation in force at each instance as the entry last heard it,
 and how long ago. HIGHEST is no for an instance that is behind the highest
-generation known.`,
+generation known. Entries of the platform's list that the entry does not hear are
+listed in the table as unknown.`,
 		Args: usageArgs(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			status := &callerapi.ConfigStatus{}
 			if err := o.exchange(cmd.Context(), http.MethodGet, callerapi.PathConfigStatus, nil, status); err != nil {
 				return err
 			}
-			t := &table{header: []string{"INSTANCE", "GENERATION", "HIGHEST", "HASH", "HEARD"}}
-			for _, i := range status.Instances {
-				t.add(i.Instance, generationCell(i.Generation), yesNo(i.Generation >= status.Highest), shortHash(i.Hash), milliseconds(i.AgeMS)+" ago")
+			list := &platformapi.Instances{}
+			if err := o.exchange(cmd.Context(), http.MethodGet, callerapi.PathInstances, nil, list); err != nil {
+				return err
 			}
-			return o.print(cmd.OutOrStdout(), status, t)
+			return o.print(cmd.OutOrStdout(), status, statusTable(status, list.Instances))
 		},
 	}
 }
 
+// statusTable lists the instances that were heard, then the entries of the
+// platform's list that were not.
+func statusTable(status *callerapi.ConfigStatus, list []platformapi.Instance) *table {
+	t := &table{header: []string{"INSTANCE", "GENERATION", "HIGHEST", "HASH", "HEARD"}}
+	heard := map[string]bool{}
+	for _, i := range status.Instances {
+		heard[i.Instance] = true
+		t.add(i.Instance, generationCell(i.Generation), yesNo(i.Generation >= status.Highest), shortHash(i.Hash), milliseconds(i.AgeMS)+" ago")
+	}
+	for _, i := range list {
+		if i.Role == platformapi.RoleEntry && !heard[i.ID] {
+			t.add(i.ID, "unknown", "unknown", "unknown", "no")
+		}
+	}
+	return t
+}
+
 // generationCell writes a generation; 0 is none.
 func generationCell(n uint64) string {
 	if n == 0 {
--- a/cmd/fuchsiactl/config_test.go
+++ b/cmd/fuchsiactl/config_test.go
@@ -15,6 +15,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
 	"github.com/fuchsiaroad/fuchsiaroad/config/codec"
 	"github.com/fuchsiaroad/fuchsiaroad/config/samples"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/operators"
@@ -116,6 +117,9 @@
 				{Instance: "entry-1", Generation: testGeneration - 1, Hash: "", AgeMS: 1500},
 				{Instance: "entry-2", Generation: 0, AgeMS: 250},
 			}}
+			c.List = []platformapi.Instance{
+				{ID: "entry-1", Role: platformapi.RoleEntry}, {ID: "entry-3", Role: platformapi.RoleEntry}, {ID: "leaf-0", Role: platformapi.RoleLeaf},
+			}
 			got := runConfig(testEntry(t, c, tc.output), tc.stdin, strings.Fields(tc.args)...)
 			goldie.New(t, goldie.WithFixtureDir("testdata/config")).Assert(t, tc.name, []byte(got.String()))
 		})
