--- a/bench/overhead/main.go
+++ b/bench/overhead/main.go
@@ -1,6 +1,7 @@
 // Command overhead measures what the tier adds to a query: the same fan-out is
-// sent straight to the leaves and through one entry, in turns, in one run, by
-// separate processes on the loopback address.
+// sent straight to the leaves, through one entry, and through one entry with a
+// canary before the fan-out, in turns, in one run, by separate processes on the
+// loopback address.
 //
 //	go build -o bin/ ./cmd/fuchsiaroad ./cmd/fuchsiactl
 //	go run ./bench/overhead --bin bin
@@ -86,11 +87,26 @@
 	return samples.Generate(samples.Sizes{
 		Site: "overhead", Zones: []string{"zone-a"}, BasePort: port,
 		Upstreams: []samples.UpstreamSizes{{Name: "data", Shards: o.shards, Replicas: 2, Slots: 8, ConnectionLimit: 64, DialCost: 0}},
-		Services:  []document.Service{{Name: "ask", Upstreams: []string{"data"}, Deadline: 2 * time.Second, Idempotent: true, HedgeQuantile: 0.95, RetryBudget: 0.1}},
-		Callers:   []document.Caller{{Name: caller, TokenSHA256: samples.TokenSHA256(caller), Share: 1, Services: []string{"ask"}, Operator: true}},
+		Services:  []document.Service{service(askPlain, 0), service(askCanary, 1)},
+		Callers:   []document.Caller{{Name: caller, TokenSHA256: samples.TokenSHA256(caller), Share: 1, Services: []string{askPlain, askCanary}, Operator: true}},
 	})
 }
 
+// The services: the same fan-out without and with a canary before it.
+const (
+	askPlain  = "ask"
+	askCanary = "ask-canary"
+)
+
+// service is a query service whose unknown queries run a canary above so many
+// shards; 0 means never.
+func service(name string, canaryAbove int) document.Service {
+	return document.Service{
+		Name: name, Upstreams: []string{"data"}, Deadline: 2 * time.Second, Idempotent: true,
+		HedgeQuantile: 0.95, RetryBudget: 0.1, CanaryAbove: canaryAbove,
+	}
+}
+
 // measurer sends queries both ways and keeps their times.
 type measurer struct {
 	leaves *leafclient.Client
@@ -98,9 +114,10 @@
 	entry  *site.Entry
 	shards []document.Shard
 
-	mu          sync.Mutex
-	direct, via *hdrhistogram.Histogram
-	failed      int
+	mu     sync.Mutex
+	direct *hdrhistogram.Histogram
+	via    map[string]*hdrhistogram.Histogram // by service
+	failed int
 }
 
 func newMeasurer(doc *document.Document, e *site.Entry) *measurer {
@@ -116,7 +133,8 @@
 func histogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
 
 func (m *measurer) reset() {
-	m.direct, m.via, m.failed = histogram(), histogram(), 0
+	m.direct, m.failed = histogram(), 0
+	m.via = map[string]*hdrhistogram.Histogram{askPlain: histogram(), askCanary: histogram()}
 }
 
 // both sends n queries each way, in turns, by so many workers.
@@ -126,7 +144,9 @@
 		wg.Go(func() {
 			for i := w; i < n; i += workers {
 				m.timed(m.direct, m.askLeaves, i)
-				m.timed(m.via, m.askEntry, i)
+				for _, name := range []string{askPlain, askCanary} {
+					m.timed(m.via[name], func(i int) error { return m.askEntry(name, i) }, i)
+				}
 			}
 		})
 	}
@@ -169,9 +189,11 @@
 	return first
 }
 
-// askEntry sends the query through the entry.
-func (m *measurer) askEntry(int) error {
-	req, err := http.NewRequest(http.MethodPost, m.entry.URL()+"/v1/services/ask/query", strings.NewReader("q"))
+// askEntry sends the query through the entry. No body is sent twice, so that
+// none is known.
+func (m *measurer) askEntry(service string, i int) error {
+	body := fmt.Sprintf("q-%d-%d", i, time.Now().UnixNano())
+	req, err := http.NewRequest(http.MethodPost, m.entry.URL()+"/v1/services/"+service+"/query", strings.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -193,21 +215,19 @@
 // print writes the table.
 func (m *measurer) print(o options) error {
 	fmt.Printf("shards %d, workers %d, service %d us, queries %d each way, failed %d\n", o.shards, o.workers, o.meanUS, o.queries, m.failed)
-	fmt.Printf("%-8s %8s %8s %8s %8s\n", "us", "p50", "p90", "p99", "p99.9")
-	for _, row := range []struct {
-		name string
-		h    *hdrhistogram.Histogram
-	}{{"direct", m.direct}, {"entry", m.via}} {
-		fmt.Printf("%-8s %8d %8d %8d %8d\n", row.name, row.h.ValueAtQuantile(50), row.h.ValueAtQuantile(90), row.h.ValueAtQuantile(99), row.h.ValueAtQuantile(99.9))
-	}
-	fmt.Printf("%-8s %8d %8d %8d %8d\n", "added", m.added(50), m.added(90), m.added(99), m.added(99.9))
+	fmt.Printf("%-12s %8s %8s %8s %8s\n", "us", "p50", "p90", "p99", "p99.9")
+	printRow("direct", m.direct.ValueAtQuantile)
+	for _, name := range []string{askPlain, askCanary} {
+		printRow(name, m.via[name].ValueAtQuantile)
+		printRow("  added", func(q float64) int64 { return m.via[name].ValueAtQuantile(q) - m.direct.ValueAtQuantile(q) })
+	}
 	if m.failed > 0 {
 		return fmt.Errorf("%d queries failed", m.failed)
 	}
 	return nil
 }
 
-// added is the difference of one quantile.
-func (m *measurer) added(q float64) int64 {
-	return m.via.ValueAtQuantile(q) - m.direct.ValueAtQuantile(q)
+// printRow prints the value of each quantile.
+func printRow(name string, value func(q float64) int64) {
+	fmt.Printf("%-12s %8d %8d %8d %8d\n", name, value(50), value(90), value(99), value(99.9))
 }
