--- a/cmd/fuchsiaroad/check.go
+++ b/cmd/fuchsiaroad/check.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 
 	"github.com/spf13/cobra"
 
@@ -33,13 +35,19 @@
 // settingsFlag adds the one flag of serve and check.
 func settingsFlag(cmd *cobra.Command, path *string) {
 	cmd.Flags().StringVar(path, "settings", "", "the instance's settings, a TOML `FILE`")
-	_ = cmd.MarkFlagRequired("settings") // fails only for an unknown flag
 	_ = cmd.MarkFlagFilename("settings", "toml")
 }
 
 // load reads settings and checks the names of policies.
 func load(path string) (*settings.Settings, error) {
+	if path == "" {
+		return nil, &usageError{errors.New("--settings: want the instance's settings file")}
+	}
 	s, err := settings.Load(path)
+	var unread *fs.PathError
+	if errors.As(err, &unread) {
+		return nil, &usageError{err}
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/fuchsiaroad/root.go
+++ b/cmd/fuchsiaroad/root.go
@@ -28,10 +28,13 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.Execute()
+	command, err := root.ExecuteC()
 	if err == nil {
 		return exitOK
 	}
+	if command == root && !errors.As(err, new(*usageError)) {
+		err = &usageError{err} // an unknown command
+	}
 	fmt.Fprintln(stderr, "fuchsiaroad:", err)
 	var faults *fault.List
 	var usage *usageError
