--- a/cmd/fuchsiaroad/pages_test.go
+++ b/cmd/fuchsiaroad/pages_test.go
@@ -82,8 +82,17 @@
 	for _, name := range matches(instrument, sources(t, "entry/telemetry")) {
 		code = append(code, "fuchsiaroad_"+name)
 	}
-	for _, name := range matches(instrument, read(t, "entry/node/meter.go")) {
-		code = append(code, "fuchsiaroad_platform_"+name)
+	// Each meter of the node has a scope of its own, named in node.go.
+	node := sources(t, "entry/node")
+	for _, scope := range regexp.MustCompile(`(\w+Meter)\{\w+\.metrics\.Scope\.SubScope\("([a-z_]+)"\)`).FindAllStringSubmatch(node, -1) {
+		for _, method := range strings.Split(node, "\nfunc ") {
+			if !strings.HasPrefix(method, "(m "+scope[1]+")") {
+				continue
+			}
+			for _, name := range matches(instrument, method) {
+				code = append(code, "fuchsiaroad_"+scope[2]+"_"+name)
+			}
+		}
 	}
 	same(t, "metrics", code, matches("`?(fuchsiaroad_[a-z_]+)", read(t, "docs/OPERATIONS.md")))
 }
@@ -178,6 +187,21 @@
 	}
 }
 
+// TestDesignNotesAreListed compares the index with the folder.
+func TestDesignNotesAreListed(t *testing.T) {
+	found, err := filepath.Glob(filepath.Join(root, "docs/design/*.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var notes []string
+	for _, path := range found {
+		if name := filepath.Base(path); name != "README.md" {
+			notes = append(notes, name)
+		}
+	}
+	same(t, "design notes", notes, matches(`(?m)^\| \[([a-z-]+\.md)\]`, read(t, "docs/design/README.md")))
+}
+
 // TestExamplesAreGood checks the files that the README's first query uses.
 func TestExamplesAreGood(t *testing.T) {
 	if _, err := codec.Parse([]byte(read(t, "docs/examples/titles.toml"))); err != nil {
--- a/entry/telemetry/log.go
+++ b/entry/telemetry/log.go
@@ -7,7 +7,10 @@
 	"bytes"
 	"fmt"
 	"io"
+	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,11 +38,16 @@
 // Options say how logs are written.
 type Options struct {
 	Level string // debug, info, warn, error
-	JSON  bool
+	// Format is "text", "logfmt" or "json".
+	Format string
 	// Decisions turns the lines of routing and placement decisions on.
 	Decisions bool
 }
 
+// formatters are the library's, by the names of Options.Format; text is the
+// default.
+var formatters = map[string]log.Formatter{"text": log.TextFormatter, "logfmt": log.LogfmtFormatter, "json": log.JSONFormatter}
+
 // Log is the queued logger. Close it to flush.
 type Log struct {
 	queue     chan record
@@ -47,7 +55,7 @@
 	drops     atomic.Int64
 	decisions bool
 	level     log.Level
-	json      bool
+	formatter log.Formatter
 	closeOnce sync.Once
 	mu        sync.RWMutex
 	closed    bool
@@ -70,7 +78,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: %w", o.Level, err)
 	}
-	l := &Log{queue: make(chan record, queueLength), done: make(chan struct{}), decisions: o.Decisions, level: level, json: o.JSON}
+	l := &Log{queue: make(chan record, queueLength), done: make(chan struct{}), decisions: o.Decisions, level: level, formatter: formatters[o.Format]}
 	go l.write(newWriter(sink, o, level))
 	return l, nil
 }
@@ -86,12 +94,8 @@
 // newWriter makes the library's logger; its clock is the record's own time.
 func newWriter(sink io.Writer, o Options, level log.Level) *writer {
 	w := &writer{sink: sink, parts: make(map[string]*log.Logger)}
-	formatter := log.TextFormatter
-	if o.JSON {
-		formatter = log.JSONFormatter
-	}
 	w.base = log.NewWithOptions(sink, log.Options{
-		Level: level, Formatter: formatter, ReportTimestamp: true,
+		Level: level, Formatter: formatters[o.Format], ReportTimestamp: true,
 		TimeFormat:   timeFormat,
 		TimeFunction: func(time.Time) time.Time { return w.now },
 	})
@@ -118,13 +122,42 @@
 			continue
 		}
 		if r.decision.What == "" {
-			w.part(r.part).Log(r.level, r.msg, r.pairs...)
+			w.part(r.part).Log(r.level, r.msg, oneLine(r.pairs)...)
 			continue
 		}
 		w.part(r.decision.Part).Log(r.level, r.decision.What, r.decision.pairs()...)
 	}
 }
 
+// lineBreaks joins the lines of a value, such as a list of faults. A record is
+// one line, whatever an error or another program's answer holds.
+var lineBreaks = regexp.MustCompile(`\s*[\r\n]+\s*`)
+
+// oneLine takes the line breaks out of keys and values. The slice is the
+// caller's and stays as it is.
+func oneLine(pairs []any) []any {
+	out := pairs
+	for i, p := range pairs {
+		var text string
+		switch p := p.(type) {
+		case string:
+			text = p
+		case error:
+			text = p.Error()
+		case fmt.Stringer:
+			text = p.String()
+		}
+		if !strings.ContainsAny(text, "\r\n") {
+			continue
+		}
+		if &out[0] == &pairs[0] {
+			out = slices.Clone(pairs)
+		}
+		out[i] = lineBreaks.ReplaceAllString(strings.TrimSpace(text), "; ")
+	}
+	return out
+}
+
 // pairs lists the fields that are set.
 func (d *Decision) pairs() []any {
 	out := make([]any, 0, 10)
@@ -185,11 +218,7 @@
 // Logger returns a logger of the library for a part that wants one. Its lines
 // are formatted by the caller's goroutine and queued like all others.
 func (l *Log) Logger(part string) *log.Logger {
-	formatter := log.TextFormatter
-	if l.json {
-		formatter = log.JSONFormatter
-	}
-	return log.NewWithOptions(lineQueue{l}, log.Options{Prefix: part, Level: l.level, Formatter: formatter, ReportTimestamp: true, TimeFormat: timeFormat})
+	return log.NewWithOptions(lineQueue{l}, log.Options{Prefix: part, Level: l.level, Formatter: l.formatter, ReportTimestamp: true, TimeFormat: timeFormat})
 }
 
 // lineQueue queues formatted lines.
