Call what a form edits a resource, and say what the tables are

"matter" is no term of the field; the log's key of a submitted document is now "kind". Doc comments for the tables of both files and their checks.

--- a/config/codec/format.go
+++ b/config/codec/format.go
@@ -35,6 +35,7 @@
 	return out
 }
 
+// formatUpstream writes an upstream, its shards by key and their leaves by id.
 func formatUpstream(b *strings.Builder, u *document.Upstream) {
 	b.WriteString("\n[[upstream]]\n")
 	fmt.Fprintf(b, "name = %s\n", quote(u.Name))
@@ -50,6 +51,7 @@
 	}
 }
 
+// formatService writes a service with all its keys, defaults too.
 func formatService(b *strings.Builder, s *document.Service) {
 	b.WriteString("\n[[service]]\n")
 	fmt.Fprintf(b, "name = %s\n", quote(s.Name))
@@ -65,6 +67,7 @@
 	fmt.Fprintf(b, "key_required = %t\n", s.KeyRequired)
 }
 
+// formatCaller writes a caller with all its keys, defaults too.
 func formatCaller(b *strings.Builder, c *document.Caller) {
 	b.WriteString("\n[[caller]]\n")
 	fmt.Fprintf(b, "name = %s\n", quote(c.Name))
--- a/config/codec/raw.go
+++ b/config/codec/raw.go
@@ -27,6 +27,7 @@
 	Callers   []rawCaller   `toml:"caller"`
 }
 
+// rawUpstream is an [[upstream]] table as it is written; nil means left out.
 type rawUpstream struct {
 	Name            string     `toml:"name"`
 	KeySpace        *int64     `toml:"key_space"`
@@ -36,17 +37,20 @@
 	Shards          []rawShard `toml:"shard"`
 }
 
+// rawShard is an [[upstream.shard]] table as it is written.
 type rawShard struct {
 	Range  string    `toml:"range"`
 	Leaves []rawLeaf `toml:"leaf"`
 }
 
+// rawLeaf is an [[upstream.shard.leaf]] table as it is written.
 type rawLeaf struct {
 	ID      string `toml:"id"`
 	Zone    string `toml:"zone"`
 	Address string `toml:"address"`
 }
 
+// rawService is a [[service]] table as it is written; nil means left out.
 type rawService struct {
 	Name          string   `toml:"name"`
 	Upstreams     []string `toml:"upstreams"`
@@ -61,6 +65,7 @@
 	KeyRequired   *bool    `toml:"key_required"`
 }
 
+// rawCaller is a [[caller]] table as it is written; nil means left out.
 type rawCaller struct {
 	Name        string   `toml:"name"`
 	TokenSHA256 string   `toml:"token_sha256"`
@@ -87,6 +92,7 @@
 	return doc
 }
 
+// convert fills in defaults and reads ranges; path names the table in faults.
 func (r *rawUpstream) convert(path string, list *fault.List) document.Upstream {
 	u := document.Upstream{
 		Name:            r.Name,
@@ -113,6 +119,8 @@
 	return u
 }
 
+// convert fills in defaults, some of which depend on whether the service is
+// idempotent, and reads durations; path names the table in faults.
 func (r *rawService) convert(path string, list *fault.List) document.Service {
 	hedge := DefaultHedgeBudget
 	if !r.Idempotent {
--- a/config/codec/validate.go
+++ b/config/codec/validate.go
@@ -96,6 +96,7 @@
 	}
 }
 
+// upstream checks the i-th upstream with its shards.
 func (c *checker) upstream(i int, u *document.Upstream) {
 	path := index("upstream", i)
 	c.unique(c.upstreams, u.Name, path+".name")
@@ -113,6 +114,8 @@
 	c.tiling(path, u)
 }
 
+// shard checks a shard's leaves. A leaf may stand in several shards of its own
+// upstream only.
 func (c *checker) shard(upstream int, path string, s *document.Shard) {
 	if len(s.Leaves) == 0 {
 		c.list.Addf(path+".leaf", "at least one is needed")
@@ -182,6 +185,7 @@
 	}
 }
 
+// service checks a service's references and bounds.
 func (c *checker) service(path string, s *document.Service) {
 	c.unique(c.services, s.Name, path+".name")
 	c.references(path+".upstreams", s.Upstreams, c.upstreams)
@@ -218,6 +222,8 @@
 	}
 }
 
+// callers checks all callers: names and tokens are unique, and one at least is an
+// operator.
 func (c *checker) callers(callers []document.Caller) {
 	names := make(map[string]bool)
 	tokens := make(map[string]bool)
--- a/config/settings/raw.go
+++ b/config/settings/raw.go
@@ -34,12 +34,14 @@
 	Policy   rawPolicy   `toml:"policy"`
 }
 
+// rawListen is the [listen] table as it is written.
 type rawListen struct {
 	Callers   string `toml:"callers"`
 	Peers     string `toml:"peers"`
 	Operators string `toml:"operators"`
 }
 
+// rawPlatform is the [platform] table as it is written.
 type rawPlatform struct {
 	Address   string `toml:"address"`
 	Token     string `toml:"token"`
@@ -48,12 +50,14 @@
 	CAFile    string `toml:"ca_file"`
 }
 
+// rawPeer is the [peer] table as it is written.
 type rawPeer struct {
 	Key     string   `toml:"key"`
 	KeyFile string   `toml:"key_file"`
 	Known   []string `toml:"known"`
 }
 
+// rawTLS is the [tls] table as it is written.
 type rawTLS struct {
 	CallersCert string `toml:"callers_cert"`
 	CallersKey  string `toml:"callers_key"`
@@ -62,6 +66,7 @@
 	PeersCA     string `toml:"peers_ca"`
 }
 
+// rawLimits is the [limits] table as it is written.
 type rawLimits struct {
 	BodyBytes   int64  `toml:"body_bytes"`
 	HeaderBytes int    `toml:"header_bytes"`
@@ -72,11 +77,13 @@
 	Queries     int    `toml:"queries"`
 }
 
+// rawLog is the [log] table as it is written.
 type rawLog struct {
 	Level  string `toml:"level"`
 	Format string `toml:"format"`
 }
 
+// rawPolicy is the [policy] table as it is written.
 type rawPolicy struct {
 	Routing    string `toml:"routing"`
 	Order      string `toml:"order"`
@@ -181,18 +188,21 @@
 	name(s.Policy.Placement, "policy.placement", list)
 }
 
+// name checks a name.
 func name(s, path string, list *fault.List) {
 	if !namePattern.MatchString(s) {
 		list.Addf(path, "%q must be 1 to 63 lower-case letters, digits, dots and hyphens", s)
 	}
 }
 
+// address checks an IP:port.
 func address(s, path string, list *fault.List) {
 	if _, err := netip.ParseAddrPort(s); err != nil {
 		list.Addf(path, "%q is not IP:port", s)
 	}
 }
 
+// platformURL checks the base of the platform's API.
 func platformURL(s string, list *fault.List) {
 	u, err := url.Parse(s)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
@@ -207,12 +217,14 @@
 	}
 }
 
+// between checks the bounds of a number, both included.
 func between(v, low, high int64, path string, list *fault.List) {
 	if v < low || v > high {
 		list.Addf(path, "%d must be from %d to %d", v, low, high)
 	}
 }
 
+// oneOf checks that a word is allowed.
 func oneOf(s, path string, list *fault.List, allowed ...string) {
 	if !slices.Contains(allowed, s) {
 		list.Addf(path, "%q must be one of %s", s, strings.Join(allowed, ", "))
--- a/entry/console/console.go
+++ b/entry/console/console.go
@@ -1,4 +1,4 @@
-// Package console serves the operators' console: one form for each matter of
+// Package console serves the operators' console: one form for each resource of
 // the configuration (site, upstream, service, caller). Every save produces the
 // whole validated document and takes the same path as the operators' API. The
 // pages need no script.
@@ -119,25 +119,25 @@
 	e.GET(pathDocument, c.getDocument, private...)
 	e.GET(pathQuarantine, c.getQuarantine, private...)
 	e.POST(pathQuarantine, c.postQuarantine, private...)
-	for _, m := range matters {
-		c.registerMatter(e, m, private)
+	for _, r := range resources {
+		c.registerResource(e, r, private)
 	}
 }
 
-// registerMatter adds the forms of one matter.
-func (c *Console) registerMatter(e *echo.Echo, m matter, private []echo.MiddlewareFunc) {
-	if m.kind() == kindSite {
-		e.GET(sitePath, c.getForm(m), private...)
-		e.POST(sitePath, c.postForm(m), private...)
+// registerResource adds the forms of one resource.
+func (c *Console) registerResource(e *echo.Echo, r resource, private []echo.MiddlewareFunc) {
+	if r.kind() == kindSite {
+		e.GET(sitePath, c.getForm(r), private...)
+		e.POST(sitePath, c.postForm(r), private...)
 		return
 	}
-	base := Root + m.kind()
-	e.GET(base+"/new", c.getForm(m), private...)
-	e.POST(base+"/new", c.postForm(m), private...)
-	e.GET(base+"/edit/:name", c.getForm(m), private...)
-	e.POST(base+"/edit/:name", c.postForm(m), private...)
-	e.GET(base+"/remove/:name", c.getRemoval(m), private...)
-	e.POST(base+"/remove/:name", c.postRemoval(m), private...)
+	base := Root + r.kind()
+	e.GET(base+"/new", c.getForm(r), private...)
+	e.POST(base+"/new", c.postForm(r), private...)
+	e.GET(base+"/edit/:name", c.getForm(r), private...)
+	e.POST(base+"/edit/:name", c.postForm(r), private...)
+	e.GET(base+"/remove/:name", c.getRemoval(r), private...)
+	e.POST(base+"/remove/:name", c.postRemoval(r), private...)
 }
 
 // cookieName is a cookie's name. The prefix makes browsers refuse a cookie of
--- a/entry/console/pages.go
+++ b/entry/console/pages.go
@@ -92,7 +92,7 @@
 	return v, nil
 }
 
-// overviewPage lists the matters of the document.
+// overviewPage lists the resources of the document.
 type overviewPage struct {
 	Hash      string
 	Site      string
--- a/entry/console/matter.go
+++ b/entry/console/resource.go
@@ -9,7 +9,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 )
 
-// Kinds of matters: the parts of their pages' paths and the keys of their
+// Kinds of resources: the parts of their pages' paths and the keys of their
 // tables in the document.
 const (
 	kindSite     = "site"
@@ -21,10 +21,10 @@
 // sitePath is the path of the site's form; there is one site.
 const sitePath = Root + kindSite
 
-// matter is a part of the document that has a form. The fields of a form are
+// resource is a part of the document that has a form. The fields of a form are
 // named as the document's keys. An item is known by its name; an empty name
 // stands for a new one.
-type matter interface {
+type resource interface {
 	kind() string
 	// values fills the form from the document, or with defaults for a new item.
 	// It reports whether there is such an item.
@@ -37,8 +37,8 @@
 	remove(doc *document.Document, name string) *document.Document
 }
 
-// matters are all there is a form for.
-var matters = []matter{siteMatter{}, upstreamMatter{}, serviceMatter{}, callerMatter{}}
+// resources are all there is a form for.
+var resources = []resource{siteResource{}, upstreamResource{}, serviceResource{}, callerResource{}}
 
 // edit is a changed copy of a document, in the order of its canonical form.
 type edit struct {
@@ -93,33 +93,33 @@
 // itemPath is the path of an item in the document.
 func itemPath(kind string, index int) string { return fmt.Sprintf("%s[%d]", kind, index) }
 
-// siteMatter is the name of the installation.
-type siteMatter struct{}
+// siteResource is the name of the installation.
+type siteResource struct{}
 
-func (siteMatter) kind() string { return kindSite }
+func (siteResource) kind() string { return kindSite }
 
-func (siteMatter) values(doc *document.Document, _ string) (url.Values, bool) {
+func (siteResource) values(doc *document.Document, _ string) (url.Values, bool) {
 	return url.Values{kindSite: {doc.Site}}, true
 }
 
-func (siteMatter) groups(_ *document.Document, values url.Values, _ string) []group {
+func (siteResource) groups(_ *document.Document, values url.Values, _ string) []group {
 	return []group{{"Site", []*field{text(values, kindSite, "Name", hintName)}}}
 }
 
-func (siteMatter) put(doc *document.Document, _ string, in *input) edit {
+func (siteResource) put(doc *document.Document, _ string, in *input) edit {
 	c := copyOf(doc)
 	c.Site = in.text(kindSite)
 	return edit{doc: c}
 }
 
-func (siteMatter) remove(doc *document.Document, _ string) *document.Document { return doc }
+func (siteResource) remove(doc *document.Document, _ string) *document.Document { return doc }
 
-// callerMatter is an authenticated user of services.
-type callerMatter struct{}
+// callerResource is an authenticated user of services.
+type callerResource struct{}
 
-func (callerMatter) kind() string { return kindCaller }
+func (callerResource) kind() string { return kindCaller }
 
-func (callerMatter) values(doc *document.Document, name string) (url.Values, bool) {
+func (callerResource) values(doc *document.Document, name string) (url.Values, bool) {
 	if name == "" {
 		return url.Values{"share": {"1"}}, true
 	}
@@ -134,7 +134,7 @@
 	return nil, false
 }
 
-func (callerMatter) groups(doc *document.Document, values url.Values, name string) []group {
+func (callerResource) groups(doc *document.Document, values url.Values, name string) []group {
 	return []group{
 		{"Caller", slices.Concat(nameField(values, name), []*field{
 			text(values, "token_sha256", "SHA-256 of the token", "64 lower-case hex digits, as printed by: printf %s TOKEN | sha256sum. The token itself is never kept or shown."),
@@ -147,7 +147,7 @@
 	}
 }
 
-func (callerMatter) put(doc *document.Document, name string, in *input) edit {
+func (callerResource) put(doc *document.Document, name string, in *input) edit {
 	c := copyOf(doc)
 	item := document.Caller{
 		Name:        itemName(name, in, callerNames(c)),
@@ -166,7 +166,7 @@
 	return edit{doc: c, prefix: itemPath(kindCaller, at)}
 }
 
-func (callerMatter) remove(doc *document.Document, name string) *document.Document {
+func (callerResource) remove(doc *document.Document, name string) *document.Document {
 	c := copyOf(doc)
 	c.Callers = slices.DeleteFunc(c.Callers, func(o document.Caller) bool { return o.Name == name })
 	return c
--- a/entry/console/save.go
+++ b/entry/console/save.go
@@ -22,21 +22,21 @@
 
 // submission is one form as it was sent.
 type submission struct {
-	matter  matter
-	name    string // empty for a new item
-	removal bool
-	action  string
-	opened  uint64 // the version that the form was opened with
-	values  url.Values
+	resource resource
+	name     string // empty for a new item
+	removal  bool
+	action   string
+	opened   uint64 // the version that the form was opened with
+	values   url.Values
 }
 
 // change applies the submission to a document.
 func (s *submission) change(doc *document.Document) (edit, fieldFaults) {
 	if s.removal {
-		return edit{doc: s.matter.remove(doc, s.name), prefix: noPrefix}, fieldFaults{}
+		return edit{doc: s.resource.remove(doc, s.name), prefix: noPrefix}, fieldFaults{}
 	}
 	in := newInput(s.values)
-	return s.matter.put(doc, s.name, in), in.faults
+	return s.resource.put(doc, s.name, in), in.faults
 }
 
 // noPrefix is a prefix that no path has: all faults are general.
@@ -44,9 +44,9 @@
 
 // page shows the submission's input over a document.
 func (s *submission) page(doc *document.Document) *formPage {
-	p := &formPage{Kind: s.matter.kind(), Name: s.name, Removal: s.removal, Action: s.action, IfVersion: s.opened}
+	p := &formPage{Kind: s.resource.kind(), Name: s.name, Removal: s.removal, Action: s.action, IfVersion: s.opened}
 	if !s.removal {
-		p.Groups = s.matter.groups(doc, s.values, s.name)
+		p.Groups = s.resource.groups(doc, s.values, s.name)
 	}
 	return p
 }
@@ -55,39 +55,40 @@
 func (s *submission) title() string {
 	switch {
 	case s.removal:
-		return fmt.Sprintf("Remove %s %s", s.matter.kind(), s.name)
-	case s.matter.kind() == kindSite:
+		return fmt.Sprintf("Remove %s %s", s.resource.kind(), s.name)
+	case s.resource.kind() == kindSite:
 		return "Site"
 	case s.name == "":
-		return "New " + s.matter.kind()
+		return "New " + s.resource.kind()
 	}
-	return fmt.Sprintf("Edit %s %s", s.matter.kind(), s.name)
+	return fmt.Sprintf("Edit %s %s", s.resource.kind(), s.name)
 }
 
 // open starts a form at the version in force.
-func (c *Console) open(ctx echo.Context, m matter, removal bool) (*submission, operators.Version, error) {
+func (c *Console) open(ctx echo.Context, r resource, removal bool) (*submission, operators.Version, error) {
 	v, err := c.current()
 	if err != nil {
 		return nil, v, err
 	}
-	s := &submission{matter: m, name: ctx.Param("name"), removal: removal, action: ctx.Request().URL.EscapedPath(), opened: v.Base}
-	values, ok := m.values(v.Document, s.name)
+	s := &submission{resource: r, name: ctx.Param("name"), removal: removal, action: ctx.Request().URL.EscapedPath(), opened: v.Base}
+	values, ok := r.values(v.Document, s.name)
 	if !ok {
-		return nil, v, &Error{Status: http.StatusNotFound, Title: "Not found", Detail: fmt.Sprintf("There is no %s of this name in generation %d.", m.kind(), v.Generation)}
+		return nil, v, &Error{Status: http.StatusNotFound, Title: "Not found", Detail: fmt.Sprintf("There is no %s of this name in generation %d.", r.kind(), v.Generation)}
 	}
 	s.values = values
 	return s, v, nil
 }
 
 // getForm shows a form.
-func (c *Console) getForm(m matter) echo.HandlerFunc { return c.show(m, false) }
+func (c *Console) getForm(r resource) echo.HandlerFunc { return c.show(r, false) }
 
 // getRemoval asks whether to remove an item.
-func (c *Console) getRemoval(m matter) echo.HandlerFunc { return c.show(m, true) }
+func (c *Console) getRemoval(r resource) echo.HandlerFunc { return c.show(r, true) }
 
-func (c *Console) show(m matter, removal bool) echo.HandlerFunc {
+// show answers with the form, or with the question whether to remove.
+func (c *Console) show(r resource, removal bool) echo.HandlerFunc {
 	return func(ctx echo.Context) error {
-		s, v, err := c.open(ctx, m, removal)
+		s, v, err := c.open(ctx, r, removal)
 		if err != nil {
 			return err
 		}
@@ -96,18 +97,19 @@
 }
 
 // postForm saves a form.
-func (c *Console) postForm(m matter) echo.HandlerFunc { return c.take(m, false) }
+func (c *Console) postForm(r resource) echo.HandlerFunc { return c.take(r, false) }
 
 // postRemoval removes an item.
-func (c *Console) postRemoval(m matter) echo.HandlerFunc { return c.take(m, true) }
+func (c *Console) postRemoval(r resource) echo.HandlerFunc { return c.take(r, true) }
 
-func (c *Console) take(m matter, removal bool) echo.HandlerFunc {
+// take saves what was sent.
+func (c *Console) take(r resource, removal bool) echo.HandlerFunc {
 	return func(ctx echo.Context) error {
 		v, err := c.current()
 		if err != nil {
 			return err
 		}
-		s, err := received(ctx, m, removal)
+		s, err := received(ctx, r, removal)
 		if err != nil {
 			return err
 		}
@@ -116,7 +118,7 @@
 }
 
 // received reads what was sent.
-func received(ctx echo.Context, m matter, removal bool) (*submission, error) {
+func received(ctx echo.Context, r resource, removal bool) (*submission, error) {
 	values, err := ctx.FormParams()
 	if err != nil {
 		return nil, &Error{Status: http.StatusBadRequest, Title: "Unreadable form", Detail: "The form could not be read whole. Nothing was changed."}
@@ -125,7 +127,7 @@
 	if err != nil {
 		return nil, &Error{Status: http.StatusBadRequest, Title: "Unreadable form", Detail: "The form does not say with which version it was opened. Nothing was changed."}
 	}
-	return &submission{matter: m, name: ctx.Param("name"), removal: removal, action: ctx.Request().URL.EscapedPath(), opened: opened, values: values}, nil
+	return &submission{resource: r, name: ctx.Param("name"), removal: removal, action: ctx.Request().URL.EscapedPath(), opened: opened, values: values}, nil
 }
 
 // save makes the whole document of a submission and saves it on condition of
@@ -143,7 +145,7 @@
 		return c.invalid(ctx, s, v.Document, faults, general)
 	}
 	result := operators.Save(ctx.Request().Context(), c.config.Control, codec.Format(e.doc), s.opened)
-	c.config.Log.Info("document submitted", "matter", s.matter.kind(), "over", s.opened, "outcome", string(result.State), "generation", result.Generation)
+	c.config.Log.Info("document submitted", "kind", s.resource.kind(), "over", s.opened, "outcome", string(result.State), "generation", result.Generation)
 	switch result.State {
 	case operators.Accepted:
 		return ctx.Redirect(http.StatusSeeOther, c.savedPath(result.Generation))
--- a/entry/console/service.go
+++ b/entry/console/service.go
@@ -10,12 +10,12 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 )
 
-// serviceMatter is a query service.
-type serviceMatter struct{}
+// serviceResource is a query service.
+type serviceResource struct{}
 
-func (serviceMatter) kind() string { return kindService }
+func (serviceResource) kind() string { return kindService }
 
-func (serviceMatter) values(doc *document.Document, name string) (url.Values, bool) {
+func (serviceResource) values(doc *document.Document, name string) (url.Values, bool) {
 	if name == "" {
 		return url.Values{
 			"deadline": {"200ms"}, "least_coverage": {"0"}, "settle": {"0s"}, "hedge_budget": {"0"},
@@ -46,7 +46,7 @@
 	}
 }
 
-func (serviceMatter) groups(doc *document.Document, values url.Values, name string) []group {
+func (serviceResource) groups(doc *document.Document, values url.Values, name string) []group {
 	return []group{
 		{"Service", slices.Concat(nameField(values, name), []*field{
 			choices(values, "upstreams", "Upstreams", "The service asks all shards of each.", upstreamNames(doc)),
@@ -67,7 +67,7 @@
 	}
 }
 
-func (serviceMatter) put(doc *document.Document, name string, in *input) edit {
+func (serviceResource) put(doc *document.Document, name string, in *input) edit {
 	c := copyOf(doc)
 	item := document.Service{
 		Name:          itemName(name, in, serviceNames(c)),
@@ -87,7 +87,7 @@
 	return edit{doc: c, prefix: itemPath(kindService, at)}
 }
 
-func (serviceMatter) remove(doc *document.Document, name string) *document.Document {
+func (serviceResource) remove(doc *document.Document, name string) *document.Document {
 	c := copyOf(doc)
 	c.Services = slices.DeleteFunc(c.Services, func(s document.Service) bool { return s.Name == name })
 	return c
--- a/entry/console/upstream.go
+++ b/entry/console/upstream.go
@@ -12,12 +12,12 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
 )
 
-// upstreamMatter is a set of leaves that serve one key space.
-type upstreamMatter struct{}
+// upstreamResource is a set of leaves that serve one key space.
+type upstreamResource struct{}
 
-func (upstreamMatter) kind() string { return kindUpstream }
+func (upstreamResource) kind() string { return kindUpstream }
 
-func (upstreamMatter) values(doc *document.Document, name string) (url.Values, bool) {
+func (upstreamResource) values(doc *document.Document, name string) (url.Values, bool) {
 	if name == "" {
 		return url.Values{"key_space": {fmt.Sprint(codec.DefaultKeySpace)}, "dial_cost": {"0s"}}, true
 	}
@@ -35,7 +35,7 @@
 	return nil, false
 }
 
-func (upstreamMatter) groups(_ *document.Document, values url.Values, name string) []group {
+func (upstreamResource) groups(_ *document.Document, values url.Values, name string) []group {
 	return []group{
 		{"Upstream", slices.Concat(nameField(values, name), []*field{
 			text(values, "key_space", "Key space", "The number of keys; the shards cover them all, each once."),
@@ -51,7 +51,7 @@
 	}
 }
 
-func (upstreamMatter) put(doc *document.Document, name string, in *input) edit {
+func (upstreamResource) put(doc *document.Document, name string, in *input) edit {
 	c := copyOf(doc)
 	item := document.Upstream{
 		Name:            itemName(name, in, upstreamNames(c)),
@@ -67,7 +67,7 @@
 	return edit{doc: c, prefix: itemPath(kindUpstream, at), lines: lines}
 }
 
-func (upstreamMatter) remove(doc *document.Document, name string) *document.Document {
+func (upstreamResource) remove(doc *document.Document, name string) *document.Document {
 	c := copyOf(doc)
 	c.Upstreams = slices.DeleteFunc(c.Upstreams, func(u document.Upstream) bool { return u.Name == name })
 	return c
