--- a/standin/leaf/control.go
+++ b/standin/leaf/control.go
@@ -1,10 +1,11 @@
 package leaf
 
 import (
-	"encoding/json"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/fuchsiaroad/fuchsiaroad/standin/internal/control"
 )
 
 // Paths of a leaf's control interface, below "/control" on its own listener and
@@ -17,11 +18,6 @@
 	PathCrash    = "/crash"    // POST: crashes the leaf
 )
 
-// controlError is the answer to a wrong call.
-type controlError struct {
-	Error string `json:"error"`
-}
-
 // controlRoutes lays out the control paths on a leaf's own listener.
 func (s *Server) controlRoutes(g *echo.Group) {
 	self := func(echo.Context) *Server { return s }
@@ -35,7 +31,7 @@
 		return func(c echo.Context) error {
 			s := find(c)
 			if s == nil {
-				return c.JSON(http.StatusNotFound, controlError{Error: "no such leaf: " + c.Param("id")})
+				return c.JSON(http.StatusNotFound, control.Problem{Error: "no such leaf: " + c.Param("id")})
 			}
 			return f(s, c)
 		}
@@ -58,36 +54,10 @@
 
 // patchSettings changes the fields that the body names and keeps the rest.
 func (s *Server) patchSettings(c echo.Context) error {
-	settings := s.Settings()
-	if err := decode(c, &settings); err != nil {
-		return badRequest(c, err)
-	}
-	if err := s.SetSettings(settings); err != nil {
-		return badRequest(c, err)
-	}
-	return c.JSON(http.StatusOK, s.Settings())
+	return control.Patch(c, s.Settings, s.SetSettings)
 }
 
 // patchFaults changes the fields that the body names and keeps the rest.
 func (s *Server) patchFaults(c echo.Context) error {
-	faults := s.Faults()
-	if err := decode(c, &faults); err != nil {
-		return badRequest(c, err)
-	}
-	if err := s.SetFaults(faults); err != nil {
-		return badRequest(c, err)
-	}
-	return c.JSON(http.StatusOK, s.Faults())
-}
-
-// decode reads a JSON body over the values that dst has.
-func decode(c echo.Context, dst any) error {
-	decoder := json.NewDecoder(c.Request().Body)
-	decoder.DisallowUnknownFields()
-	return decoder.Decode(dst)
-}
-
-// badRequest answers 400 with the reason.
-func badRequest(c echo.Context, err error) error {
-	return c.JSON(http.StatusBadRequest, controlError{Error: err.Error()})
+	return control.Patch(c, s.Faults, s.SetFaults)
 }
--- a/standin/leaf/run.go
+++ b/standin/leaf/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/leafapi"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/internal/control"
 )
 
 // maxBody bounds a request's body, in bytes.
@@ -41,7 +42,7 @@
 func (s *Server) run(c echo.Context) error {
 	req, err := parseRequest(c.Request(), time.Now())
 	if err != nil {
-		return c.JSON(http.StatusBadRequest, controlError{Error: err.Error()})
+		return control.BadRequest(c, err)
 	}
 	life, ctx, cancel := s.contexts(c.Request().Context(), req)
 	defer cancel()
--- a/standin/platform/calls.go
+++ b/standin/platform/calls.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/internal/control"
 )
 
 // maxBody bounds the body of a write: a value of platformapi.MaxValue bytes in
@@ -166,11 +167,11 @@
 func (s *Server) put(c echo.Context) error {
 	ifVersion, err := ifVersion(c)
 	if err != nil {
-		return badRequest(c, err)
+		return control.BadRequest(c, err)
 	}
 	value, err := readValue(c)
 	if err != nil {
-		return badRequest(c, err)
+		return control.BadRequest(c, err)
 	}
 	s.mu.Lock()
 	object, written := s.store.put(c.Param("kind"), c.Param("name"), value, ifVersion)
@@ -187,7 +188,7 @@
 func (s *Server) remove(c echo.Context) error {
 	ifVersion, err := ifVersion(c)
 	if err != nil {
-		return badRequest(c, err)
+		return control.BadRequest(c, err)
 	}
 	s.mu.Lock()
 	object, removed := s.store.remove(c.Param("kind"), c.Param("name"), ifVersion)
@@ -235,11 +236,11 @@
 func (s *Server) watch(c echo.Context) error {
 	since, err := queryUint(c, "since")
 	if err != nil {
-		return badRequest(c, err)
+		return control.BadRequest(c, err)
 	}
 	wait, err := queryUint(c, "wait_ms")
 	if err != nil {
-		return badRequest(c, err)
+		return control.BadRequest(c, err)
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
@@ -280,11 +281,7 @@
 	s.waiting += n
 }
 
-// badRequest answers 400 with the reason.
-func badRequest(c echo.Context, err error) error {
-	return c.JSON(http.StatusBadRequest, controlError{Error: err.Error()})
-}
-
+// ifVersion reads the version that a write is conditional on.
 func ifVersion(c echo.Context) (uint64, error) {
 	if c.QueryParam("if_version") == "" {
 		return 0, &FieldError{Field: "if_version", Reason: "is missing"}
@@ -324,10 +321,3 @@
 	}
 	return object.Value, nil
 }
-
-// decode reads a JSON body over the values that dst has.
-func decode(c echo.Context, dst any) error {
-	decoder := json.NewDecoder(c.Request().Body)
-	decoder.DisallowUnknownFields()
-	return decoder.Decode(dst)
-}
--- a/standin/platform/control.go
+++ b/standin/platform/control.go
@@ -6,13 +6,9 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/internal/control"
 )
 
-// controlError is the answer to a wrong control call.
-type controlError struct {
-	Error string `json:"error"`
-}
-
 // controlRoutes lays out the control paths. They take no token and no fault
 // touches them.
 func (s *Server) controlRoutes(e *echo.Echo) {
@@ -35,20 +31,14 @@
 
 // patchFaults changes the fields that the body names and keeps the rest.
 func (s *Server) patchFaults(c echo.Context) error {
-	faults := s.Faults()
-	if err := decode(c, &faults); err != nil {
-		return badRequest(c, err)
-	}
-	if err := s.SetFaults(faults); err != nil {
-		return badRequest(c, err)
-	}
-	return c.JSON(http.StatusOK, s.Faults())
+	return control.Patch(c, s.Faults, s.SetFaults)
 }
 
+// putInstances replaces the list of instances.
 func (s *Server) putInstances(c echo.Context) error {
 	var list platformapi.Instances
-	if err := decode(c, &list); err != nil {
-		return badRequest(c, err)
+	if err := control.Decode(c, &list); err != nil {
+		return control.BadRequest(c, err)
 	}
 	s.SetInstances(list.Instances)
 	return c.NoContent(http.StatusNoContent)
