--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -45,6 +45,7 @@
 	"roll":              command(cmdRoll),
 	"drain":             command(cmdDrain),
 	"expect-drained":    command(cmdExpectDrained),
+	"expect-limits":     command(cmdExpectLimits),
 	"split-leaves":      command(cmdSplitLeaves),
 }
 
@@ -310,7 +311,11 @@
 	if len(args) == 0 {
 		return fmt.Errorf("usage: leaving ID [false]")
 	}
-	return w.site.SetLeaving(args[0], len(args) == 1)
+	if err := w.site.SetLeaving(args[0], len(args) == 1); err != nil {
+		return err
+	}
+	w.drains[args[0]] = time.Now()
+	return nil
 }
 
 // cmdSleep waits: sleep DURATION.
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -78,7 +78,7 @@
 }
 
 // cmdExpectDrained checks, by the leaf's own record, when it last began work
-// after it was told to drain, and that another leaf began work later than that
+// after it was told to drain or listed as leaving, and that another leaf began work later than that
 // bound: expect-drained LEAF OTHER within=3s.
 func cmdExpectDrained(w *world, ts *testscript.TestScript, args []string) error {
 	if len(args) != 3 {
@@ -94,7 +94,7 @@
 	}
 	since, ok := w.drains[args[0]]
 	if !ok {
-		return fmt.Errorf("%s does not drain", args[0])
+		return fmt.Errorf("%s is not leaving", args[0])
 	}
 	last, err := w.lastStart(args[0])
 	if err != nil {
@@ -104,9 +104,9 @@
 	if err != nil {
 		return err
 	}
-	ts.Logf("last start: %s %v, %s %v after the drain mark", args[0], last.Sub(since), args[1], other.Sub(since))
+	ts.Logf("last start: %s %v, %s %v after the mark", args[0], last.Sub(since), args[1], other.Sub(since))
 	if last.Sub(since) > within {
-		return fmt.Errorf("%s got new work %v after its drain mark", args[0], last.Sub(since))
+		return fmt.Errorf("%s got new work %v after its mark", args[0], last.Sub(since))
 	}
 	if other.Sub(since) <= within {
 		return fmt.Errorf("%s shows no work after %v: the load ended too early", args[1], within)
@@ -118,3 +118,21 @@
 	stats, err := w.site.LeafStats(id)
 	return stats.LastStarted, err
 }
+
+// cmdExpectLimits checks that no leaf was ever offered a connection over its
+// limit: expect-limits.
+func cmdExpectLimits(w *world, ts *testscript.TestScript, _ []string) error {
+	peak := 0
+	for _, id := range w.site.LeafIDs() {
+		stats, err := w.site.LeafStats(id)
+		if err != nil {
+			return err
+		}
+		if stats.Connections.Refused > 0 {
+			return fmt.Errorf("%s refused %d connections over its limit", id, stats.Connections.Refused)
+		}
+		peak = max(peak, stats.Connections.Peak)
+	}
+	ts.Logf("most connections at a leaf: %d", peak)
+	return nil
+}
