--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -4,6 +4,7 @@
 // it writes to results/NAME.json and NAME.md.
 //
 //	go run ./bench/capacity -set state
+//	go run ./bench/capacity -set spread
 //	go build -o bin/ ./cmd/fuchsiaroad ./cmd/fuchsiactl
 //	go run ./bench/capacity -set path -bin bin
 package main
@@ -29,7 +30,7 @@
 }
 
 func main() {
-	set := flag.String("set", "state", "what to measure: state (in this process) or path (a site of processes)")
+	set := flag.String("set", "state", "what to measure: state (in this process), spread (in virtual time) or path (a site of processes)")
 	out := flag.String("out", "bench/results", "folder for the results")
 	bin := flag.String("bin", "bin", "folder with the two programs, for path")
 	testing.Init()
@@ -47,10 +48,12 @@
 	switch set {
 	case "state":
 		series, err = measureState()
+	case "spread":
+		series = measureSpread()
 	case "path":
 		series, err = measurePath(bin)
 	default:
-		return fmt.Errorf("set %q is unknown, want state or path", set)
+		return fmt.Errorf("set %q is unknown, want state, spread or path", set)
 	}
 	if err != nil {
 		return err
--- a/bench/capacity/state.go
+++ b/bench/capacity/state.go
@@ -77,18 +77,18 @@
 	return func(n int) float64 {
 		copies := max(1, 10_000/n)
 		values := make([]T, copies)
-		before := heap()
+		before := inUse()
 		for i := range values {
 			values[i] = build(n)
 		}
-		after := heap()
+		after := inUse()
 		runtime.KeepAlive(values)
 		return float64(after-before) / float64(copies)
 	}
 }
 
-// heap is the bytes in use after a collection.
-func heap() uint64 {
+// inUse is the heap bytes in use after a collection.
+func inUse() uint64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
