--- a/kernel/ledger/bucket_test.go
+++ b/kernel/ledger/bucket_test.go
@@ -119,14 +119,21 @@
 	b := start(t, 1)
 	b.expect(b.claimOf(1, 1), Read{})
 	held := b.expect(ReadDone{Version: 5, Records: b.m.records}, Held{})[0].(Held)
-	if held.State != StateRunning || held.RetryAfter <= 0 {
-		t.Fatalf("got %+v, want running with a time to come back", held)
+	if held.State != StateRunning || held.RetryAfter < b.m.cfg.CombineDelay {
+		t.Fatalf("got %+v, want running, to come back when a result may be recorded", held)
 	}
-	b.later(2 * time.Second)
-	b.expect(b.claimOf(1, 2), Read{})
-	held = b.expect(ReadDone{Version: 5, Records: b.m.records}, Held{})[0].(Held)
-	if held.State != StateUnknown {
-		t.Fatalf("past the deadline: got %+v, want unknown", held)
+	deadline := time.UnixMilli(b.m.records[0].Deadline)
+	for i, row := range []struct{ past, want time.Duration }{
+		{time.Millisecond, b.m.recordTime() - time.Millisecond},
+		{b.m.recordTime() + time.Millisecond, 0}, // it will not be recorded any more
+	} {
+		past, want := row.past, row.want
+		b.now = deadline.Add(past)
+		b.expect(b.claimOf(1, 10+i), Read{})
+		held = b.expect(ReadDone{Version: 5, Records: b.m.records}, Held{})[0].(Held)
+		if held.State != StateUnknown || held.RetryAfter != want {
+			t.Fatalf("%v past the deadline: got %+v, want unknown, to come back in %v", past, held, want)
+		}
 	}
 }
 
--- a/kernel/ledger/claims.go
+++ b/kernel/ledger/claims.go
@@ -2,16 +2,8 @@
 
 import "time"
 
-// maxRunningRetry bounds how long a resend is told to wait for a request that
-// still runs.
-const maxRunningRetry = time.Second
-
-// leastRunningRetry is the least of that, and runningPart the part of the time
-// left that is waited.
-const (
-	leastRunningRetry = 100 * time.Millisecond
-	runningPart       = 8
-)
+// recordMargin is the time allowed for the write of a result.
+const recordMargin = 250 * time.Millisecond
 
 // fullRetryAfter is how long a caller is told to wait for a full bucket.
 const fullRetryAfter = 30 * time.Second
@@ -131,17 +123,16 @@
 	case rec.Done:
 		m.add(Held{ID: id, State: StateRecorded, Result: rec.Result})
 	case left > 0:
-		m.add(Held{ID: id, State: StateRunning, RetryAfter: runningRetry(left)})
+		m.add(Held{ID: id, State: StateRunning, RetryAfter: m.recordTime()})
 	default:
-		m.add(Held{ID: id, State: StateUnknown})
+		// What ended at its deadline may still be on its way to the store.
+		m.add(Held{ID: id, State: StateUnknown, RetryAfter: max(0, m.recordTime()+left)})
 	}
 }
 
-// runningRetry is when a resend may learn more of a request that has so much
-// time left: a part of that, since most requests end long before their deadline.
-func runningRetry(left time.Duration) time.Duration {
-	return min(max(left/runningPart, leastRunningRetry), maxRunningRetry)
-}
+// recordTime is how long a result may take from the end of its request until
+// the store holds it: the wait for a write to ride along with, and the write.
+func (m *Machine) recordTime() time.Duration { return m.cfg.CombineDelay + recordMargin }
 
 // drop ends a claim that will never be dispatched. If its record may be
 // stored, it is released in a later write.
