--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -158,7 +158,8 @@
 	return nil
 }
 
-// cmdLoad sends queries in the background: load start [senders=N] [service=S] | load stop.
+// cmdLoad sends queries in the background:
+// load start [senders=N] [service=S] [body=PREFIX] [same=yes] [pause=D] | load stop.
 func cmdLoad(w *world, _ *testscript.TestScript, args []string) error {
 	if len(args) == 1 && args[0] == "stop" {
 		w.stopLoad()
@@ -179,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	w.startLoad(senders, p.str("service", "ask"), p.str("body", "load"), pause)
+	w.startLoad(senders, loadOf{p.str("service", "ask"), p.str("body", "load"), p.str("same", "") != ""}, pause)
 	return nil
 }
 
--- a/scenarios/world_test.go
+++ b/scenarios/world_test.go
@@ -254,9 +254,27 @@
 	return append([]answer(nil), w.answers...)
 }
 
+// loadOf is what the senders of a load ask.
+type loadOf struct {
+	service, body string
+	same          bool // the same body again and again
+}
+
+// question is the body and key of a sender's n-th query.
+func (l loadOf) question(sender int, n int64) (body, key string) {
+	body = l.body
+	if !l.same {
+		body = fmt.Sprintf("%s-%d-%d", l.body, sender, n)
+	}
+	if l.service == "note" {
+		key = body
+	}
+	return body, key
+}
+
 // startLoad sends queries from several senders, round robin over the entries,
 // until stopLoad, as the balancer spreads them. A refused query isn't sent again.
-func (w *world) startLoad(senders int, service, prefix string, pause time.Duration) {
+func (w *world) startLoad(senders int, l loadOf, pause time.Duration) {
 	if w.stop == nil {
 		w.stop = make(chan struct{})
 	}
@@ -274,12 +292,8 @@
 				if len(entries) == 0 {
 					continue
 				}
-				key := ""
-				body := fmt.Sprintf("%s-%d-%d", prefix, s, n)
-				if service == "note" {
-					key = body
-				}
-				w.ask(entries[(s+int(n))%len(entries)], service, body, key)
+				body, key := l.question(s, n)
+				w.ask(entries[(s+int(n))%len(entries)], l.service, body, key)
 			}
 		})
 	}
