Bound the open connections to peers

Cause: a client kept one connection to every peer it ever met; at 256 nodes in one process dials failed at the limit of 20000 open files, and digests with them. A client now keeps the 32 used last. Seen failing without the bound (37 open).

--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,10 @@
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
 )
 
+// maxOpen bounds a client's connections, so that an entry of a large fleet does
+// not come to hold one to every peer.
+const maxOpen = 32
+
 // Target is a peer as the platform's list names it.
 type Target struct {
 	Instance string
@@ -32,6 +37,7 @@
 	config ClientConfig
 	mu     sync.Mutex
 	conns  map[Target]*jsonrpc2.Conn
+	used   []Target // of conns, the latest use last
 }
 
 // NewClient makes a client.
@@ -97,6 +103,9 @@
 func (c *Client) conn(ctx context.Context, t Target) (*jsonrpc2.Conn, error) {
 	c.mu.Lock()
 	conn := c.conns[t]
+	if conn != nil {
+		c.touch(t)
+	}
 	c.mu.Unlock()
 	if conn != nil {
 		return conn, nil
@@ -112,9 +121,31 @@
 		return other, nil
 	}
 	c.conns[t] = conn
+	c.touch(t)
+	c.evict()
 	return conn, nil
 }
 
+// touch notes a use of a connection.
+func (c *Client) touch(t Target) {
+	c.used = slices.DeleteFunc(c.used, func(o Target) bool { return o == t })
+	c.used = append(c.used, t)
+}
+
+// evict closes the connection that was not used for longest when too many are
+// open. A call on it, which would have to be slower than the calls to all
+// others since, fails like a call to a peer that went away.
+func (c *Client) evict() {
+	for len(c.conns) > maxOpen {
+		oldest := c.used[0]
+		c.used = c.used[1:]
+		if conn := c.conns[oldest]; conn != nil {
+			delete(c.conns, oldest)
+			_ = conn.Close()
+		}
+	}
+}
+
 // drop forgets a connection that failed.
 func (c *Client) drop(t Target, conn *jsonrpc2.Conn) {
 	c.mu.Lock()
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -184,3 +184,22 @@
 		}
 	})
 }
+
+func TestConnectionsAreBounded(t *testing.T) {
+	c := NewClient(ClientConfig{Instance: "client", Key: []byte("key")})
+	defer c.Close()
+	var targets []Target
+	for range maxOpen + 5 {
+		address, end := serve(t, "key")
+		defer end()
+		targets = append(targets, Target{Instance: "server", Address: address})
+	}
+	for _, target := range append(targets, targets[0]) {
+		if _, err := c.Digest(t.Context(), target, &peerapi.Digest{Instance: "client"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(c.conns) != maxOpen || c.conns[targets[1]] != nil || c.conns[targets[0]] == nil {
+		t.Errorf("%d connections are open, want the %d latest", len(c.conns), maxOpen)
+	}
+}
