Poll less while the watch works, warn of silent peers and bad renewals, bound a peer's word

The document is polled about every 6 s while the watch works (each second without), the list every 3 s: by arithmetic 3 and 4 KB/s. A wrong peer key and an unreadable new certificate left no log line; a faulty peer's level could overflow and its time last for ever. Seen failing first: the tests for polls and for the faulty peer, before the change.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,15 @@
 
 fmt:
 	gofmt -w $$(git ls-files '*.go')
+
+# Runs every fuzz target for FUZZ_TIME each; docs/FUZZING.md has the last report.
+FUZZ_TIME ?= 1m
+fuzz:
+	@grep -rl --include='*_test.go' 'func Fuzz' . | while read -r f; do \
+	  for t in $$(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\).*/\1/p' $$f); do \
+	    echo "$$t in $$(dirname $$f)"; go test ./$$(dirname $$f) -run xxx -fuzz "^$$t$$" -fuzztime $(FUZZ_TIME) -parallel 2 || exit 1; \
+	  done; done
+
+# The property tests with random seeds, and more of them.
+test-long:
+	FUCHSIAROAD_LONG=1 go test -count=1 work
--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -21,7 +21,7 @@
 	// peerTimeout bounds one call to a peer.
 	peerTimeout = time.Second
 	// listEvery is the time between reads of the list of instances.
-	listEvery = time.Second
+	listEvery = 3 * time.Second
 )
 
 // Control is the control goroutine's state and its entrances. Only methods
@@ -42,6 +42,7 @@
 	membershipAt time.Time
 	sequence     uint64
 	shares       shares
+	silent       map[string]bool // peers that did not answer the last time
 	nextSave     rollout.SaveID
 	waiters      map[rollout.SaveID]chan rollout.Outcome
 
@@ -62,6 +63,7 @@
 		closed:     make(chan struct{}),
 		waiters:    make(map[rollout.SaveID]chan rollout.Outcome),
 		shares:     newShares(),
+		silent:     make(map[string]bool),
 	}
 }
 
@@ -170,9 +172,11 @@
 		Rand: rand.New(rand.NewPCG(c.cfg.Seed, 2)),
 		Failed: func(err error, retryIn time.Duration) {
 			c.cfg.Log.Warn("watch of the configuration failed", "err", err, "retry_in", retryIn)
+			c.post(ctx, func(now time.Time) { c.watched(false, now) })
 		},
 	}
 	err := platform.Follow(ctx, c.cfg.Store, cfg, func(u platform.Update) {
+		c.post(ctx, func(now time.Time) { c.watched(true, now) })
 		for _, obj := range u.Objects {
 			c.sawObject(ctx, obj)
 		}
@@ -187,6 +191,13 @@
 	}
 }
 
+// watched tells the machine whether the watch works. A tick lets it plan its
+// next poll by that.
+func (c *Control) watched(works bool, now time.Time) {
+	c.rollout.SetWatched(works, now)
+	c.roll(rollout.Tick{})
+}
+
 // sawObject hands an object of a watch to the machine.
 func (c *Control) sawObject(ctx context.Context, obj platformapi.Object) {
 	if obj.Name != platformapi.NameConfig {
--- a/entry/control/members.go
+++ b/entry/control/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
@@ -57,6 +58,7 @@
 		keep = append(keep, targetOf(p))
 	}
 	c.cfg.Peers.Keep(keep)
+	c.forgetSilent(c.membership.Peers())
 }
 
 // sendDigest exchanges digests with a peer.
@@ -67,13 +69,39 @@
 		defer cancel()
 		reply, err := c.cfg.Peers.Digest(call, targetOf(p), d)
 		if err != nil {
-			c.post(ctx, func(time.Time) { c.member(membership.PeerFailed{Peer: p.Instance}) })
+			c.post(ctx, func(time.Time) { c.peerFailed(p.Instance, err) })
 			return
 		}
-		c.post(ctx, func(time.Time) { c.heard(reply) })
+		c.post(ctx, func(time.Time) { c.peerAnswered(p.Instance); c.heard(reply) })
 	})
 }
 
+// peerFailed notes a peer that did not answer, and tells operators once.
+func (c *Control) peerFailed(instance string, err error) {
+	if !c.silent[instance] {
+		c.silent[instance] = true
+		c.cfg.Log.Warn("peer does not answer", "peer", instance, "err", err)
+	}
+	c.member(membership.PeerFailed{Peer: instance})
+}
+
+// peerAnswered notes a peer that answers again.
+func (c *Control) peerAnswered(instance string) {
+	if c.silent[instance] {
+		delete(c.silent, instance)
+		c.cfg.Log.Info("peer answers again", "peer", instance)
+	}
+}
+
+// forgetSilent drops what is known of instances that are off the list.
+func (c *Control) forgetSilent(peers []membership.Peer) {
+	listed := make(map[string]bool, len(peers))
+	for _, p := range peers {
+		listed[p.Instance] = true
+	}
+	maps.DeleteFunc(c.silent, func(instance string, _ bool) bool { return !listed[instance] })
+}
+
 // digest builds this instance's digest.
 func (c *Control) digest(now time.Time) *peerapi.Digest {
 	d := c.membership.Digest(now)
@@ -93,15 +121,23 @@
 	return out
 }
 
+// maxAgeMS bounds a peer's word on an age; what is so old counts for nothing.
+const maxAgeMS = int64(24 * time.Hour / time.Millisecond)
+
+// age is a peer's word on an age. A negative one is dropped by the machine.
+func age(ms int64) time.Duration {
+	return time.Duration(min(max(ms, -1), maxAgeMS)) * time.Millisecond
+}
+
 // heard takes in a peer's digest, up to the bounds.
 func (c *Control) heard(d *peerapi.Digest) {
 	in := &membership.Digest{Instance: d.Instance, Generation: d.Generation, Hash: d.Hash, Draining: d.Draining}
 	for _, l := range d.Leaving[:min(len(d.Leaving), maxLeaving)] {
-		in.Leaving = append(in.Leaving, membership.LeavingLeaf{Leaf: l.Leaf, Age: time.Duration(l.AgeMS) * time.Millisecond})
+		in.Leaving = append(in.Leaving, membership.LeavingLeaf{Leaf: l.Leaf, Age: age(l.AgeMS)})
 	}
 	for _, g := range d.Generations[:min(len(d.Generations), maxGenerations)] {
 		in.Generations = append(in.Generations, membership.RelayedGeneration{
-			Instance: g.Instance, Generation: g.Generation, Age: time.Duration(g.AgeMS) * time.Millisecond,
+			Instance: g.Instance, Generation: g.Generation, Age: age(g.AgeMS),
 		})
 	}
 	if c.cfg.Quarantine != nil && len(d.Quarantine) > 0 {
--- a/entry/control/shares_test.go
+++ b/entry/control/shares_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -27,3 +28,43 @@
 		}
 	})
 }
+
+// warnings counts the lines on peers.
+type warnings struct{ silent, answering atomic.Int64 }
+
+func (w *warnings) Info(msg string, _ ...any) {
+	if msg == "peer answers again" {
+		w.answering.Add(1)
+	}
+}
+
+func (w *warnings) Warn(msg string, _ ...any) {
+	if msg == "peer does not answer" {
+		w.silent.Add(1)
+	}
+}
+
+func (w *warnings) Error(string, ...any) {}
+
+// TestSilentPeersAreToldOnce cuts an entry off from its peers, as a wrong key
+// does, and lets it back.
+func TestSilentPeersAreToldOnce(t *testing.T) {
+	log := &warnings{}
+	runFleet(t, 3, func(f *fleet) {
+		cut := f.entries[2]
+		cut.stop()
+		cut.log = log
+		cut.start(9)
+		time.Sleep(10 * time.Second)
+		cut.noPeers.Store(true)
+		time.Sleep(20 * time.Second)
+		if n := log.silent.Load(); n != 2 {
+			t.Errorf("%d lines on 2 silent peers", n)
+		}
+		cut.noPeers.Store(false)
+		time.Sleep(20 * time.Second)
+		if n := log.answering.Load(); n != 2 {
+			t.Errorf("%d lines on 2 peers that answer again", n)
+		}
+	})
+}
--- a/entry/executor/guard.go
+++ b/entry/executor/guard.go
@@ -86,11 +86,16 @@
 	return out
 }
 
+// maxLeftMS bounds a peer's word on how long a record lasts; the kernel bounds
+// it further.
+const maxLeftMS = int64(24 * time.Hour / time.Millisecond)
+
 // merge takes in a peer's records.
 func (g *guard) merge(list []peerapi.Quarantined, now time.Time) []quarantine.Action {
 	records := make([]quarantine.Record, 0, len(list))
 	for _, q := range list {
-		records = append(records, quarantine.Record{Fingerprint: q.Fingerprint, Level: q.Level, Until: now.Add(time.Duration(q.LeftMS) * time.Millisecond)})
+		left := time.Duration(min(q.LeftMS, maxLeftMS)) * time.Millisecond
+		records = append(records, quarantine.Record{Fingerprint: q.Fingerprint, Level: q.Level, Until: now.Add(left)})
 	}
 	return g.handle(quarantine.Merged{Records: records}, now)
 }
--- a/entry/node/assemble.go
+++ b/entry/node/assemble.go
@@ -18,7 +18,7 @@
 func (n *Node) newControl() error {
 	s := n.settings
 	var err error
-	if n.peerTLS, err = peersTLS(s.TLS); err != nil {
+	if n.peerTLS, err = peersTLS(s.TLS, n.log.Part("tls")); err != nil {
 		return err
 	}
 	placement, err := plugin.Placements.Get(s.Policy.Placement)
@@ -54,7 +54,7 @@
 // address unless they have one of their own.
 func (n *Node) newServers() error {
 	s := n.settings
-	callers, err := callersTLS(s.TLS)
+	callers, err := callersTLS(s.TLS, n.log.Part("tls"))
 	if err != nil {
 		return err
 	}
--- a/entry/node/tls.go
+++ b/entry/node/tls.go
@@ -22,6 +22,7 @@
 // stays in use.
 type certificate struct {
 	certFile, keyFile string
+	log               certificateLog
 
 	mu      sync.Mutex
 	pair    *tls.Certificate
@@ -29,9 +30,15 @@
 	checked time.Time
 }
 
+// certificateLog takes the lines on renewals; *telemetry.Part is one.
+type certificateLog interface {
+	Info(msg string, pairs ...any)
+	Error(msg string, pairs ...any)
+}
+
 // newCertificate reads the pair for the first time.
-func newCertificate(certFile, keyFile string) (*certificate, error) {
-	c := &certificate{certFile: certFile, keyFile: keyFile}
+func newCertificate(certFile, keyFile string, log certificateLog) (*certificate, error) {
+	c := &certificate{certFile: certFile, keyFile: keyFile, log: log}
 	pair, err := tls.LoadX509KeyPair(certFile, keyFile)
 	if err != nil {
 		return nil, fmt.Errorf("read certificate %s: %w", certFile, err)
@@ -67,18 +74,22 @@
 	if modified.IsZero() || modified.Equal(c.changed) {
 		return c.pair
 	}
-	if pair, err := tls.LoadX509KeyPair(c.certFile, c.keyFile); err == nil {
-		c.pair, c.changed = &pair, modified
+	pair, err := tls.LoadX509KeyPair(c.certFile, c.keyFile)
+	if err != nil {
+		c.log.Error("certificate was not renewed, the old one stays in use", "file", c.certFile, "err", err)
+		return c.pair
 	}
+	c.pair, c.changed = &pair, modified
+	c.log.Info("certificate was renewed", "file", c.certFile)
 	return c.pair
 }
 
 // callersTLS is the configuration towards callers; nil for plain HTTP.
-func callersTLS(s settings.TLS) (*tls.Config, error) {
+func callersTLS(s settings.TLS, log certificateLog) (*tls.Config, error) {
 	if s.CallersCert == "" {
 		return nil, nil
 	}
-	cert, err := newCertificate(s.CallersCert, s.CallersKey)
+	cert, err := newCertificate(s.CallersCert, s.CallersKey, log)
 	if err != nil {
 		return nil, err
 	}
@@ -91,11 +102,11 @@
 // peersTLS is the configuration among entries, the same for both sides: each
 // shows a certificate of the peers' authority. The instance is proved by the
 // shared key, so that certificates need not carry changing addresses.
-func peersTLS(s settings.TLS) (*tls.Config, error) {
+func peersTLS(s settings.TLS, log certificateLog) (*tls.Config, error) {
 	if s.PeersCert == "" {
 		return nil, nil
 	}
-	cert, err := newCertificate(s.PeersCert, s.PeersKey)
+	cert, err := newCertificate(s.PeersCert, s.PeersKey, log)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/node/tls_test.go
+++ b/entry/node/tls_test.go
@@ -92,6 +92,12 @@
 	}
 }
 
+// lines counts log lines.
+type lines struct{ infos, errors int }
+
+func (l *lines) Info(string, ...any)  { l.infos++ }
+func (l *lines) Error(string, ...any) { l.errors++ }
+
 // serial is the serial number of a pair's certificate.
 func serial(t *testing.T, pair *tls.Certificate) int64 {
 	t.Helper()
@@ -107,7 +113,8 @@
 func TestCertificateIsRenewedWithoutARestart(t *testing.T) {
 	dir, ca := t.TempDir(), newIssuer(t, "ca")
 	s := ca.write(dir, 11)
-	c, err := newCertificate(s.CallersCert, s.CallersKey)
+	log := &lines{}
+	c, err := newCertificate(s.CallersCert, s.CallersKey, log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -131,6 +138,9 @@
 	if got := renew(func() { ca.write(dir, 13) }, 3*time.Minute); got != 13 {
 		t.Errorf("serial %d after the repair, want 13", got)
 	}
+	if log.infos != 2 || log.errors != 1 {
+		t.Errorf("%d lines on renewals and %d on failures, want 2 and 1", log.infos, log.errors)
+	}
 }
 
 // handler answers peers with nothing.
@@ -144,7 +154,7 @@
 func TestPeersShowCertificatesOfTheAuthority(t *testing.T) {
 	ca, other := newIssuer(t, "ca"), newIssuer(t, "other")
 	config := func(i *issuer, serial int64) *tls.Config {
-		c, err := peersTLS(i.write(t.TempDir(), serial))
+		c, err := peersTLS(i.write(t.TempDir(), serial), &lines{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -183,15 +193,15 @@
 
 // TestNoTLSBySettings leaves both sides plain when no files are named.
 func TestNoTLSBySettings(t *testing.T) {
-	callers, err := callersTLS(settings.TLS{})
+	callers, err := callersTLS(settings.TLS{}, &lines{})
 	if callers != nil || err != nil {
 		t.Errorf("callers: %v, %v", callers, err)
 	}
-	peers, err := peersTLS(settings.TLS{})
+	peers, err := peersTLS(settings.TLS{}, &lines{})
 	if peers != nil || err != nil {
 		t.Errorf("peers: %v, %v", peers, err)
 	}
-	if _, err := callersTLS(settings.TLS{CallersCert: "missing.pem", CallersKey: "missing.pem"}); err == nil {
+	if _, err := callersTLS(settings.TLS{CallersCert: "missing.pem", CallersKey: "missing.pem"}, &lines{}); err == nil {
 		t.Error("missing files are no error")
 	}
 }
--- a/kernel/quarantine/machine.go
+++ b/kernel/quarantine/machine.go
@@ -108,9 +108,10 @@
 
 // merge takes in a peer's record.
 func (m *Machine) merge(r Record, now time.Time) {
-	if r.Level <= 0 || !now.Before(r.Until) {
+	if r.Level <= 0 || r.Level > maxLevel || !now.Before(r.Until) {
 		return
 	}
+	r.Until = earliest(r.Until, now.Add(max(m.cfg.QuarantineFor, m.cfg.SuspectFor)))
 	old, _ := m.live(r.Fingerprint, now)
 	if r.Level < old.Level || (r.Level == old.Level && !r.Until.After(old.Until)) {
 		return
@@ -124,6 +125,19 @@
 	}
 }
 
+// maxLevel bounds what is taken from a peer. A level grows by at most two with
+// each event, so that no honest one comes near it.
+const maxLevel = 1 << 20
+
+// earliest is the earlier of two times: a peer can't make a record last longer
+// than one of this instance's own.
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // put keeps a record; above the bound the least important one goes.
 func (m *Machine) put(r Record) {
 	m.records[r.Fingerprint] = r
--- a/kernel/quarantine/machine_test.go
+++ b/kernel/quarantine/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"math"
 	"os"
 	"slices"
 	"testing"
@@ -178,3 +179,18 @@
 		t.Fatalf("%d known good", good)
 	}
 }
+
+// TestAFaultyPeerIsBounded merges a level and a time that no honest peer has.
+func TestAFaultyPeerIsBounded(t *testing.T) {
+	m := quarantine.New(cfg)
+	far := epoch.Add(200 * 365 * 24 * time.Hour)
+	m.Handle(quarantine.Merged{Records: []quarantine.Record{{Fingerprint: fp, Level: math.MaxInt - 1, Until: far}}}, epoch)
+	if got := m.Records(epoch); len(got) != 0 {
+		t.Errorf("a level beyond reason was taken: %v", got)
+	}
+	m.Handle(quarantine.Merged{Records: []quarantine.Record{{Fingerprint: fp, Level: 2, Until: far}}}, epoch)
+	wantMode(t, m, epoch, quarantine.ModeRefuse)
+	if got := m.Records(epoch); len(got) != 1 || got[0].Until.After(epoch.Add(cfg.QuarantineFor+cfg.SuspectFor)) {
+		t.Errorf("a peer's record lasts until %v", got)
+	}
+}
--- a/kernel/rollout/machine.go
+++ b/kernel/rollout/machine.go
@@ -11,6 +11,9 @@
 	pollReads = 50
 	// minPoll is the shortest time between polls of one instance.
 	minPoll = time.Second
+	// watchedPoll is the same while the watch works, which then brings changes
+	// at once: a poll moves the whole document.
+	watchedPoll = 6 * time.Second
 	// searchEvery is the time between searches while there is no document.
 	searchEvery = 250 * time.Millisecond
 	// firstHold is how long a fresh instance holds its first document back to
@@ -26,6 +29,7 @@
 type Machine struct {
 	rnd       *rand.Rand
 	instances int
+	watched   bool
 
 	current Version // generation 0: none yet
 	refused Version // highest generation seen that is not a valid document
@@ -74,6 +78,15 @@
 // SetInstances tells the number of live instances, which share the polls.
 func (m *Machine) SetInstances(n int) { m.instances = max(1, n) }
 
+// SetWatched tells whether the watch of the object works. When it stops to, the
+// next poll comes as soon as without one.
+func (m *Machine) SetWatched(works bool, now time.Time) {
+	if m.watched && !works && !m.pollAt.IsZero() && m.pollAt.After(now.Add(minPoll)) {
+		m.pollAt = now.Add(time.Duration(m.rnd.Int64N(int64(minPoll))))
+	}
+	m.watched = works
+}
+
 // Handle implements machine.Machine.
 func (m *Machine) Handle(event Event, now time.Time) []Action {
 	m.actions = m.actions[:0]
@@ -132,7 +145,11 @@
 // pollEvery is the time to the next poll: polls of the whole fleet stay below
 // pollReads a second, and are spread by a random part.
 func (m *Machine) pollEvery() time.Duration {
-	every := max(minPoll, time.Duration(m.instances)*time.Second/pollReads)
+	least := minPoll
+	if m.watched {
+		least = watchedPoll
+	}
+	every := max(least, time.Duration(m.instances)*time.Second/pollReads)
 	if m.current.Generation == 0 {
 		every = searchEvery
 	}
--- a/kernel/rollout/rollout_test.go
+++ b/kernel/rollout/rollout_test.go
@@ -284,3 +284,25 @@
 		t.Errorf("outcome %+v without proof", res.Outcome)
 	}
 }
+
+// TestPollsAreRareWhileTheWatchWorks compares the waits with and without a watch.
+func TestPollsAreRareWhileTheWatchWorks(t *testing.T) {
+	m := newMachine()
+	m.begin(1)
+	wait := func() time.Duration {
+		wake, _ := find[rollout.WakeAt](m.handle(rollout.Seen{Version: parse(1, []byte("a")), Source: rollout.SourceStore}))
+		return wake.At.Sub(m.now)
+	}
+	if got := wait(); got > 2*time.Second {
+		t.Errorf("next poll in %v without a watch", got)
+	}
+	m.SetWatched(true, m.now)
+	if got := wait(); got < 3*time.Second || got > 9*time.Second {
+		t.Errorf("next poll in %v with a watch, want about 6 s", got)
+	}
+	m.SetWatched(false, m.now)
+	wake, _ := find[rollout.WakeAt](m.handle(rollout.Tick{}))
+	if got := wake.At.Sub(m.now); got > time.Second {
+		t.Errorf("next poll in %v after the watch failed", got)
+	}
+}
