--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -90,9 +90,9 @@
 
 // finish drives the query and converts its answer.
 func (r *run) finish() (*Response, error) {
-	ctx, cancel := context.WithCancel(r.ctx)
+	work, cancel := context.WithDeadline(r.ctx, r.request.Deadline)
 	defer cancel() // ends the exchanges that the answer no longer needs
-	r.ctx = ctx
+	r.work = work
 	if refused := r.executor.admit(r); refused != nil {
 		return nil, refused
 	}
--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -202,7 +202,7 @@
 	leaf := &p.view.Leaves[d.Leaf]
 	a.leafID = leaf.ID
 	a.started = now
-	ctx, cancel := context.WithDeadline(a.run.ctx, a.offer.Deadline)
+	ctx, cancel := context.WithCancel(a.run.work)
 	a.cancel = cancel
 	return start{attempt: a, ctx: ctx, action: d, leaf: leaf, config: p.view.Upstreams[p.upstream].Config.DialCost}, true
 }
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -28,7 +28,8 @@
 	repetition  *repetition
 	versions    *versions
 	mail        *mailbox
-	ctx         context.Context // ends with the caller or with the answer
+	ctx         context.Context // ends with the caller
+	work        context.Context // of the exchanges: ends with the deadline or the answer, too
 
 	// mu guards what follows. The query's goroutine holds it for each event,
 	// and an exchange while it asks for leave to send.
