--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -34,7 +34,7 @@
 	}
 	// A request is only suspected of breaking a leaf that was up when it was
 	// sent: a leaf that breaks whatever comes is lost, and proves nothing.
-	up := e.knowledge.up(s.leaf.ID)
+	up := e.leafState.up(s.leaf.ID)
 	target := leafclient.Target{ID: s.leaf.ID, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.config}
 	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body}
 	reply, err := e.config.Leaves.Run(s.ctx, target, request, func() bool { return a.run.maySend(a, leaf) })
@@ -82,7 +82,7 @@
 	case errors.As(err, &broken):
 		closed := broken.Cause == leafclient.CauseClosed
 		if closed {
-			e.knowledge.sawBreak(broken.Leaf, time.Now())
+			e.leafState.sawBreak(broken.Leaf, time.Now())
 		}
 		p.finish(a, brokenOutcome(broken.Cause), 0)
 		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: string(broken.Cause), Crash: closed && x.up})
@@ -120,14 +120,14 @@
 
 // Learn keeps what a leaf said of itself. It implements probe.Learner.
 func (e *Executor) Learn(leafID string, versions []uint64, draining bool) {
-	e.knowledge.saw(leafID, versions, time.Now())
+	e.leafState.saw(leafID, versions, time.Now())
 	if draining {
 		e.config.Sightings.SawLeaving(leafID)
 	}
 }
 
 // Heard is when the leaf last said something, or the zero time.
-func (e *Executor) Heard(leafID string) time.Time { return e.knowledge.lastHeard(leafID) }
+func (e *Executor) Heard(leafID string) time.Time { return e.leafState.lastHeard(leafID) }
 
 // decide logs a decision about an attempt.
 func (e *Executor) decide(a *attempt, d telemetry.Decision) {
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -57,8 +57,8 @@
 
 // fanOut runs the query, unless its fingerprint is in quarantine.
 func (e *Executor) fanOut(ctx context.Context, req *Request) (*Response, error) {
-	fingerprint := e.guard.fingerprint(req)
-	decision := e.guard.admit(fingerprint, req, req.Start)
+	fingerprint := e.quarantine.fingerprint(req)
+	decision := e.quarantine.admit(fingerprint, req, req.Start)
 	if decision.Mode == quarantine.ModeRefuse {
 		return nil, refuse(RefusedQuarantined, decision.RetryAfter, "earlier runs of this request broke the leaves that ran them")
 	}
@@ -72,7 +72,7 @@
 		fingerprint: fingerprint, mail: newMailbox(), ctx: ctx,
 		attempts: make(map[query.AttemptID]*attempt),
 		view:     req.View, pools: make(map[int]*pool),
-		versions: &versions{knowledge: e.knowledge, view: req.View},
+		versions: &versions{state: e.leafState, view: req.View},
 	}
 	r.service = e.service(req.Service)
 	r.repetition = r.service.repetition.Load()
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -65,12 +65,12 @@
 
 // Executor runs queries. It is safe for concurrent use.
 type Executor struct {
-	config    Config
-	knowledge *knowledge
-	guard     *guard
-	stamp     atomic.Uint64
-	inFlight  sync.WaitGroup
-	running   atomic.Int64
+	config     Config
+	leafState  *leafState
+	quarantine *quarantineState
+	stamp      atomic.Uint64
+	inFlight   sync.WaitGroup
+	running    atomic.Int64
 
 	mu       sync.RWMutex
 	pools    map[string]*pool         // by upstream name
@@ -83,12 +83,12 @@
 // New makes an executor. The policies must have passed their Check.
 func New(c Config) *Executor {
 	return &Executor{
-		config:    c,
-		knowledge: newKnowledge(),
-		guard:     newGuard(c.FleetKey),
-		pools:     make(map[string]*pool),
-		services:  make(map[string]*serviceState),
-		runs:      make(map[*run]struct{}),
+		config:     c,
+		leafState:  newLeafState(),
+		quarantine: newQuarantineState(c.FleetKey),
+		pools:      make(map[string]*pool),
+		services:   make(map[string]*serviceState),
+		runs:       make(map[*run]struct{}),
 	}
 }
 
@@ -152,7 +152,7 @@
 // Follow takes a new view. It is called for each view before queries use it,
 // and tells the queries in flight, which may have to ask split shards again.
 func (e *Executor) Follow(v *view.View) {
-	e.knowledge.follow(v)
+	e.leafState.follow(v)
 	e.mu.RLock()
 	pools := slices.Collect(maps.Values(e.pools))
 	e.mu.RUnlock()
--- /dev/null
+++ b/entry/executor/leafstate.go
@@ -0,0 +1,145 @@
+package executor
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/snapshot"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// leafState is what replies showed of the leaves, for all queries of this
+// entry: the index versions they serve, when they last spoke and when they last
+// broke a connection. It guards the kernel's tracker by a lock.
+type leafState struct {
+	mu      sync.Mutex
+	view    *view.View
+	tracker *snapshot.Tracker
+	index   map[string]int // leaf ID to index in view
+	heard   map[string]time.Time
+	broke   map[string]time.Time // when a connection to the leaf last broke
+}
+
+func newLeafState() *leafState {
+	return &leafState{heard: make(map[string]time.Time), broke: make(map[string]time.Time)}
+}
+
+// follow moves the tracker to a newer view.
+func (s *leafState) follow(v *view.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.view != nil && v.Sequence <= s.view.Sequence {
+		return
+	}
+	s.view = v
+	s.index = make(map[string]int, len(v.Leaves))
+	for i := range v.Leaves {
+		s.index[v.Leaves[i].ID] = i
+	}
+	gone := func(id string, _ time.Time) bool {
+		_, ok := s.index[id]
+		return !ok
+	}
+	maps.DeleteFunc(s.heard, gone)
+	maps.DeleteFunc(s.broke, gone)
+	if s.tracker == nil {
+		s.tracker = snapshot.New(v)
+		return
+	}
+	s.tracker.SetView(v)
+}
+
+// saw notes the versions that a leaf says it serves.
+func (s *leafState) saw(leafID string, versions []uint64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.index[leafID]
+	if !ok {
+		return
+	}
+	s.heard[leafID] = now
+	if len(versions) > 0 {
+		s.tracker.Observe(i, versions)
+	}
+}
+
+// sawBreak notes that a connection to the leaf broke.
+func (s *leafState) sawBreak(leafID string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broke[leafID] = now
+}
+
+// up reports whether the leaf has answered since it last broke a connection.
+func (s *leafState) up(leafID string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.heard[leafID].Before(s.broke[leafID])
+}
+
+// lastHeard is when the leaf last said something; the zero time if it has
+// broken a connection since.
+func (s *leafState) lastHeard(leafID string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.heard[leafID].Before(s.broke[leafID]) {
+		return time.Time{}
+	}
+	return s.heard[leafID]
+}
+
+// versions is the leaves' state as one query sees it, by the indexes of its view.
+type versions struct {
+	state *leafState
+	view  *view.View
+}
+
+// Pin implements query.VersionSource.
+func (s *versions) Pin(service string) uint64 {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.tracker.Pin(service)
+}
+
+// Next implements query.VersionSource.
+func (s *versions) Next(service string, after uint64) uint64 {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.tracker.Next(service, after)
+}
+
+// Share implements query.VersionSource.
+func (s *versions) Share(service string, version uint64) float64 {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	return s.state.tracker.Share(service, version)
+}
+
+// Serves implements query.VersionSource.
+func (s *versions) Serves(leaf int, version uint64) (known, serves bool) {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	i, ok := s.index(leaf)
+	if !ok {
+		return false, false
+	}
+	return s.state.tracker.Serves(i, version)
+}
+
+// Passed implements query.VersionSource.
+func (s *versions) Passed(leaf int, version uint64) bool {
+	s.state.mu.Lock()
+	defer s.state.mu.Unlock()
+	i, ok := s.index(leaf)
+	return ok && s.state.tracker.Passed(i, version)
+}
+
+// index turns a leaf's index in the query's view into the tracker's. The lock is held.
+func (s *versions) index(leaf int) (int, bool) {
+	if s.view == s.state.view {
+		return leaf, true
+	}
+	i, ok := s.state.index[s.view.Leaves[leaf].ID]
+	return i, ok
+}
--- a/entry/executor/guard.go
+++ b/entry/executor/quarantine.go
@@ -15,9 +15,9 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 )
 
-// guard keeps the fleet's knowledge of requests that break leaves. It guards
-// the kernel's machine by a lock.
-type guard struct {
+// quarantineState keeps what the fleet knows of requests that break leaves. It
+// guards the kernel's machine by a lock.
+type quarantineState struct {
 	key     []byte
 	mu      sync.Mutex
 	machine *quarantine.Machine
@@ -32,16 +32,16 @@
 	DigestRecords: 32,
 }
 
-// newGuard makes a guard. All entries must have the same key, so that they
+// newQuarantineState makes it empty. All entries must have the same key, so that they
 // name a request alike.
-func newGuard(key []byte) *guard {
-	return &guard{key: key, machine: quarantine.New(quarantineConfig)}
+func newQuarantineState(key []byte) *quarantineState {
+	return &quarantineState{key: key, machine: quarantine.New(quarantineConfig)}
 }
 
 // fingerprint names a request by a keyed hash of caller, service and body: it
 // can be told to peers and logged without saying anything of the request.
-func (g *guard) fingerprint(r *Request) string {
-	mac := hmac.New(sha256.New, g.key)
+func (s *quarantineState) fingerprint(r *Request) string {
+	mac := hmac.New(sha256.New, s.key)
 	mac.Write([]byte(r.Caller.Name))
 	mac.Write([]byte{0})
 	mac.Write([]byte(r.Service.Config.Name))
@@ -57,30 +57,30 @@
 func seed(fingerprint string) uint64 { return xxhash.Sum64String(fingerprint) }
 
 // admit decides how a request may run.
-func (g *guard) admit(fingerprint string, r *Request, now time.Time) quarantine.Decision {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.machine.Admit(fingerprint, r.Service.Shards, r.Service.Config.CanaryAbove, now)
+func (s *quarantineState) admit(fingerprint string, r *Request, now time.Time) quarantine.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.machine.Admit(fingerprint, r.Service.Shards, r.Service.Config.CanaryAbove, now)
 }
 
 // observe notes how an attempt ended.
-func (g *guard) observe(o quarantine.Observed, now time.Time) []quarantine.Action {
-	return g.handle(o, now)
+func (s *quarantineState) observe(o quarantine.Observed, now time.Time) []quarantine.Action {
+	return s.handle(o, now)
 }
 
 // handle gives an event to the machine.
-func (g *guard) handle(ev quarantine.Event, now time.Time) []quarantine.Action {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.Clone(g.machine.Handle(ev, now))
+func (s *quarantineState) handle(ev quarantine.Event, now time.Time) []quarantine.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.machine.Handle(ev, now))
 }
 
 // records lists what to tell peers.
-func (g *guard) records(now time.Time) []peerapi.Quarantined {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+func (s *quarantineState) records(now time.Time) []peerapi.Quarantined {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var out []peerapi.Quarantined
-	for _, r := range g.machine.Digest(now) {
+	for _, r := range s.machine.Digest(now) {
 		out = append(out, peerapi.Quarantined{Fingerprint: r.Fingerprint, Level: r.Level, LeftMS: r.Until.Sub(now).Milliseconds()})
 	}
 	return out
@@ -91,18 +91,18 @@
 const maxLeftMS = int64(24 * time.Hour / time.Millisecond)
 
 // merge takes in a peer's records.
-func (g *guard) merge(list []peerapi.Quarantined, now time.Time) []quarantine.Action {
+func (s *quarantineState) merge(list []peerapi.Quarantined, now time.Time) []quarantine.Action {
 	records := make([]quarantine.Record, 0, len(list))
 	for _, q := range list {
 		left := time.Duration(min(q.LeftMS, maxLeftMS)) * time.Millisecond
 		records = append(records, quarantine.Record{Fingerprint: q.Fingerprint, Level: q.Level, Until: now.Add(left)})
 	}
-	return g.handle(quarantine.Merged{Records: records}, now)
+	return s.handle(quarantine.Merged{Records: records}, now)
 }
 
 // lift lets a fingerprint run again.
-func (g *guard) lift(fingerprint string, now time.Time) []quarantine.Action {
-	return g.handle(quarantine.Lifted{Fingerprint: fingerprint}, now)
+func (s *quarantineState) lift(fingerprint string, now time.Time) []quarantine.Action {
+	return s.handle(quarantine.Lifted{Fingerprint: fingerprint}, now)
 }
 
 // carryOut tells the peers and the running queries what the quarantine learnt.
@@ -139,14 +139,14 @@
 
 // Quarantine lists fingerprints under suspicion or in quarantine, to tell peers
 // and operators.
-func (e *Executor) Quarantine() []peerapi.Quarantined { return e.guard.records(time.Now()) }
+func (e *Executor) Quarantine() []peerapi.Quarantined { return e.quarantine.records(time.Now()) }
 
 // MergeQuarantine takes in a peer's list.
 func (e *Executor) MergeQuarantine(list []peerapi.Quarantined) {
-	e.carryOut(e.guard.merge(list, time.Now()))
+	e.carryOut(e.quarantine.merge(list, time.Now()))
 }
 
 // LiftQuarantine lets a fingerprint run again.
 func (e *Executor) LiftQuarantine(fingerprint string) {
-	e.carryOut(e.guard.lift(fingerprint, time.Now()))
+	e.carryOut(e.quarantine.lift(fingerprint, time.Now()))
 }
