--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -156,11 +156,11 @@
 
 // start is a dispatched attempt that runs once the lock is given back.
 type start struct {
-	attempt *attempt
-	ctx     context.Context
-	action  dispatch.Dispatch
-	leaf    *view.Leaf
-	config  time.Duration // dial cost
+	attempt  *attempt
+	ctx      context.Context
+	action   dispatch.Dispatch
+	leaf     *view.Leaf
+	dialCost time.Duration
 }
 
 // handleAndUnlock gives the event to the machine, carries out its actions and
@@ -204,7 +204,7 @@
 	a.started = now
 	ctx, cancel := context.WithCancel(a.run.work)
 	a.cancel = cancel
-	return start{attempt: a, ctx: ctx, action: d, leaf: leaf, config: p.view.Upstreams[p.upstream].Config.DialCost}, true
+	return start{attempt: a, ctx: ctx, action: d, leaf: leaf, dialCost: p.view.Upstreams[p.upstream].Config.DialCost}, true
 }
 
 // refusedAttempt is an attempt that the machine will not dispatch.
