Change connection shares with the view only

Cause: each exchange applied the share of the view it was planned by, so that one planned by an older view could raise a share that had just been lowered. Shares are now applied when a view is published, before it is in force. Seen failing first: TestOlderPlanDoesNotRaiseTheShare, 9 for 2.

--- a/entry/leafclient/conns.go
+++ b/entry/leafclient/conns.go
@@ -28,18 +28,17 @@
 	dials     atomic.Int64
 }
 
-// leaf returns the leaf's connections and applies a changed share.
+// leaf returns the leaf's connections. The share of one that is known already
+// is only changed by Apply: an exchange may have been planned by an older view.
 func (c *Client) leaf(t Target) *leafConn {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	lc, ok := c.leaves[t.key()]
 	if !ok {
 		lc = newLeafConn(t)
+		lc.places.setLimit(t.Connections)
 		c.leaves[t.key()] = lc
 	}
-	c.mu.Unlock()
-	if lc.places.setLimit(t.Connections) {
-		lc.transport.CloseIdleConnections()
-	}
 	return lc
 }
 
@@ -129,21 +128,35 @@
 	return Stats{Used: used, Limit: limit, Dials: lc.dials.Load()}
 }
 
-// Keep drops the connections of all leaves that keep does not name, by ID and address.
-func (c *Client) Keep(targets []Target) {
-	keep := make(map[string]bool, len(targets))
+// Apply puts the shares of a new view into effect and drops the connections of
+// all leaves that it does not name, by ID and address.
+func (c *Client) Apply(targets []Target) {
+	named := make(map[string]bool, len(targets))
+	var over []*leafConn
 	for _, t := range targets {
-		keep[t.key()] = true
+		named[t.key()] = true
+		if lc := c.leaf(t); lc.places.setLimit(t.Connections) {
+			over = append(over, lc)
+		}
 	}
+	for _, lc := range append(over, c.dropOthers(named)...) {
+		lc.transport.CloseIdleConnections()
+	}
+}
+
+// dropOthers forgets the leaves that are not named and returns them.
+func (c *Client) dropOthers(named map[string]bool) []*leafConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var dropped []*leafConn
 	for key, lc := range c.leaves {
-		if !keep[key] {
-			lc.transport.CloseIdleConnections()
+		if !named[key] {
+			dropped = append(dropped, lc)
 			delete(c.leaves, key)
 		}
 	}
+	return dropped
 }
 
 // Close drops all idle connections.
-func (c *Client) Close() { c.Keep(nil) }
+func (c *Client) Close() { c.Apply(nil) }
--- a/entry/leafclient/leafclient_test.go
+++ b/entry/leafclient/leafclient_test.go
@@ -242,3 +242,27 @@
 		t.Fatalf("error %v, want a DialError", err)
 	}
 }
+
+// TestOlderPlanDoesNotRaiseTheShare runs an exchange that was planned by an
+// older view, after a newer one has lowered the share.
+func TestOlderPlanDoesNotRaiseTheShare(t *testing.T) {
+	srv := httptest.NewServer(withHealth(good(func(http.Header) {})))
+	defer srv.Close()
+	c := New(1 << 16)
+	defer c.Close()
+	older := Target{ID: "leaf-1", Address: strings.TrimPrefix(srv.URL, "http://"), Connections: 9}
+	newer := older
+	newer.Connections = 2
+	c.Apply([]Target{older})
+	c.Apply([]Target{newer})
+	if _, err := c.Run(context.Background(), older, &Request{Attempt: "a", Range: keyrange.Range{From: 0, To: 1}}, func() bool { return true }); err != nil {
+		t.Fatal(err)
+	}
+	if _, limit := c.leaves[newer.key()].places.count(); limit != 2 {
+		t.Errorf("the share is %d again, want 2", limit)
+	}
+	c.Apply([]Target{{ID: "leaf-2", Address: "127.0.0.1:1"}})
+	if _, kept := c.leaves[newer.key()]; kept || len(c.leaves) != 1 {
+		t.Errorf("%d leaves are kept, one that is not there any more: %v", len(c.leaves), kept)
+	}
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -101,8 +101,10 @@
 // View is the view in force; nil before there is a document.
 func (n *Node) View() *view.View { return n.view.Load() }
 
-// publish puts a new view in force. The executor knows it before any query does.
+// publish puts a new view in force. The connections' shares are those of the
+// view, and the executor knows it, before any query does.
 func (n *Node) publish(v *view.View) {
+	n.leaves.Apply(probe.Targets(v))
 	n.executor.Follow(v)
 	n.view.Store(v)
 	n.lifecycle.phase.CompareAndSwap(int32(phaseStarting), int32(phaseServing))
--- a/entry/probe/probe.go
+++ b/entry/probe/probe.go
@@ -28,7 +28,6 @@
 type Leaves interface {
 	Warm(ctx context.Context, t leafclient.Target, n int) (*leafapi.Health, error)
 	Health(ctx context.Context, t leafclient.Target) (*leafapi.Health, error)
-	Keep(targets []leafclient.Target)
 }
 
 // Learner keeps what leaves say; *executor.Executor does it.
@@ -83,10 +82,7 @@
 // round warms leaves that are new or whose share grew, and asks quiet ones.
 func (p *Prober) round(ctx context.Context, v *view.View) {
 	first := p.last == nil
-	if v != p.last {
-		p.config.Leaves.Keep(Targets(v))
-		p.last = v
-	}
+	p.last = v
 	var g errgroup.Group
 	g.SetLimit(concurrency)
 	now := time.Now()
