--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -1,10 +1,9 @@
 /*
- * The claim ledger for one key. Three entries each hold one request with the
- * same key: a request and its resends. The store has the key's record under a
- * version and takes conditional writes. A write's reply can be lost, its
- * effect can come late, a read can be stale, the store can be out. An entry
- * can be killed or paused at any step: it is never, or later, scheduled again.
- * A read, the decision on it and the sending of a write are one step.
+ * The claim ledger for one key. Three entries each hold one request with the same key: a
+ * request and its resends. The store has the key's record under a version and takes
+ * conditional writes. A write's reply can be lost, its effect can come late, a read can be
+ * stale, the store can be out. An entry can be killed or paused at any step: it is never, or
+ * later, scheduled again. A read, the decision on it and the sending of a write are one step.
  * Proved: the key never runs twice; a request that is answered not_run has not
  * run and never will; a recorded result is that of the one execution; an entry
  * that has ended leaves no claim of its own that never ran.
