Drop messages that nothing sends

Cause: read as a newcomer, the peers' API named a claim call, and the digest a sequence, and the platform's API a kind of object, that no code uses: the claims' home was measured and not built (docs/design/ledger.md). No behaviour changed.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -8,7 +8,6 @@
 	MethodHello     = "hello"     // Hello -> Welcome
 	MethodDigest    = "digest"    // Digest -> Digest: an exchange
 	MethodDocument  = "document"  // DocumentRequest -> Document
-	MethodClaim     = "claim"     // ClaimRequest -> ClaimReply: to a bucket's home entry
 )
 
 // Challenge is a server's random nonce, hex.
@@ -35,7 +34,6 @@
 type Digest struct {
 	Instance   string `json:"instance"`
 	Zone       string `json:"zone"`
-	Sequence   uint64 `json:"sequence"`
 	Generation uint64 `json:"generation"`
 	Hash       string `json:"hash"`
 	Draining   bool   `json:"draining,omitempty"`
@@ -81,17 +79,3 @@
 	Hash       string `json:"hash"`
 	TOML       []byte `json:"toml,omitempty"`
 }
-
-// ClaimRequest asks a bucket's home to claim a key; Nonce names this claim.
-type ClaimRequest struct {
-	KeyHash     string `json:"key_hash"`
-	Nonce       string `json:"nonce"`
-	Fingerprint string `json:"fp"`
-	BudgetMS    int64  `json:"budget_ms"`
-}
-
-// ClaimReply is the home's word on a claim.
-type ClaimReply struct {
-	State    string `json:"state"` // granted, held, unavailable
-	Recorded string `json:"recorded,omitempty"`
-}
--- a/api/platformapi/platformapi.go
+++ b/api/platformapi/platformapi.go
@@ -27,7 +27,6 @@
 const (
 	KindConfig = "fuchsiaroad-config" // one object, NameConfig
 	KindLedger = "fuchsiaroad-ledger" // one object a bucket
-	KindStatus = "fuchsiaroad-status"
 	NameConfig = "current"
 )
 
