--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -21,7 +21,7 @@
 	// peerTimeout bounds one call to a peer.
 	peerTimeout = time.Second
 	// listEvery is the time between reads of the list of instances.
-	listEvery = 3 * time.Second
+	listEvery = 2 * time.Second
 )
 
 // Control is the control goroutine's state and its entrances. Only methods
@@ -215,7 +215,7 @@
 		if err == nil {
 			c.post(ctx, func(time.Time) { c.listed(list) })
 		}
-		pause := listEvery/2 + time.Duration(rnd.Int64N(int64(listEvery)))
+		pause := listEvery*9/10 + time.Duration(rnd.Int64N(int64(listEvery/5)))
 		select {
 		case <-ctx.Done():
 			return
