--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Every target runs on a fresh machine with Go, make and a shell.
-MODULES := kernel api config plugins standin entry bench cmd scenarios
+MODULES := kernel api config plugins standin entry platform bench cmd scenarios
 TOOLS := $(CURDIR)/.tools/bin
 LINT_VERSION := v2.15.0
 LINT := $(TOOLS)/golangci-lint
--- /dev/null
+++ b/cmd/fuchsiaroad/hosted.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/fuchsiaroad/fuchsiaroad/platform"
+)
+
+// newHosted builds the command that serves on the users' platform.
+func newHosted() *cobra.Command {
+	return &cobra.Command{
+		Use:   "hosted",
+		Short: "Serve on the users' platform until told to stop",
+		Long: `Hosted runs one entry instance by the platform's settings file, whose path is in
+` + platform.SettingsVariable + `. The first SIGTERM or SIGINT starts a graceful stop.`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			path := os.Getenv(platform.SettingsVariable)
+			if path == "" {
+				return &usageError{errors.New(platform.SettingsVariable + ": want the path of the settings file")}
+			}
+			return serveHosted(path)
+		},
+	}
+}
+
+// serveHosted serves until a signal, then stops gracefully; a second one ends it.
+func serveHosted(path string) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	stop := make(chan struct{})
+	done := make(chan error, 1)
+	go func() { done <- platform.Run(context.Background(), path, stop, os.Stdout) }()
+	select {
+	case err := <-done:
+		return err
+	case <-signals:
+		close(stop)
+	}
+	select {
+	case err := <-done:
+		return err
+	case sig := <-signals:
+		return fmt.Errorf("ended by a second signal: %v", sig)
+	}
+}
--- a/cmd/fuchsiaroad/root.go
+++ b/cmd/fuchsiaroad/root.go
@@ -52,10 +52,10 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
-			return &usageError{errors.New("want a command: serve, check or version")}
+			return &usageError{errors.New("want a command: serve, hosted, check or version")}
 		},
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
-	root.AddCommand(newServe(), newCheck(), newVersion())
+	root.AddCommand(newServe(), newHosted(), newCheck(), newVersion())
 	return root
 }
--- /dev/null
+++ b/entry/executor/arrivals.go
@@ -0,0 +1,77 @@
+package executor
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+	kernelrepetition "github.com/fuchsiaroad/fuchsiaroad/kernel/repetition"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// arrivals keeps the fleet's bound on extra arrivals at each shard. Upstreams
+// that share a shard's name share its bound. It guards the kernel's windows by a
+// lock.
+type arrivals struct {
+	instances func() int
+
+	mu      sync.Mutex
+	windows map[string]*kernelrepetition.Window // by shard name
+}
+
+// newArrivals makes it empty.
+func newArrivals(instances func() int) *arrivals {
+	if instances == nil {
+		instances = func() int { return 1 }
+	}
+	return &arrivals{instances: instances, windows: make(map[string]*kernelrepetition.Window)}
+}
+
+// arrived counts a request at each shard of its service.
+func (a *arrivals) arrived(v *view.View, s *view.Service, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, i := range s.Upstreams {
+		up := &v.Upstreams[i]
+		if up.Config.Repeats == nil {
+			continue
+		}
+		for j := range up.Shards {
+			a.window(up.Shards[j].Name, up.Config.Repeats).Arrived(now)
+		}
+	}
+}
+
+// take spends one repeat at a shard, if it fits. Without a bound it always does.
+func (a *arrivals) take(up *view.Upstream, shard int, now time.Time) bool {
+	if up.Config.Repeats == nil || shard < 0 || shard >= len(up.Shards) {
+		return up.Config.Repeats == nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.window(up.Shards[shard].Name, up.Config.Repeats).TakeRepeat(now)
+}
+
+// window returns the window of a shard with this instance's part of the limit.
+// The lock is held.
+func (a *arrivals) window(shard string, limit *document.RepeatLimit) *kernelrepetition.Window {
+	part := kernelrepetition.Limit{
+		Ratio: limit.Ratio, Slack: limit.Slack / float64(max(1, a.instances())), Span: limit.Window,
+	}
+	w, ok := a.windows[shard]
+	if !ok {
+		w = kernelrepetition.NewWindow(part)
+		a.windows[shard] = w
+	}
+	w.SetLimit(part)
+	return w
+}
+
+// TakeRepeat implements query.Arrivals by the indexes of the query's newest view.
+// It is called with the run's lock held.
+func (r *run) TakeRepeat(upstream, shard int, now time.Time) bool {
+	if upstream < 0 || upstream >= len(r.view.Upstreams) {
+		return false
+	}
+	return r.executor.arrivals.take(&r.view.Upstreams[upstream], shard, now)
+}
--- a/entry/executor/atmostonce.go
+++ b/entry/executor/atmostonce.go
@@ -23,7 +23,7 @@
 		if req.Service.Config.KeyRequired {
 			return nil, refuse(RefusedKeyRequired, 0, "this service is not idempotent and wants an Idempotency-Key")
 		}
-		return e.fanOut(ctx, req)
+		return e.answered(ctx, req)
 	}
 	grant, err := e.config.Ledger.Claim(ctx, ledger.Request{
 		Caller: req.Caller.Name, Service: req.Service.Config.Name, Key: req.Key,
@@ -37,7 +37,7 @@
 		grant.Release()
 		return nil, refuse(RefusedDeadline, leastRetryAfter, "the deadline passed before the request could start")
 	}
-	resp, err := e.fanOut(ctx, req)
+	resp, err := e.answered(ctx, req)
 	if err != nil {
 		grant.Release() // a refusal proves that nothing ran
 		return nil, err
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -36,7 +36,7 @@
 	// sent: a leaf that breaks whatever comes is lost, and proves nothing.
 	up := e.leafState.up(s.leaf.ID)
 	target := leafclient.Target{ID: s.leaf.ID, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.dialCost}
-	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body}
+	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body, Passed: a.run.request.Passed}
 	reply, err := e.config.Leaves.Run(s.ctx, target, request, func() bool { return a.run.maySend(a, leaf) })
 	if err != nil {
 		e.failed(s.ctx, p, a, exchanged{leaf: leaf, up: up, err: err})
@@ -44,7 +44,7 @@
 	}
 	e.Learn(s.leaf.ID, reply.Versions, reply.Draining)
 	p.finish(a, dispatch.OutcomeReply, reply.Service)
-	a.run.mail.put(query.Reply{Attempt: a.offer.Attempt, Leaf: leaf, Version: reply.Version, Ranges: reply.Ranges, Body: reply.Body, Versions: reply.Versions})
+	a.run.mail.put(query.Reply{Attempt: a.offer.Attempt, Leaf: leaf, Version: reply.Version, Ranges: reply.Ranges, Body: reply.Body, Versions: reply.Versions, Carried: reply.Carried})
 }
 
 // exchanged is an exchange that brought no reply.
@@ -85,7 +85,7 @@
 			e.leafState.sawBreak(broken.Leaf, time.Now())
 		}
 		p.finish(a, brokenOutcome(broken.Cause), 0)
-		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: string(broken.Cause), Crash: closed && x.up})
+		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: string(broken.Cause), Crash: closed && x.up, Carried: broken.Carried})
 	default:
 		p.finish(a, dispatch.OutcomeBroken, 0)
 		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: "internal"})
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -22,26 +22,56 @@
 // Execute runs a request to its answer. The error, if any, is a *RefusedError:
 // the request provably ran nowhere.
 func (e *Executor) Execute(ctx context.Context, req *Request) (*Response, error) {
-	e.inFlight.Add(1)
-	defer e.inFlight.Done()
-	running := e.running.Add(1)
-	defer e.running.Add(-1)
-	resp, err := e.bounded(ctx, req, running)
-	meter := e.service(req.Service).metrics
+	var resp *Response
+	err := e.counted(req, func() (outcome string, err error) {
+		if resp, err = e.execute(ctx, req); err != nil {
+			return "", err
+		}
+		return resp.Answer.Outcome, nil
+	})
 	if err != nil {
-		meter.Observe(refusedLabel, time.Since(req.Start))
 		return nil, err
 	}
-	meter.Observe(resp.Answer.Outcome, time.Since(req.Start))
 	return resp, nil
 }
 
-// bounded refuses a query beyond the most that may be in progress.
-func (e *Executor) bounded(ctx context.Context, req *Request, running int64) (*Response, error) {
+// Forward runs a request that is handed on to leaves as it came, and returns
+// the kernel's answer with what the leaves' protocol carried. It claims no key:
+// a request without one has one attempt unless its service is idempotent. The
+// error, if any, is a *RefusedError.
+func (e *Executor) Forward(ctx context.Context, req *Request) (*query.Answer, error) {
+	var answer *query.Answer
+	err := e.counted(req, func() (outcome string, err error) {
+		if _, answer, err = e.fanOut(ctx, req); err != nil {
+			return "", err
+		}
+		return string(answer.Outcome), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// counted runs a query within the bound of those in progress and meters it.
+func (e *Executor) counted(req *Request, run func() (outcome string, err error)) error {
+	e.inFlight.Add(1)
+	defer e.inFlight.Done()
+	running := e.running.Add(1)
+	defer e.running.Add(-1)
+	meter := e.service(req.Service).metrics
+	var outcome string
+	var err error
 	if e.config.MaxQueries > 0 && running > int64(e.config.MaxQueries) {
-		return nil, refuse(RefusedOverloaded, jitter(leastRetryAfter), "too many queries are in progress at this instance")
+		err = refuse(RefusedOverloaded, jitter(leastRetryAfter), "too many queries are in progress at this instance")
+	} else {
+		outcome, err = run()
 	}
-	return e.execute(ctx, req)
+	if err != nil {
+		outcome = refusedLabel
+	}
+	meter.Observe(outcome, time.Since(req.Start))
+	return err
 }
 
 // jitter spreads callers that come back: between one and two times d.
@@ -50,19 +80,30 @@
 // execute claims the key of a non-idempotent request before anything else.
 func (e *Executor) execute(ctx context.Context, req *Request) (*Response, error) {
 	if req.Service.Config.Idempotent {
-		return e.fanOut(ctx, req)
+		return e.answered(ctx, req)
 	}
 	return e.atMostOnce(ctx, req)
 }
 
+// answered runs the query and writes its answer in the callers' terms.
+func (e *Executor) answered(ctx context.Context, req *Request) (*Response, error) {
+	r, answer, err := e.fanOut(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return &Response{Answer: r.convert(answer)}, nil
+}
+
 // fanOut runs the query, unless its fingerprint is in quarantine.
-func (e *Executor) fanOut(ctx context.Context, req *Request) (*Response, error) {
+func (e *Executor) fanOut(ctx context.Context, req *Request) (*run, *query.Answer, error) {
 	fingerprint := e.quarantine.fingerprint(req)
 	decision := e.quarantine.admit(fingerprint, req, req.Start)
 	if decision.Mode == quarantine.ModeRefuse {
-		return nil, refuse(RefusedQuarantined, decision.RetryAfter, "earlier runs of this request broke the leaves that ran them")
+		return nil, nil, refuse(RefusedQuarantined, decision.RetryAfter, "earlier runs of this request broke the leaves that ran them")
 	}
-	return e.newRun(ctx, req, fingerprint, decision.Mode).finish()
+	r := e.newRun(ctx, req, fingerprint, decision.Mode)
+	answer, err := r.finish()
+	return r, answer, err
 }
 
 // newRun makes the query's machine and its place in the order of work.
@@ -80,6 +121,7 @@
 		View: req.View, Service: req.Service, Start: req.Start, Deadline: req.Deadline,
 		Versions:   r.versions,
 		Budget:     r.repetition,
+		Arrivals:   r,
 		HedgeAfter: r.repetition.hedgeAfter(r),
 		Canary:     mode == quarantine.ModeCanary,
 		Suspect:    mode == quarantine.ModeSuspect,
@@ -88,8 +130,8 @@
 	return r
 }
 
-// finish drives the query and converts its answer.
-func (r *run) finish() (*Response, error) {
+// finish drives the query to its answer; one that says "not run" is an error.
+func (r *run) finish() (*query.Answer, error) {
 	work, cancel := context.WithDeadline(r.ctx, r.request.Deadline)
 	defer cancel() // ends the exchanges that the answer no longer needs
 	r.work = work
@@ -97,6 +139,7 @@
 		return nil, refused
 	}
 	r.repetition.deposit(r.request.Service.Shards)
+	r.executor.arrivals.arrived(r.request.View, r.request.Service, time.Now())
 	r.executor.register(r)
 	answer := r.drive()
 	r.executor.unregister(r)
@@ -105,7 +148,7 @@
 	if answer.Outcome == query.NotRun {
 		return nil, refusal(answer)
 	}
-	return &Response{Answer: r.convert(answer)}, nil
+	return answer, nil
 }
 
 // account counts what the query cost.
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -33,10 +33,12 @@
 
 // Request is one caller's checked request.
 type Request struct {
-	View     *view.View
-	Service  *view.Service
-	Caller   *document.Caller
-	Body     []byte
+	View    *view.View
+	Service *view.Service
+	Caller  *document.Caller
+	Body    []byte
+	// Passed is the request where it is handed on to leaves as it came; see Forward.
+	Passed   *leafclient.Passed
 	Key      string // Idempotency-Key, "" if none was given
 	Start    time.Time
 	Deadline time.Time
@@ -59,6 +61,9 @@
 	MaxQueries int
 	// MaxQueue is the most attempts that wait per shard; 0 sets no bound but time.
 	MaxQueue int
+	// Instances is the number of instances that share limits of the fleet, this
+	// one included; it may change. Nil means one.
+	Instances func() int
 	// Ledger claims the keys of non-idempotent requests.
 	Ledger Ledger
 }
@@ -76,6 +81,8 @@
 	pools    map[string]*pool         // by upstream name
 	services map[string]*serviceState // by service name
 
+	arrivals *arrivals
+
 	runsMu sync.Mutex
 	runs   map[*run]struct{}
 }
@@ -89,6 +96,7 @@
 		pools:      make(map[string]*pool),
 		services:   make(map[string]*serviceState),
 		runs:       make(map[*run]struct{}),
+		arrivals:   newArrivals(c.Instances),
 	}
 }
 
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -47,6 +47,9 @@
 	mac.Write([]byte(r.Service.Config.Name))
 	mac.Write([]byte{0})
 	mac.Write(r.Body)
+	if r.Passed != nil {
+		r.Passed.Identify(mac)
+	}
 	return hex.EncodeToString(mac.Sum(nil)[:fingerprintBytes])
 }
 
--- a/entry/executor/service.go
+++ b/entry/executor/service.go
@@ -25,7 +25,7 @@
 	if !ok {
 		state = e.addService(s)
 	}
-	config := plugin.RepetitionConfig{HedgeBudget: s.Config.HedgeBudget, HedgeQuantile: s.Config.HedgeQuantile, RetryBudget: s.Config.RetryBudget}
+	config := plugin.RepetitionConfig{HedgeBudget: s.Config.HedgeBudget, HedgeQuantile: s.Config.HedgeQuantile, RetryBudget: s.Config.RetryBudget, Objective: s.Config.Objective}
 	if r := state.repetition.Load(); r == nil || r.config != config {
 		state.repetition.CompareAndSwap(r, newRepetition(e.config.Policies.Repetition, config))
 	}
--- /dev/null
+++ b/entry/gateway/headers.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1),
+// and those that a new message gets of its own.
+var hopByHop = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true, "Expect": true, "Host": true,
+}
+
+// endToEnd returns the headers that are handed on, without those that the
+// Connection header names.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !hopByHop[name] {
+			out[name] = values
+		}
+	}
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	return out
+}
+
+// readBody reads a whole body within the limit. A request whose body does not
+// come whole is not passed on.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if limit > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	body, err := io.ReadAll(r.Body)
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLong):
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, detail: "the body is over the limit"}
+	default:
+		return nil, &refusal{status: http.StatusBadRequest, detail: "the body did not come whole"}
+	}
+}
--- /dev/null
+++ b/entry/hosted/hosted.go
@@ -0,0 +1,236 @@
+// Package hosted runs an entry instance on a platform of its users' own: the
+// configuration is an object that their operators write, leaves register
+// themselves in the platform's store, and requests are passed on as they come.
+// An adapter gives it the store's words, the leaf's protocol and the names of
+// headers; decisions are the kernel's.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/gateway"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins" // registers the policies
+)
+
+// Source reads the platform's store. Each call answers for the moment at which
+// it was made, or later.
+type Source interface {
+	// Config reads the newest configuration.
+	Config(ctx context.Context) (*catalog.Config, error)
+	// Leaves reads all registered leaves, and the store's revision of the list.
+	Leaves(ctx context.Context) (leaves []catalog.Leaf, revision uint64, err error)
+}
+
+// Leaves is the leaf protocol with its connections.
+type Leaves interface {
+	executor.Leaves
+	// Apply drops the connections of leaves that are not named.
+	Apply(targets []leafclient.Target)
+	// Close drops all.
+	Close()
+}
+
+// Config is what an instance is made of.
+type Config struct {
+	Instance string
+	Zone     string
+	// Listen is the clients' address, Ready that of the balancer's questions and
+	// of the metrics.
+	Listen, Ready string
+	// ReadyPath is the path of the balancer's question.
+	ReadyPath string
+	Source    Source
+	// NewLeaves makes the leaf protocol; gone may be called from any goroutine
+	// for a leaf that shows that it takes no more work.
+	NewLeaves func(gone func(leafID string)) Leaves
+	Headers   gateway.Headers
+	Catalog   catalog.Settings
+	// Grace is the time between the word to stop and the end.
+	Grace time.Duration
+	// Instances is the number of instances that share the fleet's limits.
+	Instances int
+	Log       telemetry.Options
+	LogSink   io.Writer
+}
+
+// Node is one hosted instance.
+type Node struct {
+	config    Config
+	log       *telemetry.Log
+	metrics   *telemetry.Metrics
+	leaves    Leaves
+	executor  *executor.Executor
+	lifecycle lifecycle.Lifecycle
+	control   *control
+	view      atomic.Pointer[view.View]
+	current   atomic.Pointer[time.Time] // until when the view's configuration is the newest
+	limits    atomic.Pointer[catalog.Limits]
+}
+
+// hostedPolicies are the policies of a hosted instance.
+var hostedPolicies = executor.Policies{
+	Dispatch:   dispatch.Policies{Routing: "two-choices", Order: "adaptive", Limit: "adaptive"},
+	Repetition: "objective",
+}
+
+// combinerName is the combiner of answers over shards.
+const combinerName = "greatest-records"
+
+// New assembles an instance. It does no I/O but opening the log.
+func New(c Config) (*Node, error) {
+	log, err := telemetry.NewLog(c.LogSink, c.Log)
+	if err != nil {
+		return nil, err
+	}
+	if err := hostedPolicies.Check(); err != nil {
+		return nil, err
+	}
+	n := &Node{config: c, log: log, metrics: telemetry.NewMetrics()}
+	n.control = newControl(n)
+	n.leaves = c.NewLeaves(n.control.leafGone)
+	n.executor = executor.New(executor.Config{
+		Leaves: n.leaves, Sightings: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
+		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: []byte(c.Instance),
+		Instances: func() int { return c.Instances },
+	})
+	return n, nil
+}
+
+// View implements gateway.Views.
+func (n *Node) View() *view.View { return n.view.Load() }
+
+// Current implements gateway.Views.
+func (n *Node) Current() bool {
+	until := n.current.Load()
+	return until != nil && time.Now().Before(*until)
+}
+
+// BodyLimit implements gateway.Views.
+func (n *Node) BodyLimit() int64 {
+	if l := n.limits.Load(); l != nil {
+		return l.BodyBytes
+	}
+	return 0
+}
+
+// publish puts a new view in force. The connections' shares are those of the
+// view, and the executor knows it, before any query does.
+func (n *Node) publish(v *view.View, l catalog.Limits) {
+	n.leaves.Apply(targets(v))
+	n.executor.Follow(v)
+	n.limits.Store(&l)
+	n.view.Store(v)
+	n.lifecycle.Serve()
+}
+
+// targets lists the leaves of a view, each once.
+func targets(v *view.View) []leafclient.Target {
+	out := make([]leafclient.Target, 0, len(v.Leaves))
+	seen := make(map[string]bool, len(v.Leaves))
+	for i := range v.Leaves {
+		l := &v.Leaves[i]
+		if seen[l.ID] {
+			continue
+		}
+		seen[l.ID] = true
+		out = append(out, leafclient.Target{ID: l.ID, Address: l.Address, Connections: l.Connections, DialCost: v.Upstreams[l.Upstream].Config.DialCost})
+	}
+	return out
+}
+
+// Bounds of the clients' server that the configuration does not set.
+const (
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than any client keeps an unused connection, so that
+	// no request crosses the close of one.
+	idleTimeout = 5 * time.Minute
+)
+
+// Run serves until stop is closed and the graceful end, or until the context ends.
+func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
+	defer n.close()
+	clients, err := net.Listen("tcp", n.config.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for clients: %w", err)
+	}
+	defer clients.Close()
+	balancer, err := net.Listen("tcp", n.config.Ready)
+	if err != nil {
+		return fmt.Errorf("listen for the balancer: %w", err)
+	}
+	defer balancer.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return serveUntil(ctx, n.clientServer(), clients) })
+	g.Go(func() error { return serveUntil(ctx, n.readyServer(), balancer) })
+	g.Go(func() error { return n.control.run(ctx) })
+	g.Go(func() error {
+		select {
+		case <-stop:
+			n.drain(ctx)
+		case <-ctx.Done():
+		}
+		cancel()
+		return nil
+	})
+	n.log.Part("node").Info("serving", "instance", n.config.Instance, "zone", n.config.Zone, "clients", n.config.Listen)
+	err = g.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// clientServer serves passed-on requests.
+func (n *Node) clientServer() *http.Server {
+	newCombiner, err := plugin.Combiners.Get(combinerName)
+	if err != nil {
+		panic(err) // the import above registers it
+	}
+	return &http.Server{
+		Handler: gateway.New(gateway.Config{
+			Executor: n.executor, Views: n, Lifecycle: &n.lifecycle, Headers: n.config.Headers,
+			Combiner: newCombiner(), Log: n.log,
+		}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
+}
+
+// serveUntil serves until the context ends. Connections are closed then: the
+// graceful stop has come before.
+func serveUntil(ctx context.Context, s *http.Server, l net.Listener) error {
+	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve: %w", err)
+}
+
+// close gives up what New opened.
+func (n *Node) close() {
+	n.leaves.Close()
+	if err := n.metrics.Close(); err != nil {
+		n.log.Part("node").Error("metrics were not closed", "err", err)
+	}
+	n.log.Close()
+}
--- /dev/null
+++ b/entry/hosted/ready.go
@@ -0,0 +1,38 @@
+package hosted
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
+)
+
+// readyServer answers the balancer, and serves the metrics.
+func (n *Node) readyServer() *http.Server {
+	e := echo.New()
+	e.GET(n.config.ReadyPath, n.ready)
+	e.GET(callerapi.PathMetrics, echo.WrapHandler(n.metrics.Handler()))
+	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// ready answers 503 with the reason while the balancer should send no one.
+func (n *Node) ready(c echo.Context) error {
+	if reason := n.notReady(); reason != "" {
+		return c.String(http.StatusServiceUnavailable, reason+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// notReady says why the balancer should send no one; "" when it should.
+func (n *Node) notReady() string {
+	switch n.lifecycle.Get() {
+	case lifecycle.Starting:
+		return "no configuration yet"
+	case lifecycle.Leaving, lifecycle.Refusing:
+		return "leaving"
+	case lifecycle.Serving:
+	}
+	return ""
+}
--- a/entry/leafclient/errors.go
+++ b/entry/leafclient/errors.go
@@ -46,6 +46,9 @@
 	CauseCancelled Cause = "cancelled" // the attempt was withdrawn
 	CauseStatus    Cause = "status"    // an answer that is neither a reply nor a decline
 	CauseMalformed Cause = "malformed" // a reply that breaks the protocol
+	// CauseLost is a connection that ended where that says nothing of the
+	// request: leaves also reset connections that are over their limit.
+	CauseLost Cause = "lost"
 )
 
 // BrokenError says that the request may have run and has no whole reply.
@@ -53,6 +56,9 @@
 	Leaf  string
 	Cause Cause
 	Err   error
+	// Carried is the failure as the leaf stated it, for the caller; nil when
+	// the leaf stated none.
+	Carried any
 }
 
 // Error implements error.
--- a/entry/leafclient/leafclient.go
+++ b/entry/leafclient/leafclient.go
@@ -40,6 +40,9 @@
 	Version uint64 // wanted index version, 0 for any
 	Range   keyrange.Range
 	Body    []byte
+	// Passed is the caller's request where it is handed on as it came; nil for
+	// the own protocol, which sends Body.
+	Passed *Passed
 }
 
 // Reply is a whole and checked reply.
@@ -51,6 +54,9 @@
 	Draining bool
 	// Service is how long the leaf says that the request held a slot; 0 if it did not say.
 	Service time.Duration
+	// Carried is what the protocol's implementation hands on with the answer,
+	// for whoever writes it to the caller; nil in the own protocol.
+	Carried any
 }
 
 // Client reaches leaves. It is safe for concurrent use.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/ledger"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/platform"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/probe"
@@ -50,7 +51,7 @@
 	prober    *probe.Prober
 	server    *server.Server
 	operators *server.Server // nil when operators share the callers' address
-	lifecycle lifecycle
+	lifecycle lifecycle.Lifecycle
 	view      atomic.Pointer[view.View]
 	warmed    atomic.Bool
 	stop      chan struct{}
@@ -107,7 +108,7 @@
 	n.leaves.Apply(probe.Targets(v))
 	n.executor.Follow(v)
 	n.view.Store(v)
-	n.lifecycle.phase.CompareAndSwap(int32(phaseStarting), int32(phaseServing))
+	n.lifecycle.Serve()
 }
 
 // Stop starts a graceful stop. It returns at once; Run ends when it is done.
@@ -157,12 +158,12 @@
 
 // notReady says why the balancer should send no one; "" when it should.
 func (n *Node) notReady() string {
-	switch n.lifecycle.get() {
-	case phaseStarting:
+	switch n.lifecycle.Get() {
+	case lifecycle.Starting:
 		return "no configuration document yet"
-	case phaseLeaving, phaseRefusing:
+	case lifecycle.Leaving, lifecycle.Refusing:
 		return "leaving"
-	case phaseServing:
+	case lifecycle.Serving:
 	}
 	if !n.warmed.Load() {
 		return "connections are being opened"
--- a/entry/node/status.go
+++ b/entry/node/status.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/probe"
 )
 
@@ -36,15 +37,15 @@
 }
 
 // phaseNames are the phases in words.
-var phaseNames = map[phase]string{
-	phaseStarting: "starting", phaseServing: "serving", phaseLeaving: "leaving", phaseRefusing: "refusing",
+var phaseNames = map[lifecycle.Phase]string{
+	lifecycle.Starting: "starting", lifecycle.Serving: "serving", lifecycle.Leaving: "leaving", lifecycle.Refusing: "refusing",
 }
 
 // status describes the instance.
 func (n *Node) status() any {
 	s := Status{
 		Instance: n.settings.Instance, Zone: n.settings.Zone, Version: Version,
-		Phase: phaseNames[n.lifecycle.get()], UptimeS: int64(time.Since(n.started).Seconds()),
+		Phase: phaseNames[n.lifecycle.Get()], UptimeS: int64(time.Since(n.started).Seconds()),
 		Queries: n.executor.Running(), LogDrops: n.log.Dropped(), Leaves: []LeafStatus{},
 		Quarantine: len(n.executor.Quarantine()),
 	}
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -113,7 +113,7 @@
 // Get reads an object.
 func (c *Client) Get(ctx context.Context, kind, name string) (platformapi.Object, error) {
 	var obj platformapi.Object
-	err := c.do(ctx, request{call: CallGet, method: http.MethodGet, path: objectPath(kind, name), kind: kind, name: name}, &obj)
+	err := c.Do(ctx, Request{Call: CallGet, Method: http.MethodGet, Path: objectPath(kind, name), Kind: kind, Name: name}, &obj)
 	return obj, err
 }
 
@@ -128,9 +128,9 @@
 		return 0, &UnavailableError{Call: CallPut, Err: err}
 	}
 	var obj platformapi.Object
-	err = c.do(ctx, request{
-		call: CallPut, method: http.MethodPut, path: objectPath(kind, name) + ifVersionQuery(ifVersion),
-		kind: kind, name: name, body: body, write: true,
+	err = c.Do(ctx, Request{
+		Call: CallPut, Method: http.MethodPut, Path: objectPath(kind, name) + ifVersionQuery(ifVersion),
+		Kind: kind, Name: name, Body: body, Write: true,
 	}, &obj)
 	if err == nil && obj.Version == 0 {
 		return 0, &UnknownEffectError{Call: CallPut, Err: errNoVersion}
@@ -140,9 +140,9 @@
 
 // Delete removes an object if it stands at version ifVersion.
 func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
-	return c.do(ctx, request{
-		call: CallDelete, method: http.MethodDelete, path: objectPath(kind, name) + ifVersionQuery(ifVersion),
-		kind: kind, name: name, write: true,
+	return c.Do(ctx, Request{
+		Call: CallDelete, Method: http.MethodDelete, Path: objectPath(kind, name) + ifVersionQuery(ifVersion),
+		Kind: kind, Name: name, Write: true,
 	}, nil)
 }
 
@@ -150,7 +150,7 @@
 func (c *Client) List(ctx context.Context, kind string) (platformapi.List, error) {
 	var list platformapi.List
 	path := platformapi.PathObjects + "/" + url.PathEscape(kind)
-	err := c.do(ctx, request{call: CallList, method: http.MethodGet, path: path, kind: kind}, &list)
+	err := c.Do(ctx, Request{Call: CallList, Method: http.MethodGet, Path: path, Kind: kind}, &list)
 	return list, err
 }
 
@@ -160,14 +160,14 @@
 	var events platformapi.Events
 	query := url.Values{"since": {strconv.FormatUint(since, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
 	path := platformapi.PathWatch + "/" + url.PathEscape(kind) + "?" + query.Encode()
-	err := c.do(ctx, request{call: CallWatch, method: http.MethodGet, path: path, kind: kind, since: since, wait: wait}, &events)
+	err := c.Do(ctx, Request{Call: CallWatch, Method: http.MethodGet, Path: path, Kind: kind, Since: since, Wait: wait}, &events)
 	return events, err
 }
 
 // Instances reads the list of live and leaving instances; it lags.
 func (c *Client) Instances(ctx context.Context) ([]platformapi.Instance, error) {
 	var list platformapi.Instances
-	err := c.do(ctx, request{call: CallInstances, method: http.MethodGet, path: platformapi.PathInstances}, &list)
+	err := c.Do(ctx, Request{Call: CallInstances, Method: http.MethodGet, Path: platformapi.PathInstances}, &list)
 	return list.Instances, err
 }
 
@@ -181,39 +181,44 @@
 	return "?if_version=" + strconv.FormatUint(version, 10)
 }
 
-// request is one call.
-type request struct {
-	call         Call
-	method, path string
-	kind, name   string
-	body         []byte
-	write        bool
-	since        uint64
-	wait         time.Duration // of a watch
+// Request is one call, whose path and body are in the words of the store's own
+// protocol.
+type Request struct {
+	Call         Call
+	Method, Path string
+	// Kind and Name are those of the object, for errors.
+	Kind, Name string
+	Body       []byte
+	// Write says that the call may change an object.
+	Write bool
+	// Since and Wait are those of a watch.
+	Since uint64
+	Wait  time.Duration
 }
 
-// do makes the call and counts it.
-func (c *Client) do(ctx context.Context, r request, into any) error {
+// Do makes the call, reads its JSON reply into a value, which may be nil, and
+// counts it. Errors are those of this package.
+func (c *Client) Do(ctx context.Context, r Request, into any) error {
 	begin := time.Now()
 	err := c.call(ctx, r, into)
-	c.cfg.Meter.PlatformCall(r.call, resultOf(err), time.Since(begin))
+	c.cfg.Meter.PlatformCall(r.Call, resultOf(err), time.Since(begin))
 	return err
 }
 
 // call waits for a slot, sends the request and reads the reply.
-func (c *Client) call(ctx context.Context, r request, into any) error {
+func (c *Client) call(ctx context.Context, r Request, into any) error {
 	timeout := c.cfg.Timeout
-	if r.call == CallWatch {
-		timeout = r.wait + watchGrace
+	if r.Call == CallWatch {
+		timeout = r.Wait + watchGrace
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if r.call != CallWatch {
+	if r.Call != CallWatch {
 		select {
 		case c.slots <- struct{}{}:
 			defer func() { <-c.slots }()
 		case <-ctx.Done():
-			return &UnavailableError{Call: r.call, Err: ctx.Err()}
+			return &UnavailableError{Call: r.Call, Err: ctx.Err()}
 		}
 	}
 	var connected atomic.Bool
@@ -230,12 +235,12 @@
 
 // send builds the HTTP request and sends it. A PUT or DELETE is not repeated
 // by the transport once bytes of it were written.
-func (c *Client) send(ctx context.Context, r request) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, r Request) (*http.Response, error) {
 	var body io.Reader
-	if r.body != nil {
-		body = bytes.NewReader(r.body)
+	if r.Body != nil {
+		body = bytes.NewReader(r.Body)
 	}
-	req, err := http.NewRequestWithContext(ctx, r.method, c.cfg.URL+r.path, body)
+	req, err := http.NewRequestWithContext(ctx, r.Method, c.cfg.URL+r.Path, body)
 	if err != nil {
 		return nil, err
 	}
@@ -243,7 +248,7 @@
 	if c.cfg.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
 	}
-	if r.body != nil {
+	if r.Body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
 	return c.http.Do(req)
@@ -251,15 +256,15 @@
 
 // lost classes a call without a usable reply. A write that may have reached
 // the store has an unknown effect; all else is merely unavailable.
-func lost(r request, sent bool, retryAfter time.Duration, err error) error {
-	if r.write && sent {
-		return &UnknownEffectError{Call: r.call, RetryAfter: retryAfter, Err: err}
+func lost(r Request, sent bool, retryAfter time.Duration, err error) error {
+	if r.Write && sent {
+		return &UnknownEffectError{Call: r.Call, RetryAfter: retryAfter, Err: err}
 	}
-	return &UnavailableError{Call: r.call, RetryAfter: retryAfter, Err: err}
+	return &UnavailableError{Call: r.Call, RetryAfter: retryAfter, Err: err}
 }
 
 // finish turns a reply into a value or an error.
-func finish(r request, resp *http.Response, into any) error {
+func finish(r Request, resp *http.Response, into any) error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
 	if err != nil {
 		return lost(r, true, 0, err)
@@ -281,17 +286,17 @@
 		if err := json.Unmarshal(body, &conflict); err != nil {
 			return lost(r, true, 0, err)
 		}
-		return &ConflictError{Kind: r.kind, Name: r.name, Version: conflict.Version}
-	case resp.StatusCode == http.StatusNotFound && r.name != "":
-		return &NotFoundError{Kind: r.kind, Name: r.name}
-	case resp.StatusCode == http.StatusGone && r.call == CallWatch:
-		return &GoneError{Kind: r.kind, Since: r.since}
+		return &ConflictError{Kind: r.Kind, Name: r.Name, Version: conflict.Version}
+	case resp.StatusCode == http.StatusNotFound && r.Name != "":
+		return &NotFoundError{Kind: r.Kind, Name: r.Name}
+	case resp.StatusCode == http.StatusGone && r.Call == CallWatch:
+		return &GoneError{Kind: r.Kind, Since: r.Since}
 	case resp.StatusCode == http.StatusTooManyRequests:
-		return &RateLimitedError{Call: r.call, RetryAfter: retryAfter}
+		return &RateLimitedError{Call: r.Call, RetryAfter: retryAfter}
 	case resp.StatusCode >= 500:
 		return lost(r, true, retryAfter, &statusError{resp.StatusCode})
 	default:
-		return &RejectedError{Call: r.call, Status: resp.StatusCode, Detail: detail(body)}
+		return &RejectedError{Call: r.Call, Status: resp.StatusCode, Detail: detail(body)}
 	}
 }
 
--- /dev/null
+++ b/kernel/catalog/catalog_test.go
@@ -0,0 +1,124 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+)
+
+var start = time.Unix(1000, 0)
+
+// testSettings are the times of the tests.
+var testSettings = Settings{
+	LapseAfter: 2400 * time.Millisecond, ReturnWithin: 2 * time.Second, Retire: 5 * time.Second,
+	Fresh: 2 * time.Second, DialCost: 6 * time.Millisecond,
+	Repeats: document.RepeatLimit{Ratio: 0.2, Slack: 56, Window: 10 * time.Second},
+}
+
+// config returns a configuration whose one route asks the given shards.
+func config(version uint64, shards ...string) *Config {
+	return &Config{Version: version, Routes: []Route{{
+		Name: "search", Host: "a", Prefix: "/s/", Idempotent: true, Timeout: time.Second, Shards: shards, TopK: 5, LeastCoverage: 0.5,
+	}}}
+}
+
+// TestVersionNeverGoesBack feeds older versions after a newer one.
+func TestVersionNeverGoesBack(t *testing.T) {
+	c := New(testSettings)
+	for _, tc := range []struct{ read, want uint64 }{{7, 7}, {5, 7}, {7, 7}, {9, 9}, {8, 9}} {
+		c.ConfigRead(config(tc.read, "a"), start, start)
+		if c.Version() != tc.want {
+			t.Fatalf("after version %d: %d in force, want %d", tc.read, c.Version(), tc.want)
+		}
+	}
+}
+
+// TestOldListIsDropped shows an older list after one in which a leaf drained.
+func TestOldListIsDropped(t *testing.T) {
+	c := New(testSettings)
+	c.LeavesRead([]Leaf{{ID: "x", Service: "a", Draining: true}}, 20, start, start)
+	if c.LeavesRead([]Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}, 15, start, start) {
+		t.Error("an older list counted as news")
+	}
+	if !c.Draining("x") || c.Leaves() != 1 {
+		t.Error("an older list took a drain back")
+	}
+	c.LeavesRead([]Leaf{{ID: "x", Service: "a"}}, 21, start, start)
+	if !c.Draining("x") {
+		t.Error("a drain was taken back within one incarnation")
+	}
+}
+
+// TestLapsedEntriesReturn plays an outage in which entries lapsed: they are kept
+// for the time in which they may come back, and are gone after it.
+func TestLapsedEntriesReturn(t *testing.T) {
+	both := []Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}
+	for _, tc := range []struct {
+		name   string
+		outage time.Duration
+		kept   bool
+	}{
+		{"after an outage", 5 * time.Second, true},
+		{"without one", time.Second, false},
+	} {
+		c := New(testSettings)
+		c.LeavesRead(both, 1, start, start)
+		back := start.Add(tc.outage)
+		c.LeavesRead(both[:1], 2, back, back)
+		if got := c.Leaves() == 2; got != tc.kept {
+			t.Errorf("%s: missing entry kept: %v, want %v", tc.name, got, tc.kept)
+		}
+		late := back.Add(testSettings.ReturnWithin)
+		c.LeavesRead(both[:1], 3, late, late)
+		if c.Leaves() != 1 {
+			t.Errorf("%s: an entry that did not return is still there", tc.name)
+		}
+	}
+}
+
+// TestSetIsKeptForQueriesInFlight cuts the index into another set.
+func TestSetIsKeptForQueriesInFlight(t *testing.T) {
+	c := New(testSettings)
+	c.LeavesRead(nil, 1, start, start)
+	c.ConfigRead(config(1, "a", "b"), start, start)
+	c.ConfigRead(config(2, "c", "d", "e"), start, start)
+	if n := len(c.Document().Upstreams); n != 2 {
+		t.Fatalf("%d upstreams after the change, want the new set and the old one", n)
+	}
+	if c.Tick(start.Add(4 * time.Second)) {
+		t.Error("the old set was dropped while its queries may run")
+	}
+	if !c.Tick(start.Add(5*time.Second)) || len(c.Document().Upstreams) != 1 {
+		t.Error("the old set is still there after its time")
+	}
+}
+
+// TestDocument checks how routes, sets and leaves are joined.
+func TestDocument(t *testing.T) {
+	c := New(testSettings)
+	cfg := config(3, "a", "b", "c")
+	cfg.Services = map[string]Service{"a": {ConnectionLimit: 26}, "b": {ConnectionLimit: 20}, "c": {ConnectionLimit: 26}}
+	cfg.Routes = append(cfg.Routes, Route{
+		Name: "file", Host: "a", Prefix: "/f/", Timeout: time.Second,
+		Targets: []document.RouteTarget{{Service: "p", Weight: 3}, {Service: "q", Weight: 1}},
+	})
+	c.ConfigRead(cfg, start, start)
+	c.LeavesRead([]Leaf{{ID: "z", Service: "b", Address: "10.0.0.1:1", Zone: "hall-a"}, {ID: "p1", Service: "p"}}, 1, start, start)
+	doc := c.Document()
+	var set *document.Upstream
+	for i := range doc.Upstreams {
+		if doc.Upstreams[i].KeySpace == 3 {
+			set = &doc.Upstreams[i]
+		}
+	}
+	if set == nil || set.ConnectionLimit != 20 || set.Shards[1].Name != "b" || len(set.Shards[1].Leaves) != 1 || len(set.Shards[0].Leaves) != 0 {
+		t.Fatalf("upstreams %+v, want a set of three shards with one leaf", doc.Upstreams)
+	}
+	if len(doc.Services) != 3 || doc.Services[1].Name != "file/p" || doc.Services[1].Idempotent || doc.Services[1].LeastCoverage != 1 {
+		t.Errorf("services %+v, want one for the set and one for each part of the split", doc.Services)
+	}
+	if len(doc.Routes) != 2 || len(doc.Routes[1].Targets) != 2 || doc.Routes[1].Targets[0].Weight != 3 {
+		t.Errorf("routes %+v", doc.Routes)
+	}
+}
--- a/kernel/document/document.go
+++ b/kernel/document/document.go
@@ -16,6 +16,8 @@
 	Upstreams []Upstream
 	Services  []Service
 	Callers   []Caller
+	// Routes lead passed-on requests to services; see Route.
+	Routes []Route
 }
 
 // Upstream is a set of leaves that serve one key space.
@@ -29,11 +31,17 @@
 	Slots int
 	// DialCost is the usual time of a new connection.
 	DialCost time.Duration
-	Shards   []Shard
+	// Repeats bounds the arrivals beyond the first of each request at one shard;
+	// nil sets no bound.
+	Repeats *RepeatLimit
+	Shards  []Shard
 }
 
 // Shard is a key range and the leaves that replicate it.
 type Shard struct {
+	// Name names the shard beyond one upstream, for budgets that upstreams
+	// share; empty where none do.
+	Name   string
 	Range  keyrange.Range
 	Leaves []Leaf
 }
@@ -69,6 +77,41 @@
 	// KeyRequired refuses requests without an Idempotency-Key. It defaults to
 	// true when Idempotent is false.
 	KeyRequired bool
+	// Objective is the time within which an answer has its full value; 0 means
+	// that only the deadline counts.
+	Objective time.Duration
+	// Priority ranks services under overload; 0 is the most urgent.
+	Priority int
+	// Attempts is the most leaves of one shard that may run one request; 0
+	// leaves it to the kernel's own bound.
+	Attempts int
+	// TopK is the number of records that a combined answer keeps; 0 keeps all
+	// results apart.
+	TopK int
+}
+
+// RepeatLimit bounds the arrivals at one shard beyond the first of each
+// request, in any span of Window and over all instances: Ratio times the
+// requests of the span, and Slack more.
+type RepeatLimit struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Route leads requests of one host and path prefix to a service, or to several
+// in proportion to their weights. The longest prefix of a path wins.
+type Route struct {
+	Name    string
+	Host    string
+	Prefix  string // begins and ends with a slash
+	Targets []RouteTarget
+}
+
+// RouteTarget is a service of a route and its weight, at least 0.
+type RouteTarget struct {
+	Service string
+	Weight  float64
 }
 
 // Caller is an authenticated user of services.
--- a/kernel/plugin/policy.go
+++ b/kernel/plugin/policy.go
@@ -12,6 +12,7 @@
 	Limits      = NewRegistry[func() Limit]("limit")
 	Repetitions = NewRegistry[func(RepetitionConfig) Repetition]("repetition")
 	Placements  = NewRegistry[func(PlacementConfig) Placement]("placement")
+	Combiners   = NewRegistry[func() Combiner]("combiner")
 )
 
 // Sample is the end of one dispatched attempt as policies see it.
@@ -90,6 +91,7 @@
 	HedgeBudget   float64
 	HedgeQuantile float64
 	RetryBudget   float64
+	Objective     time.Duration
 }
 
 // Repetition decides when a sub-request is sent again. One instance serves one
@@ -127,3 +129,10 @@
 	// Via returns the entry through which self reaches the leaf; self means directly.
 	Via(leafID, self string, entries []string) string
 }
+
+// Combiner merges the replies of a query's parts into one body.
+type Combiner interface {
+	// Combine returns at most most records of the bodies, in the combiner's
+	// order. The bodies stay as they are.
+	Combine(bodies [][]byte, most int) []byte
+}
--- a/kernel/query/attempt.go
+++ b/kernel/query/attempt.go
@@ -110,6 +110,8 @@
 	a.leaf = ev.Leaf
 	a.sentAt = now.Sub(m.cfg.Start)
 	m.noteTried(a, ev.Leaf)
+	m.parts[a.part].reached = true
+	m.parts[a.part].runs++
 	m.count.sent++
 	if a.hedge {
 		m.count.hedges++
--- a/kernel/query/config.go
+++ b/kernel/query/config.go
@@ -32,6 +32,13 @@
 	TakeRetry(now time.Time) bool
 }
 
+// Arrivals limits the arrivals at a shard beyond the first of a request,
+// whatever their cause. Each call that returns true spends one. The indexes are
+// those of the query's current view.
+type Arrivals interface {
+	TakeRepeat(upstream, shard int, now time.Time) bool
+}
+
 // Config is what a query needs to know. It is not changed by the machine.
 type Config struct {
 	View     *view.View
@@ -40,6 +47,8 @@
 	Deadline time.Time
 	Versions VersionSource
 	Budget   Budget
+	// Arrivals bounds repetition by shard; nil sets no bound.
+	Arrivals Arrivals
 	// HedgeAfter is how long a sent attempt of the upstream may take before it
 	// is hedged; 0, or a nil function, means no hedge.
 	HedgeAfter func(upstream int) time.Duration
--- a/kernel/query/hedge.go
+++ b/kernel/query/hedge.go
@@ -74,7 +74,10 @@
 	if p.state != partOpen || p.live.n != 1 || p.hedged || !m.gate.open {
 		return
 	}
-	if !now.Before(m.cfg.Deadline) || !m.hasOther(p) || !m.cfg.Budget.TakeHedge(now) {
+	if !now.Before(m.cfg.Deadline) || !m.hasOther(p) || !m.mayRunAgain(p) {
+		return
+	}
+	if !m.cfg.Budget.TakeHedge(now) || !m.mayArrive(p, now) {
 		return
 	}
 	p.hedged = true
--- a/kernel/query/machine.go
+++ b/kernel/query/machine.go
@@ -44,6 +44,7 @@
 
 	count      counts
 	retryAfter time.Duration
+	failure    any    // the last failure that a leaf stated
 	reason     string // the first reason a part was given up for
 	finished   bool
 	out        []Action
--- a/kernel/query/messages.go
+++ b/kernel/query/messages.go
@@ -43,6 +43,8 @@
 	Ranges   []keyrange.Range
 	Body     []byte
 	Versions []uint64 // what the leaf serves now
+	// Carried is the runtime's own, handed on with the answer unread.
+	Carried any
 }
 
 // Declined is a leaf's word that it did not run the attempt.
@@ -73,6 +75,9 @@
 	Cause   string
 	// Crash marks a connection that the leaf closed with the request in a slot.
 	Crash bool
+	// Carried is a failure that the leaf stated, which a caller may be given
+	// when nothing better comes; nil when it stated none.
+	Carried any
 }
 
 // Tick says that a wake-up time asked for by WakeAt has passed.
@@ -199,6 +204,8 @@
 	More []keyrange.Range
 	Leaf int
 	Body []byte
+	// Carried is that of the Reply.
+	Carried any
 }
 
 // Answer is what the caller gets.
@@ -217,4 +224,6 @@
 	Sent, Hedges, Retries, Ignored int
 	// Moves counts changes of the pinned version.
 	Moves int
+	// Failure is the last failure that a leaf stated; nil when none did.
+	Failure any
 }
--- a/kernel/query/outcome.go
+++ b/kernel/query/outcome.go
@@ -69,6 +69,7 @@
 		Retries: m.count.retries,
 		Ignored: m.count.ignored,
 		Moves:   m.moves,
+		Failure: m.failure,
 	}
 	if m.spaces != nil {
 		m.fill(&a, m.tally(version), cause)
@@ -92,10 +93,11 @@
 	}
 	for _, r := range t.results {
 		a.Results = append(a.Results, Result{
-			Part: Part{Upstream: m.spaces[r.space].first, Range: r.ranges[0]},
-			More: r.ranges[1:],
-			Leaf: r.leaf,
-			Body: r.body,
+			Part:    Part{Upstream: m.spaces[r.space].first, Range: r.ranges[0]},
+			More:    r.ranges[1:],
+			Leaf:    r.leaf,
+			Body:    r.body,
+			Carried: r.carried,
 		})
 	}
 }
--- a/kernel/query/part.go
+++ b/kernel/query/part.go
@@ -27,15 +27,17 @@
 
 // part is a range that is asked of one shard.
 type part struct {
-	space  int
-	need   keyrange.Range
-	shard  int
-	state  partState
-	reason string
-	live   liveAttempts
-	tried  []int // leaves
-	tries  int
-	hedged bool
+	space   int
+	need    keyrange.Range
+	shard   int
+	state   partState
+	reason  string
+	live    liveAttempts
+	tried   []int // leaves
+	tries   int
+	hedged  bool
+	reached bool // an attempt of it arrived at a leaf
+	runs    int  // attempts that may have run
 	// anyLeaf lets a part that runs alone go to any leaf, after the one that
 	// the seed names could not take it.
 	anyLeaf bool
--- a/kernel/query/replan.go
+++ b/kernel/query/replan.go
@@ -47,7 +47,7 @@
 	rest := []keyrange.Range{pc.r}
 	shards := m.shards(old.space)
 	for _, s := range m.shardsOf(old.space, pc.r) {
-		child := part{space: old.space, need: shards[s].Range.Intersect(pc.r), shard: s, tries: old.tries, tried: slices.Clone(old.tried)}
+		child := part{space: old.space, need: shards[s].Range.Intersect(pc.r), shard: s, tries: old.tries, reached: old.reached, runs: old.runs, tried: slices.Clone(old.tried)}
 		rest = subtract(rest, child.need)
 		if pc.held && leaf != noLeaf {
 			child.tried = slices.DeleteFunc(child.tried, func(l int) bool { return l == leaf })
--- a/kernel/query/reply.go
+++ b/kernel/query/reply.go
@@ -60,7 +60,7 @@
 		set := keyrange.NewSet(ranges...)
 		ranges = set.Ranges()
 	}
-	r := stored{space: space, ranges: ranges, leaf: ev.Leaf, body: ev.Body}
+	r := stored{space: space, ranges: ranges, leaf: ev.Leaf, body: ev.Body, carried: ev.Carried}
 	if !m.tally(ev.Version).add(r) {
 		m.count.ignored++
 		m.askRest(a.part, m.here(&a, ev.Leaf), whole(m.parts[a.part]), now)
@@ -137,10 +137,28 @@
 // checkSettle starts the wait for the rest once enough is covered.
 func (m *Machine) checkSettle(now time.Time) {
 	c := m.cfg.Service.Config
-	if c.Settle <= 0 || !m.settle.IsZero() {
+	if (c.Settle <= 0 && c.Objective <= 0) || !m.settle.IsZero() {
 		return
 	}
 	if m.share(m.best) >= c.LeastCoverage-shareTolerance {
-		m.settle = now.Add(c.Settle)
+		m.settle = m.settleTime(now)
 	}
 }
+
+// settleShare is the share of the latency objective after which a useful answer
+// is not held back for its missing parts: what comes later rarely arrives at the
+// caller within the objective.
+const settleShare = 0.8
+
+// settleTime is when an answer that is useful now goes out without the rest.
+func (m *Machine) settleTime(now time.Time) time.Time {
+	c := m.cfg.Service.Config
+	if c.Objective <= 0 {
+		return now.Add(c.Settle)
+	}
+	at := m.cfg.Start.Add(time.Duration(settleShare * float64(c.Objective)))
+	if at.Before(now) {
+		return now
+	}
+	return at
+}
--- a/kernel/query/retry.go
+++ b/kernel/query/retry.go
@@ -26,6 +26,8 @@
 	}
 	if p.state == stateQueued {
 		m.noteTried(p, ev.Leaf)
+	} else {
+		m.parts[p.part].runs--
 	}
 	a := m.end(ev.Attempt, stateDeclined)
 	if a == nil {
@@ -84,6 +86,9 @@
 	}
 	m.end(ev.Attempt, stateBroken)
 	a := *p
+	if ev.Carried != nil {
+		m.failure = ev.Carried
+	}
 	if ev.Crash {
 		m.crashed(ev, a, now)
 		return
@@ -119,7 +124,25 @@
 	if p.tries >= maxTries || !now.Before(m.cfg.Deadline) || !m.hasOther(p) {
 		return false
 	}
-	return !f.costs || m.cfg.Budget.TakeRetry(now)
+	if !m.mayRunAgain(p) || (f.costs && !m.cfg.Budget.TakeRetry(now)) {
+		return false
+	}
+	return m.mayArrive(p, now)
+}
+
+// mayRunAgain reports whether one more leaf of the shard may run the request.
+func (m *Machine) mayRunAgain(p *part) bool {
+	most := m.cfg.Service.Config.Attempts
+	return most <= 0 || p.runs < most
+}
+
+// mayArrive reports whether one more attempt of the part may go to a leaf. The
+// first arrival at the shard is free, also after dials that failed.
+func (m *Machine) mayArrive(p *part, now time.Time) bool {
+	if m.cfg.Arrivals == nil || !p.reached {
+		return true
+	}
+	return m.cfg.Arrivals.TakeRepeat(m.spaces[p.space].now, p.shard, now)
 }
 
 // ask offers a part, or holds it while the gate is closed.
--- a/kernel/query/version.go
+++ b/kernel/query/version.go
@@ -22,10 +22,11 @@
 
 // stored is an accepted reply.
 type stored struct {
-	space  int
-	ranges []keyrange.Range
-	leaf   int
-	body   []byte
+	space   int
+	ranges  []keyrange.Range
+	leaf    int
+	body    []byte
+	carried any
 }
 
 // tally returns what was received at a version.
--- a/kernel/view/view.go
+++ b/kernel/view/view.go
@@ -6,6 +6,7 @@
 import (
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/route"
 )
 
 // View is one immutable picture. Indexes are valid for this view only.
@@ -21,6 +22,8 @@
 	// Services and Callers are looked up by name and by token hash.
 	Services map[string]*Service
 	Callers  map[string]*document.Caller
+	// Routes finds the route of a passed-on request.
+	Routes *route.Table
 
 	upstreams map[string]int // name to index in Upstreams
 }
@@ -47,6 +50,7 @@
 
 // Shard is a key range and the indexes of its leaves in View.Leaves.
 type Shard struct {
+	Name   string // document.Shard.Name
 	Range  keyrange.Range
 	Leaves []int
 }
@@ -81,6 +85,7 @@
 		Services:   make(map[string]*Service, len(doc.Services)),
 		Callers:    make(map[string]*document.Caller, len(doc.Callers)),
 	}
+	v.Routes = route.NewTable(doc.Routes)
 	v.upstreams = make(map[string]int, len(doc.Upstreams))
 	for i := range doc.Upstreams {
 		v.upstreams[doc.Upstreams[i].Name] = i
@@ -101,7 +106,7 @@
 	seen := make(map[string]int)
 	up := Upstream{Name: u.Name, KeySpace: u.KeySpace, Config: u, leaves: seen}
 	for _, s := range u.Shards {
-		shard := Shard{Range: s.Range}
+		shard := Shard{Name: s.Name, Range: s.Range}
 		for _, l := range s.Leaves {
 			i, ok := seen[l.ID]
 			if !ok {
