--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -2,12 +2,15 @@
 // authenticated by a challenge on a shared key when the connection opens.
 package peerapi
 
+import "encoding/json"
+
 // Methods.
 const (
 	MethodChallenge = "challenge" // no params -> Challenge
 	MethodHello     = "hello"     // Hello -> Welcome
 	MethodDigest    = "digest"    // Digest -> Digest: an exchange
 	MethodDocument  = "document"  // DocumentRequest -> Document
+	MethodNews      = "news"      // NewsRequest -> News
 )
 
 // Challenge is a server's random nonce, hex.
@@ -79,3 +82,30 @@
 	Hash       string `json:"hash"`
 	TOML       []byte `json:"toml,omitempty"`
 }
+
+// NewsRequest asks what another instance knows of the platform's store, if it
+// differs from what the asking one has.
+type NewsRequest struct {
+	// Version is the configuration in force, 0 for none.
+	Version uint64 `json:"version"`
+	// Hash is that of the leaves that a peer told last, 0 for none.
+	Hash uint64 `json:"hash"`
+}
+
+// News is what an instance knows of the store.
+type News struct {
+	Version uint64 `json:"version"`
+	// ConfigAgeMS is how long ago the read of the configuration began that
+	// showed this version to be the newest; -1 for never.
+	ConfigAgeMS int64 `json:"config_age_ms"`
+	// Config is the configuration, if its version is another than that asked with.
+	Config json.RawMessage `json:"config,omitempty"`
+	// Revision is the store's at the last read of the leaves.
+	Revision uint64 `json:"revision"`
+	// LeavesAgeMS is how long ago that read began; -1 for never.
+	LeavesAgeMS int64 `json:"leaves_age_ms"`
+	// Hash is that of the leaves known, 0 before the first list.
+	Hash uint64 `json:"hash"`
+	// Leaves is the whole list, if its hash is another than that asked with.
+	Leaves json.RawMessage `json:"leaves,omitempty"`
+}
--- a/cmd/fuchsiaroad/hosted.go
+++ b/cmd/fuchsiaroad/hosted.go
@@ -19,7 +19,8 @@
 		Use:   "hosted",
 		Short: "Serve on the users' platform until told to stop",
 		Long: `Hosted runs one entry instance by the platform's settings file, whose path is in
-` + platform.SettingsVariable + `. The first SIGTERM or SIGINT starts a graceful stop.`,
+` + platform.SettingsVariable + `. The first SIGTERM or SIGINT starts a graceful stop; SIGHUP reads
+the settings again, which is also done every two seconds.`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			path := os.Getenv(platform.SettingsVariable)
@@ -36,9 +37,21 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	// A channel of its own, of length 1: reloads that come in series are one.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	stop := make(chan struct{})
+	reload := make(chan struct{})
 	done := make(chan error, 1)
-	go func() { done <- platform.Run(context.Background(), path, stop, os.Stdout) }()
+	go func() {
+		for range hangups {
+			reload <- struct{}{}
+		}
+	}()
+	go func() {
+		done <- platform.Run(context.Background(), path, platform.Signals{Stop: stop, Reload: reload}, os.Stdout)
+	}()
 	select {
 	case err := <-done:
 		return err
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/backoff"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
@@ -18,6 +22,9 @@
 	// the leaves. A change is in force everywhere after at most one interval and
 	// one read, a third of the least time that users allow for it (3 s).
 	readInterval = time.Second
+	// askInterval is the time between two questions to the zone's reader, which
+	// cost next to nothing.
+	askInterval = 500 * time.Millisecond
 	// readTimeout bounds one read; a store that is merely slow takes up to 250 ms.
 	readTimeout = time.Second
 	// firstRetry is the first pause after a failed read, doubled up to readInterval.
@@ -33,6 +40,11 @@
 	catalog  *catalog.Catalog
 	inbox    chan any
 	sequence uint64
+	// news is what this instance tells others; nil before it knows anything.
+	news atomic.Pointer[newsState]
+	// version is that of the configuration in force, and heard the hash of the
+	// leaves that a peer told last.
+	version, heard atomic.Uint64
 }
 
 // configRead is a read of the configuration.
@@ -51,18 +63,23 @@
 // leafGone is the word that a leaf takes no more work.
 type leafGone struct{ id string }
 
+// retuned is a change of settings.
+type retuned struct{ settings catalog.Settings }
+
+// fleetResized is the word that shares of limits have changed.
+type fleetResized struct{}
+
 // newControl makes control; it reads nothing yet.
 func newControl(n *Node) *control {
 	return &control{
-		node: n, log: n.log.Part("control"), catalog: catalog.New(n.config.Catalog),
+		node: n, log: n.log.Part("control"), catalog: catalog.New(n.config.Tunables.Catalog),
 		inbox: make(chan any, inboxLength),
 	}
 }
 
 // run reads the store and publishes views until the context ends.
 func (c *control) run(ctx context.Context) error {
-	go c.poll(ctx, "configuration", c.readConfig)
-	go c.poll(ctx, "leaves", c.readLeaves)
+	go c.follow(ctx)
 	tick := time.NewTicker(readInterval)
 	defer tick.Stop()
 	for {
@@ -85,16 +102,16 @@
 	changed := false
 	switch m := message.(type) {
 	case configRead:
-		before := c.catalog.Version()
-		if changed = c.catalog.ConfigRead(m.config, m.began, now); changed {
-			c.log.Info("configuration in force", "version", c.catalog.Version(), "before", before, "age", now.Sub(m.began), "routes", len(m.config.Routes))
-		}
-		until := c.catalog.FreshUntil()
-		c.node.current.Store(&until)
+		changed = c.takeConfig(m.config, m.began, now, "store")
 	case leavesRead:
-		if changed = c.catalog.LeavesRead(m.leaves, m.revision, m.began, now); changed {
-			c.log.Info("leaves changed", "revision", m.revision, "leaves", c.catalog.Leaves(), "age", now.Sub(m.began))
-		}
+		changed = c.takeLeaves(m.leaves, m.revision, m.began, now, "store")
+	case newsRead:
+		changed = c.takeNews(m, now)
+	case retuned:
+		c.catalog.SetSettings(m.settings)
+		changed = true
+	case fleetResized:
+		changed = true
 	case leafGone:
 		if changed = c.catalog.MarkGone(m.id); changed {
 			c.log.Info("leaf takes no more work", "leaf", m.id)
@@ -103,6 +120,43 @@
 	if changed {
 		c.publish()
 	}
+	c.tellNews(now)
+}
+
+// takeConfig puts a configuration into the catalog.
+func (c *control) takeConfig(cfg *catalog.Config, began, now time.Time, from string) bool {
+	before := c.catalog.Version()
+	changed := c.catalog.ConfigRead(cfg, began, now)
+	if changed {
+		c.log.Info("configuration in force", "version", cfg.Version, "before", before, "from", from, "age", now.Sub(began), "routes", len(cfg.Routes))
+		c.version.Store(cfg.Version)
+	}
+	until := c.catalog.FreshUntil()
+	c.node.current.Store(&until)
+	return changed
+}
+
+// takeLeaves puts a list of leaves into the catalog.
+func (c *control) takeLeaves(list []catalog.Leaf, revision uint64, began, now time.Time, from string) bool {
+	before := c.catalog.Leaves()
+	changed := c.catalog.LeavesRead(list, revision, began, now)
+	if changed {
+		c.log.Info("leaves changed", "revision", revision, "leaves", c.catalog.Leaves(), "before", before, "from", from, "age", now.Sub(began))
+	}
+	return changed
+}
+
+// tellNews renews what other instances are told.
+func (c *control) tellNews(now time.Time) {
+	if !c.catalog.Ready() {
+		return
+	}
+	news, err := newsOf(c.catalog, c.news.Load(), now)
+	if err != nil {
+		c.log.Error("news for peers were not made", "err", err)
+		return
+	}
+	c.news.Store(news)
 }
 
 // publish builds a view of what is in force.
@@ -118,27 +172,32 @@
 
 // connections is this instance's share of a leaf's limit, at least one.
 func (c *control) connections(u *document.Upstream, _ string) int {
-	return max(1, u.ConnectionLimit/max(1, c.node.config.Instances))
+	return max(1, u.ConnectionLimit/max(1, c.node.fleet.size()))
 }
 
-// poll reads until the context ends, soon again after a failure.
-func (c *control) poll(ctx context.Context, what string, read func(context.Context) error) {
+// follow gets the news of the store until the context ends: from the zone's
+// reader, or from the store itself where this instance is the reader or the
+// reader has no news.
+func (c *control) follow(ctx context.Context) {
 	pause := backoff.Backoff{Min: firstRetry, Max: readInterval}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	failing := time.Time{}
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := read(ctx)
+		asked, err := c.catchUp(ctx)
 		wait := readInterval - time.Since(began)
+		if asked {
+			wait = askInterval - time.Since(began)
+		}
 		switch {
 		case err != nil:
 			wait = pause.Next(random)
 			if failing.IsZero() && ctx.Err() == nil {
 				failing = began
-				c.log.Warn("store lost", "reading", what, "err", err)
+				c.log.Warn("store lost", "err", err)
 			}
 		case !failing.IsZero():
-			c.log.Info("store regained", "reading", what, "after", time.Since(failing))
+			c.log.Info("store regained", "after", time.Since(failing))
 			failing = time.Time{}
 			pause.Reset()
 		}
@@ -146,6 +205,23 @@
 	}
 }
 
+// catchUp gets the news once, and says whether a peer told them.
+func (c *control) catchUp(ctx context.Context) (asked bool, err error) {
+	if reader, ask := c.node.fleet.reader(time.Now()); ask {
+		err := c.ask(ctx, reader)
+		if err == nil {
+			return true, nil
+		}
+		c.node.fleet.failed(reader.Name, time.Now())
+		c.log.Info("reader passed over", "reader", reader.Name, "err", err)
+	}
+	c.heard.Store(0)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.readConfig(ctx) })
+	g.Go(func() error { return c.readLeaves(ctx) })
+	return false, g.Wait()
+}
+
 // readConfig reads the configuration once.
 func (c *control) readConfig(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -180,16 +256,22 @@
 	}
 }
 
-// leafGone takes the leaf's own sign. It does not block: what finds the inbox
-// full is told by the next read of the list.
-func (c *control) leafGone(id string) {
+// post hands a message over without blocking. What finds the inbox full is told
+// again by the next read of the store, or follows with the next view.
+func (c *control) post(message any) {
 	select {
-	case c.inbox <- leafGone{id: id}:
+	case c.inbox <- message:
 	default:
-		c.log.Warn("sign of a leaving leaf was dropped", "leaf", id)
+		c.log.Warn("message to control was dropped", "what", fmt.Sprintf("%T", message))
 	}
 }
 
+// leafGone takes the leaf's own sign.
+func (c *control) leafGone(id string) { c.post(leafGone{id: id}) }
+
+// resized says that the fleet's size has changed.
+func (c *control) resized() { c.post(fleetResized{}) }
+
 // SawLeaving implements executor.Sightings.
 func (c *control) SawLeaving(leafID string) { c.leafGone(leafID) }
 
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -21,9 +21,11 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/gateway"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 	_ "github.com/fuchsiaroad/fuchsiaroad/plugins" // registers the policies
@@ -36,6 +38,12 @@
 	Config(ctx context.Context) (*catalog.Config, error)
 	// Leaves reads all registered leaves, and the store's revision of the list.
 	Leaves(ctx context.Context) (leaves []catalog.Leaf, revision uint64, err error)
+	// Instances reads the announcements of all instances; they may be seconds old.
+	Instances(ctx context.Context) ([]fleet.Instance, error)
+	// Announce writes this instance's announcement.
+	Announce(ctx context.Context, i fleet.Instance) error
+	// Withdraw takes it back.
+	Withdraw(ctx context.Context, name string) error
 }
 
 // Leaves is the leaf protocol with its connections.
@@ -54,6 +62,10 @@
 	// Listen is the clients' address, Ready that of the balancer's questions and
 	// of the metrics.
 	Listen, Ready string
+	// Peer is the address at which other instances reach this one.
+	Peer string
+	// PeerKey is the secret that instances prove to each other.
+	PeerKey []byte
 	// ReadyPath is the path of the balancer's question.
 	ReadyPath string
 	Source    Source
@@ -61,15 +73,18 @@
 	// for a leaf that shows that it takes no more work.
 	NewLeaves func(gone func(leafID string)) Leaves
 	Headers   gateway.Headers
-	Catalog   catalog.Settings
-	// Grace is the time between the word to stop and the end.
-	Grace time.Duration
-	// Instances is the number of instances that share the fleet's limits.
-	Instances int
+	Tunables  Tunables
 	Log       telemetry.Options
 	LogSink   io.Writer
 }
 
+// Tunables are what may change while an instance runs.
+type Tunables struct {
+	Catalog catalog.Settings
+	// Grace is the time between the word to stop and the end.
+	Grace time.Duration
+}
+
 // Node is one hosted instance.
 type Node struct {
 	config    Config
@@ -79,14 +94,17 @@
 	executor  *executor.Executor
 	lifecycle lifecycle.Lifecycle
 	control   *control
+	fleet     *members
+	peers     *peer.Client
 	view      atomic.Pointer[view.View]
 	current   atomic.Pointer[time.Time] // until when the view's configuration is the newest
 	limits    atomic.Pointer[catalog.Limits]
+	tunables  atomic.Pointer[Tunables]
 }
 
 // hostedPolicies are the policies of a hosted instance.
 var hostedPolicies = executor.Policies{
-	Dispatch:   dispatch.Policies{Routing: "two-choices", Order: "adaptive", Limit: "adaptive"},
+	Dispatch:   dispatch.Policies{Routing: "nearest", Order: "adaptive", Limit: "adaptive"},
 	Repetition: "objective",
 }
 
@@ -103,16 +121,28 @@
 		return nil, err
 	}
 	n := &Node{config: c, log: log, metrics: telemetry.NewMetrics()}
+	n.tunables.Store(&c.Tunables)
+	n.fleet = newMembers(n)
+	n.peers = peer.NewClient(peer.ClientConfig{Instance: c.Instance, Key: c.PeerKey, DialTimeout: newsTimeout})
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.leafGone)
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, Sightings: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: []byte(c.Instance),
-		Instances: func() int { return c.Instances },
+		Instances: n.fleet.size,
 	})
 	return n, nil
 }
 
+// Log returns the logger of a part.
+func (n *Node) Log(part string) *telemetry.Part { return n.log.Part(part) }
+
+// Retune puts changed settings in force.
+func (n *Node) Retune(t Tunables) {
+	n.tunables.Store(&t)
+	n.control.post(retuned{t.Catalog})
+}
+
 // View implements gateway.Views.
 func (n *Node) View() *view.View { return n.view.Load() }
 
@@ -177,12 +207,19 @@
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
 	defer balancer.Close()
+	peers, err := net.Listen("tcp", n.config.Peer)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	defer peers.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serveUntil(ctx, n.clientServer(), clients) })
 	g.Go(func() error { return serveUntil(ctx, n.readyServer(), balancer) })
+	g.Go(func() error { return n.peerServer().Serve(ctx, peers) })
 	g.Go(func() error { return n.control.run(ctx) })
+	g.Go(func() error { return n.fleet.run(ctx) })
 	g.Go(func() error {
 		select {
 		case <-stop:
@@ -229,6 +266,7 @@
 // close gives up what New opened.
 func (n *Node) close() {
 	n.leaves.Close()
+	n.peers.Close()
 	if err := n.metrics.Close(); err != nil {
 		n.log.Part("node").Error("metrics were not closed", "err", err)
 	}
--- /dev/null
+++ b/entry/hosted/members.go
@@ -0,0 +1,132 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/backoff"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
+)
+
+// Times of the announcements of instances.
+const (
+	// announceInterval is the time between two announcements. Each is a priced
+	// write; only an instance that ended without a word is noticed by their end.
+	announceInterval = 20 * time.Second
+	// forgetAfter is two announcements missed.
+	forgetAfter = 3 * announceInterval
+	// listInterval is the time between two reads of the announcements, and
+	// firstLists how many at the start follow faster, while all instances start.
+	listInterval  = 10 * time.Second
+	firstInterval = 1500 * time.Millisecond
+	firstLists    = 3
+	// passOver is for how long a reader without news is not asked.
+	passOver = 3 * time.Second
+)
+
+// members guards the kernel's fleet by a lock and keeps it up to date.
+type members struct {
+	node *Node
+	log  *telemetry.Part
+	self fleet.Instance
+
+	mu    sync.Mutex
+	fleet *fleet.Fleet
+}
+
+// newMembers makes a fleet of one.
+func newMembers(n *Node) *members {
+	self := fleet.Instance{Name: n.config.Instance, Zone: n.config.Zone, Peer: n.config.Peer, Mark: rand.Uint64()}
+	return &members{
+		node: n, log: n.log.Part("fleet"), self: self,
+		fleet: fleet.New(self, fleet.Settings{ForgetAfter: forgetAfter, PassOver: passOver}),
+	}
+}
+
+// size is the number of instances.
+func (m *members) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.Size()
+}
+
+// reader is the instance to ask for news, if it is not this one.
+func (m *members) reader(now time.Time) (fleet.Instance, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.Reader(now)
+}
+
+// failed notes that a reader gave no news.
+func (m *members) failed(name string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fleet.Failed(name, now)
+}
+
+// run announces this instance and lists the others until the context ends.
+func (m *members) run(ctx context.Context) error {
+	go m.announce(ctx)
+	for n := 0; ctx.Err() == nil; n++ {
+		interval := listInterval
+		if n < firstLists {
+			interval = firstInterval
+		}
+		sleep(ctx, interval/2+rand.N(interval))
+		m.list(ctx)
+	}
+	return ctx.Err()
+}
+
+// list reads the announcements. A change of the fleet's size changes every share.
+func (m *members) list(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	list, err := m.node.config.Source.Instances(ctx)
+	if err != nil {
+		m.log.Warn("announcements were not read", "err", err)
+		return
+	}
+	before := m.size()
+	m.mu.Lock()
+	m.fleet.Listed(list, time.Now())
+	after := m.fleet.Size()
+	m.mu.Unlock()
+	if before != after {
+		m.log.Info("size of the fleet", "instances", after, "before", before)
+		m.node.control.resized()
+	}
+}
+
+// announce writes the announcement again and again, until this instance leaves.
+func (m *members) announce(ctx context.Context) {
+	pause := backoff.Backoff{Min: firstRetry, Max: announceInterval}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for ctx.Err() == nil && !m.node.lifecycle.Leaving() {
+		m.self.Mark++
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		err := m.node.config.Source.Announce(call, m.self)
+		cancel()
+		wait := announceInterval
+		if err != nil {
+			wait = pause.Next(random)
+			m.log.Warn("announcement was not written", "err", err, "again_in", wait)
+		} else {
+			pause.Reset()
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// withdraw takes the announcement back, so that the others don't wait for it to
+// fall silent.
+func (m *members) withdraw(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := m.node.config.Source.Withdraw(ctx, m.self.Name); err != nil {
+		m.log.Warn("announcement was not withdrawn", "err", err)
+	}
+}
--- /dev/null
+++ b/entry/hosted/news.go
@@ -0,0 +1,200 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
+)
+
+const (
+	// newsTimeout bounds one question to a peer of the own zone, which takes less
+	// than a millisecond when the peer is well.
+	newsTimeout = 250 * time.Millisecond
+	// newsAge is the oldest news that are taken without asking the store: the
+	// reader's interval, its own read, and some slack.
+	newsAge = readInterval + 400*time.Millisecond
+)
+
+// newsState is what this instance tells others. It is immutable.
+type newsState struct {
+	known   catalog.Known
+	version uint64
+	config  json.RawMessage
+	hash    uint64
+	leaves  json.RawMessage
+}
+
+// leafNews is a leaf as instances tell each other of it. Their clocks differ:
+// the end of the slow start is told as a time left.
+type leafNews struct {
+	ID, Service, Address, Zone string
+	Slots                      int
+	Draining                   bool
+	WarmLeft                   time.Duration
+}
+
+// peerServer answers other instances.
+func (n *Node) peerServer() *peer.Server {
+	return peer.NewServer(peer.ServerConfig{Instance: n.config.Instance, Key: n.config.PeerKey, News: n})
+}
+
+// News implements peer.NewsHandler. An instance that leaves has none: others are
+// to ask elsewhere in time.
+func (n *Node) News(r peerapi.NewsRequest) *peerapi.News {
+	s := n.control.news.Load()
+	if s == nil || n.lifecycle.Leaving() {
+		return &peerapi.News{ConfigAgeMS: -1, LeavesAgeMS: -1}
+	}
+	now := time.Now()
+	out := &peerapi.News{
+		Version: s.version, ConfigAgeMS: ageMS(s.known.ConfigAt, now),
+		Revision: s.known.Revision, Hash: s.hash, LeavesAgeMS: ageMS(s.known.LeavesAt, now),
+	}
+	if r.Version != s.version {
+		out.Config = s.config
+	}
+	if r.Hash != s.hash {
+		out.Leaves = s.leaves
+	}
+	return out
+}
+
+// ageMS is for how long something has been known, -1 for never.
+func ageMS(at, now time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
+// newsOf makes what is told of the catalog, from what was told before where it
+// has not changed.
+func newsOf(c *catalog.Catalog, before *newsState, now time.Time) (*newsState, error) {
+	next := &newsState{known: c.Known(), version: c.Version()}
+	if before != nil && before.version == next.version {
+		next.config = before.config
+	} else if err := encode(&next.config, c.Config()); err != nil {
+		return nil, err
+	}
+	list := c.List()
+	next.hash = catalog.HashOf(list)
+	if before != nil && before.hash == next.hash {
+		next.leaves = before.leaves
+		return next, nil
+	}
+	told := make([]leafNews, 0, len(list))
+	for _, l := range list {
+		told = append(told, leafNews{
+			ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: l.Slots, Draining: l.Draining,
+			WarmLeft: max(l.WarmAt.Sub(now), 0),
+		})
+	}
+	return next, encode(&next.leaves, told)
+}
+
+// encode writes a value as JSON.
+func encode(into *json.RawMessage, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode news: %w", err)
+	}
+	*into = data
+	return nil
+}
+
+// staleNewsError says that a peer's news are too old to be of use.
+type staleNewsError struct{ configAge, leavesAge time.Duration }
+
+// Error implements error.
+func (e *staleNewsError) Error() string {
+	return fmt.Sprintf("news are old: configuration %v, leaves %v", e.configAge, e.leavesAge)
+}
+
+// ask gets the news from a peer. Their ages grow by the whole time of the call,
+// so that they are never taken for newer than they are.
+func (c *control) ask(ctx context.Context, from fleet.Instance) error {
+	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+	defer cancel()
+	began := time.Now()
+	news, err := c.node.peers.News(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, peerapi.NewsRequest{
+		Version: c.version.Load(), Hash: c.heard.Load(),
+	})
+	if err != nil {
+		return err
+	}
+	configAge := time.Duration(news.ConfigAgeMS) * time.Millisecond
+	leavesAge := time.Duration(news.LeavesAgeMS) * time.Millisecond
+	if configAge < 0 || leavesAge < 0 || max(configAge, leavesAge) > newsAge {
+		return &staleNewsError{configAge, leavesAge}
+	}
+	told, err := decodeNews(news)
+	if err != nil {
+		return err
+	}
+	told.configAt = began.Add(-configAge)
+	told.leavesAt = began.Add(-leavesAge)
+	return c.tell(ctx, told)
+}
+
+// newsRead is what a peer told.
+type newsRead struct {
+	version  uint64
+	config   *catalog.Config // nil: that of the version asked with
+	configAt time.Time
+	revision uint64
+	hash     uint64
+	leaves   []catalog.Leaf
+	differs  bool // leaves is the whole list
+	leavesAt time.Time
+}
+
+// decodeNews reads a peer's news.
+func decodeNews(n *peerapi.News) (newsRead, error) {
+	out := newsRead{version: n.Version, revision: n.Revision, hash: n.Hash, differs: n.Leaves != nil}
+	if n.Config != nil {
+		out.config = &catalog.Config{}
+		if err := json.Unmarshal(n.Config, out.config); err != nil {
+			return out, fmt.Errorf("decode a peer's configuration: %w", err)
+		}
+	}
+	if !out.differs {
+		return out, nil
+	}
+	var told []leafNews
+	if err := json.Unmarshal(n.Leaves, &told); err != nil {
+		return out, fmt.Errorf("decode a peer's leaves: %w", err)
+	}
+	now := time.Now()
+	for _, l := range told {
+		out.leaves = append(out.leaves, catalog.Leaf{
+			ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: l.Slots, Draining: l.Draining,
+			WarmAt: now.Add(l.WarmLeft),
+		})
+	}
+	return out, nil
+}
+
+// takeNews puts a peer's news into the catalog and reports whether anything changed.
+func (c *control) takeNews(n newsRead, now time.Time) bool {
+	changed := false
+	if n.config != nil {
+		changed = c.takeConfig(n.config, n.configAt, now, "peer")
+	} else if n.version == c.catalog.Version() {
+		changed = c.takeConfig(c.catalog.Config(), n.configAt, now, "peer")
+	}
+	if !n.differs {
+		c.catalog.LeavesConfirmed(n.revision, n.leavesAt)
+		return changed
+	}
+	if c.takeLeaves(n.leaves, n.revision, n.leavesAt, now, "peer") {
+		changed = true
+	}
+	c.heard.Store(n.hash)
+	return changed
+}
--- a/entry/hosted/stop.go
+++ b/entry/hosted/stop.go
@@ -26,8 +26,9 @@
 func (n *Node) drain(ctx context.Context) {
 	log := n.log.Part("node")
 	begin := time.Now()
-	grace := n.config.Grace
+	grace := n.tunables.Load().Grace
 	n.lifecycle.Set(lifecycle.Leaving)
+	go n.fleet.withdraw(ctx)
 	log.Info("leaving: still serving until the balancer has let go", "queries", n.executor.Running())
 	most := time.Duration(leaveShare * float64(grace))
 	sleep(ctx, min(leastLeave, most))
--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -66,6 +66,15 @@
 	return &reply, nil
 }
 
+// News asks a peer what it knows of the platform's store.
+func (c *Client) News(ctx context.Context, t Target, r peerapi.NewsRequest) (*peerapi.News, error) {
+	var reply peerapi.News
+	if err := c.call(ctx, t, peerapi.MethodNews, r, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
 // Keep closes the connections to peers that are not named.
 func (c *Client) Keep(targets []Target) {
 	keep := make(map[Target]bool, len(targets))
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -31,11 +31,21 @@
 	Document(above uint64) *peerapi.Document
 }
 
+// NewsHandler tells what this instance knows of the platform's store. It is
+// called by many goroutines.
+type NewsHandler interface {
+	News(r peerapi.NewsRequest) *peerapi.News
+}
+
 // ServerConfig says who the server is.
 type ServerConfig struct {
 	Instance string
 	Key      []byte // the entries' shared secret
-	Handler  Handler
+	// Handler answers the calls of instances that spread their own document;
+	// nil where there is none.
+	Handler Handler
+	// News answers questions about the platform's store; nil where none are.
+	News NewsHandler
 }
 
 // Server answers peers.
@@ -158,9 +168,16 @@
 
 // call answers a proved peer.
 func (s *session) call(from string, req *jsonrpc2.Request) (any, error) {
-	handler := s.server.config.Handler
-	switch req.Method {
-	case peerapi.MethodDigest:
+	handler, news := s.server.config.Handler, s.server.config.News
+	switch {
+	case req.Method == peerapi.MethodNews && news != nil:
+		var r peerapi.NewsRequest
+		if err := params(req, &r); err != nil {
+			return nil, err
+		}
+		return news.News(r), nil
+	case handler == nil:
+	case req.Method == peerapi.MethodDigest:
 		var d peerapi.Digest
 		if err := params(req, &d); err != nil {
 			return nil, err
@@ -169,7 +186,7 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "instance: not the proved one"}
 		}
 		return handler.Digest(from, &d), nil
-	case peerapi.MethodDocument:
+	case req.Method == peerapi.MethodDocument:
 		var r peerapi.DocumentRequest
 		if err := params(req, &r); err != nil {
 			return nil, err
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -10,10 +10,13 @@
 package catalog
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 )
 
@@ -117,6 +120,9 @@
 	return &Catalog{settings: s, leaves: make(map[string]Leaf), retired: make(map[string]retiredSet)}
 }
 
+// SetSettings changes the times and limits; what is known stays.
+func (c *Catalog) SetSettings(s Settings) { c.settings = s }
+
 // Ready reports whether there is a configuration and a list of leaves.
 func (c *Catalog) Ready() bool { return c.config != nil && c.listed }
 
@@ -186,6 +192,49 @@
 	return changed
 }
 
+// LeavesConfirmed notes that the list in force was still the newest at a read
+// that began at the given time.
+func (c *Catalog) LeavesConfirmed(revision uint64, began time.Time) {
+	if !c.listed || !c.sees(revision) || !began.After(c.listedAt) {
+		return
+	}
+	c.revision, c.listedAt = revision, began
+}
+
+// Known says how new what is in force is.
+type Known struct {
+	// ConfigAt and LeavesAt are when the last good reads began; zero for never.
+	ConfigAt, LeavesAt time.Time
+	// Revision is the store's at the last read of the leaves.
+	Revision uint64
+}
+
+// Known returns the times of the last good reads.
+func (c *Catalog) Known() Known {
+	return Known{ConfigAt: c.configAt, LeavesAt: c.listedAt, Revision: c.revision}
+}
+
+// Config is the configuration in force, or nil. It must not be changed.
+func (c *Catalog) Config() *Config { return c.config }
+
+// List returns the leaves in the order of their IDs.
+func (c *Catalog) List() []Leaf {
+	out := make([]Leaf, 0, len(c.leaves))
+	for _, id := range slices.Sorted(maps.Keys(c.leaves)) {
+		out = append(out, c.leaves[id])
+	}
+	return out
+}
+
+// HashOf is a hash of what a list of leaves means to routing; never 0.
+func HashOf(list []Leaf) uint64 {
+	h := xxhash.New()
+	for _, l := range list {
+		fmt.Fprintf(h, "%q %q %q %q %d %t\n", l.ID, l.Service, l.Address, l.Zone, l.Slots, l.Draining)
+	}
+	return max(h.Sum64(), 1)
+}
+
 // merge keeps what is known of a leaf: a drain is never taken back, and the end
 // of its slow start does not move with each reading.
 func (c *Catalog) merge(l Leaf) Leaf {
--- a/kernel/dispatch/leaf.go
+++ b/kernel/dispatch/leaf.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"slices"
+	"time"
+
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
 )
@@ -15,6 +18,7 @@
 	share    int // connections
 	limit    plugin.Limit
 	inFlight int
+	out      []time.Time // when each attempt in flight was dispatched, oldest first
 	// solo says that the leaf runs one attempt alone.
 	solo bool
 	// reserved is the attempt that waits for the leaf to be idle.
@@ -23,6 +27,21 @@
 	next     int // shard to serve first on the next release
 }
 
+// oldest is for how long the oldest attempt in flight has been out.
+func (l *leaf) oldest(now time.Time) time.Duration {
+	if len(l.out) == 0 {
+		return 0
+	}
+	return now.Sub(l.out[0])
+}
+
+// back forgets an attempt that was dispatched at the given time.
+func (l *leaf) back(started time.Time) {
+	if i := slices.Index(l.out, started); i >= 0 {
+		l.out = slices.Delete(l.out, i, i+1)
+	}
+}
+
 // room reports whether the leaf may take one more ordinary attempt.
 func (l *leaf) room() bool {
 	return !l.leaving && !l.solo && l.reserved == nil && l.share > 0 &&
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -177,6 +177,7 @@
 	delete(m.running, ev.Ticket)
 	l := a.leaf
 	l.inFlight--
+	l.back(a.started)
 	if a.solo {
 		l.solo = false
 	}
--- a/kernel/dispatch/serve.go
+++ b/kernel/dispatch/serve.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		m.candidates = append(m.candidates, plugin.Candidate{
-			Key: l.key, InFlight: l.inFlight, Limit: l.limit.Limit(), Local: l.local,
+			Key: l.key, InFlight: l.inFlight, Limit: l.limit.Limit(), Local: l.local, Oldest: l.oldest(now),
 		})
 		m.chosen = append(m.chosen, l)
 	}
@@ -140,6 +140,7 @@
 	m.release(a)
 	a.leaf, a.started = l, now
 	l.inFlight++
+	l.out = append(l.out, now)
 	l.solo = a.solo
 	a.saturated = l.inFlight >= l.limit.Limit()
 	m.running[a.ticket] = a
--- /dev/null
+++ b/kernel/fleet/fleet.go
@@ -0,0 +1,116 @@
+// Package fleet knows the other instances and decides whom to ask for news of
+// the platform's store. Reads of the store are priced, so one instance a zone
+// reads it and the others ask that one. Nothing hangs on who it is: too many
+// readers cost calls, and one that is gone, frozen or itself without news is
+// noticed by the age of what it tells and passed over.
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Instance is one instance as it announced itself.
+type Instance struct {
+	Name string
+	Zone string
+	// Peer is the address at which other instances reach it, IP:port.
+	Peer string
+	// Mark changes with each announcement.
+	Mark uint64
+}
+
+// Settings are the times that the fleet works with.
+type Settings struct {
+	// ForgetAfter is the time without an announcement after which an instance
+	// counts as gone.
+	ForgetAfter time.Duration
+	// PassOver is for how long a reader that failed is not asked.
+	PassOver time.Duration
+}
+
+// member is what is known of an instance.
+type member struct {
+	instance Instance
+	heardAt  time.Time // when its mark last changed
+	passTo   time.Time // until when it is passed over
+}
+
+// Fleet is the state. It is used by one goroutine at a time.
+type Fleet struct {
+	settings Settings
+	self     Instance
+	members  map[string]*member
+	listed   bool
+}
+
+// New returns a fleet that knows only this instance.
+func New(self Instance, s Settings) *Fleet {
+	return &Fleet{settings: s, self: self, members: make(map[string]*member)}
+}
+
+// Listed takes the announcements as the store has them.
+func (f *Fleet) Listed(list []Instance, now time.Time) {
+	f.listed = true
+	named := make(map[string]bool, len(list))
+	for _, i := range list {
+		named[i.Name] = true
+		if i.Name == f.self.Name {
+			continue
+		}
+		m := f.members[i.Name]
+		if m == nil {
+			m = &member{}
+			f.members[i.Name] = m
+		}
+		if m.instance != i {
+			m.instance, m.heardAt = i, now
+		}
+	}
+	maps.DeleteFunc(f.members, func(name string, m *member) bool {
+		return !named[name] || now.Sub(m.heardAt) >= f.settings.ForgetAfter
+	})
+}
+
+// unlisted is the size that is assumed before the first list: limits that the
+// fleet shares are then spent as if it were large.
+const unlisted = 100
+
+// Size is the number of instances, this one included. It errs to the high side,
+// which is the safe one for limits that the fleet shares.
+func (f *Fleet) Size() int {
+	if !f.listed {
+		return unlisted
+	}
+	return len(f.members) + 1
+}
+
+// Reader is the instance of this zone to ask for news; ok is false when this
+// instance is to read the store itself.
+func (f *Fleet) Reader(now time.Time) (i Instance, ok bool) {
+	best, score := f.self, rank(f.self)
+	for _, name := range slices.Sorted(maps.Keys(f.members)) {
+		m := f.members[name]
+		if m.instance.Zone != f.self.Zone || now.Before(m.passTo) {
+			continue
+		}
+		if r := rank(m.instance); cmp.Compare(r, score) > 0 {
+			best, score = m.instance, r
+		}
+	}
+	return best, best.Name != f.self.Name
+}
+
+// rank orders the instances of a zone alike everywhere.
+func rank(i Instance) uint64 { return xxhash.Sum64String(i.Zone + "\x00" + i.Name) }
+
+// Failed notes that an instance gave no news, or old ones.
+func (f *Fleet) Failed(name string, now time.Time) {
+	if m := f.members[name]; m != nil {
+		m.passTo = now.Add(f.settings.PassOver)
+	}
+}
--- a/kernel/plugin/policy.go
+++ b/kernel/plugin/policy.go
@@ -44,6 +44,8 @@
 	InFlight int // attempts of this entry on the leaf
 	Limit    int // present limit of InFlight
 	Local    bool
+	// Oldest is for how long the oldest of them has been out, 0 without any.
+	Oldest time.Duration
 }
 
 // RoutingConfig is given to a routing policy's constructor.
--- a/plugins/doc.go
+++ b/plugins/doc.go
@@ -11,6 +11,7 @@
 	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/fifo"          // order "fifo"
 	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/fixedlimit"    // limit "fixed"
 	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/greatest"      // combiner "greatest-records"
+	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/nearest"       // routing "nearest"
 	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/nohedge"       // repetition "none"
 	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/objective"     // repetition "objective"
 	_ "github.com/fuchsiaroad/fuchsiaroad/plugins/roundrobin"    // routing "round-robin"
--- /dev/null
+++ b/plugins/nearest/nearest.go
@@ -0,0 +1,184 @@
+// Package nearest prefers a leaf of the entry's own zone as long as it is
+// expected to answer about as soon as another: bytes between zones are dear, and
+// an answer that is early has no more value than one that is in time. It learns
+// the delay of each leaf from replies and from attempts that were cancelled, and
+// notices a leaf that pauses by its oldest attempt.
+package nearest
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+	"github.com/fuchsiaroad/fuchsiaroad/plugins/internal/health"
+)
+
+// Name is the name that the policy registers under.
+const Name = "nearest"
+
+const (
+	// crossing is how much sooner a leaf of another zone must be expected to
+	// answer: a fifth of the usual objective of a query over shards (100 ms),
+	// which a part of a query that answers in time does not miss.
+	crossing = 0.020 // seconds
+	// delayGain weighs one outcome in a leaf's moving average of delay. A leaf
+	// that turned slow is known after two.
+	delayGain = 0.3
+	// poolGain weighs one reply in the average over all leaves.
+	poolGain = 0.02
+	// forget is the time constant with which a delay that is not confirmed falls
+	// back to that of the others, so that a leaf which was slow is tried again
+	// after about three seconds.
+	forget = 2.0 // seconds
+	// busyShare is what one attempt in flight adds to a leaf's expected delay,
+	// as a share of it: a leaf runs at least two at once.
+	busyShare = 0.5
+	// overdue times the usual delay makes the oldest attempt in flight a sign
+	// that the leaf pauses.
+	overdue = 2.5
+	// mostFailures bounds the factor that failures add to a leaf's cost.
+	mostFailures = 0.95
+	// slowStart is how long a leaf that was ejected counts as dearer, at first
+	// by slowFactor.
+	slowStart  = 3.0 // seconds
+	slowFactor = 3.0
+)
+
+// leaf is what the policy knows of one leaf.
+type leaf struct {
+	delay    float64 // moving average, seconds; 0: unknown
+	learntAt time.Time
+	health   health.Leaf
+	backAt   time.Time // when an ejected leaf came back
+}
+
+type policy struct {
+	rand     *rand.Rand
+	leaves   []leaf
+	failures float64 // sum of all leaves' averages of failure
+	delay    float64 // moving average over all leaves, seconds
+}
+
+// New returns an independent instance.
+func New(cfg plugin.RoutingConfig) plugin.Routing { return &policy{rand: cfg.Rand} }
+
+// leaf returns the state of the key, which is made when it is new.
+func (p *policy) leaf(key int) *leaf {
+	for key >= len(p.leaves) {
+		p.leaves = append(p.leaves, leaf{})
+	}
+	return &p.leaves[key]
+}
+
+// Usable is false for an ejected leaf until its probe is due.
+func (p *policy) Usable(key int, now time.Time) bool { return p.leaf(key).health.Usable(now) }
+
+// Pick takes the candidate with the least cost, one of equals by chance.
+func (p *policy) Pick(candidates []plugin.Candidate, now time.Time) (int, string) {
+	best, least := 0, math.Inf(1)
+	start := p.rand.IntN(len(candidates))
+	for k := range candidates {
+		i := (start + k) % len(candidates)
+		if cost := p.cost(candidates[i], now); cost < least {
+			best, least = i, cost
+		}
+	}
+	c := candidates[best]
+	switch {
+	case p.leaf(c.Key).health.Probe(now):
+		return best, "probe"
+	case len(candidates) == 1:
+		return best, "only choice"
+	case c.Local:
+		return best, "least delay, own zone"
+	default:
+		return best, "least delay, other zone"
+	}
+}
+
+// cost is the expected delay in seconds, with the price of crossing zones.
+func (p *policy) cost(c plugin.Candidate, now time.Time) float64 {
+	l := p.leaf(c.Key)
+	delay := p.expected(l, now)
+	cost := delay * (1 + busyShare*float64(c.InFlight))
+	if oldest := c.Oldest.Seconds(); oldest > overdue*delay {
+		cost = max(cost, oldest)
+	}
+	cost = cost / (1 - min(l.health.Failures, mostFailures)) * l.slow(now)
+	if !c.Local {
+		cost += crossing
+	}
+	return cost
+}
+
+// expected is a leaf's delay as far as it is still known.
+func (p *policy) expected(l *leaf, now time.Time) float64 {
+	if l.delay == 0 {
+		return p.delay
+	}
+	kept := math.Exp(-now.Sub(l.learntAt).Seconds() / forget)
+	return p.delay + (l.delay-p.delay)*kept
+}
+
+// slow is the factor of slow start, which falls to 1.
+func (l *leaf) slow(now time.Time) float64 {
+	if l.backAt.IsZero() {
+		return 1
+	}
+	left := 1 - now.Sub(l.backAt).Seconds()/slowStart
+	return 1 + max(0, left)*(slowFactor-1)
+}
+
+// Finished teaches delay and health. An attempt that was cancelled, or that met
+// its deadline, took at least as long as it was out.
+func (p *policy) Finished(key int, s plugin.Sample, now time.Time) {
+	l := p.leaf(key)
+	switch {
+	case s.OK:
+		p.learn(l, s.Latency.Seconds(), now)
+		average(&p.delay, s.Latency.Seconds(), poolGain)
+	case s.Cancelled, s.TimedOut:
+		if took := s.Latency.Seconds(); took > p.expected(l, now) {
+			p.learn(l, took, now)
+		}
+	}
+	gain := health.Gain(s, p.delay)
+	if gain == 0 {
+		l.health.Inconclusive()
+		return
+	}
+	before := l.health.Failures
+	back := l.health.Outcome(!s.OK, gain, p.others(before), now)
+	p.failures += l.health.Failures - before
+	if back {
+		l.backAt = now
+	}
+}
+
+// learn adds one delay to a leaf's average. What was known and not confirmed
+// since has faded first.
+func (p *policy) learn(l *leaf, took float64, now time.Time) {
+	if l.delay != 0 {
+		l.delay = p.expected(l, now)
+	}
+	average(&l.delay, took, delayGain)
+	l.learntAt = now
+}
+
+// others is the average failure of all leaves but one that has the given failure.
+func (p *policy) others(own float64) float64 {
+	return (p.failures - own) / float64(max(1, len(p.leaves)-1))
+}
+
+// average moves a mean by one value.
+func average(mean *float64, x, gain float64) {
+	if *mean == 0 {
+		*mean = x
+		return
+	}
+	*mean += gain * (x - *mean)
+}
+
+// Hint is not used: what load endpoints say lags.
+func (p *policy) Hint(int, int, int, time.Time) {}
--- /dev/null
+++ b/plugins/nearest/nearest_test.go
@@ -0,0 +1,106 @@
+package nearest
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+)
+
+const (
+	local  = 0
+	remote = 1
+)
+
+// fixture is a policy that knows a local and a remote leaf of equal delay.
+func fixture(now time.Time) plugin.Routing {
+	p := New(plugin.RoutingConfig{Rand: rand.New(rand.NewPCG(1, 1))})
+	for range 50 {
+		reply(p, local, 12*time.Millisecond, now)
+		reply(p, remote, 12*time.Millisecond, now)
+	}
+	return p
+}
+
+func reply(p plugin.Routing, key int, took time.Duration, now time.Time) {
+	p.Finished(key, plugin.Sample{OK: true, Latency: took}, now)
+}
+
+// pick returns the key chosen of both leaves.
+func pick(p plugin.Routing, now time.Time, change func(*plugin.Candidate)) int {
+	candidates := []plugin.Candidate{{Key: local, Limit: 3, Local: true}, {Key: remote, Limit: 3}}
+	if change != nil {
+		change(&candidates[0])
+	}
+	i, _ := p.Pick(candidates, now)
+	return candidates[i].Key
+}
+
+// TestOwnZoneFirst checks when the other zone is worth its price.
+func TestOwnZoneFirst(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name  string
+		teach func(p plugin.Routing)
+		now   time.Time
+		local func(*plugin.Candidate)
+		want  int
+	}{
+		{name: "alike", want: local},
+		{name: "busy with one", local: func(c *plugin.Candidate) { c.InFlight = 1 }, want: local},
+		{name: "a little slower", teach: func(p plugin.Routing) { reply(p, local, 25*time.Millisecond, start) }, want: local},
+		{name: "nine times slower, seen twice", teach: func(p plugin.Routing) {
+			reply(p, local, 108*time.Millisecond, start)
+			reply(p, local, 108*time.Millisecond, start)
+		}, want: remote},
+		{name: "known only from cancelled attempts", teach: func(p plugin.Routing) {
+			for range 3 {
+				p.Finished(local, plugin.Sample{Cancelled: true, Latency: 60 * time.Millisecond}, start)
+			}
+		}, want: remote},
+		{name: "slow some time ago", teach: func(p plugin.Routing) {
+			reply(p, local, 108*time.Millisecond, start)
+			reply(p, local, 108*time.Millisecond, start)
+		}, now: start.Add(5 * time.Second), want: local},
+		{name: "paused", local: func(c *plugin.Candidate) { c.InFlight, c.Oldest = 1, 45*time.Millisecond }, want: remote},
+		{name: "fails", teach: func(p plugin.Routing) {
+			for range 2 {
+				p.Finished(local, plugin.Sample{Failed: true}, start)
+			}
+		}, want: remote},
+	} {
+		p := fixture(start)
+		if tc.teach != nil {
+			tc.teach(p)
+		}
+		now := tc.now
+		if now.IsZero() {
+			now = start
+		}
+		if got := pick(p, now, tc.local); got != tc.want {
+			t.Errorf("%s: chose leaf %d, want %d", tc.name, got, tc.want)
+		}
+	}
+}
+
+// TestEjectedLeafIsProbed plays a leaf that fails until it is ejected, and back.
+func TestEjectedLeafIsProbed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := fixture(now)
+	for range 4 {
+		p.Finished(local, plugin.Sample{Failed: true}, now)
+	}
+	if p.Usable(local, now) {
+		t.Fatal("a leaf that failed four times in a row is still usable")
+	}
+	now = now.Add(2 * time.Second)
+	if !p.Usable(local, now) {
+		t.Fatal("no probe is due")
+	}
+	p.Pick([]plugin.Candidate{{Key: local, Limit: 3, Local: true}}, now)
+	reply(p, local, 12*time.Millisecond, now)
+	if !p.Usable(local, now) {
+		t.Error("a leaf that answered its probe is not usable")
+	}
+}
--- /dev/null
+++ b/plugins/nearest/setup.go
@@ -0,0 +1,5 @@
+package nearest
+
+import "github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+
+func init() { plugin.Routings.Register(Name, New) }
--- a/plugins/twochoices/twochoices.go
+++ b/plugins/twochoices/twochoices.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+	"github.com/fuchsiaroad/fuchsiaroad/plugins/internal/health"
 )
 
 // Name is the name that the policy registers under.
@@ -31,7 +32,7 @@
 // leaf is what the policy knows of one leaf.
 type leaf struct {
 	mean     float64 // moving average of latency, seconds; 0 means unknown
-	health   health
+	health   health.Leaf
 	hintedAt time.Time
 	hinted   int
 	// slowFrom is when slow start began, zero when it did not.
@@ -60,7 +61,7 @@
 }
 
 // Usable is false for an ejected leaf until its probe is due.
-func (p *policy) Usable(key int, now time.Time) bool { return p.leaf(key).health.usable(now) }
+func (p *policy) Usable(key int, now time.Time) bool { return p.leaf(key).health.Usable(now) }
 
 // Pick compares two random candidates.
 func (p *policy) Pick(candidates []plugin.Candidate, now time.Time) (int, string) {
@@ -80,7 +81,7 @@
 
 // picked notes a probe of an ejected leaf.
 func (p *policy) picked(key int, why string, now time.Time) string {
-	if p.leaf(key).health.probe(now) {
+	if p.leaf(key).health.Probe(now) {
 		return "probe"
 	}
 	return why
@@ -95,7 +96,7 @@
 	if mean == 0 {
 		mean = p.mean
 	}
-	cost := float64(c.InFlight+1) * mean / (1 - min(l.health.failures, mostFailures))
+	cost := float64(c.InFlight+1) * mean / (1 - min(l.health.Failures, mostFailures))
 	if !c.Local {
 		cost *= remoteFactor
 	}
@@ -121,38 +122,22 @@
 		average(&l.mean, s.Latency)
 		average(&p.mean, s.Latency)
 	}
-	gain := p.gain(s)
+	gain := health.Gain(s, p.mean)
 	if gain == 0 {
-		l.health.inconclusive()
+		l.health.Inconclusive()
 		return
 	}
 	if s.Cancelled {
 		average(&l.mean, s.Latency) // it took at least that long
 	}
-	before := l.health.failures
-	back := l.health.outcome(!s.OK, gain, p.others(before), now)
-	p.failures += l.health.failures - before
+	before := l.health.Failures
+	back := l.health.Outcome(!s.OK, gain, p.others(before), now)
+	p.failures += l.health.Failures - before
 	if back {
 		l.slowFrom = now
 	}
 }
 
-// gain is the weight of an outcome in a leaf's average of failure, 0 for one
-// that shows nothing. A cancelled attempt shows something when it was late: a
-// leaf that swallows requests is otherwise hidden by the hedges that answer.
-func (p *policy) gain(s plugin.Sample) float64 {
-	switch {
-	case s.OK, s.Shed, s.Failed:
-		return failureGain
-	case s.TimedOut:
-		return timeoutGain
-	case s.Cancelled && p.mean > 0 && s.Latency.Seconds() > lateFactor*p.mean:
-		return lateGain
-	default:
-		return 0
-	}
-}
-
 // others is the average failure of all leaves but one that has the given failure.
 func (p *policy) others(own float64) float64 {
 	return (p.failures - own) / float64(max(1, len(p.leaves)-1))
@@ -172,10 +157,3 @@
 	l := p.leaf(key)
 	l.hinted, l.hintedAt = queued, now
 }
-
-func value(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/plugins/twochoices/twochoices_test.go
+++ b/plugins/twochoices/twochoices_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+	"github.com/fuchsiaroad/fuchsiaroad/plugins/internal/health"
 )
 
 var start = time.Unix(1000, 0)
@@ -116,7 +117,7 @@
 	if p.Usable(1, start) {
 		t.Fatal("a leaf that always fails is usable")
 	}
-	now := start.Add(ejectFirst)
+	now := start.Add(health.FirstPause)
 	if !p.Usable(1, now) {
 		t.Fatal("no probe after the first pause")
 	}
@@ -127,10 +128,10 @@
 		t.Fatal("a second probe beside the first")
 	}
 	p.Finished(1, plugin.Sample{Failed: true}, now)
-	if p.Usable(1, now.Add(ejectFirst)) || !p.Usable(1, now.Add(2*ejectFirst)) {
+	if p.Usable(1, now.Add(health.FirstPause)) || !p.Usable(1, now.Add(2*health.FirstPause)) {
 		t.Fatal("the pause did not double after a failed probe")
 	}
-	now = now.Add(2 * ejectFirst)
+	now = now.Add(2 * health.FirstPause)
 	p.Pick(both()[1:], now)
 	p.Finished(1, ok(10*time.Millisecond), now)
 	if !p.Usable(1, now) {
