--- a/entry/executor/admit.go
+++ b/entry/executor/admit.go
@@ -38,7 +38,10 @@
 	if decision.Admitted {
 		return nil
 	}
-	e.config.Log.Decide(telemetry.Decision{Part: partQuery, What: "refuse", Query: r.stamp, Why: "too few parts would finish in time"})
+	e.config.Log.Decide(telemetry.Decision{
+		Part: partQuery, What: "refuse", Query: r.stamp, Request: r.request.name(), Why: "too few parts would finish in time",
+		More: []any{"service", r.request.Service.Config.Name, "fit", decision.Fit, "left", left, "retry_after", decision.RetryAfter},
+	})
 	return refuse(RefusedOverloaded, decision.RetryAfter, "too few parts would finish in time")
 }
 
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -23,7 +23,7 @@
 func (e *Executor) exchange(p *pool, s start) {
 	a := s.attempt
 	defer a.cancel()
-	e.decide(a, telemetry.Decision{Part: partDispatch, What: "dispatch", Leaf: s.leaf.ID, Why: s.action.Why, Took: s.action.Queued})
+	e.decide(a, telemetry.Decision{Part: partDispatch, What: "dispatch", Leaf: s.leaf.ID, Why: s.action.Why, Took: s.action.Queued, Class: telemetry.Routine})
 	leaf := a.leafIndex(s.leaf.ID)
 	// The deadline is looked at again right before the bytes go: an instance
 	// that was paused since the decision must not start stale work.
@@ -62,7 +62,11 @@
 	var declined *leafclient.DeclinedError
 	var broken *leafclient.BrokenError
 	id := a.offer.Attempt
-	e.decide(a, telemetry.Decision{Part: partDispatch, What: "attempt failed", Leaf: a.leafID, Why: why(err)})
+	class := telemetry.Failure
+	if ctx.Err() != nil {
+		class = telemetry.Routine // it was withdrawn: another attempt answered, or the query is over
+	}
+	e.decide(a, telemetry.Decision{Part: partDispatch, What: "attempt failed", Leaf: a.leafID, Why: why(err), Took: time.Since(a.started), Class: class})
 	switch {
 	case errors.As(err, &dial):
 		outcome := dispatch.OutcomeDialFailed
@@ -135,6 +139,7 @@
 		return
 	}
 	d.Query = a.ticket.Query
-	d.Shard = a.view.Upstreams[a.offer.Part.Upstream].Name + " " + a.offer.Part.Range.String()
+	d.Request = a.run.request.name()
+	d.Shard = a.shardName()
 	e.config.Log.Decide(d)
 }
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
-	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 )
@@ -160,9 +159,7 @@
 	m.Retries.Inc(int64(a.Retries))
 	m.Ignored.Inc(int64(a.Ignored))
 	m.Moves.Inc(int64(a.Moves))
-	r.executor.config.Log.Decide(telemetry.Decision{
-		Part: partQuery, What: "answer", Query: r.stamp, Why: string(a.Outcome), Took: time.Since(r.request.Start),
-	})
+	r.logAnswer(a)
 }
 
 // convert writes the machine's answer in the callers' terms.
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -61,6 +61,9 @@
 	MaxQueries int
 	// MaxQueue is the most attempts that wait per shard; 0 sets no bound but time.
 	MaxQueue int
+	// Ages says how old the configuration and the list of leaves in force are,
+	// for the log; nil where that is not known.
+	Ages func() (config, leaves time.Duration)
 	// Instances is the number of instances that share limits of the fleet, this
 	// one included; it may change. Nil means one.
 	Instances func() int
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -171,10 +171,10 @@
 	}
 	r.attempts[o.Attempt] = a
 	if o.Hedge {
-		r.executor.decide(a, telemetry.Decision{Part: partQuery, What: "hedge"})
+		r.executor.decide(a, telemetry.Decision{Part: partQuery, What: "hedge", Class: telemetry.Routine})
 	}
 	if o.Retry {
-		r.executor.decide(a, telemetry.Decision{Part: partQuery, What: "retry"})
+		r.executor.decide(a, telemetry.Decision{Part: partQuery, What: "retry", Class: telemetry.Outcome})
 	}
 	a.pool = r.pool(o.Part.Upstream)
 	a.pool.offer(a)
--- /dev/null
+++ b/entry/executor/story.go
@@ -0,0 +1,85 @@
+package executor
+
+import (
+	"strings"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// mostMissing bounds the parts that a line names.
+const mostMissing = 12
+
+// name is the caller's own name of the request, "" if it gave none.
+func (r *Request) name() string {
+	if r.Passed == nil {
+		return ""
+	}
+	return r.Passed.ID
+}
+
+// shardName names an attempt's shard for the log: by its own name where it has
+// one, else by upstream and range.
+func (a *attempt) shardName() string { return partName(a.view, a.offer.Part) }
+
+// partName names a part for the log.
+func partName(v *view.View, p query.Part) string {
+	up := &v.Upstreams[p.Upstream]
+	for i := range up.Shards {
+		if s := &up.Shards[i]; s.Name != "" && s.Range == p.Range {
+			return s.Name
+		}
+	}
+	return up.Name + " " + p.Range.String()
+}
+
+// logAnswer writes the line that ends a query's story: what came of it, what it
+// cost, what is missing and why, and how old the beliefs were that it acted on.
+func (r *run) logAnswer(a *query.Answer) {
+	log := r.executor.config.Log
+	if !log.DecisionsOn() {
+		return
+	}
+	took := time.Since(r.request.Start)
+	config := r.request.Service.Config
+	class := telemetry.Failure
+	if a.Outcome == query.Complete && (config.Objective == 0 || took <= config.Objective) {
+		class = telemetry.Outcome
+	}
+	more := []any{
+		"service", config.Name, "share", a.Share, "sent", a.Sent, "hedges", a.Hedges, "retries", a.Retries,
+		"left", time.Until(r.request.Deadline), "config", r.request.View.Generation,
+	}
+	if r.executor.config.Ages != nil {
+		configAge, leavesAge := r.executor.config.Ages()
+		more = append(more, "config_age", configAge, "leaves_age", leavesAge)
+	}
+	if a.Reason != "" {
+		more = append(more, "reason", a.Reason)
+	}
+	if len(a.Missing) > 0 {
+		more = append(more, "missing", r.missingParts(a))
+	}
+	log.Decide(telemetry.Decision{
+		Part: partQuery, What: "answer", Query: r.stamp, Request: r.request.name(), Why: string(a.Outcome),
+		Took: took, More: more, Class: class,
+	})
+}
+
+// missingParts lists parts with the reason of each, as "name:reason".
+func (r *run) missingParts(a *query.Answer) string {
+	var b strings.Builder
+	for i, m := range a.Missing {
+		if i == mostMissing {
+			b.WriteString(" ...")
+			break
+		}
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(partName(r.request.View, m.Part) + ":" + missing(m))
+	}
+	return b.String()
+}
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 )
 
@@ -29,6 +30,20 @@
 	return &refusal{status: http.StatusServiceUnavailable, detail: detail, retryAfter: startRetryAfter}
 }
 
+// logPart is the prefix of the gateway's lines.
+const logPart = "gateway"
+
+// logRefusal says why a request was not passed on.
+func (g *Gateway) logRefusal(r *http.Request, f *refusal, start time.Time) {
+	more := []any{"status", f.status, "host", r.Host, "target", r.RequestURI, "retry_after", f.retryAfter}
+	if v := g.config.Views.View(); v != nil {
+		more = append(more, "config", v.Generation, "current", g.config.Views.Current())
+	}
+	g.config.Log.Decide(telemetry.Decision{
+		Part: logPart, What: "refuse", Request: r.Header.Get(g.config.Headers.RequestID), Why: f.detail, Took: time.Since(start), More: more,
+	})
+}
+
 // write sends the refusal.
 func (f *refusal) write(w http.ResponseWriter) {
 	if f.retryAfter > 0 {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -89,6 +89,7 @@
 	}
 	req, refused := g.request(w, r, start)
 	if refused != nil {
+		g.logRefusal(r, refused, start)
 		refused.write(w)
 		return
 	}
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -129,11 +129,21 @@
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, Sightings: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: []byte(c.Instance),
-		Instances: n.fleet.size,
+		Instances: n.fleet.size, Ages: n.ages,
 	})
 	return n, nil
 }
 
+// ages are those of the configuration and of the list of leaves in force.
+func (n *Node) ages() (config, leaves time.Duration) {
+	news := n.control.news.Load()
+	if news == nil {
+		return 0, 0
+	}
+	now := time.Now()
+	return now.Sub(news.known.ConfigAt), now.Sub(news.known.LeavesAt)
+}
+
 // Log returns the logger of a part.
 func (n *Node) Log(part string) *telemetry.Part { return n.log.Part(part) }
 
--- /dev/null
+++ b/entry/telemetry/budget_test.go
@@ -0,0 +1,39 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestRoutineNeverKeepsFailuresOut logs far over the budget of routine lines:
+// failures are all there, and what was left out is told.
+func TestRoutineNeverKeepsFailuresOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sink bytes.Buffer
+		l, err := NewLog(&sink, Options{Level: "info", Format: "logfmt", Decisions: true, Budgets: Budgets{Failure: 50, Outcome: 20, Routine: 10}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 40 {
+			for range 30 {
+				l.Decide(Decision{Part: "dispatch", What: "dispatch", Class: Routine})
+			}
+			l.Decide(Decision{Part: "query", What: "refuse", Request: "id", Query: uint64(i), Class: Failure})
+		}
+		time.Sleep(time.Second)
+		l.Decide(Decision{Part: "query", What: "answer", Class: Outcome})
+		l.Close()
+		text := sink.String()
+		for what, want := range map[string]int{"msg=dispatch": 10, "msg=refuse": 40, "msg=answer": 1, "request=id": 40} {
+			if n := strings.Count(text, what); n != want {
+				t.Errorf("%s: %d lines, want %d", what, n, want)
+			}
+		}
+		if !strings.Contains(text, `msg="lines left out" failures=0 outcomes=0 routine=1190`) {
+			t.Errorf("what was left out is not told:\n%s", text[max(0, len(text)-500):])
+		}
+	})
+}
--- a/entry/telemetry/log.go
+++ b/entry/telemetry/log.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
 )
 
 // timeFormat is RFC 3339 with microseconds.
@@ -33,8 +34,30 @@
 	Leaf  string
 	Why   string
 	Took  time.Duration // a wait or a latency; 0 for none
+	// Request is the caller's own name of the request, "" if it gave none.
+	Request string
+	// More are further keys and values.
+	More []any
+	// Class says which budget the line is taken from.
+	Class Class
 }
 
+// Class ranks lines by what they are worth when not all can be written.
+type Class uint8
+
+// The classes. Each has a budget of its own, so that routine never keeps out
+// what explains a failure.
+const (
+	Failure Class = iota // refusals, failures, partial answers, changes of belief
+	Outcome              // answers that are complete and in time
+	Routine              // what happens to each part of each query
+	classes
+)
+
+// Budgets are the most lines a second of each class, in the order of the
+// classes; 0 sets no bound.
+type Budgets [classes]int
+
 // Options say how logs are written.
 type Options struct {
 	Level string // debug, info, warn, error
@@ -42,6 +65,8 @@
 	Format string
 	// Decisions turns the lines of routing and placement decisions on.
 	Decisions bool
+	// Budgets bound the lines of decisions.
+	Budgets Budgets
 }
 
 // formatters are the library's, by the names of Options.Format; text is the
@@ -53,6 +78,9 @@
 	queue     chan record
 	done      chan struct{}
 	drops     atomic.Int64
+	limits    [classes]*rate.Limiter
+	leftOut   [classes]atomic.Int64 // since the last line that told
+	toldAt    atomic.Int64          // second in which that was
 	decisions bool
 	level     log.Level
 	formatter log.Formatter
@@ -79,6 +107,12 @@
 		return nil, fmt.Errorf("log level %q: %w", o.Level, err)
 	}
 	l := &Log{queue: make(chan record, queueLength), done: make(chan struct{}), decisions: o.Decisions, level: level, formatter: formatters[o.Format]}
+	for i, perSecond := range o.Budgets {
+		l.limits[i] = rate.NewLimiter(rate.Inf, 0)
+		if perSecond > 0 {
+			l.limits[i] = rate.NewLimiter(rate.Limit(perSecond), perSecond)
+		}
+	}
 	go l.write(newWriter(sink, o, level))
 	return l, nil
 }
@@ -161,6 +195,9 @@
 // pairs lists the fields that are set.
 func (d *Decision) pairs() []any {
 	out := make([]any, 0, 10)
+	if d.Request != "" {
+		out = append(out, "request", d.Request)
+	}
 	out = append(out, "query", strconv.FormatUint(d.Query, 10))
 	if d.Shard != "" {
 		out = append(out, "shard", d.Shard)
@@ -174,7 +211,7 @@
 	if d.Took != 0 {
 		out = append(out, "took", d.Took)
 	}
-	return out
+	return append(out, d.More...)
 }
 
 // put queues a record or drops it.
@@ -193,9 +230,32 @@
 
 // Decide logs one decision, if decisions are on.
 func (l *Log) Decide(d Decision) {
-	if l.DecisionsOn() {
-		l.put(record{at: time.Now(), level: log.InfoLevel, decision: d})
+	if !l.DecisionsOn() {
+		return
+	}
+	now := time.Now()
+	l.tellLeftOut(now)
+	if !l.limits[d.Class].AllowN(now, 1) {
+		l.leftOut[d.Class].Add(1)
+		return
+	}
+	l.put(record{at: now, level: log.InfoLevel, decision: d})
+}
+
+// tellLeftOut logs, at most once a second, how many lines were over the budgets.
+func (l *Log) tellLeftOut(now time.Time) {
+	second := now.Unix()
+	told := l.toldAt.Load()
+	if second == told || !l.toldAt.CompareAndSwap(told, second) {
+		return
+	}
+	failures, outcomes, routine := l.leftOut[Failure].Swap(0), l.leftOut[Outcome].Swap(0), l.leftOut[Routine].Swap(0)
+	if failures+outcomes+routine == 0 {
+		return
 	}
+	l.put(record{at: now, level: log.WarnLevel, part: "log", msg: "lines left out", pairs: []any{
+		"failures", failures, "outcomes", outcomes, "routine", routine, "dropped", l.Dropped(),
+	}})
 }
 
 // DecisionsOn reports whether decisions are logged, to save building them.
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -236,6 +236,7 @@
 	e.GET(platformapi.PathObjects+"/:kind", s.call(KindList, s.list))
 	e.GET(platformapi.PathWatch+"/:kind", s.call(KindWatch, s.watch))
 	e.GET(platformapi.PathInstances, s.call(KindInstances, s.listInstances))
+	s.hostedRoutes(e)
 	s.controlRoutes(e)
 	return e
 }
