Hold only the leaves that were missing right after an outage

Cause: an instance that the store had turned away for 8 s held every entry that vanished in the next 2.2 s, also of a leaf that left then, and as the zone's reader it told the others of them: a request reached a leaf 3076 ms after its drain (bound 3000 ms).

Ruled out: a slow reader (news were 0.3 s old), a frozen instance.

Change: held are the leaves missing in the first list after the gap; others are told the list as it was read, and decide by their own gap.

--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -99,14 +99,17 @@
 	config   *Config
 	// configAt is when the last read of the configuration began.
 	configAt time.Time
-	leaves   map[string]Leaf
+	// listed are the leaves of the last list, held those that were missing in the
+	// first list after an outage and may still come back.
+	listed   map[string]Leaf
+	held     map[string]Leaf
 	revision uint64
-	listed   bool
+	hasList  bool
 	// listedAt is when the last good read of the leaves began.
 	listedAt time.Time
-	// graceUntil is until when entries that are missing are kept.
-	graceUntil time.Time
-	retired    map[string]retiredSet // by upstream name
+	// heldUntil is until when they are kept.
+	heldUntil time.Time
+	retired   map[string]retiredSet // by upstream name
 }
 
 // retiredSet is a set of shards that is kept for queries in flight.
@@ -117,14 +120,14 @@
 
 // New returns an empty catalog.
 func New(s Settings) *Catalog {
-	return &Catalog{settings: s, leaves: make(map[string]Leaf), retired: make(map[string]retiredSet)}
+	return &Catalog{settings: s, listed: make(map[string]Leaf), held: make(map[string]Leaf), retired: make(map[string]retiredSet)}
 }
 
 // SetSettings changes the times and limits; what is known stays.
 func (c *Catalog) SetSettings(s Settings) { c.settings = s }
 
 // Ready reports whether there is a configuration and a list of leaves.
-func (c *Catalog) Ready() bool { return c.config != nil && c.listed }
+func (c *Catalog) Ready() bool { return c.config != nil && c.hasList }
 
 // Version is the configuration's version in force, 0 before there is one.
 func (c *Catalog) Version() uint64 {
@@ -161,41 +164,78 @@
 func (c *Catalog) FreshUntil() time.Time { return c.configAt.Add(c.settings.Fresh) }
 
 // Sees reports whether a list at the revision is news.
-func (c *Catalog) sees(revision uint64) bool { return !c.listed || revision >= c.revision }
+func (c *Catalog) sees(revision uint64) bool { return !c.hasList || revision >= c.revision }
 
 // LeavesRead takes the whole list of leaves at a revision of the store. A list
 // older than one taken before is dropped: what was seen leaving stays so. It
 // reports whether anything changed.
+//
+// Entries of leaves that live lapse in an outage and come back after it. Those
+// missing in the first list after one are held for that time; what is missing
+// later is gone. To hold these too let leaves that left after the outage get new
+// work for as long.
 func (c *Catalog) LeavesRead(list []Leaf, revision uint64, began, now time.Time) bool {
 	if !c.sees(revision) {
 		return false
 	}
-	// The entries of leaves that live lapse in an outage and come back after it.
-	if c.listed && began.Sub(c.listedAt) >= c.settings.LapseAfter {
-		c.graceUntil = now.Add(c.settings.ReturnWithin)
-	}
-	c.listed, c.revision = true, revision
-	c.listedAt = began
+	before := c.leaves()
 	next := make(map[string]Leaf, len(list))
 	for _, l := range list {
 		next[l.ID] = c.merge(l)
 	}
-	if now.Before(c.graceUntil) {
-		for id, l := range c.leaves {
-			if _, ok := next[id]; !ok {
-				next[id] = l
-			}
+	if c.hasList && began.Sub(c.listedAt) >= c.settings.LapseAfter {
+		c.held = missing(before, next)
+		c.heldUntil = now.Add(c.settings.ReturnWithin)
+	}
+	c.hasList, c.revision, c.listedAt = true, revision, began
+	c.listed = next
+	c.release(now)
+	return !maps.EqualFunc(before, c.leaves(), sameForRouting)
+}
+
+// release ends the holding of leaves that are back, or whose time is over.
+func (c *Catalog) release(now time.Time) {
+	if !now.Before(c.heldUntil) {
+		clear(c.held)
+		return
+	}
+	maps.DeleteFunc(c.held, func(id string, _ Leaf) bool {
+		_, back := c.listed[id]
+		return back
+	})
+}
+
+// missing returns the leaves of one list that another lacks.
+func missing(from, in map[string]Leaf) map[string]Leaf {
+	out := make(map[string]Leaf)
+	for id, l := range from {
+		if _, ok := in[id]; !ok {
+			out[id] = l
 		}
 	}
-	changed := !maps.EqualFunc(c.leaves, next, sameForRouting)
-	c.leaves = next
-	return changed
+	return out
+}
+
+// leaves are those in force: the listed and the held ones.
+func (c *Catalog) leaves() map[string]Leaf {
+	out := maps.Clone(c.listed)
+	maps.Copy(out, c.held)
+	return out
+}
+
+// known returns a leaf in force.
+func (c *Catalog) known(id string) (Leaf, bool) {
+	if l, ok := c.listed[id]; ok {
+		return l, true
+	}
+	l, ok := c.held[id]
+	return l, ok
 }
 
 // LeavesConfirmed notes that the list in force was still the newest at a read
 // that began at the given time.
 func (c *Catalog) LeavesConfirmed(revision uint64, began time.Time) {
-	if !c.listed || !c.sees(revision) || !began.After(c.listedAt) {
+	if !c.hasList || !c.sees(revision) || !began.After(c.listedAt) {
 		return
 	}
 	c.revision, c.listedAt = revision, began
@@ -217,11 +257,15 @@
 // Config is the configuration in force, or nil. It must not be changed.
 func (c *Catalog) Config() *Config { return c.config }
 
-// List returns the leaves in the order of their IDs.
-func (c *Catalog) List() []Leaf {
-	out := make([]Leaf, 0, len(c.leaves))
-	for _, id := range slices.Sorted(maps.Keys(c.leaves)) {
-		out = append(out, c.leaves[id])
+// List returns the leaves of the last list in the order of their IDs, without
+// those that are held: whoever is told of them decides that by its own gap.
+func (c *Catalog) List() []Leaf { return sorted(c.listed) }
+
+// sorted returns leaves in the order of their IDs.
+func sorted(leaves map[string]Leaf) []Leaf {
+	out := make([]Leaf, 0, len(leaves))
+	for _, id := range slices.Sorted(maps.Keys(leaves)) {
+		out = append(out, leaves[id])
 	}
 	return out
 }
@@ -238,7 +282,7 @@
 // merge keeps what is known of a leaf: a drain is never taken back, and the end
 // of its slow start does not move with each reading.
 func (c *Catalog) merge(l Leaf) Leaf {
-	old, ok := c.leaves[l.ID]
+	old, ok := c.known(l.ID)
 	if !ok {
 		return l
 	}
@@ -256,34 +300,42 @@
 // MarkGone takes a leaf's own sign, or a peer's word, that it takes no more
 // work. It reports whether that is news.
 func (c *Catalog) MarkGone(id string) bool {
-	l, ok := c.leaves[id]
+	l, ok := c.known(id)
 	if !ok || l.Draining {
 		return false
 	}
 	l.Draining = true
-	c.leaves[id] = l
+	if _, held := c.held[id]; held {
+		c.held[id] = l
+	} else {
+		c.listed[id] = l
+	}
 	return true
 }
 
-// Tick drops retired sets whose time is over. It reports whether one was.
+// Tick drops retired sets and held leaves whose time is over. It reports whether
+// any was.
 func (c *Catalog) Tick(now time.Time) bool {
-	before := len(c.retired)
+	sets, held := len(c.retired), len(c.held)
 	maps.DeleteFunc(c.retired, func(_ string, r retiredSet) bool { return !now.Before(r.until) })
-	return len(c.retired) != before
+	c.release(now)
+	return len(c.retired) != sets || len(c.held) != held
 }
 
-// Leaves is the number of leaves known.
-func (c *Catalog) Leaves() int { return len(c.leaves) }
+// Leaves is the number of leaves in force.
+func (c *Catalog) Leaves() int { return len(c.listed) + len(c.held) }
 
 // byService lists the leaves of each service, in the order of their IDs.
 func (c *Catalog) byService() map[string][]document.Leaf {
 	out := make(map[string][]document.Leaf)
-	for _, id := range slices.Sorted(maps.Keys(c.leaves)) {
-		l := c.leaves[id]
+	for _, l := range sorted(c.leaves()) {
 		out[l.Service] = append(out[l.Service], document.Leaf{ID: l.ID, Zone: l.Zone, Address: l.Address})
 	}
 	return out
 }
 
 // Draining reports whether a leaf gets no new work.
-func (c *Catalog) Draining(id string) bool { return c.leaves[id].Draining }
+func (c *Catalog) Draining(id string) bool {
+	l, _ := c.known(id)
+	return l.Draining
+}
--- a/kernel/catalog/catalog_test.go
+++ b/kernel/catalog/catalog_test.go
@@ -77,6 +77,35 @@
 	}
 }
 
+// TestLeafThatLeavesAfterAnOutage plays an instance that the store turned away
+// for a while: a leaf that it saw again, and that left then, gets nothing more.
+func TestLeafThatLeavesAfterAnOutage(t *testing.T) {
+	both := []Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}
+	c := New(testSettings)
+	c.LeavesRead(both, 1, start, start)
+	back := start.Add(8 * time.Second)
+	c.LeavesRead(both, 2, back, back)
+	next := back.Add(time.Second)
+	if !c.LeavesRead(both[:1], 3, next, next) || c.Leaves() != 1 {
+		t.Error("a leaf that left after the outage is held as one that lapsed in it")
+	}
+}
+
+// TestHeldLeavesAreNotTold checks that others are told the list as it was read.
+func TestHeldLeavesAreNotTold(t *testing.T) {
+	both := []Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}
+	c := New(testSettings)
+	c.LeavesRead(both, 1, start, start)
+	back := start.Add(8 * time.Second)
+	c.LeavesRead(both[:1], 2, back, back)
+	if c.Leaves() != 2 || len(c.List()) != 1 {
+		t.Errorf("%d leaves in force and %d told, want 2 and 1", c.Leaves(), len(c.List()))
+	}
+	if !c.Tick(back.Add(testSettings.ReturnWithin)) || c.Leaves() != 1 {
+		t.Error("the held leaf is still there after its time")
+	}
+}
+
 // TestSetIsKeptForQueriesInFlight cuts the index into another set.
 func TestSetIsKeptForQueriesInFlight(t *testing.T) {
 	c := New(testSettings)
