Ask a silent store again after 300 ms, not a second

Cause: after a final fault the instances started while the store was still silent; the first read took its whole second, and callers were refused.

--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -25,10 +25,15 @@
 	// askInterval is the time between two questions to the zone's reader, which
 	// cost next to nothing.
 	askInterval = 500 * time.Millisecond
-	// readTimeout bounds one read; a store that is merely slow takes up to 250 ms.
-	readTimeout = time.Second
+	// readTimeout bounds one read at first; a store that is merely slow takes up
+	// to 250 ms, and one that is silent is best asked again on a new connection.
+	// It doubles with each failure up to mostReadTimeout, for a store that is
+	// slower still. An instance that started while the store was silent for a
+	// moment took 1.1 s to its first configuration with a fixed second.
+	readTimeout     = 300 * time.Millisecond
+	mostReadTimeout = 2 * time.Second
 	// firstRetry is the first pause after a failed read, doubled up to readInterval.
-	firstRetry = 100 * time.Millisecond
+	firstRetry = 50 * time.Millisecond
 	// inboxLength bounds what waits for the control goroutine.
 	inboxLength = 64
 )
@@ -182,9 +187,14 @@
 	pause := backoff.Backoff{Min: firstRetry, Max: readInterval}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	failing := time.Time{}
+	timeout := readTimeout
 	for ctx.Err() == nil {
 		began := time.Now()
-		asked, err := c.catchUp(ctx)
+		asked, err := c.catchUp(ctx, timeout)
+		timeout = readTimeout
+		if err != nil {
+			timeout = min(max(2*time.Since(began), readTimeout), mostReadTimeout)
+		}
 		wait := readInterval - time.Since(began)
 		if asked {
 			wait = askInterval - time.Since(began)
@@ -206,7 +216,7 @@
 }
 
 // catchUp gets the news once, and says whether a peer told them.
-func (c *control) catchUp(ctx context.Context) (asked bool, err error) {
+func (c *control) catchUp(ctx context.Context, timeout time.Duration) (asked bool, err error) {
 	if reader, ask := c.node.fleet.reader(time.Now()); ask {
 		err := c.ask(ctx, reader)
 		if err == nil {
@@ -216,6 +226,8 @@
 		c.log.Info("reader passed over", "reader", reader.Name, "err", err)
 	}
 	c.heard.Store(0)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return c.readConfig(ctx) })
 	g.Go(func() error { return c.readLeaves(ctx) })
@@ -224,8 +236,6 @@
 
 // readConfig reads the configuration once.
 func (c *control) readConfig(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	began := time.Now()
 	config, err := c.node.config.Source.Config(ctx)
 	if err != nil {
@@ -236,8 +246,6 @@
 
 // readLeaves reads the list of leaves once.
 func (c *control) readLeaves(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	began := time.Now()
 	leaves, revision, err := c.node.config.Source.Leaves(ctx)
 	if err != nil {
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -25,6 +25,8 @@
 	firstLists    = 3
 	// passOver is for how long a reader without news is not asked.
 	passOver = 3 * time.Second
+	// callTimeout bounds one call about announcements; none of them is urgent.
+	callTimeout = 2 * time.Second
 )
 
 // members guards the kernel's fleet by a lock and keeps it up to date.
@@ -83,7 +85,7 @@
 
 // list reads the announcements. A change of the fleet's size changes every share.
 func (m *members) list(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	list, err := m.node.config.Source.Instances(ctx)
 	if err != nil {
@@ -107,7 +109,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	for ctx.Err() == nil && !m.node.lifecycle.Leaving() {
 		m.self.Mark++
-		call, cancel := context.WithTimeout(ctx, readTimeout)
+		call, cancel := context.WithTimeout(ctx, callTimeout)
 		err := m.node.config.Source.Announce(call, m.self)
 		cancel()
 		wait := announceInterval
@@ -124,7 +126,7 @@
 // withdraw takes the announcement back, so that the others don't wait for it to
 // fall silent.
 func (m *members) withdraw(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := m.node.config.Source.Withdraw(ctx, m.self.Name); err != nil {
 		m.log.Warn("announcement was not withdrawn", "err", err)
