Read the store by one instance, and tell each other of slow leaves

Change: one instance reads the store, one a zone asks it, the others ask theirs; times follow the bound within which a change must be in force; a missing configuration is news too. With each question goes what was seen of slow leaves, and the answer lists those that were seen slow twice, further apart than a pause.

Ruled out: single sightings, which are pauses of 120 ms more often than not.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -90,6 +90,16 @@
 	Version uint64 `json:"version"`
 	// Hash is that of the leaves that a peer told last, 0 for none.
 	Hash uint64 `json:"hash"`
+	// Seen is what the asking instance, and those that asked it, saw of leaves.
+	Seen []SeenLeaf `json:"seen,omitempty"`
+}
+
+// SeenLeaf is one outcome at a leaf, or the word that a leaf is slow.
+type SeenLeaf struct {
+	Leaf   string `json:"leaf"`
+	TookMS int64  `json:"took_ms"`
+	Slow   bool   `json:"slow,omitempty"`
+	AgeMS  int64  `json:"age_ms"`
 }
 
 // News is what an instance knows of the store.
@@ -108,4 +118,6 @@
 	Hash uint64 `json:"hash"`
 	// Leaves is the whole list, if its hash is another than that asked with.
 	Leaves json.RawMessage `json:"leaves,omitempty"`
+	// Slow lists the leaves that are taken to be slow.
+	Slow []SeenLeaf `json:"slow,omitempty"`
 }
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -164,9 +164,7 @@
 // and tells the queries in flight, which may have to ask split shards again.
 func (e *Executor) Follow(v *view.View) {
 	e.leafState.follow(v)
-	e.mu.RLock()
-	pools := slices.Collect(maps.Values(e.pools))
-	e.mu.RUnlock()
+	pools := e.allPools()
 	e.runsMu.Lock()
 	runs := slices.Collect(maps.Keys(e.runs))
 	e.runsMu.Unlock()
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -16,15 +16,19 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
-// Times of reading the store.
+// Times of reading the store, as shares of the bound within which a change must
+// be in force everywhere: the reader reads after a quarter, the instances of its
+// zone and those that ask for theirs ask after an eighth each. A change is
+// everywhere after half of the bound and the calls' own time; what is left covers
+// one reader that fails.
 const (
-	// readInterval is the time between two reads of the configuration, and of
-	// the leaves. A change is in force everywhere after at most one interval and
-	// one read, a third of the least time that users allow for it (3 s).
-	readInterval = time.Second
-	// askInterval is the time between two questions to the zone's reader, which
-	// cost next to nothing.
-	askInterval = 500 * time.Millisecond
+	readShare = 0.25
+	askShare  = 0.125
+	// newsShare is the age of news above which an instance reads the store itself.
+	newsShare = 0.55
+	// mostAsk bounds the time between two questions: what is seen of slow leaves
+	// is told with them.
+	mostAsk = 600 * time.Millisecond
 	// readTimeout bounds one read at first; a store that is merely slow takes up
 	// to 250 ms, and one that is silent is best asked again on a new connection.
 	// It doubles with each failure up to mostReadTimeout, for a store that is
@@ -32,12 +36,20 @@
 	// moment took 1.1 s to its first configuration with a fixed second.
 	readTimeout     = 300 * time.Millisecond
 	mostReadTimeout = 2 * time.Second
-	// firstRetry is the first pause after a failed read, doubled up to readInterval.
+	// firstRetry is the first pause after a failed read, doubled up to mostRetry.
 	firstRetry = 50 * time.Millisecond
+	mostRetry  = time.Second
+	// tickInterval is how often the catalog drops what is over.
+	tickInterval = 500 * time.Millisecond
 	// inboxLength bounds what waits for the control goroutine.
 	inboxLength = 64
 )
 
+// bound is a share of the time within which a change must be in force.
+func (c *control) bound(share float64) time.Duration {
+	return time.Duration(share * float64(c.node.tunables.Load().Bound))
+}
+
 // control owns the catalog. One goroutine does all of its work.
 type control struct {
 	node     *Node
@@ -52,7 +64,7 @@
 	version, heard atomic.Uint64
 }
 
-// configRead is a read of the configuration.
+// configRead is a read of the configuration; nil: there is none.
 type configRead struct {
 	config *catalog.Config
 	began  time.Time
@@ -85,7 +97,7 @@
 // run reads the store and publishes views until the context ends.
 func (c *control) run(ctx context.Context) error {
 	go c.follow(ctx)
-	tick := time.NewTicker(readInterval)
+	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
 		select {
@@ -107,7 +119,11 @@
 	changed := false
 	switch m := message.(type) {
 	case configRead:
-		changed = c.takeConfig(m.config, m.began, now, "store")
+		if m.config == nil {
+			c.catalog.ConfigMissing(m.began)
+		} else {
+			changed = c.takeConfig(m.config, m.began, now, "store")
+		}
 	case leavesRead:
 		changed = c.takeLeaves(m.leaves, m.revision, m.began, now, "store")
 	case newsRead:
@@ -153,9 +169,6 @@
 
 // tellNews renews what other instances are told.
 func (c *control) tellNews(now time.Time) {
-	if !c.catalog.Ready() {
-		return
-	}
 	news, err := newsOf(c.catalog, c.news.Load(), now)
 	if err != nil {
 		c.log.Error("news for peers were not made", "err", err)
@@ -184,7 +197,7 @@
 // reader, or from the store itself where this instance is the reader or the
 // reader has no news.
 func (c *control) follow(ctx context.Context) {
-	pause := backoff.Backoff{Min: firstRetry, Max: readInterval}
+	pause := backoff.Backoff{Min: firstRetry, Max: mostRetry}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	failing := time.Time{}
 	timeout := readTimeout
@@ -195,9 +208,9 @@
 		if err != nil {
 			timeout = min(max(2*time.Since(began), readTimeout), mostReadTimeout)
 		}
-		wait := readInterval - time.Since(began)
+		wait := c.bound(readShare) - time.Since(began)
 		if asked {
-			wait = askInterval - time.Since(began)
+			wait = min(c.bound(askShare), mostAsk) - time.Since(began)
 		}
 		switch {
 		case err != nil:
@@ -217,6 +230,7 @@
 
 // catchUp gets the news once, and says whether a peer told them.
 func (c *control) catchUp(ctx context.Context, timeout time.Duration) (asked bool, err error) {
+	c.node.shareSightings()
 	if reader, ask := c.node.fleet.reader(time.Now()); ask {
 		err := c.ask(ctx, reader)
 		if err == nil {
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -34,7 +34,7 @@
 // Source reads the platform's store. Each call answers for the moment at which
 // it was made, or later.
 type Source interface {
-	// Config reads the newest configuration.
+	// Config reads the newest configuration; nil while there is none.
 	Config(ctx context.Context) (*catalog.Config, error)
 	// Leaves reads all registered leaves, and the store's revision of the list.
 	Leaves(ctx context.Context) (leaves []catalog.Leaf, revision uint64, err error)
@@ -81,6 +81,8 @@
 // Tunables are what may change while an instance runs.
 type Tunables struct {
 	Catalog catalog.Settings
+	// Bound is the time within which a change in the store must be in force.
+	Bound time.Duration
 	// Grace is the time between the word to stop and the end.
 	Grace time.Duration
 }
@@ -96,6 +98,7 @@
 	control   *control
 	fleet     *members
 	peers     *peer.Client
+	sharing   *sharing
 	view      atomic.Pointer[view.View]
 	current   atomic.Pointer[time.Time] // until when the view's configuration is the newest
 	limits    atomic.Pointer[catalog.Limits]
@@ -123,6 +126,7 @@
 	n := &Node{config: c, log: log, metrics: telemetry.NewMetrics()}
 	n.tunables.Store(&c.Tunables)
 	n.fleet = newMembers(n)
+	n.sharing = newSharing()
 	n.peers = peer.NewClient(peer.ClientConfig{Instance: c.Instance, Key: c.PeerKey, DialTimeout: newsTimeout})
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.leafGone)
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -15,13 +15,13 @@
 const (
 	// announceInterval is the time between two announcements. Each is a priced
 	// write; only an instance that ended without a word is noticed by their end.
-	announceInterval = 20 * time.Second
+	announceInterval = time.Minute
 	// forgetAfter is two announcements missed.
 	forgetAfter = 3 * announceInterval
 	// listInterval is the time between two reads of the announcements, and
 	// firstLists how many at the start follow faster, while all instances start.
-	listInterval  = 10 * time.Second
-	firstInterval = 1500 * time.Millisecond
+	listInterval  = 20 * time.Second
+	firstInterval = 500 * time.Millisecond
 	firstLists    = 3
 	// passOver is for how long a reader without news is not asked.
 	passOver = 3 * time.Second
@@ -75,7 +75,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		interval := listInterval
 		if n < firstLists {
-			interval = firstInterval
+			interval = firstInterval << n
 		}
 		sleep(ctx, interval/2+rand.N(interval))
 		m.list(ctx)
--- a/entry/hosted/news.go
+++ b/entry/hosted/news.go
@@ -16,9 +16,6 @@
 	// newsTimeout bounds one question to a peer of the own zone, which takes less
 	// than a millisecond when the peer is well.
 	newsTimeout = 250 * time.Millisecond
-	// newsAge is the oldest news that are taken without asking the store: the
-	// reader's interval, its own read, and some slack.
-	newsAge = readInterval + 400*time.Millisecond
 )
 
 // newsState is what this instance tells others. It is immutable.
@@ -62,6 +59,8 @@
 	if r.Hash != s.hash {
 		out.Leaves = s.leaves
 	}
+	n.sharing.heard(r.Seen, now)
+	out.Slow = n.sharing.tell(now)
 	return out
 }
 
@@ -79,6 +78,8 @@
 	next := &newsState{known: c.Known(), version: c.Version()}
 	if before != nil && before.version == next.version {
 		next.config = before.config
+	} else if c.Config() == nil {
+		next.config = nil
 	} else if err := encode(&next.config, c.Config()); err != nil {
 		return nil, err
 	}
@@ -122,17 +123,19 @@
 	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 	defer cancel()
 	began := time.Now()
+	seen := c.node.sharing.takePending(began)
 	news, err := c.node.peers.News(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, peerapi.NewsRequest{
-		Version: c.version.Load(), Hash: c.heard.Load(),
+		Version: c.version.Load(), Hash: c.heard.Load(), Seen: seen,
 	})
 	if err != nil {
 		return err
 	}
 	configAge := time.Duration(news.ConfigAgeMS) * time.Millisecond
 	leavesAge := time.Duration(news.LeavesAgeMS) * time.Millisecond
-	if configAge < 0 || leavesAge < 0 || max(configAge, leavesAge) > newsAge {
+	if configAge < 0 || leavesAge < 0 || max(configAge, leavesAge) > c.bound(newsShare) {
 		return &staleNewsError{configAge, leavesAge}
 	}
+	c.node.sharing.told(news.Slow, began)
 	told, err := decodeNews(news)
 	if err != nil {
 		return err
@@ -185,6 +188,8 @@
 	changed := false
 	if n.config != nil {
 		changed = c.takeConfig(n.config, n.configAt, now, "peer")
+	} else if n.version == 0 {
+		c.catalog.ConfigMissing(n.configAt)
 	} else if n.version == c.catalog.Version() {
 		changed = c.takeConfig(c.catalog.Config(), n.configAt, now, "peer")
 	}
--- /dev/null
+++ b/entry/hosted/sharing.go
@@ -0,0 +1,106 @@
+package hosted
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/slowness"
+)
+
+// mostPending bounds the sightings that wait to be told.
+const mostPending = 512
+
+// sharing gathers what this instance and those that ask it see of slow leaves,
+// and keeps what it was told itself. It guards the kernel's board by a lock.
+type sharing struct {
+	mu      sync.Mutex
+	board   *slowness.Board
+	pending []slowness.Sighting // for the instance that this one asks
+	others  []slowness.Slow     // what that one told
+}
+
+// newSharing makes it empty.
+func newSharing() *sharing { return &sharing{board: slowness.NewBoard()} }
+
+// add takes sightings, to be told on.
+func (s *sharing) add(list []slowness.Sighting, now time.Time) {
+	if len(list) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Add(list, now)
+	s.pending = append(s.pending, list[:min(len(list), mostPending-len(s.pending))]...)
+}
+
+// heard takes the sightings of an instance that asks. Their ages are as it says:
+// the way here takes about a millisecond.
+func (s *sharing) heard(seen []peerapi.SeenLeaf, now time.Time) {
+	list := make([]slowness.Sighting, 0, len(seen))
+	for _, l := range seen {
+		list = append(list, slowness.Sighting{Leaf: l.Leaf, Took: ms(l.TookMS), Slow: l.Slow, At: now.Add(-ms(l.AgeMS))})
+	}
+	s.add(list, now)
+}
+
+// ms converts milliseconds of the wire.
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// takePending returns what is to be told to the instance that this one asks.
+func (s *sharing) takePending(now time.Time) []peerapi.SeenLeaf {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]peerapi.SeenLeaf, 0, len(s.pending))
+	for _, p := range s.pending {
+		out = append(out, peerapi.SeenLeaf{Leaf: p.Leaf, TookMS: p.Took.Milliseconds(), Slow: p.Slow, AgeMS: now.Sub(p.At).Milliseconds()})
+	}
+	s.pending = s.pending[:0]
+	return out
+}
+
+// told keeps what the asked instance says.
+func (s *sharing) told(slow []peerapi.SeenLeaf, began time.Time) {
+	list := make([]slowness.Slow, 0, len(slow))
+	for _, l := range slow {
+		list = append(list, slowness.Slow{Leaf: l.Leaf, Took: ms(l.TookMS), At: began.Add(-ms(l.AgeMS))})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others = list
+}
+
+// slow lists the leaves that are taken to be slow here or by the asked instance.
+func (s *sharing) slow(now time.Time) []slowness.Slow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.board.Slow(now)
+	known := make(map[string]bool, len(own))
+	for _, l := range own {
+		known[l.Leaf] = true
+	}
+	for _, l := range s.others {
+		if !known[l.Leaf] {
+			own = append(own, l)
+		}
+	}
+	return own
+}
+
+// tell is the list for an instance that asks.
+func (s *sharing) tell(now time.Time) []peerapi.SeenLeaf {
+	var out []peerapi.SeenLeaf
+	for _, l := range s.slow(now) {
+		out = append(out, peerapi.SeenLeaf{Leaf: l.Leaf, TookMS: l.Took.Milliseconds(), Slow: true, AgeMS: now.Sub(l.At).Milliseconds()})
+	}
+	return out
+}
+
+// shareSightings collects what the executor saw, and tells it what others did.
+func (n *Node) shareSightings() {
+	now := time.Now()
+	n.sharing.add(n.executor.Sightings(), now)
+	if slow := n.sharing.slow(now); len(slow) > 0 {
+		n.executor.TellSlow(slow)
+	}
+}
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -159,6 +159,14 @@
 	return true
 }
 
+// ConfigMissing notes that there was no configuration at a read that began at the
+// given time.
+func (c *Catalog) ConfigMissing(began time.Time) {
+	if c.config == nil && began.After(c.configAt) {
+		c.configAt = began
+	}
+}
+
 // FreshUntil is until when the configuration in force may be taken for the
 // newest: an unknown route does not exist.
 func (c *Catalog) FreshUntil() time.Time { return c.configAt.Add(c.settings.Fresh) }
--- a/kernel/dispatch/messages.go
+++ b/kernel/dispatch/messages.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/slowness"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
@@ -54,6 +55,9 @@
 	Queued   int
 }
 
+// SlowTold passes on what other instances saw of leaves, by their IDs.
+type SlowTold struct{ Leaves []slowness.Slow }
+
 // Tick lets time-driven work happen (expiry, probing).
 type Tick struct{}
 
@@ -62,6 +66,7 @@
 func (Finished) isEvent()    {}
 func (ViewChanged) isEvent() {}
 func (LoadHint) isEvent()    {}
+func (SlowTold) isEvent()    {}
 func (Tick) isEvent()        {}
 
 // Outcome is how a dispatched attempt ended.
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -1,12 +1,12 @@
 // Package fleet knows the other instances and decides whom to ask for news of
-// the platform's store. Reads of the store are priced, so one instance a zone
-// reads it and the others ask that one. Nothing hangs on who it is: too many
-// readers cost calls, and one that is gone, frozen or itself without news is
-// noticed by the age of what it tells and passed over.
+// the platform's store. Reads of the store are priced, and bytes between zones
+// are too: one instance reads the store, one a zone asks that one, and the others
+// ask that of their zone. Nothing hangs on who it is: too many readers cost calls,
+// and one that is gone, frozen or itself without news is noticed by the age of
+// what it tells and passed over.
 package fleet
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -89,23 +89,34 @@
 	return len(f.members) + 1
 }
 
-// Reader is the instance of this zone to ask for news; ok is false when this
-// instance is to read the store itself.
+// Reader is the instance to ask for news; ok is false when this instance is to
+// read the store itself.
 func (f *Fleet) Reader(now time.Time) (i Instance, ok bool) {
+	lead := f.first(now, func(i Instance) bool { return i.Zone == f.self.Zone })
+	if lead.Name != f.self.Name {
+		return lead, true
+	}
+	head := f.first(now, func(Instance) bool { return true })
+	return head, head.Name != f.self.Name
+}
+
+// first is the instance of the highest rank, this one included, that is among
+// those meant and not passed over.
+func (f *Fleet) first(now time.Time, among func(Instance) bool) Instance {
 	best, score := f.self, rank(f.self)
 	for _, name := range slices.Sorted(maps.Keys(f.members)) {
 		m := f.members[name]
-		if m.instance.Zone != f.self.Zone || now.Before(m.passTo) {
+		if !among(m.instance) || now.Before(m.passTo) {
 			continue
 		}
-		if r := rank(m.instance); cmp.Compare(r, score) > 0 {
+		if r := rank(m.instance); r > score {
 			best, score = m.instance, r
 		}
 	}
-	return best, best.Name != f.self.Name
+	return best
 }
 
-// rank orders the instances of a zone alike everywhere.
+// rank orders the instances alike everywhere.
 func rank(i Instance) uint64 { return xxhash.Sum64String(i.Zone + "\x00" + i.Name) }
 
 // Failed notes that an instance gave no news, or old ones.
--- a/kernel/fleet/fleet_test.go
+++ b/kernel/fleet/fleet_test.go
@@ -31,24 +31,25 @@
 	return out
 }
 
-// TestOneReaderAZone checks that all instances of a zone agree on one reader.
-func TestOneReaderAZone(t *testing.T) {
+// TestOneReader checks that all instances agree on one reader of the store, and
+// that only one a zone asks outside of its zone.
+func TestOneReader(t *testing.T) {
 	list := append(zone("a", 5), zone("b", 3)...)
-	readers := map[string]int{}
+	readers, crossing := 0, map[string]int{}
 	for i, f := range fleets(list) {
 		if f.Size() != len(list) {
 			t.Fatalf("size %d, want %d", f.Size(), len(list))
 		}
 		r, ask := f.Reader(start)
-		if r.Zone != list[i].Zone {
-			t.Errorf("%s asks %s of another zone", list[i].Name, r.Name)
-		}
-		if !ask {
-			readers[list[i].Zone]++
+		switch {
+		case !ask:
+			readers++
+		case r.Zone != list[i].Zone:
+			crossing[list[i].Zone]++
 		}
 	}
-	if readers["a"] != 1 || readers["b"] != 1 {
-		t.Errorf("readers by zone %v, want one each", readers)
+	if readers != 1 || crossing["a"]+crossing["b"] != 1 {
+		t.Errorf("%d readers and %v that ask another zone, want one of each", readers, crossing)
 	}
 }
 
--- /dev/null
+++ b/kernel/slowness/board.go
@@ -0,0 +1,106 @@
+// Package slowness gathers what many instances see of slow leaves. One instance
+// of a large fleet asks a leaf about once a second and learns too late that it
+// is slow; together they ask it often. A leaf that merely pauses for a moment is
+// told apart by the time between two sightings.
+package slowness
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Sighting is one outcome at a leaf.
+type Sighting struct {
+	Leaf string
+	// Took is how long the attempt took, or was out before it was given up.
+	Took time.Duration
+	// Slow says that this was far more than usual; else it clears the leaf.
+	Slow bool
+	At   time.Time
+}
+
+// Slow is a leaf that is taken to be slow.
+type Slow struct {
+	Leaf string
+	// Took is the longest that was seen lately.
+	Took time.Duration
+	// At is when it was last seen to be slow.
+	At time.Time
+}
+
+const (
+	// pause is longer than leaves pause for a moment (120 ms): sightings that
+	// lie closer together may all be of one pause.
+	pause = 150 * time.Millisecond
+	// remember is for how long a sighting counts. It is shorter than the time
+	// between two pauses of a leaf (3 s).
+	remember = 2 * time.Second
+	// mostLeaves bounds the board.
+	mostLeaves = 1024
+)
+
+// Board is the state. It is used by one goroutine at a time.
+type Board struct {
+	leaves map[string]*entry
+}
+
+// entry is what was seen of a leaf.
+type entry struct {
+	first, last time.Time // of the slow sightings that count
+	took        time.Duration
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{leaves: make(map[string]*entry)} }
+
+// Add takes sightings; they may come late and in any order.
+func (b *Board) Add(list []Sighting, now time.Time) {
+	for _, s := range list {
+		if now.Sub(s.At) < remember {
+			b.add(s)
+		}
+	}
+}
+
+// add takes one sighting.
+func (b *Board) add(s Sighting) {
+	e := b.leaves[s.Leaf]
+	switch {
+	case !s.Slow:
+		if e != nil && s.At.After(e.last) {
+			delete(b.leaves, s.Leaf)
+		}
+	case e == nil:
+		if len(b.leaves) < mostLeaves {
+			b.leaves[s.Leaf] = &entry{first: s.At, last: s.At, took: s.Took}
+		}
+	case s.At.Sub(e.last) >= remember:
+		*e = entry{first: s.At, last: s.At, took: s.Took}
+	default:
+		e.took = max(e.took, s.Took)
+		if s.At.Before(e.first) {
+			e.first = s.At
+		}
+		if s.At.After(e.last) {
+			e.last = s.At
+		}
+	}
+}
+
+// Slow lists the leaves that are taken to be slow now, in the order of their
+// names, and forgets what no longer counts.
+func (b *Board) Slow(now time.Time) []Slow {
+	var out []Slow
+	for leaf, e := range b.leaves {
+		if now.Sub(e.last) >= remember {
+			delete(b.leaves, leaf)
+			continue
+		}
+		if e.last.Sub(e.first) >= pause {
+			out = append(out, Slow{Leaf: leaf, Took: e.took, At: e.last})
+		}
+	}
+	slices.SortFunc(out, func(a, b Slow) int { return cmp.Compare(a.Leaf, b.Leaf) })
+	return out
+}
--- a/plugins/nearest/nearest.go
+++ b/plugins/nearest/nearest.go
@@ -51,13 +51,15 @@
 	learntAt time.Time
 	health   health.Leaf
 	backAt   time.Time // when an ejected leaf came back
+	toldAt   time.Time // when others last saw it slow
 }
 
 type policy struct {
-	rand     *rand.Rand
-	leaves   []leaf
-	failures float64 // sum of all leaves' averages of failure
-	delay    float64 // moving average over all leaves, seconds
+	rand      *rand.Rand
+	leaves    []leaf
+	failures  float64 // sum of all leaves' averages of failure
+	delay     float64 // moving average over all leaves, seconds
+	sightings []plugin.Sighting
 }
 
 // New returns an independent instance.
@@ -143,6 +145,7 @@
 			p.learn(l, took, now)
 		}
 	}
+	p.sight(key, s, now)
 	gain := health.Gain(s, p.delay)
 	if gain == 0 {
 		l.health.Inconclusive()
@@ -166,6 +169,59 @@
 	l.learntAt = now
 }
 
+// Bounds of what is told to other instances.
+const (
+	// slowTimes the usual delay makes an outcome slow.
+	slowTimes = 3
+	// failedTook stands for the delay of an attempt that failed.
+	failedTook = 500 * time.Millisecond
+	// clearFor is for how long after others saw a leaf slow a good reply is told.
+	clearFor = 3 * time.Second
+	// mostSightings bounds what waits to be told.
+	mostSightings = 128
+)
+
+// sight keeps an outcome that others should know of.
+func (p *policy) sight(key int, s plugin.Sample, now time.Time) {
+	if len(p.sightings) >= mostSightings || p.delay == 0 {
+		return
+	}
+	seen := plugin.Sighting{Key: key, Took: s.Latency, At: now}
+	switch late := s.Latency.Seconds() > slowTimes*p.delay; {
+	case s.Failed:
+		seen.Took, seen.Slow = failedTook, true
+	case late && (s.OK || s.Cancelled || s.TimedOut):
+		seen.Slow = true
+	case s.OK && now.Sub(p.leaf(key).toldAt) < clearFor:
+	default:
+		return
+	}
+	p.sightings = append(p.sightings, seen)
+}
+
+// Sightings implements plugin.Sharer.
+func (p *policy) Sightings() []plugin.Sighting {
+	out := p.sightings
+	p.sightings = nil
+	return out
+}
+
+// Told implements plugin.Sharer. What this instance has seen since counts more.
+func (p *policy) Told(key int, took time.Duration, at time.Time) {
+	l := p.leaf(key)
+	if !at.After(l.learntAt) || !at.After(l.toldAt) {
+		return
+	}
+	l.toldAt = at
+	l.delay = max(p.expected(l, at), took.Seconds())
+	// Instances forget at different times, so that not all of them try the leaf
+	// again at the same moment.
+	l.learntAt = at.Add(time.Duration(p.rand.Float64() * float64(forgetSpread)))
+}
+
+// forgetSpread is by how much later some instances forget what they were told.
+const forgetSpread = 1500 * time.Millisecond
+
 // others is the average failure of all leaves but one that has the given failure.
 func (p *policy) others(own float64) float64 {
 	return (p.failures - own) / float64(max(1, len(p.leaves)-1))
