Settle an answer by what its way back takes

Cause: a fixed fifth of the objective is too little for an instance with a small share of a core and too much for a fast one.

Change: each instance learns by how much its answers go out later than they were due, and settles so much earlier, as TCP's timeout is estimated.

--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -118,13 +118,14 @@
 	r.repetition = r.service.repetition.Load()
 	r.machine = query.New(query.Config{
 		View: req.View, Service: req.Service, Start: req.Start, Deadline: req.Deadline,
-		Versions:   r.versions,
-		Budget:     r.repetition,
-		Arrivals:   r,
-		HedgeAfter: r.repetition.hedgeAfter(r),
-		Canary:     mode == quarantine.ModeCanary,
-		Suspect:    mode == quarantine.ModeSuspect,
-		Seed:       seed(fingerprint),
+		Versions:     r.versions,
+		Budget:       r.repetition,
+		Arrivals:     r,
+		SettleBefore: e.margins.before(req.Service.Config.Objective),
+		HedgeAfter:   r.repetition.hedgeAfter(r),
+		Canary:       mode == quarantine.ModeCanary,
+		Suspect:      mode == quarantine.ModeSuspect,
+		Seed:         seed(fingerprint),
 	})
 	return r
 }
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -85,6 +85,7 @@
 	services map[string]*serviceState // by service name
 
 	arrivals *arrivals
+	margins  margins
 
 	runsMu sync.Mutex
 	runs   map[*run]struct{}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -24,6 +24,8 @@
 // Executor runs passed-on requests; *executor.Executor does it.
 type Executor interface {
 	Forward(ctx context.Context, r *executor.Request) (*query.Answer, error)
+	// Written is told when an answer has gone out.
+	Written(a *query.Answer, at time.Time)
 }
 
 // Lifecycle says how far a stop of the instance has come.
@@ -95,6 +97,7 @@
 	}
 	answer, err := g.config.Executor.Forward(r.Context(), req)
 	g.write(w, req, answer, err)
+	g.config.Executor.Written(answer, time.Now())
 }
 
 // request checks a request and finds its route. Nothing of it was sent yet:
--- a/kernel/query/config.go
+++ b/kernel/query/config.go
@@ -52,6 +52,9 @@
 	// HedgeAfter is how long a sent attempt of the upstream may take before it
 	// is hedged; 0, or a nil function, means no hedge.
 	HedgeAfter func(upstream int) time.Duration
+	// SettleBefore is how long before its objective an answer is due, so that it
+	// reaches the caller in time; 0 means a fifth of the objective.
+	SettleBefore time.Duration
 	// Canary runs one part alone before the rest.
 	Canary bool
 	// Suspect marks a fingerprint that was on a leaf that broke: one part
--- a/kernel/query/messages.go
+++ b/kernel/query/messages.go
@@ -224,6 +224,9 @@
 	Sent, Hedges, Retries, Ignored int
 	// Moves counts changes of the pinned version.
 	Moves int
+	// SettledAt is when the answer was due without its missing parts; zero when it
+	// was not settled.
+	SettledAt time.Time
 	// Failure is the last failure that a leaf stated; nil when none did.
 	Failure any
 }
--- a/kernel/query/outcome.go
+++ b/kernel/query/outcome.go
@@ -71,6 +71,9 @@
 		Moves:   m.moves,
 		Failure: m.failure,
 	}
+	if cause == MissingSettled {
+		a.SettledAt = m.settle
+	}
 	if m.spaces != nil {
 		m.fill(&a, m.tally(version), cause)
 	}
--- a/kernel/query/reply.go
+++ b/kernel/query/reply.go
@@ -146,8 +146,7 @@
 }
 
 // settleShare is the share of the latency objective after which a useful answer
-// is not held back for its missing parts: what comes later rarely arrives at the
-// caller within the objective.
+// is not held back for its missing parts, while nothing is known of the way back.
 const settleShare = 0.8
 
 // settleTime is when an answer that is useful now goes out without the rest.
@@ -157,6 +156,9 @@
 		return now.Add(c.Settle)
 	}
 	at := m.cfg.Start.Add(time.Duration(settleShare * float64(c.Objective)))
+	if m.cfg.SettleBefore > 0 {
+		at = m.cfg.Start.Add(c.Objective - m.cfg.SettleBefore)
+	}
 	if at.Before(now) {
 		return now
 	}
