--- a/cmd/fuchsiactl/root.go
+++ b/cmd/fuchsiactl/root.go
@@ -81,6 +81,7 @@
 		newInstances(o),
 		newServices(o),
 		newQuarantine(o),
+		newExplain(),
 		newLoad(o),
 		newDemo(o),
 		newStandin(o),
--- a/cmd/fuchsiaroad/pages_test.go
+++ b/cmd/fuchsiaroad/pages_test.go
@@ -83,8 +83,8 @@
 		code = append(code, "fuchsiaroad_"+name)
 	}
 	// Each meter of the node has a scope of its own, named in node.go.
-	node := sources(t, "entry/node")
-	for _, scope := range regexp.MustCompile(`(\w+Meter)\{\w+\.metrics\.Scope\.SubScope\("([a-z_]+)"\)`).FindAllStringSubmatch(node, -1) {
+	node := sources(t, "entry/node") + sources(t, "entry/platform") + sources(t, "entry/hosted")
+	for _, scope := range regexp.MustCompile(`(\w+Meter)\{(?:Scope: )?\w+\.metrics\.Scope\.SubScope\("([a-z_]+)"\)`).FindAllStringSubmatch(node, -1) {
 		for _, method := range strings.Split(node, "\nfunc ") {
 			if !strings.HasPrefix(method, "(m "+scope[1]+")") {
 				continue
--- /dev/null
+++ b/cmd/internal/story/story_test.go
@@ -0,0 +1,57 @@
+package story
+
+import (
+	"strings"
+	"testing"
+)
+
+// logs are lines of three instances: with other text before the record, as a
+// platform may add it, and without.
+const logs = `   1.0 front-1 {"time":"2026-06-08T18:20:54.000000Z","level":"info","prefix":"control","msg":"configuration in force","version":4}
+   1.5 front-1 {"time":"2026-06-08T18:20:54.500000Z","level":"info","prefix":"control","msg":"configuration in force","version":6}
+   1.6 front-2 {"time":"2026-06-08T18:20:54.600000Z","level":"warn","prefix":"control","msg":"store lost","err":"status 503"}
+no record
+{"time":"2026-06-08T18:20:55.010000Z","level":"info","prefix":"dispatch","msg":"attempt failed","request":"late","shard":"s3","leaf":"i-1","why":"broken deadline","took":"90ms"}
+   2.0 front-1 {"time":"2026-06-08T18:20:55.000000Z","level":"info","prefix":"relay","msg":"handed over","request":"late","to":"front-3"}
+   2.1 front-3 {"time":"2026-06-08T18:20:55.100000Z","level":"info","prefix":"query","msg":"answer","request":"late","why":"partial","took":"99ms","config":6,"config_age":"1.2s","missing":"s3:settled"}
+   2.2 front-2 {"time":"2026-06-08T18:20:55.200000Z","level":"info","prefix":"gateway","msg":"refuse","request":"refused","why":"the configuration here may be old","status":503,"config":4}
+   2.3 front-2 {"time":"2026-06-08T18:20:55.300000Z","level":"info","prefix":"dispatch","msg":"dispatch","request":"cut","leaf":"i-2"}
+`
+
+// TestTell finds the cause of each kind of failed request.
+func TestTell(t *testing.T) {
+	lines, passedOver, err := Read(strings.NewReader(logs), "front-9")
+	if err != nil || passedOver != 1 || len(lines) != 8 {
+		t.Fatalf("%d lines, %d passed over, %v", len(lines), passedOver, err)
+	}
+	for _, tc := range []struct {
+		request string
+		cause   []string
+		says    string
+	}{
+		{"late", []string{"partial", "missing s3:settled", "leaf i-1 of s3: broken deadline after 90ms", "configuration 6, 1.2s old"}, "version=6"},
+		{"refused", []string{"refused by front-2 with status 503, not run", "may be old"}, "store lost"},
+		{"cut", []string{"no line says how it ended"}, "dispatch"},
+	} {
+		s, ok := Tell(tc.request, lines)
+		if !ok {
+			t.Errorf("%s was not found", tc.request)
+			continue
+		}
+		for _, part := range tc.cause {
+			if !strings.Contains(s.Cause, part) {
+				t.Errorf("%s: cause %q lacks %q", tc.request, s.Cause, part)
+			}
+		}
+		var b strings.Builder
+		if err := s.Write(&b); err != nil || !strings.Contains(b.String(), tc.says) {
+			t.Errorf("%s: story lacks %q: %v\n%s", tc.request, tc.says, err, b.String())
+		}
+		if strings.Contains(b.String(), "version=4") {
+			t.Errorf("%s: the story has an older belief of the same kind:\n%s", tc.request, b.String())
+		}
+	}
+	if _, ok := Tell("none", lines); ok {
+		t.Error("a request that no line names was found")
+	}
+}
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -39,14 +39,34 @@
 	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body, Passed: a.run.request.Passed}
 	reply, err := e.config.Leaves.Run(s.ctx, target, request, func() bool { return a.run.maySend(a, leaf) })
 	if err != nil {
+		a.run.service.metrics.Attempt(attemptOutcome(s.ctx, err), s.action.Queued)
 		e.failed(s.ctx, p, a, exchanged{leaf: leaf, up: up, err: err})
 		return
 	}
 	e.Learn(s.leaf.ID, reply.Versions, reply.Draining)
+	a.run.service.metrics.Attempt(telemetry.AttemptReply, s.action.Queued)
 	p.finish(a, dispatch.OutcomeReply, reply.Service)
 	a.run.mail.put(query.Reply{Attempt: a.offer.Attempt, Leaf: leaf, Version: reply.Version, Ranges: reply.Ranges, Body: reply.Body, Versions: reply.Versions, Carried: reply.Carried})
 }
 
+// attemptOutcome is the metrics' label of a failed exchange.
+func attemptOutcome(ctx context.Context, err error) telemetry.AttemptOutcome {
+	var declined *leafclient.DeclinedError
+	var broken *leafclient.BrokenError
+	switch {
+	case errors.As(err, &declined):
+		return telemetry.AttemptDeclined
+	case errors.As(err, &broken) && broken.Cause == leafclient.CauseDeadline:
+		return telemetry.AttemptDeadline
+	case ctx.Err() != nil:
+		return telemetry.AttemptCancelled
+	case errors.As(err, &broken):
+		return telemetry.AttemptBroken
+	default:
+		return telemetry.AttemptNoConnection
+	}
+}
+
 // exchanged is an exchange that brought no reply.
 type exchanged struct {
 	leaf int  // index in the attempt's view
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -114,6 +114,7 @@
 		case message := <-c.inbox:
 			c.handle(message)
 		case now := <-tick.C:
+			c.meter(now)
 			if c.catalog.Tick(now) {
 				c.publish()
 			}
@@ -121,6 +122,18 @@
 	}
 }
 
+// meter tells what this instance believes and holds.
+func (c *control) meter(now time.Time) {
+	n := c.node
+	configAge, leavesAge := n.ages()
+	dials, open := n.leaves.Opened()
+	stateMeter{n.metrics.Scope.SubScope("hosted")}.observe(state{
+		configAge: configAge.Seconds(), leavesAge: leavesAge.Seconds(), version: c.catalog.Version(),
+		leaves: c.catalog.Leaves(), slowLeaves: len(n.sharing.slow(now)), instances: n.fleet.size(),
+		connections: open, dials: dials, running: n.executor.Running(), logDrops: n.log.Dropped(),
+	})
+}
+
 // handle takes one message.
 func (c *control) handle(message any) {
 	now := time.Now()
--- /dev/null
+++ b/entry/hosted/control_test.go
@@ -0,0 +1,219 @@
+package hosted
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeStore is the platform's store as a test plays it.
+type fakeStore struct {
+	mu      sync.Mutex
+	version uint64
+	silent  bool // calls hang until their time is over
+	failing bool // calls fail at once
+	reads   int
+}
+
+// set changes the store.
+func (s *fakeStore) set(change func(s *fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// read plays one call.
+func (s *fakeStore) read(ctx context.Context) (uint64, error) {
+	s.mu.Lock()
+	s.reads++
+	silent, failing, version := s.silent, s.failing, s.version
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	if failing {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return version, nil
+}
+
+func (s *fakeStore) Config(ctx context.Context) (*catalog.Config, error) {
+	version, err := s.read(ctx)
+	if err != nil || version == 0 {
+		return nil, err
+	}
+	return &catalog.Config{Version: version, Routes: []catalog.Route{{
+		Name: "r", Host: "a", Prefix: "/", Timeout: time.Second, Targets: []document.RouteTarget{{Service: "s", Weight: 1}},
+	}}}, nil
+}
+
+func (s *fakeStore) Leaves(ctx context.Context) ([]catalog.Leaf, uint64, error) {
+	version, err := s.read(ctx)
+	return nil, version, err
+}
+
+func (s *fakeStore) Instances(context.Context) ([]fleet.Instance, error) { return nil, nil }
+func (s *fakeStore) Announce(context.Context, fleet.Instance) error      { return nil }
+func (s *fakeStore) Withdraw(context.Context, string) error              { return nil }
+
+// noLeaves is a leaf protocol without leaves.
+type noLeaves struct{}
+
+func (noLeaves) Run(context.Context, leafclient.Target, *leafclient.Request, func() bool) (*leafclient.Reply, error) {
+	return nil, &leafclient.DialError{Err: io.EOF}
+}
+func (noLeaves) Apply([]leafclient.Target) {}
+func (noLeaves) Opened() (int64, int)      { return 0, 0 }
+func (noLeaves) Close()                    {}
+
+// bound is the time within which a change must be in force in these tests.
+const bound = 3 * time.Second
+
+// start makes an instance on the store and runs its control.
+func start(t *testing.T, store *fakeStore) (n *Node, end func()) {
+	t.Helper()
+	n, err := New(Config{
+		Instance: "i", Zone: "z", Source: store, PeerKey: []byte("k"),
+		NewLeaves: func(func(string)) Leaves { return noLeaves{} },
+		Tunables:  Tunables{Bound: bound, Grace: time.Second, Catalog: catalog.Settings{Fresh: bound, LapseAfter: bound, ReturnWithin: time.Second, Retire: time.Second}},
+		Log:       telemetry.Options{Level: "info", Format: "json"}, LogSink: io.Discard,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.control.run(ctx)
+	}()
+	return n, func() {
+		cancel()
+		<-done
+		synctest.Wait()
+		n.close()
+	}
+}
+
+// version is that of the configuration in force.
+func version(n *Node) uint64 {
+	if v := n.View(); v != nil {
+		return v.Generation
+	}
+	return 0
+}
+
+// TestSilentStoreIsAskedAgain starts while the store is silent for a moment: the
+// configuration is there 400 ms after the start, and not after a whole second.
+func TestSilentStoreIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{version: 5, silent: true}
+		n, end := start(t, store)
+		defer end()
+		time.Sleep(250 * time.Millisecond)
+		store.set(func(s *fakeStore) { s.silent = false })
+		time.Sleep(200 * time.Millisecond)
+		synctest.Wait()
+		if version(n) != 5 {
+			t.Error("no configuration 450 ms after the start")
+		}
+	})
+}
+
+// TestChangeIsInForceWithinTheBound changes the configuration at many moments.
+func TestChangeIsInForceWithinTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{version: 1}
+		n, end := start(t, store)
+		defer end()
+		for v := uint64(2); v < 20; v++ {
+			time.Sleep(time.Duration(v) * 137 * time.Millisecond)
+			store.set(func(s *fakeStore) { s.version = v })
+			time.Sleep(bound / 2)
+			synctest.Wait()
+			if version(n) != v {
+				t.Fatalf("version %d is not in force after half of the bound", v)
+			}
+		}
+	})
+}
+
+// TestOutageKeepsWhatIsInForce fails all calls for long, and bounds how often the
+// store is asked meanwhile.
+func TestOutageKeepsWhatIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{version: 4}
+		n, end := start(t, store)
+		defer end()
+		time.Sleep(time.Second)
+		store.set(func(s *fakeStore) { s.failing, s.reads = true, 0 })
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		if version(n) != 4 {
+			t.Error("the configuration was lost in an outage")
+		}
+		if n.Current() {
+			t.Error("the configuration counts as the newest after a minute without the store")
+		}
+		store.set(func(s *fakeStore) {
+			if s.reads > 250 {
+				t.Errorf("%d reads in a minute of outage", s.reads)
+			}
+			s.failing, s.version = false, 9
+		})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if version(n) != 9 {
+			t.Error("the newer configuration is not in force two seconds after the outage")
+		}
+	})
+}
+
+// TestNews checks what an instance tells others, and that one that knows nothing,
+// or leaves, tells that.
+func TestNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		n, end := start(t, store)
+		defer end()
+		if news := n.News(peerapi.NewsRequest{}); news.ConfigAgeMS != -1 {
+			t.Errorf("news before the first read: %+v", news)
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if news := n.News(peerapi.NewsRequest{}); news.ConfigAgeMS < 0 || news.Version != 0 || news.Config != nil {
+			t.Errorf("news while there is no configuration: %+v; want its age and no configuration", news)
+		}
+		store.set(func(s *fakeStore) { s.version = 3 })
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		news := n.News(peerapi.NewsRequest{})
+		if news.Version != 3 || news.Config == nil || news.Leaves == nil {
+			t.Errorf("news for one that knows nothing: %+v", news)
+		}
+		same := n.News(peerapi.NewsRequest{Version: 3, Hash: news.Hash})
+		if same.Config != nil || same.Leaves != nil {
+			t.Errorf("news for one that knows all: %+v", same)
+		}
+		n.lifecycle.Set(lifecycle.Leaving)
+		if news := n.News(peerapi.NewsRequest{}); news.ConfigAgeMS != -1 {
+			t.Errorf("news of an instance that leaves: %+v", news)
+		}
+	})
+}
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -51,6 +51,8 @@
 	executor.Leaves
 	// Apply drops the connections of leaves that are not named.
 	Apply(targets []leafclient.Target)
+	// Opened is the number of connections opened so far and open now.
+	Opened() (dials int64, open int)
 	// Close drops all.
 	Close()
 }
@@ -71,6 +73,10 @@
 	// ReadyPath is the path of the balancer's question.
 	ReadyPath string
 	Source    Source
+	// Metrics is an address of its own for the metrics, IP:port; empty: none.
+	Metrics string
+	// Instruments are those that the source's client counts with; nil makes some.
+	Instruments *telemetry.Metrics
 	// NewLeaves makes the leaf protocol; gone may be called from any goroutine
 	// for a leaf that shows that it takes no more work.
 	NewLeaves func(gone func(leafID string)) Leaves
@@ -126,7 +132,10 @@
 	if err := hostedPolicies.Check(); err != nil {
 		return nil, err
 	}
-	n := &Node{config: c, log: log, metrics: telemetry.NewMetrics()}
+	if c.Instruments == nil {
+		c.Instruments = telemetry.NewMetrics()
+	}
+	n := &Node{config: c, log: log, metrics: c.Instruments}
 	n.tunables.Store(&c.Tunables)
 	n.fleet = newMembers(n)
 	n.sharing = newSharing()
@@ -242,6 +251,9 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serveUntil(ctx, n.clientServer(), clients) })
 	g.Go(func() error { return serveUntil(ctx, n.readyServer(), balancer) })
+	if n.config.Metrics != "" {
+		g.Go(func() error { return n.serveMetrics(ctx) })
+	}
 	g.Go(func() error { return n.peerServer().Serve(ctx, peers) })
 	g.Go(func() error { return n.control.run(ctx) })
 	g.Go(func() error { return n.fleet.run(ctx) })
--- /dev/null
+++ b/entry/hosted/meters.go
@@ -0,0 +1,33 @@
+package hosted
+
+import (
+	"github.com/uber-go/tally/v4"
+)
+
+// stateMeter tells what the instance believes and holds.
+type stateMeter struct{ scope tally.Scope }
+
+// state is one look at the instance.
+type state struct {
+	configAge, leavesAge float64 // seconds
+	version              uint64
+	leaves, instances    int
+	connections          int
+	dials, logDrops      int64
+	running              int64
+	slowLeaves           int
+}
+
+// observe updates the gauges.
+func (m stateMeter) observe(s state) {
+	m.scope.Gauge("config_age_seconds").Update(s.configAge)
+	m.scope.Gauge("leaves_age_seconds").Update(s.leavesAge)
+	m.scope.Gauge("config_version").Update(float64(s.version))
+	m.scope.Gauge("leaves").Update(float64(s.leaves))
+	m.scope.Gauge("slow_leaves").Update(float64(s.slowLeaves))
+	m.scope.Gauge("instances").Update(float64(s.instances))
+	m.scope.Gauge("leaf_connections").Update(float64(s.connections))
+	m.scope.Gauge("leaf_dials").Update(float64(s.dials))
+	m.scope.Gauge("queries_in_progress").Update(float64(s.running))
+	m.scope.Gauge("log_lines_dropped").Update(float64(s.logDrops))
+}
--- a/entry/hosted/ready.go
+++ b/entry/hosted/ready.go
@@ -1,6 +1,8 @@
 package hosted
 
 import (
+	"context"
+	"net"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
@@ -17,6 +19,19 @@
 	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
+// serveMetrics serves the metrics on an address of their own until the context
+// ends. Where the address can't be had they are still on the balancer's.
+func (n *Node) serveMetrics(ctx context.Context) error {
+	l, err := net.Listen("tcp", n.config.Metrics)
+	if err != nil {
+		n.log.Part("node").Warn("metrics have no address of their own", "err", err)
+		return nil
+	}
+	e := echo.New()
+	e.GET(callerapi.PathMetrics, echo.WrapHandler(n.metrics.Handler()))
+	return serveUntil(ctx, &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, l)
+}
+
 // ready answers 503 with the reason while the balancer should send no one.
 func (n *Node) ready(c echo.Context) error {
 	if reason := n.notReady(); reason != "" {
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -73,7 +73,7 @@
 	}
 	n.store, err = platform.New(platform.Config{
 		URL: s.Platform.Address, Token: s.Platform.Token, Instance: s.Instance, Timeout: s.Platform.Timeout,
-		Meter: platformMeter{n.metrics.Scope.SubScope("platform")}, Transport: transport,
+		Meter: platform.ScopeMeter{Scope: n.metrics.Scope.SubScope("platform")}, Transport: transport,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("platform client: %w", err)
--- a/entry/platform/meter.go
+++ b/entry/platform/meter.go
@@ -1,6 +1,10 @@
 package platform
 
-import "time"
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
 
 // Call is the kind of a call to the platform.
 type Call string
@@ -40,3 +44,13 @@
 type nopMeter struct{}
 
 func (nopMeter) PlatformCall(Call, Result, time.Duration) {}
+
+// ScopeMeter counts calls to the platform by kind and result. It implements Meter.
+type ScopeMeter struct{ Scope tally.Scope }
+
+// PlatformCall implements Meter.
+func (m ScopeMeter) PlatformCall(call Call, result Result, latency time.Duration) {
+	s := m.Scope.Tagged(map[string]string{"call": string(call), "result": string(result)})
+	s.Counter("calls").Inc(1)
+	s.Timer("latency").Record(latency)
+}
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -71,12 +71,38 @@
 	Retries tally.Counter
 	Ignored tally.Counter // replies that were late, repeated or crossed
 	Moves   tally.Counter // changes of the pinned version
+	queue   tally.Histogram
+	// attempts are by outcome.
+	attempts [attemptOutcomes]tally.Counter
+}
+
+// AttemptOutcome is how an attempt at a leaf ended.
+type AttemptOutcome uint8
+
+// The outcomes of attempts.
+const (
+	AttemptReply        AttemptOutcome = iota
+	AttemptDeclined                    // the leaf says that it did not run it
+	AttemptNoConnection                // none was made, or the attempt was recalled
+	AttemptBroken                      // lost after it was sent
+	AttemptDeadline                    // no reply in time
+	AttemptCancelled                   // withdrawn: another answered, or the query ended
+	attemptOutcomes
+)
+
+// attemptNames are the outcomes' labels.
+var attemptNames = [attemptOutcomes]string{"reply", "declined", "no_connection", "broken", "deadline", "cancelled"}
+
+// Attempt counts one attempt at a leaf.
+func (s *ServiceMetrics) Attempt(outcome AttemptOutcome, queued time.Duration) {
+	s.attempts[outcome].Inc(1)
+	s.queue.RecordDuration(queued)
 }
 
 // Service returns the instruments of a service.
 func (m *Metrics) Service(name string) *ServiceMetrics {
 	s := m.Scope.Tagged(map[string]string{"service": name})
-	return &ServiceMetrics{
+	out := &ServiceMetrics{
 		scope:   s,
 		latency: s.Histogram("query_seconds", latencyBuckets),
 		Sent:    s.Counter("subrequests_sent"),
@@ -85,7 +111,12 @@
 		Retries: s.Counter("retries"),
 		Ignored: s.Counter("replies_ignored"),
 		Moves:   s.Counter("version_moves"),
+		queue:   s.Histogram("queue_seconds", latencyBuckets),
+	}
+	for i, outcome := range attemptNames {
+		out.attempts[i] = s.Tagged(map[string]string{"outcome": outcome}).Counter("attempts")
 	}
+	return out
 }
 
 // Observe counts one answered query.
