A fault soak of real processes

Change: fuchsiactl soak: instances as processes, loopback proxies before them, before the store and before leaves, signals, a store and leaves that misbehave; promises checked by what clients and leaves see, at once and at the end.

--- a/cmd/fuchsiactl/root.go
+++ b/cmd/fuchsiactl/root.go
@@ -85,6 +85,7 @@
 		newLoad(o),
 		newDemo(o),
 		newStandin(o),
+		newSoak(),
 		newVersion(o),
 	)
 	return root
--- /dev/null
+++ b/cmd/internal/soak/check.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// promisesNotRun reports whether a status says that a request has not run and
+// never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// mostAttempts is the routes' limit on leaves, of each shard, that run a request.
+const mostAttempts = 2
+
+// checkAll checks what only the whole run shows.
+func (r *run) checkAll(calmEnd time.Time) {
+	r.site.ledger.mu.Lock()
+	arrivals := slices.Clone(r.site.ledger.arrivals)
+	r.site.ledger.mu.Unlock()
+	r.mu.Lock()
+	outcomes := slices.Clone(r.outcomes)
+	r.mu.Unlock()
+	byRequest := make(map[string][]arrival)
+	for _, a := range arrivals {
+		byRequest[a.request] = append(byRequest[a.request], a)
+	}
+	for i := range outcomes {
+		r.checkRequest(&outcomes[i], byRequest[outcomes[i].request])
+		delete(byRequest, outcomes[i].request)
+	}
+	for request := range byRequest {
+		r.violation("a leaf got a request that no client sent", request, "")
+	}
+	r.checkDrains(arrivals)
+	r.checkRepeats(arrivals)
+	r.checkCalm(outcomes, calmEnd)
+}
+
+// checkRequest compares what the client saw with what the leaves did.
+func (r *run) checkRequest(o *outcome, arrivals []arrival) {
+	runs := make(map[string]int)
+	total := 0
+	for _, a := range arrivals {
+		if want := "/" + string(o.kind) + "/x?" + o.request; a.path != want {
+			r.violation("a leaf got another target: "+a.path, o.request, a.leaf)
+		}
+		if !allowed(o.kind, a.service) {
+			r.violation("a leaf of service "+a.service+" got it", o.request, a.leaf)
+		}
+		if a.ran {
+			runs[a.service]++
+			total++
+		}
+	}
+	if o.kind == kindOnce && total > 1 {
+		r.violation(fmt.Sprintf("a request that is not idempotent ran %d times", total), o.request, "")
+	}
+	if promisesNotRun(o.status) && total > 0 {
+		r.violation(fmt.Sprintf("refused with %d and ran %d times", o.status, total), o.request, "")
+	}
+	for service, n := range runs {
+		if n > mostAttempts {
+			r.violation(fmt.Sprintf("%d runs at service %s, of %d allowed", n, service, mostAttempts), o.request, "")
+		}
+	}
+	if o.status == 0 && o.cut && o.planned && total > 0 {
+		r.violation("a planned stop cut off a request that a leaf had run", o.request, "")
+	}
+}
+
+// allowed reports whether any configuration leads a kind of request to a service.
+func allowed(k kind, service string) bool {
+	switch k {
+	case kindOne, kindOnce:
+		return service == "alone"
+	case kindProbe:
+		return strings.HasPrefix(service, "p")
+	default:
+		return strings.HasPrefix(service, "s")
+	}
+}
+
+// checkDrains looks for requests that reached a leaf long after it had said that
+// it leaves. Faults of an instance or of the store may delay the word, so only
+// leaves that left in a calm time count.
+func (r *run) checkDrains(arrivals []arrival) {
+	r.site.mu.Lock()
+	drained := make(map[string]time.Time)
+	for _, l := range r.site.leaves {
+		if !l.draining.IsZero() {
+			drained[l.id] = l.draining
+		}
+	}
+	storeDisturbed := r.site.storeDisturbed
+	r.site.mu.Unlock()
+	calm := storeDisturbed
+	for _, n := range r.site.instances {
+		n.mu.Lock()
+		if n.disturbed.After(calm) {
+			calm = n.disturbed
+		}
+		n.mu.Unlock()
+	}
+	for _, a := range arrivals {
+		at, ok := drained[a.leaf]
+		if ok && at.After(calm) && a.at.After(at.Add(bound)) {
+			r.violation(fmt.Sprintf("a request reached leaf %s %v after its drain", a.leaf, a.at.Sub(at)), a.request, "")
+		}
+	}
+}
+
+// checkRepeats compares the arrivals beyond the first of each request with the
+// fleet's limit, in windows that begin at each of them.
+func (r *run) checkRepeats(arrivals []arrival) {
+	slices.SortFunc(arrivals, func(a, b arrival) int { return a.at.Compare(b.at) })
+	first := make(map[string][]time.Time)
+	repeats := make(map[string][]time.Time)
+	seen := make(map[string]bool)
+	for _, a := range arrivals {
+		if key := a.service + "\x00" + a.request; !seen[key] {
+			seen[key] = true
+			first[a.service] = append(first[a.service], a.at)
+			continue
+		}
+		repeats[a.service] = append(repeats[a.service], a.at)
+	}
+	for service, times := range repeats {
+		for i, from := range times {
+			to := from.Add(repeatWindow)
+			n := countBefore(times[i:], to)
+			requests := countBefore(first[service], to) - countBefore(first[service], from.Add(-repeatWindow))
+			if float64(n) > ratio*float64(requests)+slack {
+				r.violation(fmt.Sprintf("%d repeats at service %s in %v, for %d requests", n, service, repeatWindow, requests), "", "")
+				break
+			}
+		}
+	}
+}
+
+// countBefore is the number of times before the end; they are sorted.
+func countBefore(times []time.Time, end time.Time) int {
+	i, _ := slices.BinarySearchFunc(times, end, time.Time.Compare)
+	return i
+}
+
+// checkCalm looks whether the system is well again at the end.
+func (r *run) checkCalm(outcomes []outcome, end time.Time) {
+	all, served := 0, 0
+	for i := range outcomes {
+		if o := &outcomes[i]; o.sent.After(end.Add(-calmPart)) && o.sent.Before(end.Add(-clientTime)) {
+			all++
+			if o.status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	if all == 0 || float64(served) < calmShare*float64(all) {
+		r.violation(fmt.Sprintf("%d of %d requests were served in the calm end", served, all), "", "")
+	}
+}
--- /dev/null
+++ b/cmd/internal/soak/client.go
@@ -0,0 +1,260 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// kind is a kind of request.
+type kind string
+
+// The kinds, by the first part of their path.
+const (
+	kindOne    kind = "one"    // idempotent, one leaf
+	kindOnce   kind = "once"   // not idempotent, one leaf
+	kindProbe  kind = "probe"  // shows the configuration in force
+	kindSearch kind = "search" // over all shards
+)
+
+// kinds are drawn from with equal chances.
+var kinds = []kind{kindOne, kindOne, kindOnce, kindProbe, kindSearch, kindSearch}
+
+const (
+	// clientTime is how long a client waits, as it says in the request.
+	clientTime = 1500 * time.Millisecond
+	// readTime is how long it keeps its connection for an answer.
+	readTime = 2500 * time.Millisecond
+	// perConnection is how many requests a connection carries at most.
+	perConnection = 40
+	// thinkTime is the mean pause between two requests of a client.
+	thinkTime = 40 * time.Millisecond
+)
+
+// outcome is what a client saw of one request.
+type outcome struct {
+	request string
+	kind    kind
+	sent    time.Time
+	end     time.Time
+	status  int // 0: no whole answer came
+	header  http.Header
+	body    string
+	// cut says that the connection ended, and was not merely silent.
+	cut bool
+	// planned says that the instance was stopping by plan, and nothing else was
+	// wrong there.
+	planned bool
+}
+
+// client sends requests until stop is closed.
+func (r *run) client(number int, random *rand.Rand, stop <-chan struct{}) {
+	for sequence := 0; ; {
+		n := r.pick(random)
+		conn, err := net.DialTimeout("tcp", n.clients.address(), time.Second)
+		if err != nil {
+			continue
+		}
+		reader := bufio.NewReader(conn)
+		for range perConnection {
+			select {
+			case <-stop:
+				_ = conn.Close()
+				return
+			case <-time.After(time.Duration(random.ExpFloat64() * float64(thinkTime))):
+			}
+			sequence++
+			o := r.ask(n, conn, reader, fmt.Sprintf("%d-%d-%d", r.options.Seed, number, sequence), kinds[random.IntN(len(kinds))])
+			if o.status == 0 || strings.EqualFold(o.header.Get("Connection"), "close") {
+				break
+			}
+		}
+		_ = conn.Close()
+	}
+}
+
+// pick chooses an instance as a balancer does: one that leaves is let go after
+// two questions.
+func (r *run) pick(random *rand.Rand) *instance {
+	all := r.site.instances
+	for range 2 * len(all) {
+		n := all[random.IntN(len(all))]
+		n.mu.Lock()
+		up := n.cmd != nil && (n.stopping.IsZero() || time.Since(n.stopping) < 2*time.Second)
+		n.mu.Unlock()
+		if up {
+			return n
+		}
+	}
+	return all[0]
+}
+
+// ask sends one request and notes what came of it.
+func (r *run) ask(n *instance, conn net.Conn, reader *bufio.Reader, request string, k kind) outcome {
+	o := outcome{request: request, kind: k, sent: time.Now()}
+	incarnation := n.started()
+	_ = conn.SetDeadline(time.Now().Add(readTime))
+	_, err := fmt.Fprintf(conn, "GET /%s/x?%s HTTP/1.1\r\nHost: site\r\nFuchsiaroad-Request-Id: %s\r\nFuchsiaroad-Deadline-Ms: %d\r\n\r\n", k, request, request, clientTime.Milliseconds())
+	if err == nil {
+		err = o.read(reader)
+	}
+	o.end = time.Now()
+	o.cut = err != nil && !isTimeout(err)
+	o.planned = n.onlyStopping(o.sent)
+	r.note(n, incarnation, o)
+	return o
+}
+
+// isTimeout reports whether an error is a silence.
+func isTimeout(err error) bool {
+	t, ok := err.(net.Error)
+	return ok && t.Timeout()
+}
+
+// read takes the whole answer.
+func (o *outcome) read(reader *bufio.Reader) error {
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	o.status, o.header, o.body = resp.StatusCode, resp.Header, string(body)
+	if resp.Close {
+		o.header.Set("Connection", "close")
+	}
+	return nil
+}
+
+// started is the instance's incarnation.
+func (n *instance) started() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.incarnation
+}
+
+// onlyStopping reports whether the instance was asked to stop at or after a time,
+// and nothing else was wrong there.
+func (n *instance) onlyStopping(sent time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.stopping.IsZero() && n.stopping.Add(graceTime).After(sent) && n.disturbed.Before(sent)
+}
+
+// note checks an outcome at once, as far as that can be done, and keeps it.
+func (r *run) note(n *instance, incarnation int, o outcome) {
+	r.mu.Lock()
+	r.outcomes = append(r.outcomes, o)
+	r.mu.Unlock()
+	switch {
+	case o.status == http.StatusOK:
+		r.checkSuccess(n, incarnation, &o)
+	case o.status == http.StatusNotFound:
+		r.violation("a route that every configuration has was not found", o.request, n.name)
+	}
+}
+
+// checkSuccess checks what a success says.
+func (r *run) checkSuccess(n *instance, incarnation int, o *outcome) {
+	if o.kind == kindSearch {
+		if fault := r.checkCombined(o); fault != "" {
+			r.violation(fault, o.request, n.name)
+		}
+		return
+	}
+	service, ok := signedBy(o.header.Get("Fuchsiaroad-Server-Stamp"), o.request)
+	switch {
+	case !ok:
+		r.violation("a success without the leaf's signature of this request", o.request, n.name)
+	case o.body != records(o.request, service):
+		r.violation("a body that is not the leaf's whole body", o.request, n.name)
+	case o.kind == kindProbe:
+		r.checkVersion(n, incarnation, o, service)
+	}
+}
+
+// checkCombined checks an answer over shards: its parts are of one set, the
+// number missing is true, and the body is the greatest records of its parts.
+func (r *run) checkCombined(o *outcome) string {
+	var services, parts []string
+	for _, sig := range strings.Split(o.header.Get("Fuchsiaroad-Part-Stamps"), ",") {
+		service, ok := signedBy(strings.TrimSpace(sig), o.request)
+		if !ok {
+			return "a part's signature is not of this request"
+		}
+		if slices.Contains(services, service) {
+			return "two parts of one shard"
+		}
+		services = append(services, service)
+		body := records(o.request, service)
+		for i := 0; i < len(body); i += recordSize {
+			parts = append(parts, body[i:i+recordSize])
+		}
+	}
+	missing, err := strconv.Atoi(o.header.Get("Fuchsiaroad-Missing-Parts"))
+	if err != nil {
+		return "the number of missing parts is no number"
+	}
+	if !r.site.ofOneSet(services, missing) {
+		return "the parts and the number missing are of no set that a configuration named"
+	}
+	slices.Sort(parts)
+	slices.Reverse(parts)
+	if o.body != strings.Join(parts[:min(topK, len(parts))], "") {
+		return "the body is not the greatest records of the parts"
+	}
+	return ""
+}
+
+// ofOneSet reports whether services and a number of others make up one set.
+func (s *site) ofOneSet(services []string, missing int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.sets, func(set []string) bool {
+		if len(set) != len(services)+missing {
+			return false
+		}
+		return !slices.ContainsFunc(services, func(name string) bool { return !slices.Contains(set, name) })
+	})
+}
+
+// rollbackSlack is how old a newer version's effect must be for an older one to
+// be a step back: requests that cross are no step back.
+const rollbackSlack = 250 * time.Millisecond
+
+// checkVersion checks that a configuration is in force in time and never goes back.
+func (r *run) checkVersion(n *instance, incarnation int, o *outcome, service string) {
+	version, err := strconv.ParseUint(strings.TrimPrefix(service, "p"), 10, 64)
+	if err != nil {
+		r.violation("a probe was run by another service", o.request, n.name)
+		return
+	}
+	r.site.mu.Lock()
+	newest, changed, storeDisturbed := r.site.version, r.site.changed, r.site.storeDisturbed
+	r.site.mu.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.incarnation != incarnation {
+		return
+	}
+	if version < n.seen && o.sent.After(n.seenAt.Add(rollbackSlack)) && n.disturbed.Before(o.sent) {
+		r.violation(fmt.Sprintf("version %d after %d", version, n.seen), o.request, n.name)
+	}
+	if version > n.seen {
+		n.seen, n.seenAt = version, o.end
+	}
+	calm := n.disturbed.Before(o.sent) && storeDisturbed.Before(o.sent)
+	if calm && version < newest && o.sent.After(changed.Add(bound+rollbackSlack)) {
+		r.violation(fmt.Sprintf("version %d is in force %v after version %d was written", version, o.sent.Sub(changed), newest), o.request, n.name)
+	}
+}
--- /dev/null
+++ b/cmd/internal/soak/soak.go
@@ -0,0 +1,171 @@
+// Package soak runs the real program as separate processes on one machine, harms
+// them from outside (their links by loopback proxies, themselves by signals, the
+// store and the leaves by what they answer), and checks the product's promises by
+// what clients and leaves see.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options of a soak.
+type Options struct {
+	Seed uint64
+	// For is how long faults are played; a calm end follows.
+	For       time.Duration
+	Instances int
+	Clients   int
+	// Binary is the path of the product's program, Dir where logs are kept.
+	Binary, Dir string
+	// Say is told of each fault as it begins; nil: nobody is.
+	Say func(format string, args ...any)
+}
+
+// Violation is a promise that was broken.
+type Violation struct {
+	At       time.Time
+	What     string
+	Request  string
+	Instance string
+}
+
+// Report is what a soak saw.
+type Report struct {
+	Requests, Served, Refused int
+	Faults                    map[string]int
+	Violations                []Violation
+}
+
+// run is one soak in progress.
+type run struct {
+	options   Options
+	site      *site
+	storeBusy sync.Mutex
+	operator  sync.Mutex // one change of the configuration at a time
+
+	mu         sync.Mutex
+	outcomes   []outcome
+	violations []Violation
+	faults     map[string]int
+}
+
+// Times of a soak.
+const (
+	// startTime is given to the instances to start.
+	startTime = 3 * time.Second
+	// calmTime is the end without faults: in its last part requests are served.
+	calmTime = settleTime + 4*time.Second
+	// calmPart is that part.
+	calmPart = 3 * time.Second
+	// calmShare is the least share of requests served in it.
+	calmShare = 0.95
+	// A fault begins every faultLeast to faultMost and lasts as long or longer.
+	faultLeast = 200 * time.Millisecond
+	faultMost  = 1200 * time.Millisecond
+	lastLeast  = 300 * time.Millisecond
+	lastMost   = 4 * time.Second
+)
+
+// Run plays one soak. The error says that it could not be played; what it found
+// is in the report.
+func Run(o Options) (*Report, error) {
+	s, err := newSite(o.Dir, o.Binary, o.Instances)
+	if err != nil {
+		return nil, fmt.Errorf("start the site: %w", err)
+	}
+	defer s.close()
+	r := &run{options: o, site: s, faults: make(map[string]int)}
+	time.Sleep(startTime)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for i := range o.Clients {
+		clients.Go(func() { r.client(i, rand.New(rand.NewPCG(o.Seed, uint64(i)+1)), stop) })
+	}
+	err = r.playFaults(rand.New(rand.NewPCG(o.Seed, 0)))
+	time.Sleep(calmTime)
+	calmEnd := time.Now()
+	close(stop)
+	clients.Wait()
+	r.checkAll(calmEnd)
+	return r.report(), err
+}
+
+// playFaults plays faults one after the other, each beside those that last.
+func (r *run) playFaults(random *rand.Rand) error {
+	var playing sync.WaitGroup
+	failed := make(chan error, 1)
+	for end := time.Now().Add(r.options.For); time.Now().Before(end); {
+		f := faults[random.IntN(len(faults))]
+		lasting := between(random, lastLeast, lastMost)
+		own := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+		r.mu.Lock()
+		r.faults[f.name]++
+		r.mu.Unlock()
+		if r.options.Say != nil {
+			r.options.Say("%s for %v", f.name, lasting)
+		}
+		playing.Go(func() {
+			if err := f.play(r, own, lasting); err != nil {
+				select {
+				case failed <- fmt.Errorf("%s: %w", f.name, err):
+				default:
+				}
+			}
+		})
+		time.Sleep(between(random, faultLeast, faultMost))
+	}
+	playing.Wait()
+	select {
+	case err := <-failed:
+		return err
+	default:
+		return nil
+	}
+}
+
+// violation notes a broken promise.
+func (r *run) violation(what, request, instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations = append(r.violations, Violation{At: time.Now(), What: what, Request: request, Instance: instance})
+}
+
+// report sums up.
+func (r *run) report() *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := &Report{Requests: len(r.outcomes), Faults: r.faults, Violations: slices.Clone(r.violations)}
+	for i := range r.outcomes {
+		switch {
+		case r.outcomes[i].status == 200:
+			out.Served++
+		case promisesNotRun(r.outcomes[i].status):
+			out.Refused++
+		}
+	}
+	return out
+}
+
+// Text is the report for people.
+func (r *Report) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d requests: %d served, %d refused as not run\n", r.Requests, r.Served, r.Refused)
+	names := make([]string, 0, len(r.Faults))
+	for name, n := range r.Faults {
+		names = append(names, fmt.Sprintf("%s %d", name, n))
+	}
+	slices.Sort(names)
+	fmt.Fprintf(&b, "faults: %s\n", strings.Join(names, ", "))
+	for _, v := range r.Violations {
+		fmt.Fprintf(&b, "BROKEN at %s: %s (request %s, %s)\n", v.At.Format("15:04:05.000"), v.What, v.Request, v.Instance)
+	}
+	if len(r.Violations) == 0 {
+		b.WriteString("no promise broken\n")
+	}
+	return b.String()
+}
