--- a/cmd/internal/soak/client.go
+++ b/cmd/internal/soak/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -114,8 +115,8 @@
 
 // isTimeout reports whether an error is a silence.
 func isTimeout(err error) bool {
-	t, ok := err.(net.Error)
-	return ok && t.Timeout()
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
 }
 
 // read takes the whole answer.
@@ -156,10 +157,10 @@
 	r.mu.Lock()
 	r.outcomes = append(r.outcomes, o)
 	r.mu.Unlock()
-	switch {
-	case o.status == http.StatusOK:
+	switch o.status {
+	case http.StatusOK:
 		r.checkSuccess(n, incarnation, &o)
-	case o.status == http.StatusNotFound:
+	case http.StatusNotFound:
 		r.violation("a route that every configuration has was not found", o.request, n.name)
 	}
 }
--- a/cmd/internal/soak/proxy.go
+++ b/cmd/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -127,7 +128,7 @@
 		}
 		switch {
 		case err == nil:
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
 			}
--- a/cmd/internal/soak/site.go
+++ b/cmd/internal/soak/site.go
@@ -120,7 +120,7 @@
 	for _, n := range s.instances {
 		_ = n.signal(syscall.SIGCONT)
 		_ = n.signal(syscall.SIGKILL)
-		n.await()
+		_ = n.await() // it was killed
 		n.clients.close()
 		n.store.close()
 	}
--- a/entry/peer/forward_test.go
+++ b/entry/peer/forward_test.go
@@ -34,7 +34,9 @@
 	t.Cleanup(func() {
 		c.Close()
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 	})
 	return c, Target{Instance: "server", Address: l.Addr().String()}, cancel
 }
--- a/standin/rawleaf/rawleaf.go
+++ b/standin/rawleaf/rawleaf.go
@@ -138,16 +138,13 @@
 // one answers a request and reports whether the connection goes on.
 func (l *Leaf) one(conn net.Conn, reader *bufio.Reader, req *http.Request, n int) bool {
 	seen := Seen{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Connection: n}
-	reply := Reply{}
-	if early := l.answer(seen); early.Early {
-		reply = early
-	} else {
+	reply := l.answer(seen)
+	if !reply.Early {
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return false
 		}
 		seen.Body = body
-		reply = early
 	}
 	l.mu.Lock()
 	l.seen = append(l.seen, seen)
