--- a/cmd/internal/story/story.go
+++ b/cmd/internal/story/story.go
@@ -91,6 +91,9 @@
 // beliefs are the prefixes of lines about what an instance believes.
 var beliefs = map[string]bool{"control": true, "fleet": true, "node": true, "settings": true, "log": true}
 
+// startMessage is the line that a process begins with.
+const startMessage = "serving"
+
 // Story is what is known of one request.
 type Story struct {
 	Request string
@@ -119,6 +122,9 @@
 	}
 	s.Before = before(lines, s.Lines[0].At, involved)
 	s.Cause = cause(s.Lines)
+	if s.Cause == "" {
+		s.Cause = unended(s.Lines[len(s.Lines)-1], lines)
+	}
 	return s, true
 }
 
@@ -130,6 +136,13 @@
 		if !beliefs[l.Prefix] || !involved[l.Instance] || l.At.After(start) {
 			continue
 		}
+		if l.Prefix == "node" && l.Message == startMessage {
+			out = slices.DeleteFunc(out, func(o Line) bool { return o.Instance == l.Instance })
+			clear(last) // what an earlier process believed is gone with it
+			for i, o := range out {
+				last[o.Instance+"\x00"+o.Prefix+"\x00"+o.Message] = i
+			}
+		}
 		key := l.Instance + "\x00" + l.Prefix + "\x00" + l.Message
 		if i, ok := last[key]; ok {
 			out[i].Message = "" // an older one of the same message
@@ -152,6 +165,16 @@
 			return answered(&l, lines)
 		}
 	}
+	return ""
+}
+
+// unended explains a request without a line that ends it.
+func unended(last Line, lines []Line) string {
+	for _, l := range lines {
+		if l.Instance == last.Instance && l.At.After(last.At) && l.Prefix == "node" && l.Message == startMessage {
+			return fmt.Sprintf("the process of %s ended before it answered: the next one began %v later", last.Instance, l.At.Sub(last.At).Round(time.Millisecond))
+		}
+	}
 	return "no line says how it ended: the instance ended, or its lines were left out"
 }
 
--- a/cmd/internal/story/story_test.go
+++ b/cmd/internal/story/story_test.go
@@ -10,6 +10,8 @@
 const logs = `   1.0 front-1 {"time":"2026-06-08T18:20:54.000000Z","level":"info","prefix":"control","msg":"configuration in force","version":4}
    1.5 front-1 {"time":"2026-06-08T18:20:54.500000Z","level":"info","prefix":"control","msg":"configuration in force","version":6}
    1.6 front-2 {"time":"2026-06-08T18:20:54.600000Z","level":"warn","prefix":"control","msg":"store lost","err":"status 503"}
+   4.0 front-4 {"time":"2026-06-08T18:20:57.000000Z","level":"info","prefix":"dispatch","msg":"dispatch","request":"ended","leaf":"i-2"}
+   5.0 front-4 {"time":"2026-06-08T18:20:58.000000Z","level":"info","prefix":"node","msg":"serving"}
 no record
 {"time":"2026-06-08T18:20:55.010000Z","level":"info","prefix":"dispatch","msg":"attempt failed","request":"late","shard":"s3","leaf":"i-1","why":"broken deadline","took":"90ms"}
    2.0 front-1 {"time":"2026-06-08T18:20:55.000000Z","level":"info","prefix":"relay","msg":"handed over","request":"late","to":"front-3"}
@@ -21,7 +23,7 @@
 // TestTell finds the cause of each kind of failed request.
 func TestTell(t *testing.T) {
 	lines, passedOver, err := Read(strings.NewReader(logs), "front-9")
-	if err != nil || passedOver != 1 || len(lines) != 8 {
+	if err != nil || passedOver != 1 || len(lines) != 10 {
 		t.Fatalf("%d lines, %d passed over, %v", len(lines), passedOver, err)
 	}
 	for _, tc := range []struct {
@@ -31,6 +33,7 @@
 	}{
 		{"late", []string{"partial", "missing s3:settled", "leaf i-1 of s3: broken deadline after 90ms", "configuration 6, 1.2s old"}, "version=6"},
 		{"refused", []string{"refused by front-2 with status 503, not run", "may be old"}, "store lost"},
+		{"ended", []string{"the process of front-4 ended before it answered", "1s later"}, "dispatch"},
 		{"cut", []string{"no line says how it ended"}, "dispatch"},
 	} {
 		s, ok := Tell(tc.request, lines)
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -33,9 +33,17 @@
 // logPart is the prefix of the gateway's lines.
 const logPart = "gateway"
 
+// firstPart is a path's first part. What follows may be of the client's own and
+// does not go into a log.
+func firstPart(target string) string {
+	path := strings.TrimPrefix(pathOf(target), "/")
+	first, _, _ := strings.Cut(path, "/")
+	return "/" + first + "/"
+}
+
 // logRefusal says why a request was not passed on.
 func (g *Gateway) logRefusal(r *http.Request, f *refusal, start time.Time) {
-	more := []any{"status", f.status, "host", r.Host, "target", r.RequestURI, "retry_after", f.retryAfter}
+	more := []any{"status", f.status, "host", r.Host, "path", firstPart(originForm(r.RequestURI)), "retry_after", f.retryAfter}
 	if v := g.config.Views.View(); v != nil {
 		more = append(more, "config", v.Generation, "current", g.config.Views.Current())
 	}
