Speak the platform's words in one stand-in package

Cause: the soak, the adapter's tests and the log's test each wrote settings, configurations and entries in the platform's words, two of them outside of platform/ and standin/.

Change: standin/hosted writes them; the soak moves to standin/soak.

--- a/cmd/fuchsiactl/soak.go
+++ b/cmd/fuchsiactl/soak.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/soak"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/soak"
 )
 
 // errBroken says that a soak saw a broken promise.
--- a/cmd/internal/story/kinds_test.go
+++ b/cmd/internal/story/kinds_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -15,6 +14,7 @@
 	"time"
 
 	product "github.com/fuchsiaroad/fuchsiaroad/platform"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/hosted"
 	"github.com/fuchsiaroad/fuchsiaroad/standin/platform"
 	"github.com/fuchsiaroad/fuchsiaroad/standin/rawleaf"
 )
@@ -58,24 +58,19 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- store.Serve(ctx, listener) }()
-	var ports []int
-	for range 3 {
-		l, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	address := fmt.Sprintf("%s:%d", ip, ports[0])
-	settings, err := json.Marshal(map[string]any{
-		"node-name": "front-1", "zone": "a", "ip": ip, "internal-ports": []int{ports[1], ports[1]},
-		"listen-addrs": map[string]string{"front": address, "ready-addr": fmt.Sprintf("%s:%d", ip, ports[2])}, "heartbeat-ms": 1000,
-		"parameters": map[string]any{
-			"grace-period-s": 2, "config-apply-ms": 3000, "drain-timeout-ms": 3000, "retry-budget-ratio": 0.2, "retry-slack": 50, "retry-window-s": 10,
-		},
-		"platform": map[string]string{"address": listener.Addr().String()},
-	})
+	addresses, err := hosted.FreeAddresses(ip, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := addresses[0]
+	file, err := hosted.Settings{
+		Name: "front-1", Zone: "a", Clients: address, Ready: addresses[1], Peers: addresses[2], Store: listener.Addr().String(),
+		Grace: 2 * time.Second, Bound: 3 * time.Second, Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Heartbeat: time.Second,
+	}.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, err := json.Marshal(file)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,11 +79,7 @@
 		t.Fatal(err)
 	}
 	done := make(chan error, 1)
-	started := make(chan struct{})
-	go func() {
-		<-started // the ports above are given back first
-		done <- product.Run(ctx, path, product.Signals{}, logs)
-	}()
+	go func() { done <- product.Run(ctx, path, product.Signals{}, logs) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
@@ -96,20 +87,19 @@
 		}
 		<-served
 	})
-	defer close(started)
 	return address
 }
 
 // configure writes a version: a search over two shards and a route to one leaf.
-func configure(store *platform.Server, version int, alone string) {
-	store.Set("config", "main", fmt.Appendf(nil, `{"version":%d,"routes":[
-{"name":"search","host":"site","path-prefix":"/search/","type":"idempotent","timeout-ms":400,"latency-goal-ms":100,"attempts":2,"shards":["s0","s1"],"top-k":2,"min-success-share":0.5},
-{"name":"one","host":"site","path-prefix":"/one/","type":"idempotent","timeout-ms":400,"latency-goal-ms":100,"attempts":2,"service":%q}],"services":[],"limits":{}}`, version, alone))
-}
-
-// register writes a leaf's entry.
-func register(store *platform.Server, id, service string, l *rawleaf.Leaf) {
-	store.Set("servers", id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"a","concurrency":2,"phase":"ready"}`, service, l.Address()))
+func configure(t *testing.T, store *platform.Server, version uint64, alone string) {
+	t.Helper()
+	route := hosted.Route{Timeout: 400 * time.Millisecond, Objective: 100 * time.Millisecond, Attempts: 2}
+	search, one := route, route
+	search.Name, search.Prefix, search.Shards, search.TopK, search.LeastShare = "search", "/search/", []string{"s0", "s1"}, 2, 0.5
+	one.Name, one.Prefix, one.Service = "one", "/one/", alone
+	if err := hosted.Configure(store, version, search, one); err != nil {
+		t.Fatal(err)
+	}
 }
 
 // ask sends a request and returns the status, 0 when none came.
@@ -119,8 +109,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	req.Host = "site"
-	req.Header.Set("Fuchsiaroad-Request-Id", id)
+	req.Host = hosted.Host
+	req.Header.Set(hosted.HeaderRequest, id)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0
@@ -148,7 +138,7 @@
 	never := make(chan struct{})
 	defer close(never)
 	good := func(r rawleaf.Seen) rawleaf.Reply {
-		return rawleaf.Reply{Bytes: rawleaf.Response(200, "0123456789abcdef", "Fuchsiaroad-Request-Id: "+r.Header.Get("Fuchsiaroad-Request-Id"), "Fuchsiaroad-Server-Stamp: s")}
+		return rawleaf.Reply{Bytes: hosted.Answer(r, "signature", "0123456789abcdef")}
 	}
 	silent := func(rawleaf.Seen) rawleaf.Reply { return rawleaf.Reply{Wait: never} }
 	for _, l := range []struct {
@@ -160,9 +150,9 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(leaf.Close)
-		register(store, l.id, l.service, leaf)
+		hosted.Register(store, hosted.Leaf{ID: l.id, Service: l.service, Zone: "a", Address: leaf.Address()})
 	}
-	configure(store, 1, "old")
+	configure(t, store, 1, "old")
 	address := instance(t, store, logs)
 	await(t, "a first answer", func() bool { return ask(t, address, "/one/x", "first") == http.StatusOK })
 
@@ -172,7 +162,7 @@
 	if err := store.SetFaults(platform.Faults{Outage: true}); err != nil {
 		t.Fatal(err)
 	}
-	configure(store, 2, "new")
+	configure(t, store, 2, "new")
 	await(t, "refusals", func() bool {
 		return ask(t, address, "/two/x", "waiting") == http.StatusServiceUnavailable
 	})
--- /dev/null
+++ b/standin/hosted/hosted.go
@@ -0,0 +1,177 @@
+// Package hosted writes what the users' platform gives to an instance and what its
+// leaves say, in the platform's words: settings files, configurations, leaves'
+// entries, requests and answers. Tests and the soak share it.
+package hosted
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/standin/platform"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/rawleaf"
+)
+
+// SettingsVariable is the environment variable with the path of the settings file.
+const SettingsVariable = "FUCHSIAROAD_NODE_FILE"
+
+// Headers of requests and answers.
+const (
+	HeaderRequest    = "Fuchsiaroad-Request-Id"
+	HeaderDeadlineMS = "Fuchsiaroad-Deadline-Ms"
+	HeaderExpect     = "Fuchsiaroad-Expect-Instance"
+	HeaderSignature  = "Fuchsiaroad-Server-Stamp"
+	HeaderSignatures = "Fuchsiaroad-Part-Stamps"
+	HeaderMissing    = "Fuchsiaroad-Missing-Parts"
+	HeaderNotRun     = "Fuchsiaroad-Not-Executed"
+	HeaderInstance   = "Fuchsiaroad-Instance-Id"
+)
+
+// Settings are what an instance is told.
+type Settings struct {
+	Name, Zone string
+	// Clients, Ready and Peers are addresses of the instance, IP:port.
+	Clients, Ready, Peers string
+	Store                 string
+	Grace, Bound          time.Duration
+	Ratio, Slack          float64
+	Window                time.Duration
+	Heartbeat             time.Duration
+}
+
+// File is the settings file. It has a field that no instance knows.
+func (s Settings) File() (map[string]any, error) {
+	ip, peerPort, err := net.SplitHostPort(s.Peers)
+	if err != nil {
+		return nil, fmt.Errorf("peers' address: %w", err)
+	}
+	port, err := strconv.Atoi(peerPort)
+	if err != nil {
+		return nil, fmt.Errorf("peers' port: %w", err)
+	}
+	return map[string]any{
+		"node-name": s.Name, "zone": s.Zone, "ip": ip, "internal-ports": []int{port, port},
+		"listen-addrs": map[string]string{"front": s.Clients, "ready-addr": s.Ready}, "heartbeat-ms": s.Heartbeat.Milliseconds(),
+		"limits": map[string]any{"cpu-share": 0.5, "cpu-cores": 1, "memory-mb": 284},
+		"parameters": map[string]any{
+			"grace-period-s": s.Grace.Seconds(), "config-apply-ms": s.Bound.Milliseconds(), "drain-timeout-ms": s.Bound.Milliseconds(),
+			"retry-budget-ratio": s.Ratio, "retry-slack": s.Slack, "retry-window-s": s.Window.Seconds(),
+		},
+		"platform":   map[string]string{"address": s.Store},
+		"unheard-of": "ignored",
+	}, nil
+}
+
+// Route is a route of a configuration: to one service, or to shards.
+type Route struct {
+	Name, Prefix string
+	// Once says that its requests are not idempotent.
+	Once               bool
+	Timeout, Objective time.Duration
+	Attempts           int
+	Service            string
+	Shards             []string
+	TopK               int
+	LeastShare         float64
+}
+
+// Host is the host of all routes.
+const Host = "site.example"
+
+// configRoute is a route in the platform's words.
+type configRoute struct {
+	Name       string   `json:"name"`
+	Host       string   `json:"host"`
+	Prefix     string   `json:"path-prefix"`
+	Type       string   `json:"type"`
+	TimeoutMS  int64    `json:"timeout-ms"`
+	GoalMS     int64    `json:"latency-goal-ms"`
+	Attempts   int      `json:"attempts"`
+	Service    string   `json:"service,omitempty"`
+	Shards     []string `json:"shards,omitempty"`
+	TopK       int      `json:"top-k,omitempty"`
+	LeastShare float64  `json:"min-success-share,omitempty"`
+}
+
+// Configure writes a version of the configuration into the store.
+func Configure(store *platform.Server, version uint64, routes ...Route) error {
+	list := make([]configRoute, 0, len(routes))
+	for _, r := range routes {
+		kind := "idempotent"
+		if r.Once {
+			kind = "non_idempotent"
+		}
+		list = append(list, configRoute{
+			Name: r.Name, Host: Host, Prefix: r.Prefix, Type: kind, TimeoutMS: r.Timeout.Milliseconds(), GoalMS: r.Objective.Milliseconds(),
+			Attempts: r.Attempts, Service: r.Service, Shards: r.Shards, TopK: r.TopK, LeastShare: r.LeastShare,
+		})
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": version, "routes": list, "services": []any{}, "limits": map[string]int{"max-body-bytes": BodyLimit},
+	})
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	store.Set("config", "main", data)
+	return nil
+}
+
+// BodyLimit is the most bytes of a request's body that configurations allow.
+const BodyLimit = 100_000
+
+// Leaf is a leaf's entry.
+type Leaf struct {
+	ID, Service, Zone, Address string
+	Draining                   bool
+	// Sequence changes with each heartbeat.
+	Sequence int64
+}
+
+// slots is what entries say of the requests that a leaf runs at once.
+const slots = 2
+
+// Register writes a leaf's entry into the store.
+func Register(store *platform.Server, l Leaf) {
+	phase := "ready"
+	if l.Draining {
+		phase = "draining"
+	}
+	store.Set("servers", l.ID, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","concurrency":%d,"phase":%q,"warmup-left-ms":0,"sequence":%d}`,
+		l.Service, l.Address, l.Zone, slots, phase, l.Sequence))
+}
+
+// Unregister removes a leaf's entry.
+func Unregister(store *platform.Server, id string) { store.Unset("servers", id) }
+
+// Answer is a sound answer to a request.
+func Answer(r rawleaf.Seen, signature, body string) []byte {
+	return rawleaf.Response(http.StatusOK, body, HeaderRequest+": "+r.Header.Get(HeaderRequest), HeaderSignature+": "+signature)
+}
+
+// Declined is a leaf's word that it did not run a request.
+func Declined() []byte {
+	return rawleaf.Response(http.StatusServiceUnavailable, "", HeaderNotRun+": 1")
+}
+
+// Misdirected is the answer of a leaf that a request does not name.
+func Misdirected(id string) []byte {
+	return rawleaf.Response(http.StatusMisdirectedRequest, "", HeaderInstance+": "+id)
+}
+
+// FreeAddresses finds n different addresses of an IP on which nothing listens.
+func FreeAddresses(ip string, n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, fmt.Errorf("find a free address: %w", err)
+		}
+		defer l.Close() // all at the end: a port that is given back could come again
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
--- a/cmd/internal/soak/client.go
+++ b/standin/soak/client.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/standin/hosted"
 )
 
 // kind is a kind of request.
@@ -102,7 +104,8 @@
 	o := outcome{request: request, kind: k, sent: time.Now()}
 	incarnation := n.started()
 	_ = conn.SetDeadline(time.Now().Add(readTime))
-	_, err := fmt.Fprintf(conn, "GET /%s/x?%s HTTP/1.1\r\nHost: site\r\nFuchsiaroad-Request-Id: %s\r\nFuchsiaroad-Deadline-Ms: %d\r\n\r\n", k, request, request, clientTime.Milliseconds())
+	_, err := fmt.Fprintf(conn, "GET /%s/x?%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", k, request,
+		hosted.Host, hosted.HeaderRequest, request, hosted.HeaderDeadlineMS, clientTime.Milliseconds())
 	if err == nil {
 		err = o.read(reader)
 	}
@@ -173,7 +176,7 @@
 		}
 		return
 	}
-	service, ok := signedBy(o.header.Get("Fuchsiaroad-Server-Stamp"), o.request)
+	service, ok := signedBy(o.header.Get(hosted.HeaderSignature), o.request)
 	switch {
 	case !ok:
 		r.violation("a success without the leaf's signature of this request", o.request, n.name)
@@ -188,7 +191,7 @@
 // number missing is true, and the body is the greatest records of its parts.
 func (r *run) checkCombined(o *outcome) string {
 	var services, bodies []string
-	for _, sig := range strings.Split(o.header.Get("Fuchsiaroad-Part-Stamps"), ",") {
+	for _, sig := range strings.Split(o.header.Get(hosted.HeaderSignatures), ",") {
 		service, ok := signedBy(strings.TrimSpace(sig), o.request)
 		if !ok {
 			return "a part's signature is not of this request"
@@ -199,7 +202,7 @@
 		services = append(services, service)
 		bodies = append(bodies, records(o.request, service))
 	}
-	missing, err := strconv.Atoi(o.header.Get("Fuchsiaroad-Missing-Parts"))
+	missing, err := strconv.Atoi(o.header.Get(hosted.HeaderMissing))
 	if err != nil {
 		return "the number of missing parts is no number"
 	}
--- a/cmd/internal/soak/faults.go
+++ b/standin/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/standin/hosted"
 	"github.com/fuchsiaroad/fuchsiaroad/standin/platform"
 )
 
@@ -214,7 +215,7 @@
 	r.site.remove(l)
 	l.close()
 	time.Sleep(lasting / 2)
-	r.site.server.Unset("servers", l.id)
+	hosted.Unregister(r.site.server, l.id)
 	return r.site.addLeaf(l.service, 10*time.Millisecond)
 }
 
@@ -246,7 +247,7 @@
 	s.register(l)
 	s.mu.Unlock()
 	time.AfterFunc(bound+2*time.Second, func() {
-		s.server.Unset("servers", l.id)
+		hosted.Unregister(s.server, l.id)
 		s.remove(l)
 		l.close()
 	})
--- a/cmd/internal/soak/leaf.go
+++ b/standin/soak/leaf.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/fuchsiaroad/fuchsiaroad/standin/hosted"
 	"github.com/fuchsiaroad/fuchsiaroad/standin/rawleaf"
 )
 
@@ -87,17 +87,17 @@
 
 // answer runs one request.
 func (f *fakeLeaf) answer(r rawleaf.Seen) rawleaf.Reply {
-	id := r.Header.Get("Fuchsiaroad-Request-Id")
+	id := r.Header.Get(hosted.HeaderRequest)
 	a := arrival{at: time.Now(), request: id, path: r.Target, service: f.service, leaf: f.id}
-	if r.Header.Get("Fuchsiaroad-Expect-Instance") != f.id {
+	if r.Header.Get(hosted.HeaderExpect) != f.id {
 		f.ledger.add(a)
-		return rawleaf.Reply{Bytes: rawleaf.Response(http.StatusMisdirectedRequest, "", "Fuchsiaroad-Instance-Id: "+f.id)}
+		return rawleaf.Reply{Bytes: hosted.Misdirected(f.id)}
 	}
 	select {
 	case f.slots <- struct{}{}:
 	default:
 		f.ledger.add(a)
-		return rawleaf.Reply{Bytes: rawleaf.Response(http.StatusServiceUnavailable, "", "Fuchsiaroad-Not-Executed: 1")}
+		return rawleaf.Reply{Bytes: hosted.Declined()}
 	}
 	defer func() { <-f.slots }()
 	a.ran = true
@@ -109,8 +109,7 @@
 	if failing {
 		return rawleaf.Reply{End: rawleaf.Reset}
 	}
-	return rawleaf.Reply{Bytes: rawleaf.Response(http.StatusOK, records(id, f.service),
-		"Fuchsiaroad-Request-Id: "+id, "Fuchsiaroad-Server-Stamp: "+signature(id, f.service, f.id))}
+	return rawleaf.Reply{Bytes: hosted.Answer(r, signature(id, f.service, f.id), records(id, f.service))}
 }
 
 // signature is a leaf's proof of its answer to a request.
--- a/cmd/internal/soak/site.go
+++ b/standin/soak/site.go
@@ -9,12 +9,11 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/standin/hosted"
 	"github.com/fuchsiaroad/fuchsiaroad/standin/platform"
 )
 
@@ -148,12 +147,10 @@
 
 // register writes a leaf's entry. The lock is held.
 func (s *site) register(l *fakeLeaf) {
-	phase := "ready"
-	if !l.draining.IsZero() {
-		phase = "draining"
-	}
-	s.server.Set("servers", l.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"z%d","concurrency":%d,"phase":%q,"sequence":%d}`, l.service, l.proxy.address(), len(l.id)%2, slotsEach, phase, time.Now().UnixNano()))
+	hosted.Register(s.server, hosted.Leaf{
+		ID: l.id, Service: l.service, Zone: fmt.Sprintf("z%d", len(l.id)%2), Address: l.proxy.address(),
+		Draining: !l.draining.IsZero(), Sequence: time.Now().UnixNano(),
+	})
 }
 
 // beat writes the leaves' heartbeats.
@@ -203,80 +200,52 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	route := func(name, prefix, kind, rest string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"site","path-prefix":%q,"type":%q,"timeout-ms":1500,"latency-goal-ms":300,"attempts":2,%s}`, name, prefix, kind, rest)
-	}
-	shards, err := json.Marshal(s.shards)
-	if err != nil {
-		return err
-	}
-	routes := []string{
-		route("one", "/one/", "idempotent", `"service":"alone"`),
-		route("once", "/once/", "non_idempotent", `"service":"alone"`),
-		route("probe", "/probe/", "idempotent", fmt.Sprintf(`"service":"p%d"`, next)),
-		route("search", "/search/", "idempotent", fmt.Sprintf(`"shards":%s,"top-k":%d,"min-success-share":0.5`, shards, topK)),
-	}
 	s.version = next
 	s.changed = time.Now()
-	s.server.Set("config", "main", fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[],"limits":{"max-body-bytes":100000}}`, next, strings.Join(routes, ",")))
-	return nil
+	route := hosted.Route{Timeout: clientTime, Objective: objective, Attempts: mostAttempts}
+	one, once, probe, search := route, route, route, route
+	one.Name, one.Prefix, one.Service = "one", "/one/", "alone"
+	once.Name, once.Prefix, once.Service, once.Once = "once", "/once/", "alone", true
+	probe.Name, probe.Prefix, probe.Service = "probe", "/probe/", fmt.Sprintf("p%d", next)
+	search.Name, search.Prefix, search.Shards, search.TopK, search.LeastShare = "search", "/search/", s.shards, topK, leastShare
+	return hosted.Configure(s.server, next, one, once, probe, search)
 }
 
-// topK is the number of records of a combined answer.
-const topK = 5
+// What routes say.
+const (
+	objective  = 300 * time.Millisecond
+	topK       = 5
+	leastShare = 0.5
+)
 
 // newInstance lays out an instance's files and proxies.
 func (s *site) newInstance(i int) (*instance, error) {
-	ports, err := freePorts(3)
+	addresses, err := hosted.FreeAddresses("127.0.0.1", 3)
 	if err != nil {
 		return nil, err
 	}
 	name := fmt.Sprintf("front-%d", i)
-	n := &instance{name: name, settings: filepath.Join(s.dir, name+".json"), log: filepath.Join(s.dir, name+".log"), address: ports[0]}
+	n := &instance{name: name, settings: filepath.Join(s.dir, name+".json"), log: filepath.Join(s.dir, name+".log"), address: addresses[0]}
 	if n.clients, err = newProxy(n.address); err != nil {
 		return nil, err
 	}
 	if n.store, err = newProxy(s.address); err != nil {
 		return nil, err
 	}
-	_, peerPort, err := net.SplitHostPort(ports[2])
+	file, err := hosted.Settings{
+		Name: name, Zone: fmt.Sprintf("z%d", i%2), Clients: addresses[0], Ready: addresses[1], Peers: addresses[2], Store: n.store.address(),
+		Grace: graceTime, Bound: bound, Ratio: ratio, Slack: slack, Window: repeatWindow, Heartbeat: heartbeat,
+	}.File()
 	if err != nil {
 		return nil, err
 	}
-	port, err := strconv.Atoi(peerPort)
-	if err != nil {
-		return nil, err
-	}
-	data, err := json.Marshal(map[string]any{
-		"node-name": name, "zone": fmt.Sprintf("z%d", i%2), "ip": "127.0.0.1", "internal-ports": []int{port, port},
-		"listen-addrs": map[string]string{"front": ports[0], "ready-addr": ports[1]}, "heartbeat-ms": heartbeat.Milliseconds(),
-		"limits": map[string]any{"cpu-share": 0.5, "cpu-cores": 1, "memory-mb": 256},
-		"parameters": map[string]any{
-			"grace-period-s": graceTime.Seconds(), "config-apply-ms": bound.Milliseconds(), "drain-timeout-ms": bound.Milliseconds(),
-			"retry-budget-ratio": ratio, "retry-slack": slack, "retry-window-s": repeatWindow.Seconds(),
-		},
-		"platform": map[string]string{"address": n.store.address()},
-	})
+	data, err := json.Marshal(file)
 	if err != nil {
 		return nil, err
 	}
 	return n, os.WriteFile(n.settings, data, 0o600)
 }
 
-// freePorts finds loopback addresses on which nothing listens.
-func freePorts(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close() // all at the end: a port that is given back could come again
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 // startInstance starts an instance's process.
 func (s *site) startInstance(n *instance) error {
 	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -285,7 +254,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(s.binary, "hosted")
-	cmd.Env = append(os.Environ(), "FUCHSIAROAD_NODE_FILE="+n.settings)
+	cmd.Env = append(os.Environ(), hosted.SettingsVariable+"="+n.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", n.name, err)
--- a/cmd/internal/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/standin/hosted"
 )
 
 // program builds the product once.
@@ -102,8 +104,8 @@
 		{"rising", both, "1", reversed(good), "not the greatest"},
 	} {
 		o := outcome{request: "q", kind: kindSearch, header: make(http.Header), body: tc.body}
-		o.header.Set("Fuchsiaroad-Missing-Parts", tc.missing)
-		o.header.Set("Fuchsiaroad-Part-Stamps", tc.signatures)
+		o.header.Set(hosted.HeaderMissing, tc.missing)
+		o.header.Set(hosted.HeaderSignatures, tc.signatures)
 		fault := r.checkCombined(&o)
 		if (fault == "") != (tc.fault == "") || !strings.Contains(fault, tc.fault) {
 			t.Errorf("%s: %q, want %q", tc.name, fault, tc.fault)
