--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -69,12 +69,13 @@
 	return r
 }
 
-// write sends the reply. A status without a body has no length either.
-func (r *Reply) write(w http.ResponseWriter) {
+// write sends the reply to a request of the given method. A status without a body
+// has no length, and the length of what a HEAD request does not get is not known.
+func (r *Reply) write(w http.ResponseWriter, method string) {
 	for name, values := range r.Header {
 		w.Header()[name] = values
 	}
-	if r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
+	if r.Status != http.StatusNoContent && r.Status != http.StatusNotModified && method != http.MethodHead {
 		w.Header().Set("Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	w.WriteHeader(r.Status)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -100,17 +100,17 @@
 	req, refused := g.request(w, r, start)
 	if refused != nil {
 		g.logRefusal(r, refused, start)
-		refused.reply().write(w)
+		refused.reply().write(w, r.Method)
 		return
 	}
 	if g.config.Relay != nil {
 		if reply := g.config.Relay.Relay(r.Context(), req); reply != nil {
-			reply.write(w)
+			reply.write(w, r.Method)
 			return
 		}
 	}
 	answer, err := g.config.Executor.Forward(r.Context(), req)
-	g.reply(req, answer, err).write(w)
+	g.reply(req, answer, err).write(w, r.Method)
 	g.config.Executor.Written(answer, time.Now())
 }
 
--- a/entry/leafclient/exchanger.go
+++ b/entry/leafclient/exchanger.go
@@ -120,6 +120,9 @@
 // body reads a whole body. One without a length ends with its connection; a
 // reset is an error there.
 func (x *Exchanger) body(resp *http.Response) ([]byte, error) {
+	if resp.Body == http.NoBody {
+		return nil, nil // also where a length is stated, as to a HEAD request
+	}
 	if resp.ContentLength > x.maxBody {
 		return nil, errTooLong
 	}
