Take a leaf that leaves two attempts unanswered for silent

Cause: a cancelled attempt counted only for the time that it was out, 40 ms before a hedge answered; a silent leaf of the own zone stayed cheaper than one of another (20 ms dearer) for four attempts, and queries over 135 shards were late for seconds.

--- a/plugins/nearest/nearest.go
+++ b/plugins/nearest/nearest.go
@@ -25,6 +25,14 @@
 	// delayGain weighs one outcome in a leaf's moving average of delay. A leaf
 	// that turned slow is known after two.
 	delayGain = 0.3
+	// An attempt that was given up took at least as long as it was out. Two without
+	// a reply between them, further apart than leaves pause for a moment (120 ms),
+	// show a silent leaf: its delay counts silentTimes as long, with silentGain.
+	// Alone, the 40 ms after which hedges answer left a silent leaf of the own zone
+	// cheaper than one of another for four attempts.
+	silentAfter = 150 * time.Millisecond
+	silentTimes = 3
+	silentGain  = 0.6
 	// poolGain weighs one reply in the average over all leaves.
 	poolGain = 0.02
 	// forget is the time constant with which a delay that is not confirmed falls
@@ -49,9 +57,12 @@
 type leaf struct {
 	delay    float64 // moving average, seconds; 0: unknown
 	learntAt time.Time
-	health   health.Leaf
-	backAt   time.Time // when an ejected leaf came back
-	toldAt   time.Time // when others last saw it slow
+	// unansweredAt is when the first late attempt since the last reply was given
+	// up; zero when none was.
+	unansweredAt time.Time
+	health       health.Leaf
+	backAt       time.Time // when an ejected leaf came back
+	toldAt       time.Time // when others last saw it slow
 }
 
 type policy struct {
@@ -138,12 +149,11 @@
 	l := p.leaf(key)
 	switch {
 	case s.OK:
-		p.learn(l, s.Latency.Seconds(), now)
+		l.unansweredAt = time.Time{}
+		p.learn(l, s.Latency.Seconds(), delayGain, now)
 		average(&p.delay, s.Latency.Seconds(), poolGain)
 	case s.Cancelled, s.TimedOut:
-		if took := s.Latency.Seconds(); took > p.expected(l, now) {
-			p.learn(l, took, now)
-		}
+		p.givenUp(l, s.Latency.Seconds(), now)
 	}
 	p.sight(key, s, now)
 	gain := health.Gain(s, p.delay)
@@ -159,13 +169,28 @@
 	}
 }
 
+// givenUp teaches an attempt that ended without a reply.
+func (p *policy) givenUp(l *leaf, took float64, now time.Time) {
+	late := took > overdue*p.delay
+	if late && l.unansweredAt.IsZero() {
+		l.unansweredAt = now
+	}
+	if late && now.Sub(l.unansweredAt) >= silentAfter {
+		p.learn(l, silentTimes*took, silentGain, now)
+		return
+	}
+	if took > p.expected(l, now) {
+		p.learn(l, took, delayGain, now)
+	}
+}
+
 // learn adds one delay to a leaf's average. What was known and not confirmed
 // since has faded first.
-func (p *policy) learn(l *leaf, took float64, now time.Time) {
+func (p *policy) learn(l *leaf, took, gain float64, now time.Time) {
 	if l.delay != 0 {
 		l.delay = p.expected(l, now)
 	}
-	average(&l.delay, took, delayGain)
+	average(&l.delay, took, gain)
 	l.learntAt = now
 }
 
--- a/plugins/nearest/nearest_test.go
+++ b/plugins/nearest/nearest_test.go
@@ -54,6 +54,19 @@
 			reply(p, local, 108*time.Millisecond, start)
 			reply(p, local, 108*time.Millisecond, start)
 		}, want: remote},
+		{name: "silent, given up twice", teach: func(p plugin.Routing) {
+			p.Finished(local, plugin.Sample{Cancelled: true, Latency: 40 * time.Millisecond}, start.Add(-200*time.Millisecond))
+			p.Finished(local, plugin.Sample{Cancelled: true, Latency: 40 * time.Millisecond}, start)
+		}, want: remote},
+		{name: "given up twice within a pause", teach: func(p plugin.Routing) {
+			p.Finished(local, plugin.Sample{Cancelled: true, Latency: 40 * time.Millisecond}, start.Add(-100*time.Millisecond))
+			p.Finished(local, plugin.Sample{Cancelled: true, Latency: 40 * time.Millisecond}, start)
+		}, want: local},
+		{name: "paused once, then well", teach: func(p plugin.Routing) {
+			p.Finished(local, plugin.Sample{Cancelled: true, Latency: 40 * time.Millisecond}, start.Add(-time.Second))
+			reply(p, local, 12*time.Millisecond, start.Add(-500*time.Millisecond))
+			p.Finished(local, plugin.Sample{Cancelled: true, Latency: 40 * time.Millisecond}, start)
+		}, want: local},
 		{name: "known only from cancelled attempts", teach: func(p plugin.Routing) {
 			for range 3 {
 				p.Finished(local, plugin.Sample{Cancelled: true, Latency: 60 * time.Millisecond}, start)
