--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -231,17 +232,17 @@
 // Run serves until stop is closed and the graceful end, or until the context ends.
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
 	defer n.close()
-	clients, err := net.Listen("tcp", n.config.Listen)
+	clients, err := n.listen(ctx, n.config.Listen)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	defer clients.Close()
-	balancer, err := net.Listen("tcp", n.config.Ready)
+	balancer, err := n.listen(ctx, n.config.Ready)
 	if err != nil {
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
 	defer balancer.Close()
-	peers, err := net.Listen("tcp", n.config.Peer)
+	peers, err := n.listen(ctx, n.config.Peer)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -274,6 +275,24 @@
 	return err
 }
 
+// An address that is in use is tried again for listenFor, each listenAgain: whoever
+// has it, such as the process before this one, may just be going.
+const (
+	listenFor   = 3 * time.Second
+	listenAgain = 100 * time.Millisecond
+)
+
+// listen opens a socket.
+func (n *Node) listen(ctx context.Context, address string) (net.Listener, error) {
+	for begin := time.Now(); ; sleep(ctx, listenAgain) {
+		l, err := net.Listen("tcp", address)
+		if err == nil || ctx.Err() != nil || !errors.Is(err, syscall.EADDRINUSE) || time.Since(begin) >= listenFor {
+			return l, err
+		}
+		n.log.Part("node").Warn("address is in use", "address", address, "for", time.Since(begin))
+	}
+}
+
 // clientServer serves passed-on requests.
 func (n *Node) clientServer() *http.Server {
 	return &http.Server{
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -57,6 +57,7 @@
 // site is the store, the leaves and the instances of one soak.
 type site struct {
 	dir       string
+	seed      uint64
 	binary    string
 	server    *platform.Server
 	address   string // of the store
@@ -78,14 +79,14 @@
 const settleTime = 8 * time.Second
 
 // newSite starts the store and the first leaves; no instance runs yet.
-func newSite(dir, binary string, instances int) (*site, error) {
+func newSite(o Options) (*site, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &site{
-		dir: dir, binary: binary, server: platform.New(platform.Settings{}), address: l.Addr().String(), end: cancel,
+		dir: o.Dir, seed: o.Seed, binary: o.Binary, server: platform.New(platform.Settings{}), address: l.Addr().String(), end: cancel,
 		ledger: &ledger{}, leaves: make(map[string]*fakeLeaf),
 	}
 	go func() { _ = s.server.Serve(ctx, l) }()
@@ -100,7 +101,7 @@
 	if err := s.configure(); err != nil {
 		return nil, err
 	}
-	for i := range instances {
+	for i := range o.Instances {
 		n, err := s.newInstance(i)
 		if err != nil {
 			return nil, err
@@ -218,9 +219,13 @@
 	leastShare = 0.5
 )
 
+// ip is an address of the instance's own: on that of all others its ports could be
+// taken, between an end and the next start, by connections that go out.
+func (s *site) ip(i int) string { return fmt.Sprintf("127.3.%d.%d", s.seed%250, 1+i) }
+
 // newInstance lays out an instance's files and proxies.
 func (s *site) newInstance(i int) (*instance, error) {
-	addresses, err := hosted.FreeAddresses("127.0.0.1", 3)
+	addresses, err := hosted.FreeAddresses(s.ip(i), 3)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -74,7 +74,7 @@
 // Run plays one soak. The error says that it could not be played; what it found
 // is in the report.
 func Run(o Options) (*Report, error) {
-	s, err := newSite(o.Dir, o.Binary, o.Instances)
+	s, err := newSite(o)
 	if err != nil {
 		return nil, fmt.Errorf("start the site: %w", err)
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -31,6 +31,7 @@
 	cause string
 }{
 	{1, 8 * time.Second, "none: a first short soak"},
+	{124, 8 * time.Second, "a process did not start again: an outgoing connection had its port"},
 }
 
 // TestSoak plays the seeds.
