Do not pass a stronger instance over because a client left

Change: only an error that the client did not cause, before the deadline, blames it. Relay is cut into short functions, with a test of each way.

--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -13,6 +13,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 )
 
 const (
@@ -41,45 +42,68 @@
 		return nil
 	}
 	to := stronger[rand.IntN(len(stronger))]
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
 	now := time.Now()
-	reply, err := n.peers.Forward(ctx, peer.Target{Instance: to.Name, Address: to.Peer}, &peerapi.ForwardRequest{
-		Version: r.View.Generation, Request: r.Passed.ID, Method: r.Passed.Method, Target: r.Passed.Target, Host: r.Passed.Host,
-		Header: r.Passed.Header, Body: r.Passed.Body,
-		SpentUS: (now.Sub(r.Start) + relayHop).Microseconds(), LeftUS: (r.Deadline.Sub(now) - relayHop).Microseconds(),
-	}, acceptWithin)
-	decision := telemetry.Decision{Part: relayPart, What: "handed over", Request: r.Passed.ID, Took: time.Since(now), More: []any{"to", to.Name, "config", r.View.Generation}}
+	reply, err := n.handOver(ctx, to, r, now)
+	n.logRelay(r, to, err, time.Since(now))
 	if err == nil {
-		decision.Class = telemetry.Outcome
-		n.log.Decide(decision)
 		if reply.Version > r.View.Generation {
 			n.control.hurry()
 		}
 		return &gateway.Reply{Status: reply.Status, Header: reply.Header, Body: reply.Body}
 	}
-	decision.What, decision.Why = "not handed over", err.Error()
-	var notAccepted *peer.NotAcceptedError
-	var declined *peer.DeclinedError
-	accepted := !errors.As(err, &notAccepted)
-	if accepted {
-		decision.What = "lost where it was handed over"
-	}
-	n.log.Decide(decision)
-	if !errors.As(err, &declined) && r.Deadline.After(time.Now()) {
+	if ctx.Err() == nil && blames(err) && time.Now().Before(r.Deadline) {
 		n.fleet.failed(to.Name, now)
 	}
-	if accepted {
-		return lostReply(ctx)
+	if took(err) {
+		return lostReply(r.Deadline)
 	}
 	return nil
 }
 
+// handOver offers a request to another instance and has it run there.
+func (n *Node) handOver(ctx context.Context, to fleet.Instance, r *executor.Request, now time.Time) (*peerapi.ForwardReply, error) {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	p := r.Passed
+	return n.peers.Forward(ctx, peer.Target{Instance: to.Name, Address: to.Peer}, &peerapi.ForwardRequest{
+		Version: r.View.Generation, Request: p.ID, Method: p.Method, Target: p.Target, Host: p.Host, Header: p.Header, Body: p.Body,
+		SpentUS: (now.Sub(r.Start) + relayHop).Microseconds(), LeftUS: (r.Deadline.Sub(now) - relayHop).Microseconds(),
+	}, acceptWithin)
+}
+
+// took reports whether the other instance had taken the request over.
+func took(err error) bool {
+	var notAccepted *peer.NotAcceptedError
+	return !errors.As(err, &notAccepted)
+}
+
+// blames reports whether an error shows that the other instance is not well. One
+// that declines is.
+func blames(err error) bool {
+	var declined *peer.DeclinedError
+	return !errors.As(err, &declined)
+}
+
+// logRelay tells what came of handing a request over.
+func (n *Node) logRelay(r *executor.Request, to fleet.Instance, err error, spent time.Duration) {
+	d := telemetry.Decision{
+		Part: relayPart, What: "handed over", Request: r.Passed.ID, Took: spent,
+		More: []any{"to", to.Name, "config", r.View.Generation}, Class: telemetry.Outcome,
+	}
+	if err != nil {
+		d.What, d.Why, d.Class = "not handed over", err.Error(), telemetry.Failure
+		if took(err) {
+			d.What = "lost where it was handed over"
+		}
+	}
+	n.log.Decide(d)
+}
+
 // lostReply answers a request of which the other instance was lost: it may have
 // run, and neither status says otherwise.
-func lostReply(ctx context.Context) *gateway.Reply {
+func lostReply(deadline time.Time) *gateway.Reply {
 	status := http.StatusBadGateway
-	if ctx.Err() != nil {
+	if !time.Now().Before(deadline) {
 		status = http.StatusGatewayTimeout
 	}
 	return &gateway.Reply{Status: status, Header: make(http.Header), Body: []byte("the instance that ran the request was lost\n")}
--- /dev/null
+++ b/entry/hosted/relay_test.go
@@ -0,0 +1,139 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// strong is a stronger instance as a test plays it.
+type strong struct {
+	declined string
+	run      func(ctx context.Context) *peerapi.ForwardReply
+}
+
+func (s strong) Offer(string, *peerapi.ForwardRequest) string { return s.declined }
+
+func (s strong) RunOffered(ctx context.Context, _ *peerapi.ForwardRequest) *peerapi.ForwardReply {
+	return s.run(ctx)
+}
+
+// weak makes an instance that knows a stronger one of its zone.
+func weak(t *testing.T, s strong) *Node {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- peer.NewServer(peer.ServerConfig{Instance: "strong", Key: []byte("k"), Forward: s}).Serve(ctx, l)
+	}()
+	n, err := New(Config{
+		Instance: "weak", Zone: "z", Power: 0.2, PeerKey: []byte("k"), Source: &fakeStore{},
+		NewLeaves: func(func(string)) Leaves { return noLeaves{} }, Tunables: Tunables{Bound: bound},
+		Log: telemetry.Options{Level: "info"}, LogSink: discard{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.fleet.fleet.Listed([]fleet.Instance{{Name: "strong", Zone: "z", Power: 0.8, Peer: l.Addr().String()}}, time.Now())
+	t.Cleanup(func() {
+		n.close()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return n
+}
+
+// discard is a log that nobody reads.
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// large is a request over enough shards to be handed over.
+func large(t *testing.T) *executor.Request {
+	t.Helper()
+	var shards []string
+	for i := range relayShards {
+		shards = append(shards, string(rune('A'+i)))
+	}
+	c := catalog.New(catalog.Settings{})
+	c.ConfigRead(&catalog.Config{Version: 5, Routes: []catalog.Route{{Name: "r", Host: "h", Prefix: "/", Idempotent: true, Timeout: time.Minute, Shards: shards, TopK: 1}}}, time.Now(), time.Now())
+	c.LeavesRead(nil, 1, time.Now(), time.Now())
+	v := view.Build(5, "", c.Document(), c.Draining, func(*document.Upstream, string) int { return 1 })
+	return &executor.Request{
+		View: v, Service: v.Services["r"], Passed: &leafclient.Passed{ID: "q", Method: http.MethodGet, Target: "/x", Host: "h"},
+		Start: time.Now(), Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+// TestRelay checks who answers a large query, and who is passed over for the next.
+func TestRelay(t *testing.T) {
+	answer := func(context.Context) *peerapi.ForwardReply {
+		return &peerapi.ForwardReply{Version: 5, Status: http.StatusOK, Body: []byte("x")}
+	}
+	for _, tc := range []struct {
+		name   string
+		strong strong
+		gone   bool // the client leaves while it runs
+		status int  // 0: this instance runs it
+		asked  bool // the stronger one is still asked afterwards
+	}{
+		{name: "taken over", strong: strong{run: answer}, status: http.StatusOK, asked: true},
+		{name: "declined", strong: strong{declined: "older configuration", run: answer}, asked: true},
+		{name: "the client leaves", gone: true, status: http.StatusBadGateway, asked: true, strong: strong{run: func(ctx context.Context) *peerapi.ForwardReply {
+			<-ctx.Done()
+			return &peerapi.ForwardReply{}
+		}}},
+	} {
+		n := weak(t, tc.strong)
+		ctx, cancel := context.WithCancel(t.Context())
+		if tc.gone {
+			time.AfterFunc(50*time.Millisecond, cancel)
+		}
+		reply := n.Relay(ctx, large(t))
+		cancel()
+		status := 0
+		if reply != nil {
+			status = reply.Status
+		}
+		if status != tc.status {
+			t.Errorf("%s: status %d, want %d", tc.name, status, tc.status)
+		}
+		if got := len(n.fleet.stronger(time.Now())) == 1; got != tc.asked {
+			t.Errorf("%s: the stronger instance is asked again: %v, want %v", tc.name, got, tc.asked)
+		}
+	}
+}
+
+// TestRelayErrors checks what errors say of the other instance.
+func TestRelayErrors(t *testing.T) {
+	declined := &peer.NotAcceptedError{Err: &peer.DeclinedError{Reason: "not serving"}}
+	silent := &peer.NotAcceptedError{Err: context.DeadlineExceeded}
+	lost := &peer.UnreachableError{Err: errors.New("reset")}
+	for _, tc := range []struct {
+		err          error
+		took, blames bool
+	}{{declined, false, false}, {silent, false, true}, {lost, true, true}} {
+		if took(tc.err) != tc.took || blames(tc.err) != tc.blames {
+			t.Errorf("%v: took %v, blames %v", tc.err, took(tc.err), blames(tc.err))
+		}
+	}
+}
