--- a/cmd/internal/story/kinds_test.go
+++ b/cmd/internal/story/kinds_test.go
@@ -85,7 +85,7 @@
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
-		<-served
+		_ = <-served // it ends with the context
 	})
 	return address
 }
