--- a/cmd/internal/story/kinds_test.go
+++ b/cmd/internal/story/kinds_test.go
@@ -85,7 +85,9 @@
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
-		_ = <-served // it ends with the context
+		if err := <-served; err != nil {
+			t.Errorf("the store ended with %v", err)
+		}
 	})
 	return address
 }
