Do not tell a run that was ended as if it were whole

Cause: when an instance ends, the runs that others handed to it end too, by their context, and their handler returned what they had as a reply, which could go out before the connection was closed. The asking instance then handed an answer on that the ended run had made up.

--- a/entry/peer/forward.go
+++ b/entry/peer/forward.go
@@ -71,7 +71,13 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "the connection has ended"}
 	}
 	defer s.end(id.ID)
-	return s.server.config.Forward.RunOffered(ctx, r), nil
+	reply := s.server.config.Forward.RunOffered(ctx, r)
+	if ctx.Err() != nil {
+		// A run that was ended has no answer of its own to give. Without this look, one
+		// that the end of this instance cut off was told as if it were whole.
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "the run was ended"}
+	}
+	return reply, nil
 }
 
 // begin notes a request in progress.
