Suspect a request under which leaf after leaf is lost

Change: three different leaves lost and none that ran it (half of the shards for a fan-out) make a suspect for the quarantine that the product has; it is told to the other instances with the news of the store. The fingerprint's key is the fleet's, so that all name a request alike.

Ruled out: quarantine at the first loss (leaves reset connections for many reasons), and a quarantine of ten minutes there (15 s: the cause may be shared by all leaves of a service).

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -95,6 +95,8 @@
 	Hash uint64 `json:"hash"`
 	// Seen is what the asking instance, and those that asked it, saw of leaves.
 	Seen []SeenLeaf `json:"seen,omitempty"`
+	// Quarantine lists quarantined fingerprints and suspects.
+	Quarantine []Quarantined `json:"quarantine,omitempty"`
 }
 
 // SeenLeaf is one outcome at a leaf, or the word that a leaf is slow.
@@ -123,6 +125,8 @@
 	Leaves json.RawMessage `json:"leaves,omitempty"`
 	// Slow lists the leaves that are taken to be slow.
 	Slow []SeenLeaf `json:"slow,omitempty"`
+	// Quarantine lists quarantined fingerprints and suspects.
+	Quarantine []Quarantined `json:"quarantine,omitempty"`
 }
 
 // ForwardID names a forwarded request on its connection.
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -43,6 +43,7 @@
 		e.failed(s.ctx, p, a, exchanged{leaf: leaf, up: up, err: err})
 		return
 	}
+	a.run.sawRun()
 	e.Learn(s.leaf.ID, reply.Versions, reply.Draining)
 	a.run.service.metrics.Attempt(telemetry.AttemptReply, s.action.Queued)
 	p.finish(a, dispatch.OutcomeReply, reply.Service)
@@ -108,8 +109,12 @@
 		if closed {
 			e.leafState.sawBreak(broken.Leaf, time.Now())
 		}
+		if broken.Carried != nil {
+			a.run.sawRun()
+		}
 		p.finish(a, brokenOutcome(broken.Cause), 0)
-		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: string(broken.Cause), Crash: closed && x.up, Carried: broken.Carried})
+		crash := closed && x.up || broken.Cause == leafclient.CauseLost && e.lost(a)
+		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: string(broken.Cause), Crash: crash, Carried: broken.Carried})
 	default:
 		p.finish(a, dispatch.OutcomeBroken, 0)
 		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: "internal"})
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -114,6 +114,7 @@
 		view:     req.View, pools: make(map[int]*pool),
 		versions: &versions{state: e.leafState, view: req.View},
 	}
+	r.suspect.Store(mode == quarantine.ModeSuspect)
 	r.service = e.service(req.Service)
 	r.repetition = r.service.repetition.Load()
 	r.machine = query.New(query.Config{
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -81,6 +81,13 @@
 	Instances func() int
 	// Ledger claims the keys of non-idempotent requests.
 	Ledger Ledger
+	// LostToSuspect is how many different leaves must be lost under a request that none
+	// ran to its end before it is suspected of breaking them, for leaf protocols whose
+	// connections end for many reasons; 0: losses prove nothing.
+	LostToSuspect int
+	// QuarantineFor is how long a request that breaks leaves is refused; 0 means ten
+	// minutes.
+	QuarantineFor time.Duration
 }
 
 // Executor runs queries. It is safe for concurrent use.
@@ -108,7 +115,7 @@
 	return &Executor{
 		config:     c,
 		leafState:  newLeafState(),
-		quarantine: newQuarantineState(c.FleetKey),
+		quarantine: newQuarantineState(c.FleetKey, c.QuarantineFor),
 		pools:      make(map[string]*pool),
 		services:   make(map[string]*serviceState),
 		runs:       make(map[*run]struct{}),
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -21,21 +21,58 @@
 	key     []byte
 	mu      sync.Mutex
 	machine *quarantine.Machine
+	strikes quarantine.Strikes
 }
 
 // quarantineConfig sets times and bounds of the quarantine.
 var quarantineConfig = quarantine.Config{
-	QuarantineFor: 10 * time.Minute,
+	QuarantineFor: defaultQuarantineFor,
 	SuspectFor:    2 * time.Minute,
 	MaxRecords:    4096,
 	MaxGood:       65536,
 	DigestRecords: 32,
 }
 
+const (
+	// defaultQuarantineFor is how long a request that broke two leaves, one of them
+	// alone, is refused.
+	defaultQuarantineFor = 10 * time.Minute
+	// strikesFor is how long the loss of a leaf counts against the request that it ran.
+	strikesFor = time.Minute
+	// mostStrikes bounds the requests with losses that are remembered.
+	mostStrikes = 4096
+)
+
 // newQuarantineState makes it empty. All entries must have the same key, so that they
 // name a request alike.
-func newQuarantineState(key []byte) *quarantineState {
-	return &quarantineState{key: key, machine: quarantine.New(quarantineConfig)}
+func newQuarantineState(key []byte, lasts time.Duration) *quarantineState {
+	config := quarantineConfig
+	if lasts > 0 {
+		config.QuarantineFor = lasts
+	}
+	return &quarantineState{
+		key: key, machine: quarantine.New(config), strikes: quarantine.Strikes{For: strikesFor, Most: mostStrikes},
+	}
+}
+
+// lost notes a leaf that was lost under a request. It reports whether that makes the
+// request a suspect, with what is to be told of it.
+func (s *quarantineState) lost(fingerprint, leaf string, enough int, now time.Time) (suspect bool, actions []quarantine.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.strikes.Lost(fingerprint, leaf, enough, now) {
+		return false, nil
+	}
+	return true, slices.Clone(s.machine.Handle(quarantine.Observed{Fingerprint: fingerprint, Leaf: leaf, Crashed: true}, now))
+}
+
+// ran notes that a leaf ran a request to its end.
+func (s *quarantineState) ran(fingerprint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.strikes.Empty() {
+		s.strikes.Ran(fingerprint)
+	}
 }
 
 // fingerprint names a request by a keyed hash of caller, service and body: it
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
@@ -28,8 +29,11 @@
 	repetition  *repetition
 	versions    *versions
 	mail        *mailbox
-	ctx         context.Context // ends with the caller
-	work        context.Context // of the exchanges: ends with the deadline or the answer, too
+	// ran says that a leaf ran the request to its end, suspect that it is suspected of
+	// breaking leaves.
+	ran, suspect atomic.Bool
+	ctx          context.Context // ends with the caller
+	work         context.Context // of the exchanges: ends with the deadline or the answer, too
 
 	// mu guards what follows. The query's goroutine holds it for each event,
 	// and an exchange while it asks for leave to send.
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -122,6 +122,17 @@
 	Repetition: "objective",
 }
 
+const (
+	// lostToSuspect is the number of leaves that must be lost under a request before it
+	// is suspected: two are lost to one request when two leaves crash or reset
+	// connections at about the same time, which three hardly do.
+	lostToSuspect = 3
+	// quarantineFor is how long a request that breaks leaves is refused before one leaf
+	// is risked again. It is short, since the losses may have had another cause that all
+	// leaves of the service share.
+	quarantineFor = 15 * time.Second
+)
+
 // combinerName is the combiner of answers over shards.
 const combinerName = "greatest-records"
 
@@ -146,8 +157,8 @@
 	n.leaves = c.NewLeaves(n.control.leafGone)
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, Sightings: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
-		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: []byte(c.Instance),
-		Instances: n.fleet.size, Ages: n.ages,
+		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
+		Instances: n.fleet.size, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
--- a/entry/hosted/news.go
+++ b/entry/hosted/news.go
@@ -61,6 +61,8 @@
 	}
 	n.sharing.heard(r.Seen, now)
 	out.Slow = n.sharing.tell(now)
+	n.executor.MergeQuarantine(r.Quarantine)
+	out.Quarantine = n.executor.Quarantine()
 	return out
 }
 
@@ -126,10 +128,12 @@
 	seen := c.node.sharing.takePending(began)
 	news, err := c.node.peers.News(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, peerapi.NewsRequest{
 		Version: c.version.Load(), Hash: c.heard.Load(), Seen: seen,
+		Quarantine: c.node.executor.Quarantine(),
 	})
 	if err != nil {
 		return err
 	}
+	c.node.executor.MergeQuarantine(news.Quarantine)
 	configAge := time.Duration(news.ConfigAgeMS) * time.Millisecond
 	leavesAge := time.Duration(news.LeavesAgeMS) * time.Millisecond
 	if configAge < 0 || leavesAge < 0 || max(configAge, leavesAge) > c.bound(newsShare) {
--- /dev/null
+++ b/kernel/quarantine/strikes.go
@@ -0,0 +1,73 @@
+package quarantine
+
+import "time"
+
+// Strikes counts the leaves that were lost under a request. Where connections end
+// for many reasons one end proves nothing, and a request is suspected only when
+// several leaves were lost under it and none ran it to its end.
+type Strikes struct {
+	// For is how long a loss counts.
+	For time.Duration
+	// Most bounds the requests that are remembered.
+	Most int
+
+	byRequest map[string]*strikes
+}
+
+// strikes are the losses of one request.
+type strikes struct {
+	leaves map[string]bool
+	until  time.Time
+}
+
+// Lost notes that a leaf was lost under a request, and reports whether so many
+// different ones were that it is suspected. It then counts from anew.
+func (s *Strikes) Lost(fingerprint, leaf string, enough int, now time.Time) bool {
+	r := s.byRequest[fingerprint]
+	if r == nil || !now.Before(r.until) {
+		r = &strikes{leaves: make(map[string]bool)}
+		s.keep(fingerprint, r, now)
+	}
+	r.until = now.Add(s.For)
+	r.leaves[leaf] = true
+	if len(r.leaves) < enough {
+		return false
+	}
+	delete(s.byRequest, fingerprint)
+	return true
+}
+
+// Ran notes that a leaf ran a request to its end: it breaks none.
+func (s *Strikes) Ran(fingerprint string) { delete(s.byRequest, fingerprint) }
+
+// Empty reports whether no losses are remembered.
+func (s *Strikes) Empty() bool { return len(s.byRequest) == 0 }
+
+// keep remembers a request's losses. Above the bound those that are over go, or
+// else the ones that would be over first.
+func (s *Strikes) keep(fingerprint string, r *strikes, now time.Time) {
+	if s.byRequest == nil {
+		s.byRequest = make(map[string]*strikes)
+	}
+	if len(s.byRequest) >= max(s.Most, 1) {
+		s.drop(now)
+	}
+	s.byRequest[fingerprint] = r
+}
+
+// drop makes room for one more.
+func (s *Strikes) drop(now time.Time) {
+	first, until := "", time.Time{}
+	for fingerprint, r := range s.byRequest {
+		if !now.Before(r.until) {
+			delete(s.byRequest, fingerprint)
+			continue
+		}
+		if first == "" || r.until.Before(until) {
+			first, until = fingerprint, r.until
+		}
+	}
+	if len(s.byRequest) >= max(s.Most, 1) {
+		delete(s.byRequest, first)
+	}
+}
