Judge leaves against their peers in one place; one word for readiness

nearest and twochoices each had the sum of failures, the average of the other leaves and a moving average; both are health's now. The two kinds of instance had a switch over the phases each; lifecycle has it. No change in behaviour: tests of both plug-ins and instances pass as they were.

--- a/entry/hosted/ready.go
+++ b/entry/hosted/ready.go
@@ -8,7 +8,6 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
-	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
 )
 
 // readyServer answers the balancer, and serves the metrics.
@@ -34,20 +33,8 @@
 
 // ready answers 503 with the reason while the balancer should send no one.
 func (n *Node) ready(c echo.Context) error {
-	if reason := n.notReady(); reason != "" {
+	if reason := n.lifecycle.NotReady("no configuration yet"); reason != "" {
 		return c.String(http.StatusServiceUnavailable, reason+"\n")
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
-
-// notReady says why the balancer should send no one; "" when it should.
-func (n *Node) notReady() string {
-	switch n.lifecycle.Get() {
-	case lifecycle.Starting:
-		return "no configuration yet"
-	case lifecycle.Leaving, lifecycle.Refusing:
-		return "leaving"
-	case lifecycle.Serving:
-	}
-	return ""
-}
--- a/entry/lifecycle/lifecycle.go
+++ b/entry/lifecycle/lifecycle.go
@@ -35,6 +35,19 @@
 // Serve ends the start, if the instance is still starting.
 func (l *Lifecycle) Serve() { l.phase.CompareAndSwap(int32(Starting), int32(Serving)) }
 
+// NotReady says why the balancer should send no one, "" when it should. The word for
+// an instance that starts is the caller's: what it waits for.
+func (l *Lifecycle) NotReady(starting string) string {
+	switch l.Get() {
+	case Starting:
+		return starting
+	case Leaving, Refusing:
+		return "leaving"
+	default:
+		return ""
+	}
+}
+
 // Times of a graceful stop.
 const (
 	// quietTime without an arrival shows that the balancer has let go.
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -158,12 +158,8 @@
 
 // notReady says why the balancer should send no one; "" when it should.
 func (n *Node) notReady() string {
-	switch n.lifecycle.Get() {
-	case lifecycle.Starting:
-		return "no configuration document yet"
-	case lifecycle.Leaving, lifecycle.Refusing:
-		return "leaving"
-	case lifecycle.Serving:
+	if reason := n.lifecycle.NotReady("no configuration document yet"); reason != "" {
+		return reason
 	}
 	if !n.warmed.Load() {
 		return "connections are being opened"
--- /dev/null
+++ b/plugins/internal/health/peers.go
@@ -0,0 +1,30 @@
+package health
+
+import "time"
+
+// Peers keeps the sum of all leaves' averages of failure, by which one leaf is judged
+// against the others. The zero value has no leaf.
+type Peers struct{ failures float64 }
+
+// Outcome takes one result of a leaf, one of so many, and reports whether the leaf has
+// just come back. A gain of 0 is an outcome that shows nothing.
+func (p *Peers) Outcome(leaf *Leaf, leaves int, failed bool, gain float64, now time.Time) bool {
+	if gain == 0 {
+		leaf.Inconclusive()
+		return false
+	}
+	before := leaf.Failures
+	others := (p.failures - before) / float64(max(1, leaves-1))
+	back := leaf.Outcome(failed, gain, others, now)
+	p.failures += leaf.Failures - before
+	return back
+}
+
+// Average moves a mean by one value, or begins it; 0 means that nothing is known.
+func Average(mean *float64, x, gain float64) {
+	if *mean == 0 {
+		*mean = x
+		return
+	}
+	*mean += gain * (x - *mean)
+}
--- a/plugins/nearest/nearest.go
+++ b/plugins/nearest/nearest.go
@@ -68,7 +68,7 @@
 type policy struct {
 	rand      *rand.Rand
 	leaves    []leaf
-	failures  float64 // sum of all leaves' averages of failure
+	peers     health.Peers
 	delay     float64 // moving average over all leaves, seconds
 	sightings []plugin.Sighting
 }
@@ -151,20 +151,12 @@
 	case s.OK:
 		l.unansweredAt = time.Time{}
 		p.learn(l, s.Latency.Seconds(), delayGain, now)
-		average(&p.delay, s.Latency.Seconds(), poolGain)
+		health.Average(&p.delay, s.Latency.Seconds(), poolGain)
 	case s.Cancelled, s.TimedOut:
 		p.givenUp(l, s.Latency.Seconds(), now)
 	}
 	p.sight(key, s, now)
-	gain := health.Gain(s, p.delay)
-	if gain == 0 {
-		l.health.Inconclusive()
-		return
-	}
-	before := l.health.Failures
-	back := l.health.Outcome(!s.OK, gain, p.others(before), now)
-	p.failures += l.health.Failures - before
-	if back {
+	if p.peers.Outcome(&l.health, len(p.leaves), !s.OK, health.Gain(s, p.delay), now) {
 		l.backAt = now
 	}
 }
@@ -190,7 +182,7 @@
 	if l.delay != 0 {
 		l.delay = p.expected(l, now)
 	}
-	average(&l.delay, took, gain)
+	health.Average(&l.delay, took, gain)
 	l.learntAt = now
 }
 
@@ -247,19 +239,5 @@
 // forgetSpread is by how much later some instances forget what they were told.
 const forgetSpread = 1500 * time.Millisecond
 
-// others is the average failure of all leaves but one that has the given failure.
-func (p *policy) others(own float64) float64 {
-	return (p.failures - own) / float64(max(1, len(p.leaves)-1))
-}
-
-// average moves a mean by one value.
-func average(mean *float64, x, gain float64) {
-	if *mean == 0 {
-		*mean = x
-		return
-	}
-	*mean += gain * (x - *mean)
-}
-
 // Hint is not used: what load endpoints say lags.
 func (p *policy) Hint(int, int, int, time.Time) {}
--- a/plugins/twochoices/twochoices.go
+++ b/plugins/twochoices/twochoices.go
@@ -42,8 +42,7 @@
 type policy struct {
 	rand   *rand.Rand
 	leaves []leaf
-	// failures is the sum of all leaves' moving averages of failure.
-	failures float64
+	peers  health.Peers
 	// mean is the moving average of latency over all leaves, seconds; a leaf
 	// that has not answered yet is taken to be like the others.
 	mean float64
@@ -119,39 +118,18 @@
 func (p *policy) Finished(key int, s plugin.Sample, now time.Time) {
 	l := p.leaf(key)
 	if s.OK {
-		average(&l.mean, s.Latency)
-		average(&p.mean, s.Latency)
+		health.Average(&l.mean, s.Latency.Seconds(), latencyGain)
+		health.Average(&p.mean, s.Latency.Seconds(), latencyGain)
 	}
 	gain := health.Gain(s, p.mean)
-	if gain == 0 {
-		l.health.Inconclusive()
-		return
+	if s.Cancelled && gain > 0 {
+		health.Average(&l.mean, s.Latency.Seconds(), latencyGain) // it took at least that long
 	}
-	if s.Cancelled {
-		average(&l.mean, s.Latency) // it took at least that long
-	}
-	before := l.health.Failures
-	back := l.health.Outcome(!s.OK, gain, p.others(before), now)
-	p.failures += l.health.Failures - before
-	if back {
+	if p.peers.Outcome(&l.health, len(p.leaves), !s.OK, gain, now) {
 		l.slowFrom = now
 	}
 }
 
-// others is the average failure of all leaves but one that has the given failure.
-func (p *policy) others(own float64) float64 {
-	return (p.failures - own) / float64(max(1, len(p.leaves)-1))
-}
-
-// average adds one latency to a moving average in seconds.
-func average(mean *float64, d time.Duration) {
-	if *mean == 0 {
-		*mean = d.Seconds()
-		return
-	}
-	*mean += latencyGain * (d.Seconds() - *mean)
-}
-
 // Hint keeps the load endpoint's word as a bounded nudge.
 func (p *policy) Hint(key, _, queued int, now time.Time) {
 	l := p.leaf(key)
