--- a/entry/telemetry/log_test.go
+++ b/entry/telemetry/log_test.go
@@ -104,6 +104,38 @@
 	b.ReportMetric(float64(l.Dropped())/float64(b.N), "drops/op")
 }
 
+// BenchmarkDecideWritten measures what one line costs the process until it is written
+// as JSON, and what one costs that its budget leaves out.
+func BenchmarkDecideWritten(b *testing.B) {
+	const batch = queueLength / 2
+	line := Decision{
+		Part: "dispatch", What: "dispatch", Query: 1, Request: "9c41d07be2a35f68", Shard: "titles-7", Leaf: "i-7f3a91c2",
+		Why: "least delay, own zone", Class: Routine,
+	}
+	for _, bc := range []struct {
+		name    string
+		budgets Budgets
+	}{{"written", Budgets{}}, {"left out", Budgets{Routine: 1}}} {
+		b.Run(bc.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				l, err := NewLog(io.Discard, Options{Level: "info", Format: "json", Decisions: true, Budgets: bc.budgets})
+				if err != nil {
+					b.Fatal(err)
+				}
+				for range batch {
+					l.Decide(line)
+				}
+				l.Close()
+				if l.Dropped() > 0 {
+					b.Fatal("the queue was too short")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/batch, "ns/line")
+		})
+	}
+}
+
 // TestLevelBoundsLines checks that neither parts nor decisions write below the level.
 func TestLevelBoundsLines(t *testing.T) {
 	for _, tc := range []struct {
