--- /dev/null
+++ b/entry/hosted/quarantine_test.go
@@ -0,0 +1,69 @@
+package hosted
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
+)
+
+// informed makes an instance that has news to tell, and the address where it does.
+func informed(t *testing.T) (*Node, string) {
+	t.Helper()
+	n := weak(t, strong{})
+	now := time.Now()
+	n.control.news.Store(&newsState{known: catalog.Known{ConfigAt: now, LeavesAt: now}})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- peer.NewServer(peer.ServerConfig{Instance: "reader", Key: []byte("k"), News: n}).Serve(ctx, l)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return n, l.Addr().String()
+}
+
+// TestQuarantineIsTold lets an instance tell the one that it asks of a request that
+// breaks leaves, and a third one hear of it there.
+func TestQuarantineIsTold(t *testing.T) {
+	const fingerprint, quarantined = "f00d", 2
+	knows := func(n *Node) bool {
+		for _, q := range n.executor.Quarantine() {
+			if q.Fingerprint == fingerprint && q.Level == quarantined && q.LeftMS > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	reader, address := informed(t)
+	first, third := weak(t, strong{}), weak(t, strong{})
+	first.executor.MergeQuarantine([]peerapi.Quarantined{{Fingerprint: fingerprint, Level: quarantined, LeftMS: 10_000}})
+	if !knows(first) || knows(reader) || knows(third) {
+		t.Fatal("only the first instance is to know of the request")
+	}
+	from := fleet.Instance{Name: "reader", Peer: address}
+	for _, n := range []*Node{first, third} {
+		if err := n.control.ask(t.Context(), from); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !knows(reader) {
+		t.Error("the instance that was asked does not know of the request")
+	}
+	if !knows(third) {
+		t.Error("an instance that asked later does not know of the request")
+	}
+}
