--- a/kernel/fleet/connections.go
+++ b/kernel/fleet/connections.go
@@ -7,8 +7,9 @@
 
 // Connections is this instance's share of the connections that one leaf takes from all
 // instances, at least one. Where a few strong instances run the queries over many
-// shards, an even share leaves most connections to instances that open none: one of
-// 53 each, over 62 instances, of which 6 to 8 run nearly all queries.
+// shards, an even share leaves most connections to instances that open none: over 71
+// instances it was one each, and 8 of them sent 22,781 of the 25,189 parts that the
+// logs of a calm day had.
 func (f *Fleet) Connections(limit, shards int) int {
 	even := max(1, limit/f.Size())
 	if !f.listed || shards < strongShards {
