Give the instances that run the queries most of the shared repeats

Cause: the slack of repeats was divided evenly among 62 instances, 2.6 a shard and window each, while 6 of them run nearly all queries over many shards; the parts of the other 56 were never spent. The part of an instance now follows the same shape of the fleet as its connections, which is computed with each list and not with each request.

Ruled out: more of the ratio, which already follows the requests that an instance runs. A tenth stays unspent for instances whose lists differ for a while.

--- a/entry/executor/arrivals.go
+++ b/entry/executor/arrivals.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	kernelrepetition "github.com/fuchsiaroad/fuchsiaroad/kernel/repetition"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
@@ -13,18 +12,18 @@
 // that share a shard's name share its bound. It guards the kernel's windows by a
 // lock.
 type arrivals struct {
-	instances func() int
+	slack func(shards int) float64 // Config.RepeatSlack
 
 	mu      sync.Mutex
 	windows map[string]*kernelrepetition.Window // by shard name
 }
 
 // newArrivals makes it empty.
-func newArrivals(instances func() int) *arrivals {
-	if instances == nil {
-		instances = func() int { return 1 }
+func newArrivals(slack func(shards int) float64) *arrivals {
+	if slack == nil {
+		slack = func(int) float64 { return 1 }
 	}
-	return &arrivals{instances: instances, windows: make(map[string]*kernelrepetition.Window)}
+	return &arrivals{slack: slack, windows: make(map[string]*kernelrepetition.Window)}
 }
 
 // arrived counts a request at each shard of its service.
@@ -37,7 +36,7 @@
 			continue
 		}
 		for j := range up.Shards {
-			a.window(up.Shards[j].Name, up.Config.Repeats).Arrived(now)
+			a.window(up, j).Arrived(now)
 		}
 	}
 }
@@ -49,19 +48,21 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.window(up.Shards[shard].Name, up.Config.Repeats).TakeRepeat(now)
+	return a.window(up, shard).TakeRepeat(now)
 }
 
 // window returns the window of a shard with this instance's part of the limit.
 // The lock is held.
-func (a *arrivals) window(shard string, limit *document.RepeatLimit) *kernelrepetition.Window {
+func (a *arrivals) window(up *view.Upstream, shard int) *kernelrepetition.Window {
+	limit := up.Config.Repeats
 	part := kernelrepetition.Limit{
-		Ratio: limit.Ratio, Slack: limit.Slack / float64(max(1, a.instances())), Span: limit.Window,
+		Ratio: limit.Ratio, Slack: limit.Slack * a.slack(len(up.Shards)), Span: limit.Window,
 	}
-	w, ok := a.windows[shard]
+	name := up.Shards[shard].Name
+	w, ok := a.windows[name]
 	if !ok {
 		w = kernelrepetition.NewWindow(part)
-		a.windows[shard] = w
+		a.windows[name] = w
 	}
 	w.SetLimit(part)
 	return w
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -76,9 +76,10 @@
 	// Ages says how old the configuration and the list of leaves in force are,
 	// for the log; nil where that is not known.
 	Ages func() (config, leaves time.Duration)
-	// Instances is the number of instances that share limits of the fleet, this
-	// one included; it may change. Nil means one.
-	Instances func() int
+	// RepeatSlack is this instance's part, in (0, 1], of the repeats of an upstream of
+	// so many shards that all instances may make without any request; it may change.
+	// Nil means all of them.
+	RepeatSlack func(shards int) float64
 	// Ledger claims the keys of non-idempotent requests.
 	Ledger Ledger
 	// LostToSuspect is how many different leaves must be lost under a request that none
@@ -119,7 +120,7 @@
 		pools:      make(map[string]*pool),
 		services:   make(map[string]*serviceState),
 		runs:       make(map[*run]struct{}),
-		arrivals:   newArrivals(c.Instances),
+		arrivals:   newArrivals(c.RepeatSlack),
 	}
 }
 
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -158,7 +158,7 @@
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, Sightings: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		Instances: n.fleet.size, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
+		RepeatSlack: n.fleet.repeatSlack, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -62,6 +62,13 @@
 	return m.fleet.Connections(limit, shards)
 }
 
+// repeatSlack is this instance's part of the repeats that the fleet may make.
+func (m *members) repeatSlack(shards int) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.RepeatSlack(shards)
+}
+
 // reader is the instance to ask for news, if it is not this one.
 func (m *members) reader(now time.Time) (fleet.Instance, bool) {
 	m.mu.Lock()
--- a/kernel/fleet/connections.go
+++ b/kernel/fleet/connections.go
@@ -1,9 +1,14 @@
 package fleet
 
-// runnersPart is the part of a leaf's connections that is divided among the instances
-// which run the queries over many shards of all. The rest is for those that run their
-// own while no stronger one takes them.
-const runnersPart = 0.6
+const (
+	// runnersPart is the part of a limit that is divided among the instances which run
+	// the queries over many shards of all, and othersPart what the others share: they
+	// run their own while no stronger one takes them.
+	runnersPart = 0.6
+	othersPart  = 0.3
+	// The tenth that is left covers instances whose lists differ for a while: one that
+	// is gone counts until the next list, by which time another has its part.
+)
 
 // Connections is this instance's share of the connections that one leaf takes from all
 // instances, at least one. Where a few strong instances run the queries over many
@@ -12,14 +17,38 @@
 // logs of a calm day had.
 func (f *Fleet) Connections(limit, shards int) int {
 	even := max(1, limit/f.Size())
-	if !f.listed || shards < strongShards {
-		return even
+	if runners, self := f.concentrated(shards); self {
+		return max(even, int(runnersPart*float64(limit))/runners)
 	}
-	runners, self := f.runners()
-	if !self || 2*runners > f.Size() {
-		return even
+	return even
+}
+
+// RepeatSlack is this instance's part, in (0, 1], of the repeats of an upstream of so
+// many shards that the fleet may make without any request. Repeats are made where the
+// queries are run: with an even part each of the few that run them had 2.6 of 164 for
+// each shard.
+func (f *Fleet) RepeatSlack(shards int) float64 {
+	runners, self := f.concentrated(shards)
+	switch {
+	case runners == 0:
+		return 1 / float64(f.Size())
+	case self:
+		return runnersPart / float64(runners)
+	default:
+		return othersPart / float64(f.Size()-runners)
 	}
-	return max(even, int(runnersPart*float64(limit))/runners)
+}
+
+// concentrated tells how many instances run the queries over so many shards of all,
+// and whether this one is among them; none where each runs its own.
+func (f *Fleet) concentrated(shards int) (runners int, self bool) {
+	if !f.listed || !HandsOver(shards) {
+		return 0, false
+	}
+	if 2*f.shape.Runners > f.Size() {
+		return 0, false
+	}
+	return f.shape.Runners, f.shape.Runs
 }
 
 // Shape is what the shares of the fleet's limits depend on.
@@ -31,9 +60,12 @@
 }
 
 // Shape returns the fleet's shape as far as it is known.
-func (f *Fleet) Shape() Shape {
+func (f *Fleet) Shape() Shape { return f.shape }
+
+// reshape computes the shape, which is asked for with each request.
+func (f *Fleet) reshape() {
 	n, self := f.runners()
-	return Shape{Size: f.Size(), Runners: n, Runs: self}
+	f.shape = Shape{Size: f.Size(), Runners: n, Runs: self}
 }
 
 // runners counts the instances that have no far stronger one in their zone, and
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -48,11 +48,14 @@
 	self     Instance
 	members  map[string]*member
 	listed   bool
+	shape    Shape
 }
 
 // New returns a fleet that knows only this instance.
 func New(self Instance, s Settings) *Fleet {
-	return &Fleet{settings: s, self: self, members: make(map[string]*member)}
+	f := &Fleet{settings: s, self: self, members: make(map[string]*member)}
+	f.reshape()
+	return f
 }
 
 // Listed takes the announcements as the store has them.
@@ -76,6 +79,7 @@
 	maps.DeleteFunc(f.members, func(name string, m *member) bool {
 		return !named[name] || now.Sub(m.heardAt) >= f.settings.ForgetAfter
 	})
+	f.reshape()
 }
 
 // unlisted is the size that is assumed before the first list: limits that the
