Gather parts in the zone of their leaves

A part and its request are 0.6 to 1.5 KB, its share of a merged reply a tenth of that.

An instance now asks one of another zone to gather the shards that it would ask there itself, by an offer and the word to run it; that one merges what it got and replies once. The query's machine knows such a group as one attempt with many ranges: coverage is computed from its reply, one version, one deadline; a group that nobody took is asked here; one that was lost is not asked again, since the route's attempts may have been made.

To come: the late answers, and tests over sockets.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -153,6 +153,36 @@
 	// WayUS is the microseconds that the request and its answer spend between the
 	// client and the instance that took it in.
 	WayUS int64 `json:"way_us"`
+	// Gather, if it is set, asks for some shards only, by this very version.
+	Gather *Gather `json:"gather,omitempty"`
+}
+
+// Gather names the shards that are asked for, and from when on their parts are enough.
+type Gather struct {
+	Service  string `json:"service"`
+	Upstream string `json:"upstream"`
+	// Ranges are whole shards.
+	Ranges []Range `json:"ranges"`
+	// Least is the share of the upstream's keys from which the reply need not wait.
+	Least float64 `json:"least"`
+}
+
+// Range is a key range, its end excluded.
+type Range [2]uint64
+
+// Gathered is what came of a Gather; the reply's body is merged of its parts.
+type Gathered struct {
+	// Index is the index version of the parts.
+	Index  uint64  `json:"index"`
+	Ranges []Range `json:"ranges"`
+	// Signatures are those of the parts, one a shard.
+	Signatures []string `json:"signatures"`
+	// Sent, Hedges and Retries count the attempts at leaves.
+	Sent    int `json:"sent"`
+	Hedges  int `json:"hedges,omitempty"`
+	Retries int `json:"retries,omitempty"`
+	// Refused says why nothing was run; empty where something was.
+	Refused string `json:"refused,omitempty"`
 }
 
 // OfferReply says whether a request will be run when that is asked for.
@@ -170,4 +200,6 @@
 	Body    []byte              `json:"body"`
 	// RunUS is the microseconds for which it ran.
 	RunUS int64 `json:"run_us"`
+	// Gathered tells of the parts, where the request had a Gather.
+	Gathered *Gathered `json:"gathered,omitempty"`
 }
--- a/entry/executor/arrivals.go
+++ b/entry/executor/arrivals.go
@@ -26,19 +26,15 @@
 	return &arrivals{slack: slack, windows: make(map[string]*kernelrepetition.Window)}
 }
 
-// arrived counts a request at each shard of its service.
-func (a *arrivals) arrived(v *view.View, s *view.Service, now time.Time) {
+// arrived counts a request at a shard. It is counted by the instance that asks the
+// shard's leaves, which may repeat it.
+func (a *arrivals) arrived(up *view.Upstream, shard int, now time.Time) {
+	if up.Config.Repeats == nil || shard < 0 || shard >= len(up.Shards) {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, i := range s.Upstreams {
-		up := &v.Upstreams[i]
-		if up.Config.Repeats == nil {
-			continue
-		}
-		for j := range up.Shards {
-			a.window(up, j).Arrived(now)
-		}
-	}
+	a.window(up, shard).Arrived(now)
 }
 
 // take spends one repeat at a shard, if it fits. Without a bound it always does.
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -110,14 +110,16 @@
 	r := &run{
 		executor: e, request: req, id: newToken(), secret: newToken(), stamp: e.nextStamp(req.Start),
 		fingerprint: fingerprint, mail: newMailbox(), ctx: ctx,
-		attempts: make(map[query.AttemptID]*attempt),
-		view:     req.View, pools: make(map[int]*pool),
+		attempts: make(map[query.AttemptID]*attempt), gathering: make(map[query.AttemptID]*gathering),
+		view: req.View, pools: make(map[int]*pool),
 		versions: &versions{state: e.leafState, view: req.View},
 	}
 	r.suspect.Store(mode == quarantine.ModeSuspect)
 	r.service = e.service(req.Service)
 	r.repetition = r.service.repetition.Load()
+	r.groups = e.plan(req, mode)
 	r.machine = query.New(query.Config{
+		Groups: parts(r.groups), Only: req.Only, Least: req.Least,
 		View: req.View, Service: req.Service, Start: req.Start, Deadline: req.Deadline,
 		Versions:     r.versions,
 		Budget:       r.repetition,
@@ -140,7 +142,6 @@
 		return nil, refused
 	}
 	r.repetition.deposit(r.request.Service.Shards)
-	r.executor.arrivals.arrived(r.request.View, r.request.Service, time.Now())
 	r.executor.register(r)
 	answer := r.drive()
 	r.executor.unregister(r)
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -46,6 +46,10 @@
 	// Way is the time that the request and its answer spend between caller and
 	// instance; 0 where that is not known.
 	Way time.Duration
+	// Only, if it is set, limits the request to the shards that this instance gathers
+	// for another, and Least is the share of all keys from which it is settled.
+	Only  []query.Group
+	Least float64
 }
 
 // way is Way, or what is assumed of it.
@@ -76,6 +80,8 @@
 	// Ages says how old the configuration and the list of leaves in force are,
 	// for the log; nil where that is not known.
 	Ages func() (config, leaves time.Duration)
+	// Gatherer has parts of queries gathered by other instances; nil: none are.
+	Gatherer Gatherer
 	// RepeatSlack is this instance's part, in (0, 1], of the repeats of an upstream of
 	// so many shards that all instances may make without any request; it may change.
 	// Nil means all of them.
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -32,14 +32,20 @@
 	// ran says that a leaf ran the request to its end, suspect that it is suspected of
 	// breaking leaves.
 	ran, suspect atomic.Bool
-	ctx          context.Context // ends with the caller
-	work         context.Context // of the exchanges: ends with the deadline or the answer, too
+	// direct counts the shards that this query asks itself.
+	direct atomic.Int64
+	// groups are those that other instances may gather.
+	groups []Group
+	ctx    context.Context // ends with the caller
+	work   context.Context // of the exchanges: ends with the deadline or the answer, too
 
 	// mu guards what follows. The query's goroutine holds it for each event,
 	// and an exchange while it asks for leave to send.
 	mu       sync.Mutex
 	machine  *query.Machine
 	attempts map[query.AttemptID]*attempt
+	// gathering holds the groups that were offered.
+	gathering map[query.AttemptID]*gathering
 	// view is the newest view that the machine knows; pools is by its indexes.
 	view   *view.View
 	pools  map[int]*pool
@@ -155,6 +161,8 @@
 	switch action := action.(type) {
 	case query.Offer:
 		r.offer(action)
+	case query.OfferGroup:
+		r.offerGroup(action)
 	case query.Withdraw:
 		r.withdraw(action.Attempt)
 	case query.WakeAt:
@@ -180,6 +188,10 @@
 	if o.Retry {
 		r.executor.decide(a, telemetry.Decision{Part: partQuery, What: "retry", Class: telemetry.Outcome})
 	}
+	if !o.Hedge && !o.Retry {
+		r.direct.Add(1)
+		r.executor.arrivals.arrived(&r.view.Upstreams[o.Part.Upstream], o.Shard, time.Now())
+	}
 	a.pool = r.pool(o.Part.Upstream)
 	a.pool.offer(a)
 }
@@ -200,6 +212,10 @@
 		a.withdrawn = true
 		a.pool.withdraw(a.ticket)
 	}
+	if g, ok := r.gathering[id]; ok {
+		g.withdrawn = true
+		g.cancel()
+	}
 }
 
 // verdict tells the quarantine how an attempt ended on its leaf.
--- a/entry/executor/story.go
+++ b/entry/executor/story.go
@@ -49,7 +49,7 @@
 		class = telemetry.Outcome
 	}
 	more := []any{
-		"service", config.Name, "share", a.Share, "sent", a.Sent, "hedges", a.Hedges, "retries", a.Retries,
+		"service", config.Name, "share", a.Share, "sent", a.Sent, "hedges", a.Hedges, "retries", a.Retries, "groups", a.Groups,
 		"left", time.Until(r.request.Deadline), "objective", config.Objective, "way", r.request.way(), "config", r.request.View.Generation,
 	}
 	if r.executor.config.Ages != nil {
--- a/entry/executor/suspicion.go
+++ b/entry/executor/suspicion.go
@@ -15,7 +15,7 @@
 
 // lost notes that the connection to a leaf ended under an attempt, and reports
 // whether that counts as the leaf's crash. It does once the request is suspected: a
-// fan-out is when half of its shards have been lost and none has answered, since what
+// fan-out is when half of the shards that it asks have been lost and none has answered, since what
 // breaks a leaf breaks each that runs it, and fewer losses have other causes.
 func (e *Executor) lost(a *attempt) bool {
 	r := a.run
@@ -25,7 +25,7 @@
 	case r.suspect.Load():
 		return true
 	}
-	enough := max(e.config.LostToSuspect, r.request.Service.Shards/2)
+	enough := max(e.config.LostToSuspect, int(r.direct.Load())/2)
 	suspect, actions := e.quarantine.lost(r.fingerprint, a.leafID, enough, time.Now())
 	if !suspect {
 		return false
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -129,19 +129,13 @@
 	if len(answer.Results) == 0 || answer.Share < config.LeastCoverage {
 		return failed(answer).reply()
 	}
-	bodies := make([][]byte, 0, len(answer.Results))
-	signatures := make([]string, 0, len(answer.Results))
+	parts := merging{bodies: make([][]byte, 0, len(answer.Results)), signatures: make([]string, 0, req.Service.Shards)}
 	for _, r := range answer.Results {
-		handed, ok := r.Carried.(*leafclient.Handed)
-		if !ok {
-			continue
-		}
-		bodies = append(bodies, handed.Body)
-		signatures = append(signatures, handed.Signature)
+		parts.add(r)
 	}
-	r := &Reply{Status: http.StatusOK, Header: make(http.Header, 4), Body: g.config.Combiner.Combine(bodies, config.TopK)}
-	r.Header.Set(g.config.Headers.Signatures, strings.Join(signatures, ", "))
-	r.Header.Set(g.config.Headers.Missing, strconv.Itoa(req.Service.Shards-len(signatures)))
+	r := &Reply{Status: http.StatusOK, Header: make(http.Header, 4), Body: g.config.Combiner.Combine(parts.bodies, config.TopK)}
+	r.Header.Set(g.config.Headers.Signatures, strings.Join(parts.signatures, ", "))
+	r.Header.Set(g.config.Headers.Missing, strconv.Itoa(req.Service.Shards-len(parts.signatures)))
 	r.Header.Set("Content-Type", "application/octet-stream")
 	return r
 }
--- /dev/null
+++ b/entry/hosted/gather.go
@@ -0,0 +1,226 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/gateway"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/gather"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+const (
+	// takeWithin is how long an instance of another zone may take to accept a group:
+	// opening a connection to it takes four round trips of up to 3 ms.
+	takeWithin = 20 * time.Millisecond
+	// gatherObjectives times the objective, or the deadline, is when a group that has
+	// not come is taken for lost: nothing shows a peer that lost its power, and what is
+	// left of the time is the caller's for another try.
+	gatherObjectives = 2
+	// gatherPart is the prefix of lines about groups.
+	gatherPart = "gather"
+)
+
+// shardZones are the zones of the leaves of each shard, by upstream and shard.
+type shardZones struct {
+	view  *view.View
+	zones [][][]string
+}
+
+// zonesOf lists where the leaves are that may take work.
+func zonesOf(v *view.View) *shardZones {
+	out := &shardZones{view: v, zones: make([][][]string, len(v.Upstreams))}
+	for i := range v.Upstreams {
+		shards := v.Upstreams[i].Shards
+		out.zones[i] = make([][]string, len(shards))
+		for s := range shards {
+			for _, l := range shards[s].Leaves {
+				if leaf := &v.Leaves[l]; !leaf.Leaving {
+					out.zones[i][s] = append(out.zones[i][s], leaf.Zone)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Plan implements executor.Gatherer. Only parts that a combiner merges are gathered
+// elsewhere, by the view that is in force: a query that began on an older one asks
+// its leaves itself.
+func (n *Node) Plan(r *executor.Request, upstream int, away []int) []executor.Group {
+	zones := n.zones.Load()
+	if r.Service.Config.TopK <= 0 || zones == nil || zones.view != r.View {
+		return nil
+	}
+	now := time.Now()
+	able := func(zone string) bool { return zone != n.config.Zone && len(n.fleet.gatherers(zone, now)) > 0 }
+	var out []executor.Group
+	for _, g := range gather.Plan(zones.zones[upstream], away, able, rand.IntN) {
+		out = append(out, executor.Group{Zone: g.Zone, Group: query.Group{Upstream: upstream, Ranges: rangesOf(&r.View.Upstreams[upstream], g.Shards)}})
+	}
+	return out
+}
+
+// rangesOf are the keys of some shards, neighbours joined.
+func rangesOf(up *view.Upstream, shards []int) []keyrange.Range {
+	var set keyrange.Set
+	for _, s := range shards {
+		set.Add(up.Shards[s].Range)
+	}
+	return set.Ranges()
+}
+
+// errNobody says that a zone has no instance to ask any more.
+var errNobody = errors.New("no instance of the zone is to be asked")
+
+// Gather implements executor.Gatherer.
+func (n *Node) Gather(ctx context.Context, r *executor.Request, g executor.Group, sent func() bool) (*executor.GatherReply, error) {
+	now := time.Now()
+	candidates := n.fleet.gatherers(g.Zone, now)
+	if len(candidates) == 0 {
+		return nil, &executor.NotGatheredError{Err: errNobody}
+	}
+	to := candidates[rand.IntN(len(candidates))]
+	ctx, cancel := context.WithDeadline(ctx, gatherBy(r))
+	defer cancel()
+	request := n.forwardRequest(r, now, n.gatherHops.high())
+	request.Gather = gatherRequest(r, g)
+	reply, err := n.peers.Forward(ctx, peer.Target{Instance: to.Name, Address: to.Peer}, request, peer.Acceptance{Within: takeWithin, Accepted: sent})
+	n.logGather(r, g, to, reply, err, time.Since(now))
+	if err != nil {
+		if ctx.Err() == nil && blames(err) {
+			n.fleet.failed(to.Name, time.Now())
+		}
+		if took(err) {
+			return nil, err
+		}
+		return nil, &executor.NotGatheredError{Err: err}
+	}
+	n.gatherHops.observe(time.Since(now) - time.Duration(reply.RunUS)*time.Microsecond)
+	return gatherReply(reply), nil
+}
+
+// gatherBy is when a group that has not come is taken for lost.
+func gatherBy(r *executor.Request) time.Time {
+	objective := r.Service.Config.Objective
+	if by := r.Start.Add(gatherObjectives * objective); objective > 0 && by.Before(r.Deadline) {
+		return by
+	}
+	return r.Deadline
+}
+
+// gatherRequest names a group's shards on the wire.
+func gatherRequest(r *executor.Request, g executor.Group) *peerapi.Gather {
+	up := &r.View.Upstreams[g.Upstream]
+	out := &peerapi.Gather{Service: r.Service.Config.Name, Upstream: up.Name}
+	shards := 0
+	set := keyrange.NewSet(g.Ranges...)
+	for i := range up.Shards {
+		if set.Contains(up.Shards[i].Range) {
+			shards++
+		}
+	}
+	for _, k := range g.Ranges {
+		out.Ranges = append(out.Ranges, peerapi.Range{k.From, k.To})
+	}
+	out.Least = gather.Least(shards, r.Service.Shards, r.Service.Config.LeastCoverage)
+	return out
+}
+
+// gatherReply takes a reply from the wire. One that tells nothing covers nothing.
+func gatherReply(reply *peerapi.ForwardReply) *executor.GatherReply {
+	g := reply.Gathered
+	if g == nil {
+		return &executor.GatherReply{}
+	}
+	return &executor.GatherReply{
+		Version: g.Index, Ranges: keyRanges(g.Ranges), Sent: g.Sent, Hedges: g.Hedges, Retries: g.Retries,
+		Carried: &gateway.Gathered{Signatures: g.Signatures, Body: reply.Body},
+	}
+}
+
+// keyRanges takes ranges from the wire.
+func keyRanges(list []peerapi.Range) []keyrange.Range {
+	out := make([]keyrange.Range, 0, len(list))
+	for _, r := range list {
+		out = append(out, keyrange.Range{From: r[0], To: r[1]})
+	}
+	return out
+}
+
+// logGather tells what came of a group.
+func (n *Node) logGather(r *executor.Request, g executor.Group, to fleet.Instance, reply *peerapi.ForwardReply, err error, spent time.Duration) {
+	d := telemetry.Decision{
+		Part: gatherPart, What: "gathered", Request: r.Passed.ID, Took: spent, Class: telemetry.Routine,
+		More: []any{"by", to.Name, "to_zone", g.Zone, "ranges", len(g.Ranges), "config", r.View.Generation, "hop", n.gatherHops.high()},
+	}
+	switch {
+	case err != nil && took(err):
+		d.What, d.Why, d.Class = "group lost", err.Error(), telemetry.Failure
+	case err != nil:
+		d.What, d.Why, d.Class = "group not taken", err.Error(), telemetry.Outcome
+	case reply.Gathered != nil:
+		d.Why = reply.Gathered.Refused
+		d.More = append(d.More, "parts", len(reply.Gathered.Signatures), "ran", time.Duration(reply.RunUS)*time.Microsecond)
+	}
+	n.log.Decide(d)
+}
+
+// offerGather says why this instance does not gather a group, or nothing. All parts
+// of an answer are of one configuration.
+func (n *Node) offerGather(v *view.View, r *peerapi.ForwardRequest) string {
+	switch {
+	case v.Generation != r.Version:
+		return "another configuration"
+	case onlyOf(v, r.Gather) == nil:
+		return "no such shards"
+	}
+	return ""
+}
+
+// onlyOf finds the shards that are asked for; nil: there are none such.
+func onlyOf(v *view.View, g *peerapi.Gather) []query.Group {
+	service := v.Services[g.Service]
+	if service == nil {
+		return nil
+	}
+	for _, i := range service.Upstreams {
+		if v.Upstreams[i].Name == g.Upstream {
+			return []query.Group{{Upstream: i, Ranges: keyRanges(g.Ranges)}}
+		}
+	}
+	return nil
+}
+
+// runGather gathers a group for another instance.
+func (n *Node) runGather(ctx context.Context, v *view.View, r *peerapi.ForwardRequest, handed gateway.Handed) *peerapi.ForwardReply {
+	reply := &peerapi.ForwardReply{Version: v.Generation}
+	if why := n.offerGather(v, r); why != "" {
+		reply.Gathered = &peerapi.Gathered{Refused: why} // it changed since the offer
+		return reply
+	}
+	began := time.Now()
+	got, err := n.gateway.Gather(ctx, v, gateway.Group{
+		Handed: handed, Service: v.Services[r.Gather.Service], Only: onlyOf(v, r.Gather), Least: r.Gather.Least,
+	})
+	if err != nil {
+		reply.Gathered = &peerapi.Gathered{Refused: err.Error()}
+		return reply
+	}
+	reply.Body = got.Body
+	reply.Gathered = &peerapi.Gathered{Index: got.Version, Signatures: got.Signatures, Sent: got.Sent, Hedges: got.Hedges, Retries: got.Retries}
+	for _, k := range got.Ranges {
+		reply.Gathered.Ranges = append(reply.Gathered.Ranges, peerapi.Range{k.From, k.To})
+	}
+	reply.RunUS = time.Since(began).Microseconds()
+	return reply
+}
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -108,12 +108,15 @@
 	fleet     *members
 	peers     *peer.Client
 	sharing   *sharing
-	hops      hops
-	gateway   *gateway.Gateway
-	view      atomic.Pointer[view.View]
-	current   atomic.Pointer[time.Time] // until when the view's configuration is the newest
-	limits    atomic.Pointer[catalog.Limits]
-	tunables  atomic.Pointer[Tunables]
+	// hops is what handing a request over takes within the zone, gatherHops what having
+	// a group gathered in another one does.
+	hops, gatherHops hops
+	zones            atomic.Pointer[shardZones]
+	gateway          *gateway.Gateway
+	view             atomic.Pointer[view.View]
+	current          atomic.Pointer[time.Time] // until when the view's configuration is the newest
+	limits           atomic.Pointer[catalog.Limits]
+	tunables         atomic.Pointer[Tunables]
 }
 
 // hostedPolicies are the policies of a hosted instance.
@@ -158,7 +161,7 @@
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, Sightings: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		RepeatSlack: n.fleet.repeatSlack, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
+		RepeatSlack: n.fleet.repeatSlack, Gatherer: n, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
@@ -213,6 +216,7 @@
 	n.leaves.Apply(targets(v))
 	n.executor.Follow(v)
 	n.limits.Store(&l)
+	n.zones.Store(zonesOf(v))
 	n.view.Store(v)
 	n.lifecycle.Serve()
 }
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -83,6 +83,13 @@
 	return m.fleet.Stronger(now)
 }
 
+// gatherers lists the instances of a zone that may gather parts for this one.
+func (m *members) gatherers(zone string, now time.Time) []fleet.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.Gatherers(zone, now)
+}
+
 // failed notes that a reader gave no news.
 func (m *members) failed(name string, now time.Time) {
 	m.mu.Lock()
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -70,13 +70,17 @@
 func (n *Node) handOver(ctx context.Context, to fleet.Instance, r *executor.Request, now time.Time) (*peerapi.ForwardReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	return n.peers.Forward(ctx, peer.Target{Instance: to.Name, Address: to.Peer}, n.forwardRequest(r, now, n.hops.high()), peer.Acceptance{Within: acceptWithin})
+}
+
+// forwardRequest is a request as it is handed over now, by a way that takes hop.
+func (n *Node) forwardRequest(r *executor.Request, now time.Time, hop time.Duration) *peerapi.ForwardRequest {
 	p := r.Passed
-	hop := n.hops.high()
-	return n.peers.Forward(ctx, peer.Target{Instance: to.Name, Address: to.Peer}, &peerapi.ForwardRequest{
+	return &peerapi.ForwardRequest{
 		Version: r.View.Generation, Request: p.ID, Method: p.Method, Target: p.Target, Host: p.Host, Header: p.Header, Body: p.Body,
 		SpentUS: (now.Sub(r.Start) + hop).Microseconds(), LeftUS: (r.Deadline.Sub(now) - hop).Microseconds(),
 		WayUS: r.Way.Microseconds(),
-	}, acceptWithin)
+	}
 }
 
 // took reports whether the other instance had taken the request over.
@@ -127,6 +131,8 @@
 	case v.Generation < r.Version:
 		n.control.hurry()
 		return "older configuration"
+	case r.Gather != nil:
+		return n.offerGather(v, r)
 	case !gateway.Routed(v, r.Host, r.Target):
 		return "no route"
 	}
@@ -137,11 +143,15 @@
 func (n *Node) RunOffered(ctx context.Context, r *peerapi.ForwardRequest) *peerapi.ForwardReply {
 	v := n.View()
 	now := time.Now()
-	reply := n.gateway.Run(ctx, v, gateway.Handed{
+	handed := gateway.Handed{
 		Passed: &leafclient.Passed{ID: r.Request, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body},
 		Start:  now.Add(-time.Duration(r.SpentUS) * time.Microsecond), Deadline: now.Add(time.Duration(r.LeftUS) * time.Microsecond),
 		Way: time.Duration(r.WayUS) * time.Microsecond,
-	})
+	}
+	if r.Gather != nil {
+		return n.runGather(ctx, v, r, handed)
+	}
+	reply := n.gateway.Run(ctx, v, handed)
 	return &peerapi.ForwardReply{
 		Version: v.Generation, Status: reply.Status, Header: reply.Header, Body: reply.Body, RunUS: time.Since(now).Microseconds(),
 	}
--- a/entry/peer/forward.go
+++ b/entry/peer/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -143,14 +144,28 @@
 // Error implements error.
 func (e *DeclinedError) Error() string { return "declined: " + e.Reason }
 
-// Forward hands a request over to a peer, which must accept it within the given
-// time. The error is a *NotAcceptedError, or says that the peer was lost after
-// that: the request may have run then.
-func (c *Client) Forward(ctx context.Context, t Target, r *peerapi.ForwardRequest, within time.Duration) (*peerapi.ForwardReply, error) {
+// Acceptance is how a peer takes a request over.
+type Acceptance struct {
+	// Within is the time that it may take to accept.
+	Within time.Duration
+	// Accepted is called when it has, before the word to run goes out, which does
+	// not if it returns false; nil: it always goes out.
+	Accepted func() bool
+}
+
+// ErrRecalled is the cause of a NotAcceptedError where the word to run was not given.
+var ErrRecalled = errors.New("recalled before it ran")
+
+// Forward hands a request over to a peer. The error is a *NotAcceptedError, or says
+// that the peer was lost after it had accepted: the request may have run then.
+func (c *Client) Forward(ctx context.Context, t Target, r *peerapi.ForwardRequest, a Acceptance) (*peerapi.ForwardReply, error) {
 	r.ID = c.lastOffer.Add(1)
-	if err := c.offer(ctx, t, r, within); err != nil {
+	if err := c.offer(ctx, t, r, a.Within); err != nil {
 		return nil, &NotAcceptedError{Address: t.Address, Err: err}
 	}
+	if a.Accepted != nil && !a.Accepted() {
+		return nil, &NotAcceptedError{Address: t.Address, Err: ErrRecalled}
+	}
 	conn, err := c.conn(ctx, t)
 	if err != nil {
 		return nil, &NotAcceptedError{Address: t.Address, Err: err}
--- a/entry/peer/forward_test.go
+++ b/entry/peer/forward_test.go
@@ -64,10 +64,10 @@
 	}})
 	slow := make(chan error, 1)
 	go func() {
-		_, err := c.Forward(t.Context(), target, &peerapi.ForwardRequest{Request: "slow"}, long)
+		_, err := c.Forward(t.Context(), target, &peerapi.ForwardRequest{Request: "slow"}, Acceptance{Within: long})
 		slow <- err
 	}()
-	reply, err := c.Forward(t.Context(), target, &peerapi.ForwardRequest{Request: "fast", Version: 7}, long)
+	reply, err := c.Forward(t.Context(), target, &peerapi.ForwardRequest{Request: "fast", Version: 7}, Acceptance{Within: long})
 	if err != nil || string(reply.Body) != "fast" || reply.Version != 7 {
 		t.Errorf("reply %+v, %v", reply, err)
 	}
@@ -92,17 +92,17 @@
 		return ""
 	}})
 	var notAccepted *NotAcceptedError
-	if _, err := silent.Forward(t.Context(), silentTarget, &peerapi.ForwardRequest{}, time.Second); !errors.As(err, &notAccepted) {
+	if _, err := silent.Forward(t.Context(), silentTarget, &peerapi.ForwardRequest{}, Acceptance{Within: time.Second}); !errors.As(err, &notAccepted) {
 		t.Errorf("a silent peer: %v, want a NotAcceptedError", err)
 	}
 	close(wake)
 	<-awake
 	declining, target, _ := pair(t, forwarder{run: run, offered: func() string { return "older configuration" }})
 	var declined *DeclinedError
-	if _, err := declining.Forward(t.Context(), target, &peerapi.ForwardRequest{}, long); !errors.As(err, &notAccepted) || !errors.As(err, &declined) {
+	if _, err := declining.Forward(t.Context(), target, &peerapi.ForwardRequest{}, Acceptance{Within: long}); !errors.As(err, &notAccepted) || !errors.As(err, &declined) {
 		t.Errorf("a peer that declines: %v, want a NotAcceptedError with its reason", err)
 	}
-	if _, err := declining.Forward(t.Context(), Target{Instance: "none", Address: "127.0.0.1:1"}, &peerapi.ForwardRequest{}, time.Second); !errors.As(err, &notAccepted) {
+	if _, err := declining.Forward(t.Context(), Target{Instance: "none", Address: "127.0.0.1:1"}, &peerapi.ForwardRequest{}, Acceptance{Within: time.Second}); !errors.As(err, &notAccepted) {
 		t.Errorf("no peer: %v, want a NotAcceptedError", err)
 	}
 	if n := ran.Load(); n != 0 {
@@ -124,7 +124,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	forward := func(ctx context.Context) {
-		_, err := c.Forward(ctx, target, &peerapi.ForwardRequest{}, long)
+		_, err := c.Forward(ctx, target, &peerapi.ForwardRequest{}, Acceptance{Within: long})
 		done <- err
 	}
 	go forward(ctx)
--- a/kernel/dispatch/sharing.go
+++ b/kernel/dispatch/sharing.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/slowness"
 )
@@ -29,6 +31,21 @@
 	return out
 }
 
+// Away lists the shards whose next attempt would go to a leaf of another zone, by
+// their indexes in the view.
+func (m *Machine) Away(now time.Time) []int {
+	var out []int
+	for _, s := range m.shards {
+		if !m.gather(&attempt{shard: s}, now) {
+			continue
+		}
+		if i, _ := m.routing.Pick(m.candidates, now); !m.candidates[i].Local {
+			out = append(out, s.index)
+		}
+	}
+	return out
+}
+
 // told passes the word of other instances to the routing policy.
 func (m *Machine) told(list []slowness.Slow) {
 	sharer, ok := m.routing.(plugin.Sharer)
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -155,6 +155,22 @@
 	return out
 }
 
+// Gatherers lists the instances of another zone that may gather parts for this one:
+// those that are not passed over and not far weaker than its strongest, by name.
+func (f *Fleet) Gatherers(zone string, now time.Time) []Instance {
+	var out []Instance
+	strongest := 0.0
+	for _, name := range slices.Sorted(maps.Keys(f.members)) {
+		m := f.members[name]
+		if m.instance.Zone != zone || now.Before(m.passTo) {
+			continue
+		}
+		out = append(out, m.instance)
+		strongest = max(strongest, m.instance.Power)
+	}
+	return slices.DeleteFunc(out, func(i Instance) bool { return i.Power*strongEnough <= strongest && strongest > 0 })
+}
+
 // rank orders the instances alike everywhere.
 func rank(i Instance) uint64 { return xxhash.Sum64String(i.Zone + "\x00" + i.Name) }
 
--- a/kernel/query/attempt.go
+++ b/kernel/query/attempt.go
@@ -37,7 +37,8 @@
 type attempt struct {
 	view    *view.View // of its offer, by which its events name leaves
 	part    int
-	leaf    int // as its Sent named it
+	group   []int // all parts of a group, part first; nil for an attempt of one part
+	leaf    int   // as its Sent named it
 	version uint64
 	sentAt  time.Duration // since the query's start
 	state   attemptState
@@ -63,6 +64,9 @@
 	}
 	m.setState(a, state)
 	m.parts[a.part].live.drop(id)
+	for _, i := range a.group {
+		m.parts[i].live.drop(id)
+	}
 	m.liveCount--
 	return a
 }
@@ -109,6 +113,10 @@
 	m.setState(a, stateSent)
 	a.leaf = ev.Leaf
 	a.sentAt = now.Sub(m.cfg.Start)
+	if a.group != nil {
+		m.sentGroup(a)
+		return
+	}
 	m.noteTried(a, ev.Leaf)
 	m.parts[a.part].reached = true
 	m.parts[a.part].runs++
--- a/kernel/query/check_test.go
+++ b/kernel/query/check_test.go
@@ -107,8 +107,11 @@
 func (w *world) checkResult(r query.Result) {
 	w.t.Helper()
 	reply, ok := w.honest[string(r.Body)]
+	if key, group := r.Carried.(string); group {
+		reply, ok = w.honest[key]
+	}
 	if !ok {
-		w.t.Fatalf("result %s was late, repeated or crossed", r.Body)
+		w.t.Fatalf("result %s %v was late, repeated or crossed", r.Body, r.Carried)
 	}
 	if reply.Version != w.answer.Version {
 		w.t.Fatalf("a result of version %d in an answer of version %d", reply.Version, w.answer.Version)
@@ -144,7 +147,10 @@
 	w.t.Helper()
 	sent, hedges, retries := 0, 0, 0
 	for _, a := range w.attempts {
-		if !a.sent {
+		sent += a.told.Sent
+		hedges += a.told.Hedges
+		retries += a.told.Retries
+		if !a.sent || a.group != nil {
 			continue
 		}
 		sent++
--- a/kernel/query/config.go
+++ b/kernel/query/config.go
@@ -55,6 +55,13 @@
 	// SettleBefore is how long before its objective an answer is due, so that it
 	// reaches the caller in time; 0 means a fifth of the objective.
 	SettleBefore time.Duration
+	// Groups are parts that other instances are to gather; see Group.
+	Groups []Group
+	// Only limits the query to whole shards, for an instance that gathers them for
+	// another, and Least is the share of all keys from which such a query is settled
+	// then, in place of the service's. Nil: all shards.
+	Only  []Group
+	Least float64
 	// Canary runs one part alone before the rest.
 	Canary bool
 	// Suspect marks a fingerprint that was on a leaf that broke: one part
--- a/kernel/query/gate.go
+++ b/kernel/query/gate.go
@@ -113,12 +113,22 @@
 			continue
 		}
 		m.withdraw(AttemptID(i + 1))
-		p := &m.parts[a.part]
+		if a.group != nil {
+			m.hold(a.group)
+			continue
+		}
 		if !a.hedge {
-			p.tries--
+			m.parts[a.part].tries--
 		}
-		if p.live.n == 0 {
-			p.state = partWaiting
+		m.hold([]int{a.part})
+	}
+}
+
+// hold lets parts wait that nothing asks for any more.
+func (m *Machine) hold(parts []int) {
+	for _, i := range parts {
+		if m.idle(i) {
+			m.parts[i].state = partWaiting
 		}
 	}
 }
--- /dev/null
+++ b/kernel/query/group_test.go
@@ -0,0 +1,207 @@
+package query_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// drawGroups draws the shards that another instance is to gather.
+func drawGroups(t *rapid.T, w *world) []query.Group {
+	var out []query.Group
+	for u := range w.view.Upstreams {
+		g := query.Group{Upstream: u}
+		for _, s := range w.view.Upstreams[u].Shards {
+			if rapid.IntRange(0, 2).Draw(t, "grouped") == 0 {
+				g.Ranges = append(g.Ranges, s.Range)
+			}
+		}
+		if len(g.Ranges) > 0 {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// offeredGroup checks the offer of a group and records it as one attempt.
+func (w *world) offeredGroup(o query.OfferGroup) {
+	w.t.Helper()
+	if !w.idem {
+		w.t.Fatalf("a group is offered of a request that may run only once")
+	}
+	if w.gated && !w.replied {
+		w.t.Fatalf("a group is offered, and nothing has shown that the request is safe")
+	}
+	g := &w.groups[o.Group]
+	part := query.Part{Upstream: g.Upstream, Range: g.Ranges[0]}
+	w.attempts = append(w.attempts, &tried{
+		offer: query.Offer{Attempt: o.Attempt, Part: part, Version: o.Version}, view: w.view, clean: true, group: g, leaf: view.NoLeaf,
+	})
+	if int(o.Attempt) != len(w.attempts) {
+		w.t.Fatalf("group offered as attempt %d after %d", o.Attempt, len(w.attempts)-1)
+	}
+}
+
+// advanceGroup lets a group be accepted, refused, answered or lost.
+func (w *world) advanceGroup(t *rapid.T, id query.AttemptID) {
+	a := w.attempts[id-1]
+	if !a.sent {
+		if rapid.IntRange(0, 2).Draw(t, "accepted") == 0 {
+			a.ended = true
+			w.handle(query.NotSent{Attempt: id, Reason: query.ReasonNotAccepted})
+			return
+		}
+		a.sent, a.clean = true, false
+		w.handle(query.Sent{Attempt: id, Leaf: view.NoLeaf})
+		return
+	}
+	switch rapid.IntRange(0, 4).Draw(t, "group") {
+	case 0:
+		a.ended = true
+		w.handle(query.Broken{Attempt: id, Leaf: view.NoLeaf, Cause: "lost"})
+	case 1:
+		w.gather(id, query.Gathered{Version: max(a.offer.Version, 1), Ranges: []keyrange.Range{{To: keySpace + 1}}}, false)
+	default:
+		var covered []keyrange.Range
+		for _, r := range a.group.Ranges {
+			if rapid.Bool().Draw(t, "covered") {
+				covered = append(covered, r)
+			}
+		}
+		version := rapid.SampledFrom([]uint64{max(a.offer.Version, 1), 9}).Draw(t, "version")
+		w.gather(id, query.Gathered{Version: version, Ranges: covered, Sent: 3, Hedges: 1}, version != 9 || a.offer.Version == 0)
+	}
+}
+
+// gather delivers the reply to a group; true says that it is due to be accepted.
+func (w *world) gather(id query.AttemptID, g query.Gathered, due bool) {
+	w.t.Helper()
+	a := w.attempts[id-1]
+	w.serial++
+	key := fmt.Sprintf("group %d", w.serial)
+	g.Attempt, g.Carried = id, key
+	if a.live() {
+		a.told = g
+		if due && len(g.Ranges) > 0 {
+			w.honest[key] = query.Reply{Version: g.Version, Ranges: g.Ranges}
+			w.replied = true
+		}
+	}
+	a.ended = true
+	w.handle(g)
+}
+
+// groupWorld begins a query over eight shards of which another instance gathers three.
+func groupWorld(t *testing.T, attempts int) *world {
+	service := document.Service{Idempotent: true, Objective: 100 * time.Millisecond, LeastCoverage: 0.5, Attempts: attempts}
+	w := newWorld(t, service, grid("a", 8, 3))
+	cfg := w.config(&tokens{retries: 100})
+	shards := w.view.Upstreams[0].Shards
+	cfg.Groups = []query.Group{{Ranges: []keyrange.Range{shards[1].Range, shards[2].Range, shards[6].Range}}}
+	w.begin(cfg)
+	if n := len(w.attempts); n != 6 || w.attempts[0].group == nil {
+		t.Fatalf("%d attempts, want one of the group and five of the other shards", n)
+	}
+	return w
+}
+
+// answerRest lets the leaves answer all attempts but the group's.
+func (w *world) answerRest() {
+	for i := 1; i < len(w.attempts); i++ {
+		if a := w.attempts[i]; a.live() && !a.sent {
+			w.send(a.offer.Attempt, w.allowed(a.offer)[0])
+			w.honestAnswer(a.offer.Attempt, w.sentTo[a.offer.Attempt], false)
+		}
+	}
+}
+
+// TestGroupIsOneReply takes a group's reply in, whole or in part, and only once.
+func TestGroupIsOneReply(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		covered int
+		share   float64
+		outcome query.Outcome
+	}{{"whole", 3, 1, query.Complete}, {"in part", 2, 7.0 / 8, query.Partial}, {"nothing", 0, 5.0 / 8, query.Partial}} {
+		w := groupWorld(t, 2)
+		w.handle(query.Sent{Attempt: 1, Leaf: view.NoLeaf})
+		w.attempts[0].sent, w.attempts[0].clean = true, false
+		w.gather(1, query.Gathered{Version: 1, Ranges: w.groups[0].Ranges[:tc.covered], Sent: 4}, true)
+		w.handle(query.Gathered{Attempt: 1, Version: 1, Ranges: w.groups[0].Ranges, Sent: 4, Carried: "again"})
+		w.answerRest()
+		if w.answer == nil || w.answer.Share != tc.share || w.answer.Outcome != tc.outcome {
+			t.Fatalf("%s: answer %+v, want share %v", tc.name, w.answer, tc.share)
+		}
+		if w.answer.Sent != 9 || w.answer.Groups != 1 {
+			t.Errorf("%s: %d sent by %d groups, want 9 by 1", tc.name, w.answer.Sent, w.answer.Groups)
+		}
+		for _, m := range w.answer.Missing {
+			if m.Reason != query.MissingNotGathered {
+				t.Errorf("%s: %v is missing as %s", tc.name, m.Part, m.Reason)
+			}
+		}
+	}
+}
+
+// TestGroupNotAcceptedIsAskedHere asks the leaves where nobody took the group over.
+func TestGroupNotAcceptedIsAskedHere(t *testing.T) {
+	w := groupWorld(t, 2)
+	w.attempts[0].ended = true
+	w.handle(query.NotSent{Attempt: 1, Reason: query.ReasonNotAccepted})
+	w.answerRest()
+	if w.answer == nil || w.answer.Outcome != query.Complete || w.answer.Retries != 0 {
+		t.Fatalf("answer %+v, want a complete one without retries", w.answer)
+	}
+}
+
+// TestLostGroupIsNotAskedAgain loses the instance that had taken a group over: it may
+// have made all the attempts that the route allows.
+func TestLostGroupIsNotAskedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		attempts, asked int
+	}{{2, 0}, {0, 3}} {
+		w := groupWorld(t, tc.attempts)
+		before := len(w.attempts)
+		w.handle(query.Sent{Attempt: 1, Leaf: view.NoLeaf})
+		w.attempts[0].sent, w.attempts[0].clean, w.attempts[0].ended = true, false, true
+		w.handle(query.Broken{Attempt: 1, Leaf: view.NoLeaf, Cause: "lost"})
+		if got := len(w.attempts) - before; got != tc.asked {
+			t.Errorf("%d attempts allowed: %d parts are asked again, want %d", tc.attempts, got, tc.asked)
+		}
+		w.answerRest()
+		if w.answer == nil || w.answer.Share < 5.0/8 {
+			t.Errorf("%d attempts allowed: answer %+v", tc.attempts, w.answer)
+		}
+	}
+}
+
+// TestOnlySomeShards runs what an instance gathers for another: it is settled by
+// the share that the other one can use, and asks nothing else.
+func TestOnlySomeShards(t *testing.T) {
+	service := document.Service{Idempotent: true, Objective: 100 * time.Millisecond, LeastCoverage: 0.9}
+	w := newWorld(t, service, grid("a", 8, 2))
+	cfg := w.config(&tokens{})
+	shards := w.view.Upstreams[0].Shards
+	cfg.Only = []query.Group{{Ranges: []keyrange.Range{shards[1].Range, shards[2].Range, shards[6].Range}}}
+	cfg.Least = 2.0 / 8
+	w.begin(cfg)
+	if n := len(w.attempts); n != 3 {
+		t.Fatalf("%d attempts, want 3", n)
+	}
+	for id := query.AttemptID(1); id <= 2; id++ {
+		w.send(id, w.allowed(w.attempts[id-1].offer)[0])
+		w.honestAnswer(id, w.sentTo[id], false)
+	}
+	w.now = w.now.Add(80 * time.Millisecond)
+	w.handle(query.Tick{})
+	if w.answer == nil || len(w.answer.Results) != 2 || w.answer.Reason != query.MissingSettled {
+		t.Fatalf("answer %+v, want two parts, settled", w.answer)
+	}
+}
--- a/kernel/query/machine.go
+++ b/kernel/query/machine.go
@@ -60,7 +60,7 @@
 }
 
 // counts are told in the answer.
-type counts struct{ sent, hedges, retries, ignored int }
+type counts struct{ sent, hedges, retries, ignored, groups int }
 
 // New returns the machine of one query; Begin starts it.
 func New(cfg Config) *Machine {
@@ -99,6 +99,8 @@
 		m.notSent(ev, now)
 	case Broken:
 		m.broken(ev, now)
+	case Gathered:
+		m.gathered(ev, now)
 	case ViewChanged:
 		m.viewChanged(ev.View, now)
 	case Cleared:
@@ -184,10 +186,21 @@
 // hopeless reports whether the least coverage is out of reach and nothing has
 // run yet: then a refusal now is worth more than a useless answer later.
 func (m *Machine) hopeless() bool {
-	least := m.cfg.Service.Config.LeastCoverage
+	if m.cfg.Only != nil {
+		return false // whoever asked for it decides
+	}
+	least := m.least()
 	return m.mayHaveRun == 0 && m.given > 0 && 1-m.given < least-shareTolerance
 }
 
+// least is the share of all keys from which an answer is useful.
+func (m *Machine) least() float64 {
+	if m.cfg.Only != nil {
+		return m.cfg.Least
+	}
+	return m.cfg.Service.Config.LeastCoverage
+}
+
 // wish asks for a wake-up when the next one is earlier than that last told.
 func (m *Machine) wish(now time.Time) {
 	if m.finished || m.spaces == nil {
--- a/kernel/query/machine_test.go
+++ b/kernel/query/machine_test.go
@@ -49,6 +49,7 @@
 	cfg.Canary = rapid.Float64Range(0, 1).Draw(t, "canary") < 0.2
 	cfg.Suspect = rapid.Float64Range(0, 1).Draw(t, "suspect") < 0.2
 	cfg.Seed = rapid.Uint64().Draw(t, "seed")
+	cfg.Groups = drawGroups(t, w)
 	w.begin(cfg)
 	return w
 }
@@ -102,6 +103,8 @@
 	a := w.attempts[id-1]
 	switch {
 	case a.ended || (a.taken && !a.sent):
+	case a.group != nil:
+		w.advanceGroup(t, id)
 	case !a.sent:
 		w.advanceQueued(t, id)
 	default:
--- a/kernel/query/messages.go
+++ b/kernel/query/messages.go
@@ -123,6 +123,7 @@
 	ReasonDialFailed   DeclineReason = "dial_failed"   // no connection was made
 	ReasonNoLeaf       DeclineReason = "no_leaf"       // no leaf may take it
 	ReasonQuarantined  DeclineReason = "quarantined"   // the fingerprint is in quarantine
+	ReasonNotAccepted  DeclineReason = "not_accepted"  // no other instance took the group over
 )
 
 // Action is an output of the machine.
@@ -188,6 +189,8 @@
 	MissingCancelled = "cancelled"     // the caller went away
 	MissingMoved     = "version_moved" // the query went on to another version
 	MissingNoShard   = "no_shard"      // the configuration has no shard for it
+	// MissingNotGathered: another instance was asked for it and did not get it.
+	MissingNotGathered = "not_gathered"
 )
 
 // Missing is a part without a reply and why.
@@ -222,6 +225,9 @@
 	// Sent, Hedges, Retries and Ignored count attempts that reached a leaf,
 	// repetition, and replies that were late, repeated or crossed.
 	Sent, Hedges, Retries, Ignored int
+	// Groups counts those that other instances were to gather; what these sent is
+	// counted as sent where they told.
+	Groups int
 	// Moves counts changes of the pinned version.
 	Moves int
 	// SettledAt is when the answer was due without its missing parts; zero when it
--- a/kernel/query/outcome.go
+++ b/kernel/query/outcome.go
@@ -48,9 +48,7 @@
 // finish withdraws what is live and gives the answer. The cause is the reason
 // of the parts that are still open.
 func (m *Machine) finish(cause string) {
-	for i := range m.parts {
-		m.withdrawPart(i)
-	}
+	m.withdrawAll()
 	m.finished = true
 	m.act(Finish{Answer: m.answer(cause)})
 }
@@ -68,6 +66,7 @@
 		Hedges:  m.count.hedges,
 		Retries: m.count.retries,
 		Ignored: m.count.ignored,
+		Groups:  m.count.groups,
 		Moves:   m.moves,
 		Failure: m.failure,
 	}
--- a/kernel/query/part.go
+++ b/kernel/query/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
@@ -87,14 +88,32 @@
 			shards = shards[:1]
 		}
 		for s := range shards {
+			if !m.wanted(i, shards[s].Range) {
+				continue
+			}
 			for _, r := range t.covered.Missing(i, shards[s].Range) {
 				m.addPart(part{space: i, need: r, shard: s})
 			}
 		}
 	}
+	m.askGroups()
 	m.askAll()
 }
 
+// wanted reports whether the query asks for a shard at all.
+func (m *Machine) wanted(space int, shard keyrange.Range) bool {
+	if m.cfg.Only == nil {
+		return true
+	}
+	for _, g := range m.cfg.Only {
+		set := keyrange.NewSet(g.Ranges...)
+		if g.Upstream == m.spaces[space].first && set.Contains(shard) {
+			return true
+		}
+	}
+	return false
+}
+
 // shards returns the shards of a space in the current view; none when its
 // upstream is gone.
 func (m *Machine) shards(space int) []view.Shard {
@@ -241,12 +260,29 @@
 		return
 	}
 	p.state = partCovered
-	m.withdrawPart(i)
+}
+
+// coverAt settles a part and takes its other attempts back.
+func (m *Machine) coverAt(i int, now time.Time) {
+	m.cover(i)
+	m.withdrawPart(i, now)
 }
 
 // withdrawPart takes back all live attempts of a part.
-func (m *Machine) withdrawPart(i int) {
+func (m *Machine) withdrawPart(i int, now time.Time) {
 	for m.parts[i].live.n > 0 {
-		m.withdraw(m.parts[i].live.ids[0])
+		id := m.parts[i].live.ids[0]
+		if m.lookup(id).group != nil {
+			m.leave(id, i, now)
+			continue
+		}
+		m.withdraw(id)
+	}
+}
+
+// withdrawAll takes back all live attempts.
+func (m *Machine) withdrawAll() {
+	for i := range m.attempts {
+		m.withdraw(AttemptID(i + 1))
 	}
 }
--- a/kernel/query/reply.go
+++ b/kernel/query/reply.go
@@ -11,7 +11,7 @@
 // Any other reply is late, repeated or crossed: it is counted and dropped.
 func (m *Machine) reply(ev Reply, now time.Time) {
 	p := m.lookup(ev.Attempt)
-	if p == nil || p.state != stateSent || p.leaf != ev.Leaf {
+	if p == nil || p.group != nil || p.state != stateSent || p.leaf != ev.Leaf {
 		m.count.ignored++
 		return
 	}
@@ -108,7 +108,7 @@
 	missing := m.current().covered.Missing(p.space, p.need)
 	switch {
 	case len(missing) == 0:
-		m.cover(i)
+		m.coverAt(i, now)
 	case p.state != partOpen && p.state != partWaiting:
 	case i == replied && p.live.n > 0:
 		// A hedge is still running; it may bring the rest.
@@ -130,7 +130,7 @@
 		m.giveUp(i, MissingBadReply)
 		return
 	}
-	m.withdrawPart(i)
+	m.withdrawPart(i, now)
 	m.replan(i, leaf, held, now)
 }
 
@@ -140,7 +140,7 @@
 	if (c.Settle <= 0 && c.Objective <= 0) || !m.settle.IsZero() {
 		return
 	}
-	if m.share(m.best) >= c.LeastCoverage-shareTolerance {
+	if m.share(m.best) >= m.least()-shareTolerance {
 		m.settle = m.settleTime(now)
 	}
 }
--- a/kernel/query/retry.go
+++ b/kernel/query/retry.go
@@ -58,6 +58,10 @@
 	if a == nil {
 		return
 	}
+	if a.group != nil {
+		m.groupNotSent(*a)
+		return
+	}
 	m.retryAfter = max(m.retryAfter, ev.RetryAfter)
 	if ev.Reason == ReasonDialFailed {
 		m.noteTried(a, ev.Leaf)
@@ -86,6 +90,10 @@
 	}
 	m.end(ev.Attempt, stateBroken)
 	a := *p
+	if a.group != nil {
+		m.groupLost(a, now)
+		return
+	}
 	if ev.Carried != nil {
 		m.failure = ev.Carried
 	}
--- a/kernel/query/version.go
+++ b/kernel/query/version.go
@@ -146,9 +146,7 @@
 // move goes on with another version. What was received at the present one is
 // kept apart, in case that it stays the best.
 func (m *Machine) move(version uint64) {
-	for i := range m.parts {
-		m.withdrawPart(i)
-	}
+	m.withdrawAll()
 	m.version = version
 	m.moves++
 	m.plan()
--- a/kernel/query/world_test.go
+++ b/kernel/query/world_test.go
@@ -63,6 +63,8 @@
 	ended bool       // an end was delivered
 	taken bool       // withdrawn
 	clean bool       // proved not run
+	group *query.Group
+	told  query.Gathered // of a group: its reply
 }
 
 func (a *tried) live() bool { return !a.ended && !a.taken }
@@ -89,6 +91,7 @@
 	hedges   int
 	hedgeCap int
 	wake     time.Time
+	groups   []query.Group
 	sentTo   map[query.AttemptID]string // leaf IDs
 }
 
@@ -164,6 +167,7 @@
 
 func (w *world) begin(cfg query.Config) {
 	w.gated = cfg.Canary || cfg.Suspect
+	w.groups = cfg.Groups
 	w.machine = query.New(cfg)
 	w.handle(query.Begin{})
 }
@@ -189,6 +193,8 @@
 		switch act := act.(type) {
 		case query.Offer:
 			w.offered(act)
+		case query.OfferGroup:
+			w.offeredGroup(act)
 		case query.Withdraw:
 			a := w.attempts[act.Attempt-1]
 			if !a.live() {
