Let a group go on after its first reply

Cause: a gathering instance answered once, when the answer was due, and ended its attempts.

It now tells what it has when the answer is due, as an interim answer of its query's machine, and each part that comes later, until the asking instance has enough or the deadline. Nothing decides there what is enough, so the share that did is gone. A group of which nothing has come half an objective late is taken for lost.

Ruled out: a stricter share for each group (the others' spare parts are not known), asking the missing parts here (the route's attempts are spent).

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -13,6 +13,7 @@
 	MethodNews      = "news"      // NewsRequest -> News
 	MethodOffer     = "offer"     // ForwardRequest -> OfferReply: nothing is run yet
 	MethodRun       = "run"       // ForwardID -> ForwardReply: runs what was offered, once
+	MethodRest      = "rest"      // ForwardID -> ForwardReply: what came since the last reply, when something has
 	MethodCancel    = "cancel"    // ForwardID: the client has gone
 )
 
@@ -157,26 +158,27 @@
 	Gather *Gather `json:"gather,omitempty"`
 }
 
-// Gather names the shards that are asked for, and from when on their parts are enough.
+// Gather names the shards that are asked for.
 type Gather struct {
 	Service  string `json:"service"`
 	Upstream string `json:"upstream"`
 	// Ranges are whole shards.
 	Ranges []Range `json:"ranges"`
-	// Least is the share of the upstream's keys from which the reply need not wait.
-	Least float64 `json:"least"`
 }
 
 // Range is a key range, its end excluded.
 type Range [2]uint64
 
-// Gathered is what came of a Gather; the reply's body is merged of its parts.
+// Gathered is what came of a Gather since the last reply; the reply's body is merged
+// of its parts.
 type Gathered struct {
 	// Index is the index version of the parts.
 	Index  uint64  `json:"index"`
 	Ranges []Range `json:"ranges"`
 	// Signatures are those of the parts, one a shard.
 	Signatures []string `json:"signatures"`
+	// Going says that more may come: MethodRest waits for it.
+	Going bool `json:"going,omitempty"`
 	// Sent, Hedges and Retries count the attempts at leaves.
 	Sent    int `json:"sent"`
 	Hedges  int `json:"hedges,omitempty"`
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -119,7 +119,7 @@
 	r.repetition = r.service.repetition.Load()
 	r.groups = e.plan(req, mode)
 	r.machine = query.New(query.Config{
-		Groups: parts(r.groups), Only: req.Only, Least: req.Least,
+		Groups: parts(r.groups), Only: req.Only,
 		View: req.View, Service: req.Service, Start: req.Start, Deadline: req.Deadline,
 		Versions:     r.versions,
 		Budget:       r.repetition,
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -47,9 +47,10 @@
 	// instance; 0 where that is not known.
 	Way time.Duration
 	// Only, if it is set, limits the request to the shards that this instance gathers
-	// for another, and Least is the share of all keys from which it is settled.
-	Only  []query.Group
-	Least float64
+	// for another. Interim is told what there is when an answer is due, and again with
+	// each part that comes later; it must not block.
+	Only    []query.Group
+	Interim func(*query.Answer)
 }
 
 // way is Way, or what is assumed of it.
--- a/entry/executor/gather.go
+++ b/entry/executor/gather.go
@@ -17,10 +17,11 @@
 	// Plan says which parts of a request others are to gather; nil: none. The shards
 	// that are away would be asked of leaves in other zones.
 	Plan(r *Request, upstream int, away []int) []Group
-	// Gather has a group of Plan's gathered. Other instances run nothing before sent
-	// has been called, once, and has returned true. The error is a *NotGatheredError
-	// where nothing has run; after any other the parts may have run.
-	Gather(ctx context.Context, r *Request, g Group, sent func() bool) (*GatherReply, error)
+	// Gather has a group of Plan's gathered and returns with its end; each reply is
+	// given to got. Other instances run nothing before sent has been called, once, and
+	// has returned true. The error is a *NotGatheredError where nothing has run; after
+	// any other the parts may have run.
+	Gather(ctx context.Context, r *Request, g Group, sent func() bool, got func(*GatherReply)) error
 }
 
 // Group is parts of a query that an instance of a zone is to gather.
@@ -29,10 +30,12 @@
 	Zone string
 }
 
-// GatherReply is what another instance gathered.
+// GatherReply is what another instance has gathered since its last reply.
 type GatherReply struct {
 	Version uint64 // of the index
 	Ranges  []keyrange.Range
+	// Going says that more replies may come.
+	Going bool
 	// Sent, Hedges and Retries count its attempts.
 	Sent, Hedges, Retries int
 	// Carried is handed on with the answer.
@@ -104,15 +107,9 @@
 func (r *run) gather(ctx context.Context, o query.OfferGroup, g *gathering) {
 	defer g.cancel()
 	group := r.groups[o.Group]
-	reply, err := r.executor.config.Gatherer.Gather(ctx, r.request, group, func() bool { return r.mayGather(o.Attempt, g) })
+	sent := func() bool { return r.mayGather(o.Attempt, g) }
+	err := r.executor.config.Gatherer.Gather(ctx, r.request, group, sent, func(reply *GatherReply) { r.gathered(o.Attempt, reply) })
 	if err == nil {
-		if len(reply.Ranges) > 0 {
-			r.sawRun()
-		}
-		r.mail.put(query.Gathered{
-			Attempt: o.Attempt, Version: reply.Version, Ranges: reply.Ranges,
-			Sent: reply.Sent, Hedges: reply.Hedges, Retries: reply.Retries, Carried: reply.Carried,
-		})
 		return
 	}
 	r.tellNotGathered(ctx, err)
@@ -124,6 +121,17 @@
 	r.mail.put(query.Broken{Attempt: o.Attempt, Leaf: view.NoLeaf, Cause: "gathering instance lost"})
 }
 
+// gathered passes a reply to the query.
+func (r *run) gathered(id query.AttemptID, reply *GatherReply) {
+	if len(reply.Ranges) > 0 {
+		r.sawRun()
+	}
+	r.mail.put(query.Gathered{
+		Attempt: id, Version: reply.Version, Ranges: reply.Ranges, Going: reply.Going,
+		Sent: reply.Sent, Hedges: reply.Hedges, Retries: reply.Retries, Carried: reply.Carried,
+	})
+}
+
 // mayGather tells the machine that another instance may run the group from now on,
 // and reports whether it may; see maySend.
 func (r *run) mayGather(id query.AttemptID, g *gathering) bool {
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -169,6 +169,8 @@
 		r.timer.Reset(max(time.Until(action.At), 0))
 	case query.Verdict:
 		r.verdict(action)
+	case query.Interim:
+		r.request.Interim(&action.Answer)
 	case query.Finish:
 		answer := action.Answer
 		r.answer = &answer
--- a/entry/gateway/gather.go
+++ b/entry/gateway/gather.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"sync"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
@@ -16,12 +16,12 @@
 	Handed
 	Service *view.Service
 	Only    []query.Group
-	// Least is the share of all keys from which the parts are enough.
-	Least float64
 }
 
 // Gathered is what came of it: parts of one configuration, merged into one.
 type Gathered struct {
+	// Going says that more may come.
+	Going bool
 	// Version is the index version of the parts.
 	Version uint64
 	Ranges  []keyrange.Range
@@ -32,26 +32,89 @@
 	Sent, Hedges, Retries int
 }
 
-// Gather gathers parts of a request for another instance, by the given view. The
-// error, if any, is an *executor.RefusedError: nothing has run.
-func (g *Gateway) Gather(ctx context.Context, v *view.View, group Group) (*Gathered, error) {
-	answer, err := g.config.Executor.Forward(ctx, &executor.Request{
-		View: v, Service: group.Service, Caller: passedCaller, Start: group.Start, Deadline: group.Deadline,
-		Way: group.Way, Passed: group.Passed, Only: group.Only, Least: group.Least,
-	})
-	if err != nil {
-		return nil, err
+// Gathering is a group in progress.
+type Gathering struct {
+	gateway *Gateway
+	group   Group
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	answer *query.Answer // the newest; nil before the first is due
+	done   bool
+	err    error
+	told   map[keyrange.Range]bool // by the first range of a result
+	sent   attempts                // told
+}
+
+// attempts counts them.
+type attempts struct{ sent, hedges, retries int }
+
+// Gather begins to gather parts of a request for another instance, by the given
+// view. It goes on until the context ends or all is there.
+func (g *Gateway) Gather(ctx context.Context, v *view.View, group Group) *Gathering {
+	x := &Gathering{gateway: g, group: group, wake: make(chan struct{}, 1), told: make(map[keyrange.Range]bool)}
+	go func() {
+		answer, err := g.config.Executor.Forward(ctx, &executor.Request{
+			View: v, Service: group.Service, Caller: passedCaller, Start: group.Start, Deadline: group.Deadline,
+			Way: group.Way, Passed: group.Passed, Only: group.Only, Interim: func(a *query.Answer) { x.set(a, nil, false) },
+		})
+		x.set(answer, err, true)
+	}()
+	return x
+}
+
+// set takes the newest answer.
+func (x *Gathering) set(answer *query.Answer, err error, done bool) {
+	x.mu.Lock()
+	x.answer, x.err, x.done = answer, err, done
+	x.mu.Unlock()
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Next waits until there is something to tell that was not told before. The error is
+// an *executor.RefusedError, where nothing has run, or the context's.
+func (x *Gathering) Next(ctx context.Context) (*Gathered, error) {
+	for {
+		select {
+		case <-x.wake:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+		got, err := x.news()
+		if got != nil || err != nil {
+			return got, err
+		}
 	}
-	out := &Gathered{Version: answer.Version, Sent: answer.Sent, Hedges: answer.Hedges, Retries: answer.Retries}
+}
+
+// news is what was not told yet; nil: nothing.
+func (x *Gathering) news() (*Gathered, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.err != nil {
+		return nil, x.err
+	}
+	first := len(x.told) == 0
+	out := &Gathered{Going: !x.done, Version: x.answer.Version}
 	var parts merging
-	for _, r := range answer.Results {
-		if parts.add(r) {
-			out.Ranges = append(append(out.Ranges, r.Part.Range), r.More...)
+	for _, r := range x.answer.Results {
+		if x.told[r.Part.Range] || !parts.add(r) {
+			continue
 		}
+		x.told[r.Part.Range] = true
+		out.Ranges = append(append(out.Ranges, r.Part.Range), r.More...)
+	}
+	if len(out.Ranges) == 0 && !first && !x.done {
+		return nil, nil
 	}
 	out.Signatures = parts.signatures
-	out.Body = g.config.Combiner.Combine(parts.bodies, group.Service.Config.TopK)
-	g.config.Executor.Written(answer, time.Now())
+	out.Body = x.gateway.config.Combiner.Combine(parts.bodies, x.group.Service.Config.TopK)
+	now := attempts{x.answer.Sent, x.answer.Hedges, x.answer.Retries}
+	out.Sent, out.Hedges, out.Retries = now.sent-x.sent.sent, now.hedges-x.sent.hedges, now.retries-x.sent.retries
+	x.sent = now
 	return out, nil
 }
 
--- a/entry/hosted/gather.go
+++ b/entry/hosted/gather.go
@@ -22,10 +22,10 @@
 	// takeWithin is how long an instance of another zone may take to accept a group:
 	// opening a connection to it takes four round trips of up to 3 ms.
 	takeWithin = 20 * time.Millisecond
-	// gatherObjectives times the objective, or the deadline, is when a group that has
-	// not come is taken for lost: nothing shows a peer that lost its power, and what is
-	// left of the time is the caller's for another try.
-	gatherObjectives = 2
+	// gatherObjectives times the objective is when a group of which nothing has come is
+	// taken for lost: its first reply is due before the objective, nothing else shows a
+	// peer that lost its power, and what is left is the caller's for another try.
+	gatherObjectives = 1.5
 	// gatherPart is the prefix of lines about groups.
 	gatherPart = "gather"
 )
@@ -83,36 +83,55 @@
 var errNobody = errors.New("no instance of the zone is to be asked")
 
 // Gather implements executor.Gatherer.
-func (n *Node) Gather(ctx context.Context, r *executor.Request, g executor.Group, sent func() bool) (*executor.GatherReply, error) {
+func (n *Node) Gather(ctx context.Context, r *executor.Request, g executor.Group, sent func() bool, got func(*executor.GatherReply)) error {
 	now := time.Now()
 	candidates := n.fleet.gatherers(g.Zone, now)
 	if len(candidates) == 0 {
-		return nil, &executor.NotGatheredError{Err: errNobody}
+		return &executor.NotGatheredError{Err: errNobody}
 	}
 	to := candidates[rand.IntN(len(candidates))]
-	ctx, cancel := context.WithDeadline(ctx, gatherBy(r))
-	defer cancel()
 	request := n.forwardRequest(r, now, n.gatherHops.high())
 	request.Gather = gatherRequest(r, g)
-	reply, err := n.peers.Forward(ctx, peer.Target{Instance: to.Name, Address: to.Peer}, request, peer.Acceptance{Within: takeWithin, Accepted: sent})
+	reply, err := n.firstReply(ctx, r, to, request, sent)
 	n.logGather(r, g, to, reply, err, time.Since(now))
 	if err != nil {
 		if ctx.Err() == nil && blames(err) {
 			n.fleet.failed(to.Name, time.Now())
 		}
 		if took(err) {
-			return nil, err
+			return err
 		}
-		return nil, &executor.NotGatheredError{Err: err}
+		return &executor.NotGatheredError{Err: err}
 	}
 	n.gatherHops.observe(time.Since(now) - time.Duration(reply.RunUS)*time.Microsecond)
-	return gatherReply(reply), nil
+	for {
+		got(gatherReply(reply))
+		if reply.Gathered == nil || !reply.Gathered.Going {
+			return nil
+		}
+		if reply, err = n.peers.Rest(ctx, targetOf(to), request.ID); err != nil {
+			return err
+		}
+	}
 }
 
-// gatherBy is when a group that has not come is taken for lost.
+// targetOf is the address of an instance.
+func targetOf(i fleet.Instance) peer.Target {
+	return peer.Target{Instance: i.Name, Address: i.Peer}
+}
+
+// firstReply hands a group over and waits for its first reply.
+func (n *Node) firstReply(ctx context.Context, r *executor.Request, to fleet.Instance, request *peerapi.ForwardRequest, sent func() bool) (*peerapi.ForwardReply, error) {
+	ctx, cancel := context.WithDeadline(ctx, gatherBy(r))
+	defer cancel()
+	return n.peers.Forward(ctx, targetOf(to), request, peer.Acceptance{Within: takeWithin, Accepted: sent})
+}
+
+// gatherBy is when a group of which nothing has come is taken for lost.
 func gatherBy(r *executor.Request) time.Time {
 	objective := r.Service.Config.Objective
-	if by := r.Start.Add(gatherObjectives * objective); objective > 0 && by.Before(r.Deadline) {
+	by := r.Start.Add(time.Duration(gatherObjectives * float64(objective)))
+	if objective > 0 && by.Before(r.Deadline) {
 		return by
 	}
 	return r.Deadline
@@ -122,17 +141,9 @@
 func gatherRequest(r *executor.Request, g executor.Group) *peerapi.Gather {
 	up := &r.View.Upstreams[g.Upstream]
 	out := &peerapi.Gather{Service: r.Service.Config.Name, Upstream: up.Name}
-	shards := 0
-	set := keyrange.NewSet(g.Ranges...)
-	for i := range up.Shards {
-		if set.Contains(up.Shards[i].Range) {
-			shards++
-		}
-	}
 	for _, k := range g.Ranges {
 		out.Ranges = append(out.Ranges, peerapi.Range{k.From, k.To})
 	}
-	out.Least = gather.Least(shards, r.Service.Shards, r.Service.Config.LeastCoverage)
 	return out
 }
 
@@ -143,7 +154,7 @@
 		return &executor.GatherReply{}
 	}
 	return &executor.GatherReply{
-		Version: g.Index, Ranges: keyRanges(g.Ranges), Sent: g.Sent, Hedges: g.Hedges, Retries: g.Retries,
+		Version: g.Index, Ranges: keyRanges(g.Ranges), Going: g.Going, Sent: g.Sent, Hedges: g.Hedges, Retries: g.Retries,
 		Carried: &gateway.Gathered{Signatures: g.Signatures, Body: reply.Body},
 	}
 }
@@ -202,25 +213,37 @@
 }
 
 // runGather gathers a group for another instance.
-func (n *Node) runGather(ctx context.Context, v *view.View, r *peerapi.ForwardRequest, handed gateway.Handed) *peerapi.ForwardReply {
-	reply := &peerapi.ForwardReply{Version: v.Generation}
-	if why := n.offerGather(v, r); why != "" {
-		reply.Gathered = &peerapi.Gathered{Refused: why} // it changed since the offer
-		return reply
+func (n *Node) runGather(ctx context.Context, v *view.View, r *peerapi.ForwardRequest, handed gateway.Handed) (*peerapi.ForwardReply, peer.Rest) {
+	if why := n.offerGather(v, r); why != "" { // it changed since the offer
+		return &peerapi.ForwardReply{Version: v.Generation, Gathered: &peerapi.Gathered{Refused: why}}, nil
 	}
 	began := time.Now()
-	got, err := n.gateway.Gather(ctx, v, gateway.Group{
-		Handed: handed, Service: v.Services[r.Gather.Service], Only: onlyOf(v, r.Gather), Least: r.Gather.Least,
+	gathering := n.gateway.Gather(ctx, v, gateway.Group{
+		Handed: handed, Service: v.Services[r.Gather.Service], Only: onlyOf(v, r.Gather),
 	})
+	next := func(ctx context.Context) (*peerapi.ForwardReply, bool) {
+		reply := gatheredReply(gathering.Next(ctx))
+		reply.Version = v.Generation
+		reply.RunUS = time.Since(began).Microseconds()
+		return reply, reply.Gathered.Going
+	}
+	reply, going := next(ctx)
+	if !going {
+		return reply, nil
+	}
+	return reply, next
+}
+
+// gatheredReply writes what was gathered for the wire.
+func gatheredReply(got *gateway.Gathered, err error) *peerapi.ForwardReply {
 	if err != nil {
-		reply.Gathered = &peerapi.Gathered{Refused: err.Error()}
-		return reply
+		return &peerapi.ForwardReply{Gathered: &peerapi.Gathered{Refused: err.Error()}}
+	}
+	out := &peerapi.Gathered{
+		Index: got.Version, Signatures: got.Signatures, Going: got.Going, Sent: got.Sent, Hedges: got.Hedges, Retries: got.Retries,
 	}
-	reply.Body = got.Body
-	reply.Gathered = &peerapi.Gathered{Index: got.Version, Signatures: got.Signatures, Sent: got.Sent, Hedges: got.Hedges, Retries: got.Retries}
 	for _, k := range got.Ranges {
-		reply.Gathered.Ranges = append(reply.Gathered.Ranges, peerapi.Range{k.From, k.To})
+		out.Ranges = append(out.Ranges, peerapi.Range{k.From, k.To})
 	}
-	reply.RunUS = time.Since(began).Microseconds()
-	return reply
+	return &peerapi.ForwardReply{Body: got.Body, Gathered: out}
 }
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -70,7 +70,7 @@
 func (n *Node) handOver(ctx context.Context, to fleet.Instance, r *executor.Request, now time.Time) (*peerapi.ForwardReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	return n.peers.Forward(ctx, peer.Target{Instance: to.Name, Address: to.Peer}, n.forwardRequest(r, now, n.hops.high()), peer.Acceptance{Within: acceptWithin})
+	return n.peers.Forward(ctx, targetOf(to), n.forwardRequest(r, now, n.hops.high()), peer.Acceptance{Within: acceptWithin})
 }
 
 // forwardRequest is a request as it is handed over now, by a way that takes hop.
@@ -140,7 +140,7 @@
 }
 
 // RunOffered implements peer.ForwardHandler.
-func (n *Node) RunOffered(ctx context.Context, r *peerapi.ForwardRequest) *peerapi.ForwardReply {
+func (n *Node) RunOffered(ctx context.Context, r *peerapi.ForwardRequest) (*peerapi.ForwardReply, peer.Rest) {
 	v := n.View()
 	now := time.Now()
 	handed := gateway.Handed{
@@ -154,7 +154,7 @@
 	reply := n.gateway.Run(ctx, v, handed)
 	return &peerapi.ForwardReply{
 		Version: v.Generation, Status: reply.Status, Header: reply.Header, Body: reply.Body, RunUS: time.Since(now).Microseconds(),
-	}
+	}, nil
 }
 
 // hops guards by a lock what is known of the time that a hand-over takes beside
--- a/entry/peer/forward.go
+++ b/entry/peer/forward.go
@@ -66,36 +66,89 @@
 	if r == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "no such offer"}
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if !s.begin(id.ID, cancel) {
+	in := &running{}
+	in.ctx, in.cancel = context.WithCancel(ctx)
+	if !s.begin(id.ID, in) {
+		in.cancel()
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "the connection has ended"}
 	}
-	defer s.end(id.ID)
-	reply := s.server.config.Forward.RunOffered(ctx, r)
-	if ctx.Err() != nil {
-		// A run that was ended has no answer of its own to give. Without this look, one
-		// that the end of this instance cut off was told as if it were whole.
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "the run was ended"}
+	reply, rest := s.server.config.Forward.RunOffered(in.ctx, r)
+	if in.ctx.Err() != nil {
+		s.end(id.ID)
+		return nil, errEnded()
+	}
+	if rest == nil {
+		s.end(id.ID)
+		return reply, nil
+	}
+	s.mu.Lock()
+	in.rest = rest
+	s.mu.Unlock()
+	time.AfterFunc(time.Duration(r.LeftUS)*time.Microsecond, func() { s.end(id.ID) })
+	return reply, nil
+}
+
+// errEnded answers for a run that was ended: it has no answer of its own to give.
+// Without it, one that the end of this instance cut off was told as if it were whole.
+func errEnded() error {
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "the run was ended"}
+}
+
+// running is a request in progress.
+type running struct {
+	ctx    context.Context // of the run, which outlives a call where there is a rest
+	cancel context.CancelFunc
+	rest   Rest // nil until the first reply
+}
+
+// rest waits for what a run brings after its first reply.
+func (s *session) rest(req *jsonrpc2.Request) (any, error) {
+	var id peerapi.ForwardID
+	if err := params(req, &id); err != nil {
+		return nil, err
+	}
+	in, rest := s.goesOn(id.ID)
+	if rest == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "no such run"}
+	}
+	reply, going := rest(in.ctx)
+	if in.ctx.Err() != nil {
+		return nil, errEnded()
+	}
+	if !going {
+		s.end(id.ID)
 	}
 	return reply, nil
 }
 
+// goesOn finds a run that has given its first reply; rest is nil without one.
+func (s *session) goesOn(id uint64) (in *running, rest Rest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if in = s.running[id]; in == nil {
+		return nil, nil
+	}
+	return in, in.rest
+}
+
 // begin notes a request in progress.
-func (s *session) begin(id uint64, cancel context.CancelFunc) bool {
+func (s *session) begin(id uint64, in *running) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.running == nil {
 		return false
 	}
-	s.running[id] = cancel
+	s.running[id] = in
 	return true
 }
 
-// end forgets it.
+// end ends it.
 func (s *session) end(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if in := s.running[id]; in != nil {
+		in.cancel()
+	}
 	delete(s.running, id)
 }
 
@@ -106,11 +159,7 @@
 		return nil, err
 	}
 	s.take(id.ID)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cancel := s.running[id.ID]; cancel != nil {
-		cancel()
-	}
+	s.end(id.ID)
 	return struct{}{}, nil
 }
 
@@ -118,8 +167,8 @@
 func (s *session) cancelAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, cancel := range s.running {
-		cancel()
+	for _, in := range s.running {
+		in.cancel()
 	}
 	s.offers, s.running = nil, nil
 }
@@ -170,10 +219,25 @@
 	if err != nil {
 		return nil, &NotAcceptedError{Address: t.Address, Err: err}
 	}
+	return c.follow(ctx, conn, t, peerapi.MethodRun, r.ID)
+}
+
+// Rest waits for what a run brings after its first reply. It ends the run where the
+// context ends first.
+func (c *Client) Rest(ctx context.Context, t Target, id uint64) (*peerapi.ForwardReply, error) {
+	conn, err := c.conn(ctx, t)
+	if err != nil {
+		return nil, &UnreachableError{Address: t.Address, Method: peerapi.MethodRest, Err: err}
+	}
+	return c.follow(ctx, conn, t, peerapi.MethodRest, id)
+}
+
+// follow calls for a reply of a run, and ends the run if none comes.
+func (c *Client) follow(ctx context.Context, conn *jsonrpc2.Conn, t Target, method string, id uint64) (*peerapi.ForwardReply, error) {
 	var reply peerapi.ForwardReply
-	if err := conn.Call(ctx, peerapi.MethodRun, peerapi.ForwardID{ID: r.ID}, &reply); err != nil {
-		c.cancelForward(conn, r.ID)
-		return nil, &UnreachableError{Address: t.Address, Method: peerapi.MethodRun, Err: err}
+	if err := conn.Call(ctx, method, peerapi.ForwardID{ID: id}, &reply); err != nil {
+		c.cancelForward(conn, id)
+		return nil, &UnreachableError{Address: t.Address, Method: method, Err: err}
 	}
 	return &reply, nil
 }
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -37,13 +37,18 @@
 	News(r peerapi.NewsRequest) *peerapi.News
 }
 
+// Rest waits for the next reply of a run and says whether more may come.
+type Rest func(ctx context.Context) (reply *peerapi.ForwardReply, going bool)
+
 // ForwardHandler runs requests that other instances hand over.
 type ForwardHandler interface {
 	// Offer says why a request would not be run here, "" when it would. It runs
 	// nothing.
 	Offer(from string, r *peerapi.ForwardRequest) (declined string)
-	// RunOffered runs a request that was offered before.
-	RunOffered(ctx context.Context, r *peerapi.ForwardRequest) *peerapi.ForwardReply
+	// RunOffered runs a request that was offered before. Rest, if it is not nil, gives
+	// what comes after the reply; the run goes on until Rest says that nothing does, or
+	// the context ends.
+	RunOffered(ctx context.Context, r *peerapi.ForwardRequest) (reply *peerapi.ForwardReply, rest Rest)
 }
 
 // ServerConfig says who the server is.
@@ -99,7 +104,7 @@
 		_ = conn.Close()
 		return
 	}
-	session := &session{server: s, nonce: newNonce(), offers: make(map[uint64]*peerapi.ForwardRequest), running: make(map[uint64]context.CancelFunc)}
+	session := &session{server: s, nonce: newNonce(), offers: make(map[uint64]*peerapi.ForwardRequest), running: make(map[uint64]*running)}
 	// Calls run beside each other: a request that is handed over takes its time.
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(session.handle))
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), handler, quietly)
@@ -143,7 +148,7 @@
 	// offers wait for the word to run them; running are those in progress. Both
 	// are nil once the connection has ended.
 	offers  map[uint64]*peerapi.ForwardRequest
-	running map[uint64]context.CancelFunc
+	running map[uint64]*running
 }
 
 // peer returns the proved instance, or "".
@@ -170,6 +175,8 @@
 		return s.offer(from, req)
 	case peerapi.MethodRun:
 		return s.run(ctx, req)
+	case peerapi.MethodRest:
+		return s.rest(req)
 	case peerapi.MethodCancel:
 		return s.cancel(req)
 	}
--- a/kernel/gather/gather.go
+++ b/kernel/gather/gather.go
@@ -79,14 +79,3 @@
 	}
 	return out
 }
-
-// Least is the share of all shards from which a group's gatherer may settle, by the
-// least coverage of the whole answer: as long as the group lacks no more shards than
-// the answer may. The group has n of all shards.
-func Least(n, all int, coverage float64) float64 {
-	mayLack := int((1-coverage)*float64(all) + tolerance)
-	return float64(max(0, n-mayLack)) / float64(all)
-}
-
-// tolerance keeps (1-0.9) x 10 from being less than 1.
-const tolerance = 1e-9
--- a/kernel/query/config.go
+++ b/kernel/query/config.go
@@ -58,10 +58,8 @@
 	// Groups are parts that other instances are to gather; see Group.
 	Groups []Group
 	// Only limits the query to whole shards, for an instance that gathers them for
-	// another, and Least is the share of all keys from which such a query is settled
-	// then, in place of the service's. Nil: all shards.
-	Only  []Group
-	Least float64
+	// another; nil: all shards. Such a query gives interim answers and is not settled.
+	Only []Group
 	// Canary runs one part alone before the rest.
 	Canary bool
 	// Suspect marks a fingerprint that was on a leaf that broke: one part
--- a/kernel/query/group.go
+++ b/kernel/query/group.go
@@ -7,8 +7,9 @@
 )
 
 // Group is a part of the query that another instance is asked to gather: whole
-// shards of one upstream. That instance asks their leaves, repeats within its own
-// limits, and replies once with all that it got.
+// shards of one upstream. That instance asks their leaves and repeats within its own
+// limits. It replies when an answer is due with all that it has, and again with each
+// part that comes later.
 type Group struct {
 	Upstream int // index in the view of the start
 	Ranges   []keyrange.Range
@@ -22,21 +23,28 @@
 	Version uint64
 }
 
-// Gathered is the one reply of an instance that gathered a group. Every part of the
-// group that it does not cover is given up: the repetition that the route allows has
-// been made there.
+// Gathered is a reply of the instance that gathers a group. What its last one leaves
+// uncovered is given up: the repetition that the route allows has been made there.
 type Gathered struct {
 	Attempt AttemptID
 	Version uint64
-	// Ranges are covered; none is a reply too.
+	// Ranges are covered by this reply; none is a reply too.
 	Ranges []keyrange.Range
-	// Sent, Hedges and Retries count that instance's attempts.
+	// Going says that more replies may come.
+	Going bool
+	// Sent, Hedges and Retries count that instance's attempts since its last reply.
 	Sent, Hedges, Retries int
 	// Carried is the runtime's own, handed on with the answer unread.
 	Carried any
 }
 
+// Interim is what a query of some shards only has when an answer is due, and again
+// with each part that comes later. It goes on until all is there or the deadline:
+// whoever asked for it knows whether the whole answer is useful without the rest.
+type Interim struct{ Answer Answer }
+
 func (OfferGroup) isAction() {}
+func (Interim) isAction()    {}
 func (Gathered) isEvent()    {}
 
 // askGroups offers the groups, each as one attempt of all of its parts. A request
@@ -97,19 +105,40 @@
 		m.count.ignored++
 		return
 	}
-	m.end(ev.Attempt, stateReplied)
-	a := *p
 	m.count.sent += ev.Sent
 	m.count.hedges += ev.Hedges
 	m.count.retries += ev.Retries
-	if m.takeGroup(a, ev) {
+	if m.takeGroup(*p, ev) {
 		m.checkSettle(now)
 	}
-	for _, i := range a.group {
+	if ev.Going {
+		m.shrink(ev.Attempt, p)
+		return
+	}
+	m.end(ev.Attempt, stateReplied)
+	for _, i := range p.group {
 		m.settleGrouped(i, MissingNotGathered)
 	}
 }
 
+// shrink settles the parts of a group that are covered; the others are awaited.
+func (m *Machine) shrink(id AttemptID, a *attempt) {
+	var left []int
+	for _, i := range a.group {
+		p := &m.parts[i]
+		if !m.current().covered.Covers(p.space, p.need) {
+			left = append(left, i)
+			continue
+		}
+		p.live.drop(id)
+		m.cover(i)
+	}
+	a.group = left
+	if len(left) == 0 {
+		m.end(id, stateReplied)
+	}
+}
+
 // takeGroup keeps what a group's reply covers. Nothing of a reply is taken that
 // states another version, or keys that are not of the group or are held already.
 func (m *Machine) takeGroup(a attempt, ev Gathered) bool {
@@ -195,3 +224,16 @@
 		}
 	}
 }
+
+// tellInterim gives what a query of some shards only has so far, once it is due.
+func (m *Machine) tellInterim(now time.Time) {
+	if m.cfg.Only == nil || m.finished || m.settle.IsZero() || now.Before(m.settle) {
+		return
+	}
+	share := m.share(m.version)
+	if m.told && share <= m.toldShare {
+		return
+	}
+	m.told, m.toldShare = true, share
+	m.act(Interim{Answer: m.answer(MissingSettled)})
+}
--- a/kernel/query/machine.go
+++ b/kernel/query/machine.go
@@ -36,11 +36,14 @@
 	// mayHaveRun is the number of attempts that are not proved not run.
 	mayHaveRun int
 
-	gate    gate
-	hedges  hedgeQueue
-	settle  time.Time // when the rest is not waited for any more
-	wake    time.Time // the wish last told
-	slowest time.Duration
+	gate   gate
+	hedges hedgeQueue
+	settle time.Time // when the rest is not waited for any more
+	// told and toldShare are of the last interim answer.
+	told      bool
+	toldShare float64
+	wake      time.Time // the wish last told
+	slowest   time.Duration
 
 	count      counts
 	retryAfter time.Duration
@@ -79,6 +82,7 @@
 	m.apply(ev, now)
 	m.fireHedges(now)
 	m.conclude(now)
+	m.tellInterim(now)
 	m.nextProbe(now)
 	m.wish(now)
 	return m.out
@@ -139,6 +143,9 @@
 			m.spaces[i].hedgeAfter = m.cfg.HedgeAfter(u)
 		}
 	}
+	if m.cfg.Only != nil && m.cfg.Service.Config.Objective > 0 {
+		m.settle = m.settleTime(m.cfg.Start)
+	}
 	m.plan()
 }
 
@@ -174,7 +181,7 @@
 		m.finish("")
 	case !now.Before(m.cfg.Deadline):
 		m.finish(MissingDeadline)
-	case !m.settle.IsZero() && !now.Before(m.settle):
+	case m.cfg.Only == nil && !m.settle.IsZero() && !now.Before(m.settle):
 		m.finish(MissingSettled)
 	case m.tryMove(now):
 		m.conclude(now)
@@ -189,16 +196,11 @@
 	if m.cfg.Only != nil {
 		return false // whoever asked for it decides
 	}
-	least := m.least()
-	return m.mayHaveRun == 0 && m.given > 0 && 1-m.given < least-shareTolerance
-}
-
-// least is the share of all keys from which an answer is useful.
-func (m *Machine) least() float64 {
 	if m.cfg.Only != nil {
-		return m.cfg.Least
+		return false // whoever asked for these shards knows what is enough
 	}
-	return m.cfg.Service.Config.LeastCoverage
+	least := m.cfg.Service.Config.LeastCoverage
+	return m.mayHaveRun == 0 && m.given > 0 && 1-m.given < least-shareTolerance
 }
 
 // wish asks for a wake-up when the next one is earlier than that last told.
@@ -207,7 +209,7 @@
 		return
 	}
 	at := m.cfg.Deadline
-	if !m.settle.IsZero() && m.settle.Before(at) {
+	if !m.settle.IsZero() && m.settle.Before(at) && !m.told {
 		at = m.settle
 	}
 	if due, ok := m.hedges.next(); ok && due.Before(at) {
--- a/kernel/query/reply.go
+++ b/kernel/query/reply.go
@@ -140,7 +140,7 @@
 	if (c.Settle <= 0 && c.Objective <= 0) || !m.settle.IsZero() {
 		return
 	}
-	if m.share(m.best) >= m.least()-shareTolerance {
+	if m.share(m.best) >= c.LeastCoverage-shareTolerance {
 		m.settle = m.settleTime(now)
 	}
 }
--- a/kernel/query/world_test.go
+++ b/kernel/query/world_test.go
@@ -92,6 +92,7 @@
 	hedgeCap int
 	wake     time.Time
 	groups   []query.Group
+	interim  []query.Answer
 	sentTo   map[query.AttemptID]string // leaf IDs
 }
 
@@ -204,6 +205,8 @@
 			a.clean = !a.sent
 		case query.WakeAt:
 			w.wake = act.At
+		case query.Interim:
+			w.interim = append(w.interim, act.Answer)
 		case query.Finish:
 			if i != len(actions)-1 {
 				w.t.Fatalf("Finish is not the last action")
