Judge a leaf that states no service time by the attempts that found room

The log shows parts that waited 20 to 45 ms in the instance's own queue for leaves with idle slots: the limit in flight had fallen to 1. It takes the least latency for the service time, and the two kinds of request differ by a factor of three. Eight instances hid that; now that the two or three of a zone ask its leaves, it starves them.

The test fails on the code before: the limit is 1 for mixed work without a queue.

--- a/plugins/adaptivelimit/adaptivelimit.go
+++ b/plugins/adaptivelimit/adaptivelimit.go
@@ -67,20 +67,34 @@
 	}
 }
 
-// learn updates the averages. A leaf that does not state its service time is
-// taken to serve in the least latency seen lately.
+// learn updates the averages.
 func (p *policy) learn(s plugin.Sample, now time.Time) {
+	if s.Service <= 0 {
+		p.guess(s)
+		return
+	}
 	outside := s.Latency - s.Service
 	least := p.floor.observe(outside, now)
-	wait, service := (outside - least).Seconds(), s.Service.Seconds()
-	if s.Service <= 0 {
-		service = least.Seconds()
+	if p.service == 0 {
+		p.service = s.Service.Seconds()
 	}
+	p.wait += gain * ((outside - least).Seconds() - p.wait)
+	p.service += gain * (s.Service.Seconds() - p.service)
+}
+
+// guess is for a leaf that does not state its service time: it is taken to serve in the
+// mean latency of the attempts that found room to spare, which wait least. The least
+// latency is no measure where requests differ: with work of 4 and 11 ms the limit fell to
+// 1 at moderate load, and the two or three instances that ask a leaf left its slots idle.
+func (p *policy) guess(s plugin.Sample) {
+	latency := s.Latency.Seconds()
 	if p.service == 0 {
-		p.service = service
+		p.service = latency
+	}
+	if !s.Saturated {
+		p.service += gain * (latency - p.service)
 	}
-	p.wait += gain * (wait - p.wait)
-	p.service += gain * (service - p.service)
+	p.wait += gain * (max(0, latency-p.service) - p.wait)
 }
 
 // lowest is the least of two windows, so that an old floor is forgotten.
--- a/plugins/adaptivelimit/adaptivelimit_test.go
+++ b/plugins/adaptivelimit/adaptivelimit_test.go
@@ -91,3 +91,26 @@
 		t.Fatalf("limit %d although the latency rose twentyfold, want 1", p.Limit())
 	}
 }
+
+// TestMixedWorkKeepsTheLimit gives replies of a leaf that does not state its service
+// time: work that differs from request to request leaves the limit alone, and a queue
+// inside the leaf does not.
+func TestMixedWorkKeepsTheLimit(t *testing.T) {
+	p := newLimit(3)
+	mixed := []time.Duration{2, 4, 6, 11, 16, 11, 3, 12}
+	run := func(n int, queued time.Duration) {
+		for i := range n {
+			latency := mixed[i%len(mixed)]*time.Millisecond + queued
+			// Two of three find that the limit is not reached, while there is no queue.
+			p.Finished(plugin.Sample{OK: true, Latency: latency, Saturated: queued > 0 || i%3 == 0}, start.Add(time.Duration(i)*time.Millisecond))
+		}
+	}
+	run(300, 0)
+	if p.Limit() != 3 {
+		t.Errorf("limit %d for mixed work without a queue, want the share 3", p.Limit())
+	}
+	run(300, 80*time.Millisecond)
+	if p.Limit() != 1 {
+		t.Errorf("limit %d with a queue of 80 ms, want 1", p.Limit())
+	}
+}
