Meter reasons, what is left of the repeats' limit, and groups

Requests were counted by outcome and not by reason, and what was left of the fleet's limit on repeats was in no metric: on call had only the log for both. Answers that are not complete and refusals now count by the reason that their log line has; each instance tells the least number of repeats left at any shard and counts those refused for want of room; groups count by outcome, and the two learnt hops are gauges.

--- a/entry/executor/arrivals.go
+++ b/entry/executor/arrivals.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -47,6 +48,23 @@
 	return a.window(up, shard).TakeRepeat(now)
 }
 
+// left is the least number of repeats that fit at any shard now; 0 shards: none known.
+func (a *arrivals) left(now time.Time) (least float64, shards int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	least = math.Inf(1)
+	for _, w := range a.windows {
+		least = min(least, w.Left(now))
+	}
+	return least, len(a.windows)
+}
+
+// RepeatsLeft is the least number of repeats that this instance may still make at any
+// of so many shards.
+func (e *Executor) RepeatsLeft(now time.Time) (least float64, shards int) {
+	return e.arrivals.left(now)
+}
+
 // window returns the window of a shard with this instance's part of the limit.
 // The lock is held.
 func (a *arrivals) window(up *view.Upstream, shard int) *kernelrepetition.Window {
@@ -70,5 +88,9 @@
 	if upstream < 0 || upstream >= len(r.view.Upstreams) {
 		return false
 	}
-	return r.executor.arrivals.take(&r.view.Upstreams[upstream], shard, now)
+	if r.executor.arrivals.take(&r.view.Upstreams[upstream], shard, now) {
+		return true
+	}
+	r.service.metrics.RepeatsRefused.Inc(1)
+	return false
 }
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -22,11 +23,12 @@
 // the request provably ran nowhere.
 func (e *Executor) Execute(ctx context.Context, req *Request) (*Response, error) {
 	var resp *Response
-	err := e.counted(req, func() (outcome string, err error) {
+	err := e.counted(req, func() (ending, error) {
+		var err error
 		if resp, err = e.execute(ctx, req); err != nil {
-			return "", err
+			return ending{}, err
 		}
-		return resp.Answer.Outcome, nil
+		return ending{resp.Answer.Outcome, resp.Answer.Reason}, nil
 	})
 	if err != nil {
 		return nil, err
@@ -40,11 +42,12 @@
 // error, if any, is a *RefusedError.
 func (e *Executor) Forward(ctx context.Context, req *Request) (*query.Answer, error) {
 	var answer *query.Answer
-	err := e.counted(req, func() (outcome string, err error) {
+	err := e.counted(req, func() (ending, error) {
+		var err error
 		if _, answer, err = e.fanOut(ctx, req); err != nil {
-			return "", err
+			return ending{}, err
 		}
-		return string(answer.Outcome), nil
+		return ending{string(answer.Outcome), answer.Reason}, nil
 	})
 	if err != nil {
 		return nil, err
@@ -52,24 +55,36 @@
 	return answer, nil
 }
 
+// ending is how a query ended, for the metrics.
+type ending struct{ outcome, reason string }
+
+// endingOf is that of a query that was refused.
+func endingOf(err error) ending {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return ending{refusedLabel, string(refused.Reason)}
+	}
+	return ending{refusedLabel, "internal"}
+}
+
 // counted runs a query within the bound of those in progress and meters it.
-func (e *Executor) counted(req *Request, run func() (outcome string, err error)) error {
+func (e *Executor) counted(req *Request, run func() (ending, error)) error {
 	e.inFlight.Add(1)
 	defer e.inFlight.Done()
 	running := e.running.Add(1)
 	defer e.running.Add(-1)
 	meter := e.service(req.Service).metrics
-	var outcome string
+	var end ending
 	var err error
 	if e.config.MaxQueries > 0 && running > int64(e.config.MaxQueries) {
 		err = refuse(RefusedOverloaded, jitter(leastRetryAfter), "too many queries are in progress at this instance")
 	} else {
-		outcome, err = run()
+		end, err = run()
 	}
 	if err != nil {
-		outcome = refusedLabel
+		end = endingOf(err)
 	}
-	meter.Observe(outcome, time.Since(req.Start))
+	meter.Observe(end.outcome, end.reason, time.Since(req.Start))
 	return err
 }
 
--- a/entry/executor/gather.go
+++ b/entry/executor/gather.go
@@ -110,14 +110,19 @@
 	sent := func() bool { return r.mayGather(o.Attempt, g) }
 	err := r.executor.config.Gatherer.Gather(ctx, r.request, group, sent, func(reply *GatherReply) { r.gathered(o.Attempt, reply) })
 	if err == nil {
+		r.service.metrics.Group(telemetry.GroupGathered)
 		return
 	}
 	r.tellNotGathered(ctx, err)
 	var not *NotGatheredError
 	if errors.As(err, &not) {
+		r.service.metrics.Group(telemetry.GroupNotTaken)
 		r.mail.put(query.NotSent{Attempt: o.Attempt, Reason: query.ReasonNotAccepted})
 		return
 	}
+	if ctx.Err() == nil { // else nobody waited for it any more
+		r.service.metrics.Group(telemetry.GroupLost)
+	}
 	r.mail.put(query.Broken{Attempt: o.Attempt, Leaf: view.NoLeaf, Cause: "gathering instance lost"})
 }
 
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -43,6 +43,7 @@
 
 // logRefusal says why a request was not passed on.
 func (g *Gateway) logRefusal(r *http.Request, f *refusal, start time.Time) {
+	g.config.Metrics.Refused(f.detail)
 	more := []any{"status", f.status, "host", r.Host, "path", firstPart(originForm(r.RequestURI)), "retry_after", f.retryAfter}
 	if v := g.config.Views.View(); v != nil {
 		more = append(more, "config", v.Generation, "current", g.config.Views.Current())
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -71,6 +71,7 @@
 	Combiner  plugin.Combiner
 	Relay     Relay // nil: none
 	Log       *telemetry.Log
+	Metrics   *telemetry.Metrics
 }
 
 // Gateway is the HTTP handler.
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -127,10 +127,12 @@
 	n := c.node
 	configAge, leavesAge := n.ages()
 	dials, open := n.leaves.Opened()
+	repeatsLeft, limited := n.executor.RepeatsLeft(now)
 	stateMeter{n.metrics.Scope.SubScope("hosted")}.observe(state{
 		configAge: configAge.Seconds(), leavesAge: leavesAge.Seconds(), version: c.catalog.Version(),
 		leaves: c.catalog.Leaves(), slowLeaves: len(n.sharing.slow(now)), instances: n.fleet.size(),
 		connections: open, dials: dials, running: n.executor.Running(), logDrops: n.log.Dropped(),
+		repeatsLeft: repeatsLeft, limitedShards: limited, hop: n.hops.high().Seconds(), gather: n.gatherHops.high().Seconds(),
 	})
 }
 
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -169,7 +169,7 @@
 	}
 	n.gateway = gateway.New(gateway.Config{
 		Executor: n.executor, Views: n, Lifecycle: &n.lifecycle, Headers: c.Headers,
-		Combiner: newCombiner(), Relay: n, Log: log,
+		Combiner: newCombiner(), Relay: n, Log: log, Metrics: n.metrics,
 	})
 	return n, nil
 }
--- a/entry/hosted/meters.go
+++ b/entry/hosted/meters.go
@@ -16,6 +16,10 @@
 	dials, logDrops      int64
 	running              int64
 	slowLeaves           int
+	// repeatsLeft is the least number of repeats left at any of the limited shards.
+	repeatsLeft   float64
+	limitedShards int
+	hop, gather   float64 // seconds
 }
 
 // observe updates the gauges.
@@ -28,6 +32,11 @@
 	m.scope.Gauge("instances").Update(float64(s.instances))
 	m.scope.Gauge("leaf_connections").Update(float64(s.connections))
 	m.scope.Gauge("leaf_dials").Update(float64(s.dials))
+	if s.limitedShards > 0 {
+		m.scope.Gauge("repeats_left_least").Update(s.repeatsLeft)
+	}
+	m.scope.Gauge("hand_over_seconds").Update(s.hop)
+	m.scope.Gauge("gather_seconds").Update(s.gather)
 	m.scope.Gauge("queries_in_progress").Update(float64(s.running))
 	m.scope.Gauge("log_lines_dropped").Update(float64(s.logDrops))
 }
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -71,11 +71,27 @@
 	Retries tally.Counter
 	Ignored tally.Counter // replies that were late, repeated or crossed
 	Moves   tally.Counter // changes of the pinned version
-	queue   tally.Histogram
+	// RepeatsRefused counts repeats for which the shard's limit had no room.
+	RepeatsRefused tally.Counter
+	queue          tally.Histogram
 	// attempts are by outcome.
 	attempts [attemptOutcomes]tally.Counter
+	groups   map[GroupOutcome]tally.Counter
 }
 
+// GroupOutcome is what became of parts that another instance was asked to gather.
+type GroupOutcome string
+
+// The outcomes of groups.
+const (
+	GroupGathered GroupOutcome = "gathered"
+	GroupNotTaken GroupOutcome = "not_taken" // nothing ran there; the parts were asked here
+	GroupLost     GroupOutcome = "lost"      // the other instance, after it had taken it
+)
+
+// Group counts one group.
+func (s *ServiceMetrics) Group(outcome GroupOutcome) { s.groups[outcome].Inc(1) }
+
 // AttemptOutcome is how an attempt at a leaf ended.
 type AttemptOutcome uint8
 
@@ -112,6 +128,12 @@
 		Ignored: s.Counter("replies_ignored"),
 		Moves:   s.Counter("version_moves"),
 		queue:   s.Histogram("queue_seconds", latencyBuckets),
+		groups:  make(map[GroupOutcome]tally.Counter),
+
+		RepeatsRefused: s.Counter("repeats_refused"),
+	}
+	for _, outcome := range []GroupOutcome{GroupGathered, GroupNotTaken, GroupLost} {
+		out.groups[outcome] = s.Tagged(map[string]string{"outcome": string(outcome)}).Counter("groups")
 	}
 	for i, outcome := range attemptNames {
 		out.attempts[i] = s.Tagged(map[string]string{"outcome": outcome}).Counter("attempts")
@@ -119,8 +141,18 @@
 	return out
 }
 
-// Observe counts one answered query.
-func (s *ServiceMetrics) Observe(outcome string, took time.Duration) {
+// Refused counts a request that an instance refused before it found a service for it.
+// The reasons are few and fixed.
+func (m *Metrics) Refused(reason string) {
+	m.Scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
+}
+
+// Observe counts one answered query, with the reason for which it is not complete;
+// empty where it is. The reasons are the kernel's, few and fixed.
+func (s *ServiceMetrics) Observe(outcome, reason string, took time.Duration) {
 	s.scope.Tagged(map[string]string{"outcome": outcome}).Counter("queries").Inc(1)
+	if reason != "" {
+		s.scope.Tagged(map[string]string{"reason": reason}).Counter("incomplete").Inc(1)
+	}
 	s.latency.RecordDuration(took)
 }
