Tell a client that left from an instance that was lost

The line now says so, and counts as a plain outcome, so that it takes no failure's place in the log; so do groups that the answer did not wait for.

--- a/entry/hosted/gather.go
+++ b/entry/hosted/gather.go
@@ -93,7 +93,7 @@
 	request := n.forwardRequest(r, now, n.gatherHops.high())
 	request.Gather = gatherRequest(r, g)
 	reply, err := n.firstReply(ctx, r, to, request, sent)
-	n.logGather(r, g, to, reply, err, time.Since(now))
+	n.logGather(ctx, r, g, to, reply, err, time.Since(now))
 	if err != nil {
 		if ctx.Err() == nil && blames(err) {
 			n.fleet.failed(to.Name, time.Now())
@@ -169,12 +169,14 @@
 }
 
 // logGather tells what came of a group.
-func (n *Node) logGather(r *executor.Request, g executor.Group, to fleet.Instance, reply *peerapi.ForwardReply, err error, spent time.Duration) {
+func (n *Node) logGather(ctx context.Context, r *executor.Request, g executor.Group, to fleet.Instance, reply *peerapi.ForwardReply, err error, spent time.Duration) {
 	d := telemetry.Decision{
 		Part: gatherPart, What: "gathered", Request: r.Passed.ID, Took: spent, Class: telemetry.Routine,
 		More: []any{"by", to.Name, "to_zone", g.Zone, "ranges", len(g.Ranges), "config", r.View.Generation, "hop", n.gatherHops.high()},
 	}
 	switch {
+	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+		d.What, d.Why = "group not needed any more", err.Error()
 	case err != nil && took(err):
 		d.What, d.Why, d.Class = "group lost", err.Error(), telemetry.Failure
 	case err != nil:
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -47,7 +47,7 @@
 	to := stronger[rand.IntN(len(stronger))]
 	now := time.Now()
 	reply, err := n.handOver(ctx, to, r, now)
-	n.logRelay(r, to, err, time.Since(now))
+	n.logRelay(ctx, r, to, err, time.Since(now))
 	if err == nil {
 		if reply.Version > r.View.Generation {
 			n.control.hurry()
@@ -97,20 +97,32 @@
 }
 
 // logRelay tells what came of handing a request over.
-func (n *Node) logRelay(r *executor.Request, to fleet.Instance, err error, spent time.Duration) {
+func (n *Node) logRelay(ctx context.Context, r *executor.Request, to fleet.Instance, err error, spent time.Duration) {
 	d := telemetry.Decision{
 		Part: relayPart, What: "handed over", Request: r.Passed.ID, Took: spent,
 		More: []any{"to", to.Name, "config", r.View.Generation, "way", r.Way, "hop", n.hops.high()}, Class: telemetry.Outcome,
 	}
 	if err != nil {
-		d.What, d.Why, d.Class = "not handed over", err.Error(), telemetry.Failure
-		if took(err) {
-			d.What = "lost where it was handed over"
-		}
+		d.Why = err.Error()
+		d.What, d.Class = handedOverEnd(ctx, err)
 	}
 	n.log.Decide(d)
 }
 
+// handedOverEnd says what an error of a hand-over means. A client that has left ends it
+// too, which says nothing of the other instance: its lines hid those of instances that
+// were lost.
+func handedOverEnd(ctx context.Context, err error) (what string, class telemetry.Class) {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return "ended with its client", telemetry.Outcome
+	case took(err):
+		return "lost where it was handed over", telemetry.Failure
+	default:
+		return "not handed over", telemetry.Failure
+	}
+}
+
 // lostReply answers a request of which the other instance was lost: it may have
 // run, and neither status says otherwise.
 func lostReply(deadline time.Time) *gateway.Reply {
--- a/entry/hosted/relay_test.go
+++ b/entry/hosted/relay_test.go
@@ -143,6 +143,28 @@
 	}
 }
 
+// TestHandedOverEnd tells a client that has left from an instance that was lost.
+func TestHandedOverEnd(t *testing.T) {
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	lost := &peer.UnreachableError{Err: errors.New("reset")}
+	silent := &peer.NotAcceptedError{Err: context.DeadlineExceeded}
+	for _, tc := range []struct {
+		ctx  context.Context
+		err  error
+		what string
+	}{
+		{gone, lost, "ended with its client"},
+		{gone, silent, "ended with its client"},
+		{t.Context(), lost, "lost where it was handed over"},
+		{t.Context(), silent, "not handed over"},
+	} {
+		if what, _ := handedOverEnd(tc.ctx, tc.err); what != tc.what {
+			t.Errorf("%v: %q, want %q", tc.err, what, tc.what)
+		}
+	}
+}
+
 // TestHopIsBounded lets one hand-over take seconds: the next still gets its time.
 func TestHopIsBounded(t *testing.T) {
 	var h hops
