Gather shards where their good leaves are

Cause: a shard was grouped by the zones of all of its leaves. One whose leaf in the own zone sheds went to the zone that held the most of the others, although its good leaf was in a third one, and was asked across zones from there.

The routing policy now names the leaves that would be about as good as the best, and a shard is only grouped with their zones. With that the list of zones kept with each view is not needed.

--- a/entry/hosted/gather.go
+++ b/entry/hosted/gather.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/gateway"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/gather"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
@@ -30,46 +31,34 @@
 	gatherPart = "gather"
 )
 
-// shardZones are the zones of the leaves of each shard, by upstream and shard.
-type shardZones struct {
-	view  *view.View
-	zones [][][]string
-}
-
-// zonesOf lists where the leaves are that may take work.
-func zonesOf(v *view.View) *shardZones {
-	out := &shardZones{view: v, zones: make([][][]string, len(v.Upstreams))}
-	for i := range v.Upstreams {
-		shards := v.Upstreams[i].Shards
-		out.zones[i] = make([][]string, len(shards))
-		for s := range shards {
-			for _, l := range shards[s].Leaves {
-				if leaf := &v.Leaves[l]; !leaf.Leaving {
-					out.zones[i][s] = append(out.zones[i][s], leaf.Zone)
-				}
-			}
-		}
-	}
-	return out
-}
-
 // Plan implements executor.Gatherer. Only parts that a combiner merges are gathered
-// elsewhere, by the view that is in force: a query that began on an older one asks
-// its leaves itself.
-func (n *Node) Plan(r *executor.Request, upstream int, away []int) []executor.Group {
-	zones := n.zones.Load()
-	if r.Service.Config.TopK <= 0 || zones == nil || zones.view != r.View {
+// elsewhere.
+func (n *Node) Plan(r *executor.Request, upstream int, away []dispatch.Away) []executor.Group {
+	if r.Service.Config.TopK <= 0 {
 		return nil
 	}
 	now := time.Now()
 	able := func(zone string) bool { return zone != n.config.Zone && len(n.fleet.gatherers(zone, now)) > 0 }
 	var out []executor.Group
-	for _, g := range gather.Plan(zones.zones[upstream], away, able, rand.IntN) {
+	for _, g := range gather.Plan(zonesOf(r.View, away), able, rand.IntN) {
 		out = append(out, executor.Group{Zone: g.Zone, Group: query.Group{Upstream: upstream, Ranges: rangesOf(&r.View.Upstreams[upstream], g.Shards)}})
 	}
 	return out
 }
 
+// zonesOf tells in which zones shards could be gathered.
+func zonesOf(v *view.View, away []dispatch.Away) []gather.Shard {
+	out := make([]gather.Shard, 0, len(away))
+	for _, a := range away {
+		s := gather.Shard{Index: a.Shard}
+		for _, leaf := range a.Leaves {
+			s.Zones = append(s.Zones, v.Leaves[leaf].Zone)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
 // rangesOf are the keys of some shards, neighbours joined.
 func rangesOf(up *view.Upstream, shards []int) []keyrange.Range {
 	var set keyrange.Set
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -113,7 +113,6 @@
 	// hops is what handing a request over takes within the zone, gatherHops what having
 	// a group gathered in another one does.
 	hops, gatherHops hops
-	zones            atomic.Pointer[shardZones]
 	gateway          *gateway.Gateway
 	view             atomic.Pointer[view.View]
 	current          atomic.Pointer[time.Time] // until when the view's configuration is the newest
@@ -218,7 +217,6 @@
 	n.leaves.Apply(targets(v))
 	n.executor.Follow(v)
 	n.limits.Store(&l)
-	n.zones.Store(zonesOf(v))
 	n.view.Store(v)
 	n.lifecycle.Serve()
 }
--- a/kernel/dispatch/sharing.go
+++ b/kernel/dispatch/sharing.go
@@ -31,21 +31,44 @@
 	return out
 }
 
-// Away lists the shards whose next attempt would go to a leaf of another zone, by
-// their indexes in the view.
-func (m *Machine) Away(now time.Time) []int {
-	var out []int
+// Away is a shard whose next attempt would go to a leaf of another zone.
+type Away struct {
+	Shard int // index in the view
+	// Leaves are those that would be about as good, by their indexes in the view.
+	Leaves []int
+}
+
+// Away lists the shards whose next attempt would go to a leaf of another zone.
+func (m *Machine) Away(now time.Time) []Away {
+	var out []Away
 	for _, s := range m.shards {
 		if !m.gather(&attempt{shard: s}, now) {
 			continue
 		}
-		if i, _ := m.routing.Pick(m.candidates, now); !m.candidates[i].Local {
-			out = append(out, s.index)
+		good := m.comparable(now)
+		if m.candidates[good[0]].Local {
+			continue
+		}
+		a := Away{Shard: s.index}
+		for _, i := range good {
+			if !m.candidates[i].Local {
+				a.Leaves = append(a.Leaves, m.chosen[i].index)
+			}
 		}
+		out = append(out, a)
 	}
 	return out
 }
 
+// comparable lists the candidates that are about as good as the best, which is first.
+func (m *Machine) comparable(now time.Time) []int {
+	if c, ok := m.routing.(plugin.Comparer); ok {
+		return c.Comparable(m.candidates, now)
+	}
+	i, _ := m.routing.Pick(m.candidates, now)
+	return []int{i}
+}
+
 // told passes the word of other instances to the routing policy.
 func (m *Machine) told(list []slowness.Slow) {
 	sharer, ok := m.routing.(plugin.Sharer)
--- a/kernel/gather/gather.go
+++ b/kernel/gather/gather.go
@@ -11,19 +11,24 @@
 // Group is the work of one zone.
 type Group struct {
 	Zone   string
-	Shards []int // indexes as given to Plan
+	Shards []int // indexes
 }
 
-// Plan groups the shards that would be asked of leaves in other zones, which are away.
-// The zones of each shard's leaves are given by shard, and able says whether a zone has
-// an instance to ask; the own zone has none. The zone that holds the most of what is
-// left takes all of that; pick chooses one of so many equals. What no group takes is
-// asked directly.
-func Plan(shards [][]string, away []int, able func(zone string) bool, pick func(n int) int) []Group {
-	left := away
+// Shard is a shard that would be asked of a leaf in another zone.
+type Shard struct {
+	Index int
+	// Zones are those of its leaves that would be about as good.
+	Zones []string
+}
+
+// Plan groups shards by zone; able says whether a zone has an instance to ask. The zone
+// that holds the most of what is left takes all of that; pick chooses one of so many
+// equals. What no group takes is asked directly.
+func Plan(shards []Shard, able func(zone string) bool, pick func(n int) int) []Group {
+	left := shards
 	var out []Group
 	for len(left) >= leastParts {
-		zone, held := fullest(shards, left, able, pick)
+		zone, held := fullest(left, able, pick)
 		if len(held) < leastParts {
 			break
 		}
@@ -35,16 +40,16 @@
 
 // fullest is the zone with an instance to ask that holds the most of the shards, and
 // which it holds.
-func fullest(shards [][]string, among []int, able func(string) bool, pick func(int) int) (zone string, held []int) {
+func fullest(shards []Shard, able func(string) bool, pick func(int) int) (zone string, held []int) {
 	byZone := make(map[string][]int)
 	var zones []string // in the order of their first shard, so that the choice is pick's alone
-	for _, i := range among {
-		for _, z := range shards[i] {
+	for _, s := range shards {
+		for _, z := range s.Zones {
 			if byZone[z] == nil {
 				zones = append(zones, z)
 			}
-			if n := len(byZone[z]); n == 0 || byZone[z][n-1] != i {
-				byZone[z] = append(byZone[z], i)
+			if n := len(byZone[z]); n == 0 || byZone[z][n-1] != s.Index {
+				byZone[z] = append(byZone[z], s.Index)
 			}
 		}
 	}
@@ -67,15 +72,15 @@
 	return zone, byZone[zone]
 }
 
-// without is a sorted list less another one.
-func without(list, gone []int) []int {
-	var out []int
-	for _, i := range list {
-		if len(gone) > 0 && gone[0] == i {
+// without lists the shards less some, whose indexes are given in the same order.
+func without(shards []Shard, gone []int) []Shard {
+	var out []Shard
+	for _, s := range shards {
+		if len(gone) > 0 && gone[0] == s.Index {
 			gone = gone[1:]
 			continue
 		}
-		out = append(out, i)
+		out = append(out, s)
 	}
 	return out
 }
--- a/kernel/plugin/policy.go
+++ b/kernel/plugin/policy.go
@@ -87,6 +87,12 @@
 	Told(key int, took time.Duration, at time.Time)
 }
 
+// Comparer is a Routing that tells which candidates are about as good as the best.
+type Comparer interface {
+	// Comparable returns their indexes, the best one first.
+	Comparable(candidates []Candidate, now time.Time) []int
+}
+
 // Order decides which end of a queue is served.
 type Order interface {
 	// Queued reports, at a moment of service, which share of its time the
--- a/plugins/nearest/nearest.go
+++ b/plugins/nearest/nearest.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// about is by how much later than the best a candidate may be expected to answer and
+// still count as about as good: a tenth of the usual objective of a query over shards
+// (100 ms).
+const about = 0.010 // seconds
+
+// Comparable implements plugin.Comparer.
+func (p *policy) Comparable(candidates []plugin.Candidate, now time.Time) []int {
+	best := 0
+	costs := make([]float64, len(candidates))
+	for i, c := range candidates {
+		costs[i] = p.cost(c, now)
+		if costs[i] < costs[best] {
+			best = i
+		}
+	}
+	out := []int{best}
+	for i, cost := range costs {
+		if i != best && cost <= costs[best]+about {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // cost is the expected delay in seconds, with the price of crossing zones.
 func (p *policy) cost(c plugin.Candidate, now time.Time) float64 {
 	l := p.leaf(c.Key)
--- a/plugins/nearest/nearest_test.go
+++ b/plugins/nearest/nearest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,3 +118,21 @@
 		t.Error("a leaf that answered its probe is not usable")
 	}
 }
+
+// TestComparable lists the best candidate first, and those that are about as good.
+func TestComparable(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p := fixture(start)
+	const slow, fast = 2, 3
+	for range 20 {
+		reply(p, slow, 108*time.Millisecond, start)
+		reply(p, fast, 11*time.Millisecond, start)
+	}
+	candidates := []plugin.Candidate{{Key: slow}, {Key: remote}, {Key: fast}}
+	if got := p.(plugin.Comparer).Comparable(candidates, start); !slices.Equal(got, []int{2, 1}) {
+		t.Errorf("comparable %v, want the fast one and the other, and not the slow one", got)
+	}
+	if got := p.(plugin.Comparer).Comparable(append(candidates, plugin.Candidate{Key: local, Local: true}), start); !slices.Equal(got, []int{3}) {
+		t.Errorf("comparable %v, want the one of the own zone alone", got)
+	}
+}
