--- a/entry/executor/gather.go
+++ b/entry/executor/gather.go
@@ -52,10 +52,6 @@
 // Unwrap gives the cause.
 func (e *NotGatheredError) Unwrap() error { return e.Err }
 
-// ErrWithdrawn is the cause of a *NotGatheredError for a group that is not needed
-// any more.
-var ErrWithdrawn = errors.New("withdrawn before it ran")
-
 // gathering is one offered group. It is guarded by the run's lock.
 type gathering struct {
 	cancel    context.CancelFunc
--- a/kernel/query/group.go
+++ b/kernel/query/group.go
@@ -117,7 +117,7 @@
 	}
 	m.end(ev.Attempt, stateReplied)
 	for _, i := range p.group {
-		m.settleGrouped(i, MissingNotGathered)
+		m.settleGrouped(i)
 	}
 }
 
@@ -177,8 +177,8 @@
 	return sum == joint
 }
 
-// settleGrouped settles a part of a group that was answered or lost.
-func (m *Machine) settleGrouped(i int, reason string) {
+// settleGrouped settles a part of a group after its last reply.
+func (m *Machine) settleGrouped(i int) {
 	if !m.idle(i) {
 		return
 	}
@@ -186,7 +186,7 @@
 		m.cover(i)
 		return
 	}
-	m.giveUp(i, reason)
+	m.giveUp(i, MissingNotGathered)
 }
 
 // groupNotSent handles the word that no instance took the group over: its parts are
--- a/kernel/query/machine.go
+++ b/kernel/query/machine.go
@@ -60,6 +60,8 @@
 	hedgeAfter time.Duration
 	cells      []int // by cell of the grid: its first part plus one, 0 for none
 	order      []int // shards by start, built when first needed
+	// only are the keys that the query is limited to; nil: it is not.
+	only *keyrange.Set
 }
 
 // counts are told in the answer.
@@ -138,7 +140,7 @@
 	m.attempts = make([]attempt, 0, m.cfg.Service.Shards)
 	m.spaces = make([]space, len(upstreams))
 	for i, u := range upstreams {
-		m.spaces[i] = space{first: u, now: u}
+		m.spaces[i] = space{first: u, now: u, only: m.only(u)}
 		if m.cfg.HedgeAfter != nil {
 			m.spaces[i].hedgeAfter = m.cfg.HedgeAfter(u)
 		}
@@ -149,6 +151,23 @@
 	m.plan()
 }
 
+// only is the keys of an upstream that the query is limited to; nil: it is not.
+func (m *Machine) only(upstream int) *keyrange.Set {
+	if m.cfg.Only == nil {
+		return nil
+	}
+	var set keyrange.Set
+	for _, g := range m.cfg.Only {
+		if g.Upstream != upstream {
+			continue
+		}
+		for _, r := range g.Ranges {
+			set.Add(r)
+		}
+	}
+	return &set
+}
+
 // idempotent reports whether an attempt may be repeated after it may have run.
 func (m *Machine) idempotent() bool { return m.cfg.Service.Config.Idempotent }
 
@@ -193,9 +212,6 @@
 // hopeless reports whether the least coverage is out of reach and nothing has
 // run yet: then a refusal now is worth more than a useless answer later.
 func (m *Machine) hopeless() bool {
-	if m.cfg.Only != nil {
-		return false // whoever asked for it decides
-	}
 	if m.cfg.Only != nil {
 		return false // whoever asked for these shards knows what is enough
 	}
--- a/kernel/query/part.go
+++ b/kernel/query/part.go
@@ -88,7 +88,7 @@
 			shards = shards[:1]
 		}
 		for s := range shards {
-			if !m.wanted(i, shards[s].Range) {
+			if only := m.spaces[i].only; only != nil && !only.Contains(shards[s].Range) {
 				continue
 			}
 			for _, r := range t.covered.Missing(i, shards[s].Range) {
@@ -100,20 +100,6 @@
 	m.askAll()
 }
 
-// wanted reports whether the query asks for a shard at all.
-func (m *Machine) wanted(space int, shard keyrange.Range) bool {
-	if m.cfg.Only == nil {
-		return true
-	}
-	for _, g := range m.cfg.Only {
-		set := keyrange.NewSet(g.Ranges...)
-		if g.Upstream == m.spaces[space].first && set.Contains(shard) {
-			return true
-		}
-	}
-	return false
-}
-
 // shards returns the shards of a space in the current view; none when its
 // upstream is gone.
 func (m *Machine) shards(space int) []view.Shard {
