--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -142,19 +142,19 @@
 func (m *members) announce(ctx context.Context) {
 	pause := backoff.Backoff{Min: firstRetry, Max: announceInterval}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	doubt := false // an announcement that is there may be of a call that failed here
 	for ctx.Err() == nil && !m.node.lifecycle.Leaving() {
 		m.self.Mark++
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		existed, err := m.node.config.Source.Announce(call, m.self)
 		cancel()
 		wait := announceInterval
-		if err == nil {
-			m.joined(existed)
-		}
 		if err != nil {
+			doubt = true
 			wait = pause.Next(random)
 			m.log.Warn("announcement was not written", "err", err, "again_in", wait)
 		} else {
+			m.joined(existed && !doubt)
 			pause.Reset()
 		}
 		sleep(ctx, wait)
