Tell the starts of a leaf apart; read the entries of a list one by one

Cause: the catalog merged entries by ID. A leaf that had drained, or that had shown that it leaves, and then started again under its ID got no work for ever, and a cold one counted as warm. And one entry with a field of another type failed the whole list: an instance that started had no leaves, one that ran went stale.

Change: the incarnation (ID and birth, or a count of sequences that went back) names a leaf in the view, the dispatch machine, connections and what instances tell each other. An earlier birth that is written later is in doubt for two heartbeats. Entries, announcements and what peers tell are read one by one; a bad one names no leaf, is logged once for each change and counted by field.

Ruled out: the greater birth always wins (a leaf whose clock went back is lost for good); the later write always wins (a late write of a process that is gone takes a drain back).

--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -35,7 +35,7 @@
 	// A request is only suspected of breaking a leaf that was up when it was
 	// sent: a leaf that breaks whatever comes is lost, and proves nothing.
 	up := e.leafState.up(s.leaf.ID)
-	target := leafclient.Target{ID: s.leaf.ID, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.dialCost}
+	target := leafclient.Target{ID: s.leaf.ID, Name: s.leaf.Name, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.dialCost}
 	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body, Passed: a.run.request.Passed}
 	reply, err := e.config.Leaves.Run(s.ctx, target, request, func() bool { return a.run.maySend(a, leaf) })
 	if err != nil {
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -70,6 +70,8 @@
 	notBefore time.Time
 	// urgent wakes the reading of news early.
 	urgent chan struct{}
+	// badLeaves reports the entries of leaves that can't be used.
+	badLeaves *badEntries
 }
 
 // configRead is a read of the configuration; nil: there is none.
@@ -80,12 +82,11 @@
 
 // leavesRead is a read of the leaves.
 type leavesRead struct {
-	leaves   []catalog.Leaf
-	revision uint64
-	began    time.Time
+	list  catalog.Listing
+	began time.Time
 }
 
-// leafGone is the word that a leaf takes no more work.
+// leafGone says that a leaf, by its incarnation, takes no more work.
 type leafGone struct{ id string }
 
 // retuned is a change of settings.
@@ -99,6 +100,7 @@
 	return &control{
 		node: n, log: n.log.Part("control"), catalog: catalog.New(n.config.Tunables.Catalog),
 		inbox: make(chan any, inboxLength), urgent: make(chan struct{}, 1),
+		badLeaves: newBadEntries(n.log.Part("control"), n.metrics.Scope, "leaves"),
 	}
 }
 
@@ -148,7 +150,7 @@
 			changed = c.takeConfig(m.config, m.began, now, "store")
 		}
 	case leavesRead:
-		changed = c.takeLeaves(m.leaves, m.revision, m.began, now, "store")
+		changed = c.takeLeaves(m.list, m.began, now, "store")
 	case newsRead:
 		changed = c.takeNews(m, now)
 	case retuned:
@@ -181,11 +183,12 @@
 }
 
 // takeLeaves puts a list of leaves into the catalog.
-func (c *control) takeLeaves(list []catalog.Leaf, revision uint64, began, now time.Time, from string) bool {
+func (c *control) takeLeaves(list catalog.Listing, began, now time.Time, from string) bool {
+	c.badLeaves.report(list.Bad)
 	before := c.catalog.Leaves()
-	changed := c.catalog.LeavesRead(list, revision, began, now)
+	changed := c.catalog.LeavesRead(list, began, now)
 	if changed {
-		c.log.Info("leaves changed", "revision", revision, "leaves", c.catalog.Leaves(), "before", before, "from", from, "age", now.Sub(began))
+		c.log.Info("leaves changed", "revision", list.Revision, "bad", len(list.Bad), "leaves", c.catalog.Leaves(), "before", before, "from", from, "age", now.Sub(began))
 	}
 	return changed
 }
@@ -314,11 +317,11 @@
 // readLeaves reads the list of leaves once.
 func (c *control) readLeaves(ctx context.Context) error {
 	began := time.Now()
-	leaves, revision, err := c.node.config.Source.Leaves(ctx)
+	list, err := c.node.config.Source.Leaves(ctx)
 	if err != nil {
 		return err
 	}
-	return c.tell(ctx, leavesRead{leaves: leaves, revision: revision, began: began})
+	return c.tell(ctx, leavesRead{list: list, began: began})
 }
 
 // tell hands a message to the control goroutine.
--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -63,12 +63,14 @@
 	}}}, nil
 }
 
-func (s *fakeStore) Leaves(ctx context.Context) ([]catalog.Leaf, uint64, error) {
+func (s *fakeStore) Leaves(ctx context.Context) (catalog.Listing, error) {
 	version, err := s.read(ctx)
-	return nil, version, err
+	return catalog.Listing{Revision: version}, err
 }
 
-func (s *fakeStore) Instances(context.Context) ([]fleet.Instance, error)    { return nil, nil }
+func (s *fakeStore) Instances(context.Context) ([]fleet.Instance, []catalog.BadEntry, error) {
+	return nil, nil, nil
+}
 func (s *fakeStore) Announce(context.Context, fleet.Instance) (bool, error) { return false, nil }
 func (s *fakeStore) Withdraw(context.Context, string) error                 { return nil }
 
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -37,10 +37,10 @@
 type Source interface {
 	// Config reads the newest configuration; nil while there is none.
 	Config(ctx context.Context) (*catalog.Config, error)
-	// Leaves reads all registered leaves, and the store's revision of the list.
-	Leaves(ctx context.Context) (leaves []catalog.Leaf, revision uint64, err error)
+	// Leaves reads all registered leaves.
+	Leaves(ctx context.Context) (catalog.Listing, error)
 	// Instances reads the announcements of all instances; they may be seconds old.
-	Instances(ctx context.Context) ([]fleet.Instance, error)
+	Instances(ctx context.Context) ([]fleet.Instance, []catalog.BadEntry, error)
 	// Announce writes this instance's announcement, and reports whether there was one.
 	Announce(ctx context.Context, i fleet.Instance) (existed bool, err error)
 	// Withdraw takes it back.
@@ -231,7 +231,7 @@
 			continue
 		}
 		seen[l.ID] = true
-		out = append(out, leafclient.Target{ID: l.ID, Address: l.Address, Connections: l.Connections, DialCost: v.Upstreams[l.Upstream].Config.DialCost})
+		out = append(out, leafclient.Target{ID: l.ID, Name: l.Name, Address: l.Address, Connections: l.Connections, DialCost: v.Upstreams[l.Upstream].Config.DialCost})
 	}
 	return out
 }
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -37,6 +37,8 @@
 	node *Node
 	log  *telemetry.Part
 	self fleet.Instance
+	// bad reports the announcements that can't be used.
+	bad *badEntries
 
 	mu    sync.Mutex
 	fleet *fleet.Fleet
@@ -48,6 +50,7 @@
 	self := fleet.Instance{Name: n.config.Instance, Zone: n.config.Zone, Peer: n.config.Peer, Power: n.config.Power, Mark: rand.Uint64()}
 	return &members{
 		node: n, log: n.log.Part("fleet"), self: self,
+		bad: newBadEntries(n.log.Part("fleet"), n.metrics.Scope, "instances"),
 		fleet: fleet.New(self, fleet.Settings{
 			ForgetAfter: forgetAfter, PassOver: passOver, ListedWithin: listedWithin,
 			Span: span, HoldParts: max(span, listedWithin),
@@ -122,11 +125,12 @@
 func (m *members) list(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	list, err := m.node.config.Source.Instances(ctx)
+	list, bad, err := m.node.config.Source.Instances(ctx)
 	if err != nil {
 		m.log.Warn("announcements were not read", "err", err)
 		return
 	}
+	m.bad.report(bad)
 	m.mu.Lock()
 	before := m.fleet.Shape()
 	m.fleet.Listed(list, time.Now())
--- a/entry/hosted/news.go
+++ b/entry/hosted/news.go
@@ -34,6 +34,27 @@
 	Slots                      int
 	Draining                   bool
 	WarmLeft                   time.Duration
+	// Born, Sequence, Revision and Restarts tell the starts of a leaf apart.
+	Born     int64  `json:",omitempty"`
+	Sequence int64  `json:",omitempty"`
+	Revision uint64 `json:",omitempty"`
+	Restarts int    `json:",omitempty"`
+}
+
+// newLeafNews is what is told of a leaf.
+func newLeafNews(l *catalog.Leaf, now time.Time) leafNews {
+	return leafNews{
+		ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: l.Slots, Draining: l.Draining,
+		WarmLeft: max(l.WarmAt.Sub(now), 0), Born: l.Born, Sequence: l.Sequence, Revision: l.Revision, Restarts: l.Restarts,
+	}
+}
+
+// leaf is what was told.
+func (n *leafNews) leaf(now time.Time) catalog.Leaf {
+	return catalog.Leaf{
+		ID: n.ID, Service: n.Service, Address: n.Address, Zone: n.Zone, Slots: n.Slots, Draining: n.Draining,
+		WarmAt: now.Add(n.WarmLeft), Born: n.Born, Sequence: n.Sequence, Revision: n.Revision, Restarts: n.Restarts,
+	}
 }
 
 // peerServer answers other instances.
@@ -92,11 +113,8 @@
 		return next, nil
 	}
 	told := make([]leafNews, 0, len(list))
-	for _, l := range list {
-		told = append(told, leafNews{
-			ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: l.Slots, Draining: l.Draining,
-			WarmLeft: max(l.WarmAt.Sub(now), 0),
-		})
+	for i := range list {
+		told = append(told, newLeafNews(&list[i], now))
 	}
 	return next, encode(&next.leaves, told)
 }
@@ -154,16 +172,15 @@
 	version  uint64
 	config   *catalog.Config // nil: that of the version asked with
 	configAt time.Time
-	revision uint64
 	hash     uint64
-	leaves   []catalog.Leaf
-	differs  bool // leaves is the whole list
+	list     catalog.Listing
+	differs  bool // list has all leaves, else only its revision counts
 	leavesAt time.Time
 }
 
 // decodeNews reads a peer's news.
 func decodeNews(n *peerapi.News) (newsRead, error) {
-	out := newsRead{version: n.Version, revision: n.Revision, hash: n.Hash, differs: n.Leaves != nil}
+	out := newsRead{version: n.Version, list: catalog.Listing{Revision: n.Revision}, hash: n.Hash, differs: n.Leaves != nil}
 	if n.Config != nil {
 		out.config = &catalog.Config{}
 		if err := json.Unmarshal(n.Config, out.config); err != nil {
@@ -173,20 +190,36 @@
 	if !out.differs {
 		return out, nil
 	}
-	var told []leafNews
+	var told []json.RawMessage
 	if err := json.Unmarshal(n.Leaves, &told); err != nil {
 		return out, fmt.Errorf("decode a peer's leaves: %w", err)
 	}
 	now := time.Now()
-	for _, l := range told {
-		out.leaves = append(out.leaves, catalog.Leaf{
-			ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: l.Slots, Draining: l.Draining,
-			WarmAt: now.Add(l.WarmLeft),
-		})
+	for _, data := range told {
+		l, bad := decodeLeafNews(data, now)
+		if bad != nil {
+			out.list.Bad = append(out.list.Bad, *bad)
+			continue
+		}
+		out.list.Leaves = append(out.list.Leaves, l)
 	}
 	return out, nil
 }
 
+// decodeLeafNews reads what a peer told of one leaf. A peer of another version may
+// tell what this one can't read: that names no leaf to use, and the others hold.
+func decodeLeafNews(data json.RawMessage, now time.Time) (catalog.Leaf, *catalog.BadEntry) {
+	var n leafNews
+	if err := json.Unmarshal(data, &n); err != nil {
+		return catalog.Leaf{}, &catalog.BadEntry{Name: n.ID, Revision: n.Revision, Reason: "told by a peer: " + err.Error()}
+	}
+	if n.WarmLeft < 0 || n.WarmLeft > catalog.LongestWarmUp {
+		return catalog.Leaf{}, &catalog.BadEntry{Name: n.ID, Revision: n.Revision, Field: "warm_left", Reason: "out of range"}
+	}
+	l := n.leaf(now)
+	return l, l.Check()
+}
+
 // takeNews puts a peer's news into the catalog and reports whether anything changed.
 func (c *control) takeNews(n newsRead, now time.Time) bool {
 	changed := false
@@ -198,10 +231,9 @@
 		changed = c.takeConfig(c.catalog.Config(), n.configAt, now, "peer")
 	}
 	if !n.differs {
-		c.catalog.LeavesConfirmed(n.revision, n.leavesAt)
-		return changed
+		return c.catalog.LeavesConfirmed(n.list.Revision, n.leavesAt) || changed
 	}
-	if c.takeLeaves(n.leaves, n.revision, n.leavesAt, now, "peer") {
+	if c.takeLeaves(n.list, n.leavesAt, now, "peer") {
 		changed = true
 	}
 	c.heard.Store(n.hash)
--- a/entry/leafclient/leafclient.go
+++ b/entry/leafclient/leafclient.go
@@ -25,7 +25,9 @@
 
 // Target is where and how a leaf is reached.
 type Target struct {
-	ID      string
+	ID string
+	// Name is what the leaf calls itself; empty: its ID.
+	Name    string
 	Address string // IP:port
 	// Connections is the most connections this entry may hold to the leaf.
 	Connections int
@@ -33,6 +35,14 @@
 	DialCost time.Duration
 }
 
+// Called is what the leaf calls itself.
+func (t Target) Called() string {
+	if t.Name != "" {
+		return t.Name
+	}
+	return t.ID
+}
+
 // Request is one attempt at one leaf.
 type Request struct {
 	ID      string // the query's id
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -10,13 +10,9 @@
 package catalog
 
 import (
-	"fmt"
 	"maps"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 )
 
@@ -61,18 +57,6 @@
 	IdleTime    time.Duration
 }
 
-// Leaf is one registered leaf. Each start of a leaf is a new one, with a new ID.
-type Leaf struct {
-	ID       string
-	Service  string
-	Address  string
-	Zone     string
-	Slots    int
-	Draining bool
-	// WarmAt is when the leaf has got over its slow start; it may have passed.
-	WarmAt time.Time
-}
-
 // Settings are the times that the catalog works with.
 type Settings struct {
 	// LapseAfter is the silence after which the store may drop a leaf's entry.
@@ -101,10 +85,16 @@
 	configAt time.Time
 	// listed are the leaves of the last list, held those that were missing in the
 	// first list after an outage and may still come back.
-	listed   map[string]Leaf
-	held     map[string]Leaf
-	revision uint64
-	hasList  bool
+	listed map[string]Leaf // by ID, as held
+	held   map[string]Leaf
+	// doubts are the entries of listed leaves whose birth went back, by ID.
+	doubts map[string]doubt
+	// absent are the leaves that lists named once, by ID.
+	absent map[string]absent
+	// byIncarnation finds the ID of a leaf in force.
+	byIncarnation map[string]string
+	revision      uint64
+	hasList       bool
 	// listedAt is when the last good read of the leaves began.
 	listedAt time.Time
 	// heldUntil is until when they are kept.
@@ -120,7 +110,10 @@
 
 // New returns an empty catalog.
 func New(s Settings) *Catalog {
-	return &Catalog{settings: s, listed: make(map[string]Leaf), held: make(map[string]Leaf), retired: make(map[string]retiredSet)}
+	return &Catalog{
+		settings: s, listed: make(map[string]Leaf), held: make(map[string]Leaf), retired: make(map[string]retiredSet),
+		doubts: make(map[string]doubt), absent: make(map[string]absent), byIncarnation: make(map[string]string),
+	}
 }
 
 // SetSettings changes the times and limits; what is known stays.
@@ -181,27 +174,56 @@
 // Entries of leaves that live lapse in an outage and come back after it. Those
 // missing in the first list after one are held for that time; what is missing
 // later is gone. To hold these too let leaves that left after the outage get new
-// work for as long.
-func (c *Catalog) LeavesRead(list []Leaf, revision uint64, began, now time.Time) bool {
-	if !c.sees(revision) {
+// work for as long. A leaf whose entry is there and bad is not held either: whoever
+// overwrote the entry may have taken the leaf's place, and if the leaf lives its next
+// heartbeat brings it back.
+func (c *Catalog) LeavesRead(list Listing, began, now time.Time) bool {
+	if !c.sees(list.Revision) {
 		return false
 	}
 	first := !c.hasList
 	before := c.leaves()
-	next := make(map[string]Leaf, len(list))
-	for _, l := range list {
-		next[l.ID] = c.merge(l)
+	next := make(map[string]Leaf, len(list.Leaves))
+	for _, l := range list.Leaves {
+		next[l.ID] = c.merge(l, began)
 	}
+	c.remember(before, next, now)
 	if c.hasList && began.Sub(c.listedAt) >= c.settings.LapseAfter {
 		c.held = missing(before, next)
+		for i := range list.Bad {
+			delete(c.held, list.Bad[i].Name)
+		}
 		c.heldUntil = now.Add(c.settings.ReturnWithin)
 	}
-	c.hasList, c.revision, c.listedAt = true, revision, began
+	c.hasList, c.revision, c.listedAt = true, list.Revision, began
 	c.listed = next
+	maps.DeleteFunc(c.doubts, func(id string, _ doubt) bool { _, ok := next[id]; return !ok })
 	c.release(now)
+	c.index()
 	return first || !maps.EqualFunc(before, c.leaves(), sameForRouting)
 }
 
+// remember keeps the leaves that a list does not name any more.
+func (c *Catalog) remember(before, next map[string]Leaf, now time.Time) {
+	for id := range next {
+		delete(c.absent, id)
+	}
+	for id, l := range missing(before, next) {
+		if _, ok := c.absent[id]; !ok {
+			c.absent[id] = absent{leaf: l, since: now}
+		}
+	}
+	maps.DeleteFunc(c.absent, func(_ string, a absent) bool { return now.Sub(a.since) >= forgetAfter })
+}
+
+// index finds the leaves in force by their incarnations.
+func (c *Catalog) index() {
+	clear(c.byIncarnation)
+	for id, l := range c.leaves() {
+		c.byIncarnation[l.Incarnation()] = id
+	}
+}
+
 // release ends the holding of leaves that are back, or whose time is over.
 func (c *Catalog) release(now time.Time) {
 	if !now.Before(c.heldUntil) {
@@ -229,6 +251,11 @@
 func (c *Catalog) leaves() map[string]Leaf {
 	out := maps.Clone(c.listed)
 	maps.Copy(out, c.held)
+	for id, d := range c.doubts {
+		l := out[id]
+		l.Draining = l.Draining || d.entry.Draining
+		out[id] = l
+	}
 	return out
 }
 
@@ -242,12 +269,13 @@
 }
 
 // LeavesConfirmed notes that the list in force was still the newest at a read
-// that began at the given time.
-func (c *Catalog) LeavesConfirmed(revision uint64, began time.Time) {
+// that began at the given time. It reports whether anything changed by that.
+func (c *Catalog) LeavesConfirmed(revision uint64, began time.Time) bool {
 	if !c.hasList || !c.sees(revision) || !began.After(c.listedAt) {
-		return
+		return false
 	}
 	c.revision, c.listedAt = revision, began
+	return c.settleDoubts(began)
 }
 
 // Known says how new what is in force is.
@@ -267,48 +295,25 @@
 func (c *Catalog) Config() *Config { return c.config }
 
 // List returns the leaves of the last list in the order of their IDs, without
-// those that are held: whoever is told of them decides that by its own gap.
-func (c *Catalog) List() []Leaf { return sorted(c.listed) }
-
-// sorted returns leaves in the order of their IDs.
-func sorted(leaves map[string]Leaf) []Leaf {
-	out := make([]Leaf, 0, len(leaves))
-	for _, id := range slices.Sorted(maps.Keys(leaves)) {
-		out = append(out, leaves[id])
+// those that are held: whoever is told of them decides that by its own gap. Entries
+// in doubt are told as they were read, for the same reason.
+func (c *Catalog) List() []Leaf {
+	out := sorted(c.listed)
+	for i := range out {
+		if d, ok := c.doubts[out[i].ID]; ok {
+			out[i] = d.entry
+		}
 	}
 	return out
 }
 
-// HashOf is a hash of what a list of leaves means to routing; never 0.
-func HashOf(list []Leaf) uint64 {
-	h := xxhash.New()
-	for _, l := range list {
-		fmt.Fprintf(h, "%q %q %q %q %d %t\n", l.ID, l.Service, l.Address, l.Zone, l.Slots, l.Draining)
-	}
-	return max(h.Sum64(), 1)
-}
-
-// merge keeps what is known of a leaf: a drain is never taken back, and the end
-// of its slow start does not move with each reading.
-func (c *Catalog) merge(l Leaf) Leaf {
-	old, ok := c.known(l.ID)
+// MarkGone takes the sign of a leaf, by its incarnation, that it takes no more work.
+// It reports whether that changes anything.
+func (c *Catalog) MarkGone(incarnation string) bool {
+	id, ok := c.byIncarnation[incarnation]
 	if !ok {
-		return l
+		return false
 	}
-	l.Draining = l.Draining || old.Draining
-	l.WarmAt = old.WarmAt
-	return l
-}
-
-// sameForRouting reports whether two readings of a leaf mean the same to routing.
-func sameForRouting(a, b Leaf) bool {
-	return a.ID == b.ID && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
-		a.Slots == b.Slots && a.Draining == b.Draining
-}
-
-// MarkGone takes a leaf's own sign, or a peer's word, that it takes no more
-// work. It reports whether that is news.
-func (c *Catalog) MarkGone(id string) bool {
 	l, ok := c.known(id)
 	if !ok || l.Draining {
 		return false
@@ -338,13 +343,14 @@
 func (c *Catalog) byService() map[string][]document.Leaf {
 	out := make(map[string][]document.Leaf)
 	for _, l := range sorted(c.leaves()) {
-		out[l.Service] = append(out[l.Service], document.Leaf{ID: l.ID, Zone: l.Zone, Address: l.Address})
+		out[l.Service] = append(out[l.Service], document.Leaf{ID: l.Incarnation(), Name: l.ID, Zone: l.Zone, Address: l.Address})
 	}
 	return out
 }
 
-// Draining reports whether a leaf gets no new work.
-func (c *Catalog) Draining(id string) bool {
+// Draining reports whether a leaf, by its incarnation, gets no new work.
+func (c *Catalog) Draining(incarnation string) bool {
+	id := c.byIncarnation[incarnation]
 	l, _ := c.known(id)
-	return l.Draining
+	return l.Draining || c.doubts[id].entry.Draining
 }
--- a/kernel/catalog/catalog_test.go
+++ b/kernel/catalog/catalog_test.go
@@ -37,14 +37,14 @@
 // TestOldListIsDropped shows an older list after one in which a leaf drained.
 func TestOldListIsDropped(t *testing.T) {
 	c := New(testSettings)
-	c.LeavesRead([]Leaf{{ID: "x", Service: "a", Draining: true}}, 20, start, start)
-	if c.LeavesRead([]Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}, 15, start, start) {
+	c.LeavesRead(Listing{Leaves: []Leaf{{ID: "x", Service: "a", Draining: true}}, Revision: 20}, start, start)
+	if c.LeavesRead(Listing{Leaves: []Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}, Revision: 15}, start, start) {
 		t.Error("an older list counted as news")
 	}
 	if !c.Draining("x") || c.Leaves() != 1 {
 		t.Error("an older list took a drain back")
 	}
-	c.LeavesRead([]Leaf{{ID: "x", Service: "a"}}, 21, start, start)
+	c.LeavesRead(Listing{Leaves: []Leaf{{ID: "x", Service: "a"}}, Revision: 21}, start, start)
 	if !c.Draining("x") {
 		t.Error("a drain was taken back within one incarnation")
 	}
@@ -63,14 +63,14 @@
 		{"without one", time.Second, false},
 	} {
 		c := New(testSettings)
-		c.LeavesRead(both, 1, start, start)
+		c.LeavesRead(Listing{Leaves: both, Revision: 1}, start, start)
 		back := start.Add(tc.outage)
-		c.LeavesRead(both[:1], 2, back, back)
+		c.LeavesRead(Listing{Leaves: both[:1], Revision: 2}, back, back)
 		if got := c.Leaves() == 2; got != tc.kept {
 			t.Errorf("%s: missing entry kept: %v, want %v", tc.name, got, tc.kept)
 		}
 		late := back.Add(testSettings.ReturnWithin)
-		c.LeavesRead(both[:1], 3, late, late)
+		c.LeavesRead(Listing{Leaves: both[:1], Revision: 3}, late, late)
 		if c.Leaves() != 1 {
 			t.Errorf("%s: an entry that did not return is still there", tc.name)
 		}
@@ -82,10 +82,10 @@
 func TestFirstListIsAChange(t *testing.T) {
 	c := New(testSettings)
 	c.ConfigRead(config(1, "a"), start, start)
-	if c.Ready() || !c.LeavesRead(nil, 1, start, start) || !c.Ready() {
+	if c.Ready() || !c.LeavesRead(Listing{Leaves: nil, Revision: 1}, start, start) || !c.Ready() {
 		t.Error("an empty first list is no change, or the catalog is not ready after it")
 	}
-	if c.LeavesRead(nil, 2, start, start) {
+	if c.LeavesRead(Listing{Leaves: nil, Revision: 2}, start, start) {
 		t.Error("the same list again is a change")
 	}
 }
@@ -95,11 +95,11 @@
 func TestLeafThatLeavesAfterAnOutage(t *testing.T) {
 	both := []Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}
 	c := New(testSettings)
-	c.LeavesRead(both, 1, start, start)
+	c.LeavesRead(Listing{Leaves: both, Revision: 1}, start, start)
 	back := start.Add(8 * time.Second)
-	c.LeavesRead(both, 2, back, back)
+	c.LeavesRead(Listing{Leaves: both, Revision: 2}, back, back)
 	next := back.Add(time.Second)
-	if !c.LeavesRead(both[:1], 3, next, next) || c.Leaves() != 1 {
+	if !c.LeavesRead(Listing{Leaves: both[:1], Revision: 3}, next, next) || c.Leaves() != 1 {
 		t.Error("a leaf that left after the outage is held as one that lapsed in it")
 	}
 }
@@ -108,9 +108,9 @@
 func TestHeldLeavesAreNotTold(t *testing.T) {
 	both := []Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}
 	c := New(testSettings)
-	c.LeavesRead(both, 1, start, start)
+	c.LeavesRead(Listing{Leaves: both, Revision: 1}, start, start)
 	back := start.Add(8 * time.Second)
-	c.LeavesRead(both[:1], 2, back, back)
+	c.LeavesRead(Listing{Leaves: both[:1], Revision: 2}, back, back)
 	if c.Leaves() != 2 || len(c.List()) != 1 {
 		t.Errorf("%d leaves in force and %d told, want 2 and 1", c.Leaves(), len(c.List()))
 	}
@@ -122,7 +122,7 @@
 // TestSetIsKeptForQueriesInFlight cuts the index into another set.
 func TestSetIsKeptForQueriesInFlight(t *testing.T) {
 	c := New(testSettings)
-	c.LeavesRead(nil, 1, start, start)
+	c.LeavesRead(Listing{Leaves: nil, Revision: 1}, start, start)
 	c.ConfigRead(config(1, "a", "b"), start, start)
 	c.ConfigRead(config(2, "c", "d", "e"), start, start)
 	if n := len(c.Document().Upstreams); n != 2 {
@@ -146,7 +146,7 @@
 		Targets: []document.RouteTarget{{Service: "p", Weight: 3}, {Service: "q", Weight: 1}},
 	})
 	c.ConfigRead(cfg, start, start)
-	c.LeavesRead([]Leaf{{ID: "z", Service: "b", Address: "10.0.0.1:1", Zone: "hall-a"}, {ID: "p1", Service: "p"}}, 1, start, start)
+	c.LeavesRead(Listing{Leaves: []Leaf{{ID: "z", Service: "b", Address: "10.0.0.1:1", Zone: "hall-a"}, {ID: "p1", Service: "p"}}, Revision: 1}, start, start)
 	doc := c.Document()
 	var set *document.Upstream
 	for i := range doc.Upstreams {
--- a/kernel/document/document.go
+++ b/kernel/document/document.go
@@ -48,7 +48,11 @@
 
 // Leaf is one upstream server process.
 type Leaf struct {
-	ID      string
+	// ID names one start of the leaf where the leaf registers itself, and the leaf
+	// where operators name it.
+	ID string
+	// Name is what the leaf calls itself; empty: its ID.
+	Name    string
 	Zone    string
 	Address string // IP:port
 }
--- a/kernel/view/view.go
+++ b/kernel/view/view.go
@@ -58,6 +58,7 @@
 // Leaf is one leaf with its membership state.
 type Leaf struct {
 	ID       string
+	Name     string // document.Leaf.Name
 	Zone     string
 	Address  string
 	Upstream int
@@ -113,7 +114,7 @@
 				i = len(v.Leaves)
 				seen[l.ID] = i
 				v.Leaves = append(v.Leaves, Leaf{
-					ID: l.ID, Zone: l.Zone, Address: l.Address, Upstream: index,
+					ID: l.ID, Name: l.Name, Zone: l.Zone, Address: l.Address, Upstream: index,
 					Leaving: leaving(l.ID), Connections: connections(u, l.ID),
 				})
 			}
--- a/standin/hosted/hosted.go
+++ b/standin/hosted/hosted.go
@@ -130,6 +130,8 @@
 	Draining                   bool
 	// Sequence changes with each heartbeat.
 	Sequence int64
+	// Born is the Unix millisecond of the leaf's start; 0: it does not say.
+	Born int64
 }
 
 // slots is what entries say of the requests that a leaf runs at once.
@@ -141,13 +143,20 @@
 	if l.Draining {
 		phase = "draining"
 	}
-	store.Set("servers", l.ID, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","concurrency":%d,"phase":%q,"warmup-left-ms":0,"sequence":%d}`,
-		l.Service, l.Address, l.Zone, slots, phase, l.Sequence))
+	born := ""
+	if l.Born != 0 {
+		born = fmt.Sprintf(`,"born":%d`, l.Born)
+	}
+	store.Set(KindLeaves, l.ID, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","concurrency":%d,"phase":%q,"warmup-left-ms":0,"sequence":%d%s}`,
+		l.Service, l.Address, l.Zone, slots, phase, l.Sequence, born))
 }
 
+// KindLeaves is the kind of the leaves' entries.
+const KindLeaves = "servers"
+
 // Unregister removes a leaf's entry.
-func Unregister(store *platform.Server, id string) { store.Unset("servers", id) }
+func Unregister(store *platform.Server, id string) { store.Unset(KindLeaves, id) }
 
 // Answer is a sound answer to a request.
 func Answer(r rawleaf.Seen, signature, body string) []byte {
