Judge queries by their objective; let late work yield; less urgent queries yield too

Cause: admission, the queues' order and the hopeless check went by the deadline (800 to 6,000 ms), so a query took slots long after its objective (50 to 400 ms), and every query waited behind it. Beyond the capacity next to nothing was in time.

Change: an attempt carries the time at which its answer loses value; what can't make it yields to what can. Admission compares the wait with the objective and learns patience from answers that were late after they had waited. Of no priority a greater share is taken in than of a more urgent one that is refused. The median that decisions use forgets in a quarter of a second; a queue is judged once, where the query came in.

--- a/bench/burst/leaf.go
+++ b/bench/burst/leaf.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -13,7 +14,8 @@
 	deadline int64
 	started  int64
 	running  bool
-	gone     bool // cancelled or ended
+	gone     bool  // cancelled or ended
+	held     int64 // by pauses of the leaf, still to come after its work
 }
 
 // fakeLeaf has slots and a queue of its own, first come first served.
@@ -23,7 +25,10 @@
 	replica  int
 	free     int
 	queue    []*exec
+	inSlots  []*exec
+	paused   int64 // until when the leaf stands still
 	shedding bool
+	slow     bool
 	lying    bool
 	busy     int64 // slot time given, in the measured window
 }
@@ -42,14 +47,56 @@
 		l.start(x)
 		return
 	}
+	if l.run.p.LeafQueue > 0 && l.waiting() >= l.run.p.LeafQueue {
+		x.gone = true
+		l.run.reply(x, replyShed)
+		return
+	}
 	l.queue = append(l.queue, x)
 }
 
+// waiting is the number of requests in the queue that were not cancelled.
+func (l *fakeLeaf) waiting() int {
+	n := 0
+	for _, x := range l.queue {
+		if !x.gone {
+			n++
+		}
+	}
+	return n
+}
+
+// work is the time that a query holds a slot of the leaf.
+func (l *fakeLeaf) work(q *queryState) int64 {
+	work := l.run.p.work(q, l.shard, l.replica)
+	if l.slow {
+		work = int64(l.run.p.SlowFactor * float64(work))
+	}
+	return work
+}
+
 // start gives a slot.
 func (l *fakeLeaf) start(x *exec) {
 	l.free--
 	x.running, x.started = true, l.run.ev.now
-	l.run.ev.add(l.run.ev.now+x.work, func() { l.end(x) })
+	l.inSlots = append(l.inSlots, x)
+	l.run.ev.add(max(l.run.ev.now, l.paused)+x.work, func() { l.end(x) })
+}
+
+// pause stops the leaf now and again; each pause schedules the next.
+func (l *fakeLeaf) pause() {
+	p := l.run.p
+	at := l.run.ev.now + int64((0.5+l.run.rand.Float64())*float64(p.PauseEvery))
+	if p.Pause == 0 || at >= int64(p.Duration) {
+		return
+	}
+	l.run.ev.add(at, func() {
+		l.paused = at + int64(p.Pause)
+		for _, x := range l.inSlots {
+			x.held += int64(p.Pause)
+		}
+		l.pause()
+	})
 }
 
 // end frees the slot when the work is done.
@@ -57,6 +104,11 @@
 	if x.gone {
 		return
 	}
+	if x.held > 0 {
+		l.run.ev.add(l.run.ev.now+x.held, func() { l.end(x) })
+		x.held = 0
+		return
+	}
 	x.gone = true
 	l.release(x)
 	l.run.reply(x, replyDone)
@@ -78,6 +130,7 @@
 
 func (l *fakeLeaf) release(x *exec) {
 	l.free++
+	l.inSlots = slices.DeleteFunc(l.inSlots, func(o *exec) bool { return o == x })
 	l.busy += l.run.measured(x.started, l.run.ev.now)
 	for l.free > 0 && len(l.queue) > 0 {
 		next := l.queue[0]
@@ -94,33 +147,33 @@
 	}
 }
 
-// work is the time that a query holds a slot of one leaf. The base belongs to
+// work is the time that a query holds a slot of one leaf that is not slow. The base belongs to
 // the request and is the same on every leaf; straggling belongs to the
 // execution, so that a hedge may escape it and so that an oracle can know it.
-func (p Params) work(query uint64, shard, replica int) int64 {
-	seed := p.seedOf(query)
+func (p Params) work(q *queryState, shard, replica int) int64 {
+	seed, k := p.seedOf(q.id), p.kinds()[q.kind]
 	if rand.New(rand.NewPCG(seed, uint64(shard)<<8|uint64(replica)+1)).Float64() < p.Stragglers {
-		return int64(p.StragglerFactor * float64(p.median()))
+		return int64(p.StragglerFactor * float64(p.median(k)))
 	}
-	return p.base(seed, shard)
+	return p.base(seed, shard, k)
 }
 
 // seedOf is the seed of a query's draws.
 func (p Params) seedOf(query uint64) uint64 { return p.Seed ^ query*0x9e3779b97f4a7c15 }
 
 // base is the work of a request without straggling.
-func (p Params) base(seed uint64, shard int) int64 {
+func (p Params) base(seed uint64, shard int, k Kind) int64 {
 	if p.Dist == Fixed {
-		return int64(p.Work)
+		return int64(k.Work)
 	}
 	x := rand.New(rand.NewPCG(seed, uint64(shard)<<8)).ExpFloat64()
-	return int64(max(x*float64(p.Work), float64(time.Microsecond)))
+	return int64(max(x*float64(k.Work), float64(time.Microsecond)))
 }
 
-// median is the median work without straggling.
-func (p Params) median() time.Duration {
+// median is the median work of a kind without straggling.
+func (p Params) median(k Kind) time.Duration {
 	if p.Dist == Fixed {
-		return p.Work
+		return k.Work
 	}
-	return time.Duration(math.Ln2 * float64(p.Work))
+	return time.Duration(math.Ln2 * float64(k.Work))
 }
--- a/bench/burst/oracle.go
+++ b/bench/burst/oracle.go
@@ -28,7 +28,7 @@
 		free[i] = make([]int64, p.Slots)
 	}
 	for at := int64(0); ; {
-		at += int64(r.rand.ExpFloat64() / p.rate() * float64(time.Second))
+		at += int64(r.rand.ExpFloat64() / p.rate(time.Duration(at)) * float64(time.Second))
 		if at >= int64(p.Duration) {
 			break
 		}
@@ -39,13 +39,13 @@
 		last := at
 		for s := range p.Shards {
 			leaves := free[s*p.Replicas : (s+1)*p.Replicas]
-			end := place(p, k, leaves, q.id, s, at+int64(p.Delay)) + int64(p.Delay)
+			end := place(p, k, leaves, q, s, at+int64(p.Delay)) + int64(p.Delay)
 			if end <= q.deadline {
 				q.covered++
 				last = max(last, end)
 			}
 		}
-		r.ev.now = last
+		r.ev.now, q.ended = last, last
 		r.stats.answered(r, q)
 	}
 	res := r.result()
@@ -55,19 +55,19 @@
 
 // place puts one part on the leaf where it ends first as far as the oracle
 // knows, and returns when it really ends.
-func place(p Params, k Knowledge, leaves [][]int64, id uint64, shard int, at int64) int64 {
+func place(p Params, k Knowledge, leaves [][]int64, q *queryState, shard int, at int64) int64 {
 	best, bestSlot, bestEnd := 0, 0, int64(-1)
 	for i, slots := range leaves {
 		slot := slices.Index(slots, slices.Min(slots))
-		work := p.work(id, shard, i)
+		work := p.work(q, shard, i)
 		if k == KnowsRequests {
-			work = p.base(p.seedOf(id), shard)
+			work = p.base(p.seedOf(q.id), shard, p.kinds()[q.kind])
 		}
 		if end := max(at, slots[slot]) + work; bestEnd < 0 || end < bestEnd {
 			best, bestSlot, bestEnd = i, slot, end
 		}
 	}
-	end := max(at, leaves[best][bestSlot]) + p.work(id, shard, best)
+	end := max(at, leaves[best][bestSlot]) + p.work(q, shard, best)
 	leaves[best][bestSlot] = end
 	return end
 }
--- a/bench/burst/params.go
+++ b/bench/burst/params.go
@@ -26,6 +26,19 @@
 	Part  float64 // of the arrivals; the parts add up to 1
 }
 
+// Kind is one kind of query. A run without kinds has one, by Params.Work, whose answers
+// have their full value until the deadline.
+type Kind struct {
+	Name string
+	Part float64 // of the arrivals; the parts add up to 1
+	Work time.Duration
+	// Objective is the time within which an answer has its full value.
+	Objective time.Duration
+	Priority  int
+	// LeastCoverage replaces Params.LeastCoverage.
+	LeastCoverage float64
+}
+
 // Params describes one run.
 type Params struct {
 	Name     string
@@ -49,8 +62,22 @@
 	Stragglers      float64
 	StragglerFactor float64
 	Delay           time.Duration // between entry and leaf, each way
-	Callers         []Caller
-	LeastCoverage   float64
+	Kinds           []Kind
+	// Slow is the share of leaves, spread over the shards, whose work takes SlowFactor
+	// times as long.
+	Slow, SlowFactor float64
+	// Pause stops each leaf for so long, on average every PauseEvery; 0: never.
+	Pause, PauseEvery time.Duration
+	// DeadlineOnly makes the entries judge by the deadline and not by the objective.
+	DeadlineOnly bool
+	// LeafQueue is the number of requests that wait inside a leaf before it sheds; 0
+	// sets no bound.
+	LeafQueue int
+	// Rest ends the load of Load at this time; from then on it is RestLoad. 0: never.
+	Rest          time.Duration
+	RestLoad      float64
+	Callers       []Caller
+	LeastCoverage float64
 	// Shedding is the number of leaves, of each shard's first ones, that
 	// decline everything.
 	Shedding int
@@ -101,13 +128,29 @@
 	return p
 }
 
-// meanWork is the mean time that an execution holds a slot.
+// kinds are the kinds of query; there is at least one.
+func (p Params) kinds() []Kind {
+	if len(p.Kinds) > 0 {
+		return p.Kinds
+	}
+	return []Kind{{Name: "query", Part: 1, Work: p.Work, LeastCoverage: p.LeastCoverage}}
+}
+
+// meanWork is the mean time that an execution holds a slot of a leaf that is not slow.
 func (p Params) meanWork() time.Duration {
-	straggling := p.Stragglers * p.StragglerFactor * float64(p.median())
-	return time.Duration((1-p.Stragglers)*float64(p.Work) + straggling)
+	mean := 0.0
+	for _, k := range p.kinds() {
+		straggling := p.Stragglers * p.StragglerFactor * float64(p.median(k))
+		mean += k.Part * ((1-p.Stragglers)*float64(k.Work) + straggling)
+	}
+	return time.Duration(mean)
 }
 
 // rate is the arrivals of queries per second.
-func (p Params) rate() float64 {
-	return p.Load * float64(p.Replicas*p.Slots) / p.meanWork().Seconds()
+func (p Params) rate(at time.Duration) float64 {
+	load := p.Load
+	if p.Rest > 0 && at >= p.Rest {
+		load = p.RestLoad
+	}
+	return load * float64(p.Replicas*p.Slots) / p.meanWork().Seconds()
 }
--- a/bench/burst/query.go
+++ b/bench/burst/query.go
@@ -12,8 +12,12 @@
 	id       uint64
 	entry    *entry
 	caller   int
+	kind     int
 	arrived  int64
+	due      int64 // until when the answer has its full value
 	deadline int64
+	ended    int64
+	waited   int64 // the longest wait of a part in a queue of its entry
 	parts    []part
 	open     int // parts without a final state
 	covered  int
@@ -47,15 +51,28 @@
 
 // useful reports whether the answer has the least coverage.
 func (q *queryState) useful(p Params) bool {
-	return q.covered > 0 && float64(q.covered) >= p.LeastCoverage*float64(len(q.parts))
+	return q.covered > 0 && float64(q.covered) >= p.kinds()[q.kind].LeastCoverage*float64(len(q.parts))
 }
 
+// inTime reports whether the answer, useful, came while it had its full value.
+func (q *queryState) inTime(p Params) bool { return q.useful(p) && q.ended <= q.due }
+
 // newQuery draws a query.
 func (r *run) newQuery() *queryState {
 	r.queries++
-	return &queryState{
-		id: r.queries, entry: r.entries[r.rand.IntN(len(r.entries))], caller: r.caller(),
-		arrived: r.ev.now, deadline: r.ev.now + int64(r.p.Deadline), first: true,
+	q := &queryState{
+		id: r.queries, entry: r.entries[r.rand.IntN(len(r.entries))], caller: r.caller(), kind: r.kind(), first: true,
+	}
+	q.arrive(r.p, r.ev.now)
+	return q
+}
+
+// arrive sets the times of a query that arrives now.
+func (q *queryState) arrive(p Params, now int64) {
+	q.arrived, q.deadline = now, now+int64(p.Deadline)
+	q.due = q.deadline
+	if o := p.kinds()[q.kind].Objective; o > 0 {
+		q.due = now + int64(o)
 	}
 }
 
@@ -65,8 +82,13 @@
 	r.stats.offered(r, q)
 	if r.p.Admission {
 		c := r.p.Callers[q.caller]
-		request := dispatch.QueryRequest{Caller: c.Name, Share: c.Share, Left: r.p.Deadline, LeastCoverage: r.p.LeastCoverage}
-		d := e.admission.Admit(request, []dispatch.Fitter{e.machine}, e.now())
+		k := r.p.kinds()[q.kind]
+		left := time.Duration(q.due - q.arrived)
+		if r.p.DeadlineOnly {
+			left = r.p.Deadline
+		}
+		request := dispatch.QueryRequest{Caller: c.Name, Share: c.Share, Priority: k.Priority, Left: left, LeastCoverage: k.LeastCoverage}
+		d := e.admissions[q.kind].Admit(request, []dispatch.Fitter{e.machine}, e.now())
 		if !d.Admitted {
 			r.stats.refused(r, q)
 			r.comeBack(q, d.RetryAfter)
@@ -75,6 +97,7 @@
 	}
 	q.parts = make([]part, r.p.Shards)
 	q.open = r.p.Shards
+	r.ev.add(q.due, func() { e.settle(q) })
 	r.ev.add(q.deadline, func() { e.conclude(q) })
 	for s := range q.parts {
 		e.repetition.Deposit()
@@ -88,9 +111,9 @@
 		return
 	}
 	again := r.newQuery()
-	again.caller, again.first = q.caller, false
+	again.caller, again.kind, again.first = q.caller, q.kind, false
 	r.ev.add(r.ev.now+int64(after), func() {
-		again.arrived, again.deadline = r.ev.now, r.ev.now+int64(r.p.Deadline)
+		again.arrive(r.p, r.ev.now)
 		r.arrive(again)
 	})
 }
@@ -105,8 +128,13 @@
 	a := &attempt{entry: e, query: q, shard: shard, ticket: t, hedge: hedge}
 	p.live = append(p.live, a)
 	e.attempts[t] = a
+	due := epoch.Add(time.Duration(q.due))
+	if e.run.p.DeadlineOnly {
+		due = time.Time{}
+	}
 	e.handle(dispatch.Offered{
 		Ticket: t, Shard: shard, Caller: e.run.callerName(q),
+		Priority: e.run.p.kinds()[q.kind].Priority, Due: due,
 		Deadline: epoch.Add(time.Duration(q.deadline)), Avoid: p.used, Hedge: hedge, Retry: retry,
 	})
 }
@@ -125,7 +153,9 @@
 	for _, act := range actions {
 		switch act := act.(type) {
 		case dispatch.Dispatch:
-			e.send(e.attempts[act.Ticket], act.Leaf)
+			a := e.attempts[act.Ticket]
+			a.query.waited = max(a.query.waited, int64(act.Queued))
+			e.send(a, act.Leaf)
 		case dispatch.Refuse:
 			a := e.attempts[act.Ticket]
 			delete(e.attempts, act.Ticket)
@@ -157,7 +187,7 @@
 	r := e.run
 	l := r.leaves[leaf]
 	a.sent, a.leaf = r.ev.now, leaf
-	a.exec = &exec{at: a, work: r.p.work(a.query.id, l.shard, l.replica), deadline: a.query.deadline}
+	a.exec = &exec{at: a, work: l.work(a.query), deadline: a.query.deadline}
 	p := &a.query.parts[a.shard]
 	p.used = append(p.used, leaf)
 	r.stats.sent(r, a)
@@ -227,6 +257,14 @@
 		}
 	}
 	e.close(q, p)
+	e.settle(q)
+}
+
+// settle answers a query that is useful, once its answer loses value by waiting on.
+func (e *entry) settle(q *queryState) {
+	if q.due < q.deadline && e.run.ev.now >= q.due && q.useful(e.run.p) {
+		e.conclude(q)
+	}
 }
 
 // lost notes that an attempt gave nothing, and retries within the budget.
@@ -278,12 +316,16 @@
 	})
 }
 
+// waitedShare is the executor's: a wait of this share of the time to the objective
+// shows that an answer was late for the load.
+const waitedShare = 0.05
+
 // conclude gives the answer: at the deadline, or when every part is settled.
 func (e *entry) conclude(q *queryState) {
 	if q.finished {
 		return
 	}
-	q.finished = true
+	q.finished, q.ended = true, e.run.ev.now
 	for s := range q.parts {
 		live := q.parts[s].live
 		q.parts[s].live = nil
@@ -293,8 +335,12 @@
 		}
 	}
 	if e.run.p.Admission {
-		useful := q.useful(e.run.p)
-		e.admission.Answered(useful, !useful && q.late, e.now())
+		useful := q.inTime(e.run.p)
+		if e.run.p.DeadlineOnly {
+			useful = q.useful(e.run.p)
+		}
+		waited := !e.run.p.DeadlineOnly && float64(q.waited) > waitedShare*float64(q.due-q.arrived)
+		e.admissions[q.kind].Answered(useful, !useful && (q.late || waited), e.now())
 	}
 	e.run.stats.answered(e.run, q)
 }
--- a/bench/burst/run.go
+++ b/bench/burst/run.go
@@ -38,7 +38,7 @@
 type entry struct {
 	run        *run
 	machine    *dispatch.Machine
-	admission  *dispatch.Admission
+	admissions []*dispatch.Admission // by kind
 	repetition plugin.Repetition
 	attempts   map[dispatch.Ticket]*attempt
 	wake       int64
@@ -57,8 +57,12 @@
 		if err != nil {
 			return Result{}, fmt.Errorf("burst: %w", err)
 		}
+		var admissions []*dispatch.Admission
+		for k := range p.kinds() {
+			admissions = append(admissions, dispatch.NewAdmission(p.Seed+uint64(i+k*p.Entries)))
+		}
 		r.entries = append(r.entries, &entry{
-			run: r, machine: m, admission: dispatch.NewAdmission(p.Seed + uint64(i)),
+			run: r, machine: m, admissions: admissions,
 			repetition: construct(plugin.RepetitionConfig{
 				HedgeBudget: p.HedgeBudget, HedgeQuantile: p.HedgeQuantile, RetryBudget: p.RetryBudget,
 			}),
@@ -69,9 +73,13 @@
 		for i := range p.Replicas {
 			r.leaves = append(r.leaves, &fakeLeaf{
 				run: r, shard: s, replica: i, free: p.Slots, shedding: i < p.Shedding, lying: i < p.LyingLeaves,
+				slow: r.slow(),
 			})
 		}
 	}
+	for _, l := range r.leaves {
+		l.pause()
+	}
 	r.arrivals()
 	r.hints()
 	for r.ev.step() {
@@ -79,6 +87,9 @@
 	return r.result(), nil
 }
 
+// slow draws whether a leaf is slow.
+func (r *run) slow() bool { return r.p.Slow > 0 && r.rand.Float64() < r.p.Slow }
+
 // measured is the part of [from, to) inside the measured window.
 func (r *run) measured(from, to int64) int64 {
 	return max(0, min(to, int64(r.p.Duration))-max(from, int64(r.p.Warm)))
@@ -86,7 +97,7 @@
 
 // arrivals schedules the next query; each schedules its successor.
 func (r *run) arrivals() {
-	gap := int64(r.rand.ExpFloat64() / r.p.rate() * float64(time.Second))
+	gap := int64(r.rand.ExpFloat64() / r.p.rate(time.Duration(r.ev.now)) * float64(time.Second))
 	at := r.ev.now + gap
 	if at >= int64(r.p.Duration) || (r.p.Burst > 0 && at >= int64(r.p.Burst)) {
 		return
@@ -124,6 +135,22 @@
 	})
 }
 
+// kind draws what is asked.
+func (r *run) kind() int {
+	kinds := r.p.kinds()
+	if len(kinds) == 1 {
+		return 0
+	}
+	x := r.rand.Float64()
+	for i, k := range kinds {
+		if x < k.Part {
+			return i
+		}
+		x -= k.Part
+	}
+	return len(kinds) - 1
+}
+
 // caller draws who asks.
 func (r *run) caller() int {
 	x := r.rand.Float64()
--- a/bench/burst/stats.go
+++ b/bench/burst/stats.go
@@ -51,8 +51,23 @@
 	Asks    float64        `json:"asks"`
 	Served  float64        `json:"served"`
 	Callers []CallerResult `json:"callers,omitempty"`
+	Kinds   []KindResult   `json:"kinds,omitempty"`
 }
 
+// KindResult is one kind's part of a result; the shares are of those offered.
+type KindResult struct {
+	Name    string  `json:"name"`
+	Offered int     `json:"offered"`
+	InTime  float64 `json:"in_time"` // useful while the answer had its full value
+	Late    float64 `json:"late"`    // useful after that
+	Refused float64 `json:"refused"`
+	// Goodput is the answers in time a second.
+	Goodput float64 `json:"goodput"`
+}
+
+// kindStats counts one kind's queries.
+type kindStats struct{ offered, inTime, late, refused int }
+
 // callerStats counts one caller's queries.
 type callerStats struct {
 	offered, useful int
@@ -66,6 +81,7 @@
 	partWork, goodWork                                     int64 // nanoseconds of slot time
 	latencies                                              []float64
 	callers                                                []callerStats
+	kinds                                                  []kindStats
 }
 
 func (r *run) counts(q *queryState) bool { return q.arrived >= int64(r.p.Warm) }
@@ -73,9 +89,11 @@
 func (s *stats) offered(r *run, q *queryState) {
 	if s.callers == nil {
 		s.callers = make([]callerStats, len(r.p.Callers))
+		s.kinds = make([]kindStats, len(r.p.kinds()))
 	}
 	if r.counts(q) {
 		s.offeredN++
+		s.kinds[q.kind].offered++
 		if q.first {
 			s.firstN++
 		}
@@ -86,6 +104,7 @@
 func (s *stats) refused(r *run, q *queryState) {
 	if r.counts(q) {
 		s.refusedN++
+		s.kinds[q.kind].refused++
 	}
 }
 
@@ -119,6 +138,11 @@
 		s.goodParts += q.covered
 		s.goodWork += q.work
 		c.useful++
+		if q.inTime(r.p) {
+			s.kinds[q.kind].inTime++
+		} else {
+			s.kinds[q.kind].late++
+		}
 	}
 }
 
@@ -149,6 +173,13 @@
 			Name: c.Name, Offered: cs.offered, InTime: ratio(cs.useful, cs.offered), P99MS: quantile(cs.latencies, 0.99),
 		})
 	}
+	for i, k := range p.kinds() {
+		ks := s.kinds[i]
+		res.Kinds = append(res.Kinds, KindResult{
+			Name: k.Name, Offered: ks.offered, InTime: ratio(ks.inTime, ks.offered), Late: ratio(ks.late, ks.offered),
+			Refused: ratio(ks.refused, ks.offered), Goodput: round(float64(ks.inTime) / window),
+		})
+	}
 	return res
 }
 
--- a/entry/executor/admit.go
+++ b/entry/executor/admit.go
@@ -17,21 +17,24 @@
 
 // admit decides on a whole query before any part of it is queued: a query of
 // which too few parts would finish in time is refused at once, and costs the
-// leaves nothing.
+// leaves nothing. What another instance has taken in is not judged again here.
 func (e *Executor) admit(r *run) *RefusedError {
 	now := time.Now()
-	left := r.request.Deadline.Sub(now)
-	if left <= 0 {
+	if !now.Before(r.request.Deadline) {
 		return refuse(RefusedDeadline, leastRetryAfter, "the deadline has passed")
 	}
+	if r.request.Only != nil {
+		return nil
+	}
 	fitters := make([]dispatch.Fitter, 0, len(r.request.Service.Upstreams))
 	for _, upstream := range r.request.Service.Upstreams {
 		fitters = append(fitters, r.pool(upstream))
 	}
+	left := r.valueLeft(now)
 	a := r.service.admission
 	a.mu.Lock()
 	decision := a.policy.Admit(dispatch.QueryRequest{
-		Caller: r.request.Caller.Name, Share: r.request.Caller.Share,
+		Caller: r.request.Caller.Name, Share: r.request.Caller.Share, Priority: r.request.Service.Config.Priority,
 		Left: left, LeastCoverage: r.request.Service.Config.LeastCoverage,
 	}, fitters, now)
 	a.mu.Unlock()
@@ -40,19 +43,51 @@
 	}
 	e.config.Log.Decide(telemetry.Decision{
 		Part: partQuery, What: "refuse", Query: r.stamp, Request: r.request.name(), Why: "too few parts would finish in time",
-		More: []any{"service", r.request.Service.Config.Name, "fit", decision.Fit, "left", left, "retry_after", decision.RetryAfter},
+		More: []any{"service", r.request.Service.Config.Name, "fit", decision.Fit, "yields", decision.Yields, "left", left, "retry_after", decision.RetryAfter},
 	})
 	return refuse(RefusedOverloaded, decision.RetryAfter, "too few parts would finish in time")
 }
 
+// valueLeft is the time in which an answer has its full value, or the time to the
+// deadline where that has passed or there is no objective.
+func (r *run) valueLeft(now time.Time) time.Duration {
+	if left := r.due.Sub(now); left > 0 {
+		return left
+	}
+	return r.request.Deadline.Sub(now)
+}
+
+// waitedShare of the time in which an answer has its full value, spent in a queue here,
+// shows that an answer was late for the load: it is the least wait that admission aims at.
+const waitedShare = 0.05
+
 // tellAdmission tells the admission policy how an admitted query ended.
 func (r *run) tellAdmission(answer *query.Answer) {
-	useful := answer.Share > 0 && answer.Share >= r.request.Service.Config.LeastCoverage
+	if r.request.Only != nil {
+		return
+	}
+	now := time.Now()
+	config := r.request.Service.Config
+	useful := answer.Share > 0 && answer.Share >= config.LeastCoverage
 	late := !useful && shortOfTime(answer)
+	if !r.due.IsZero() {
+		useful = useful && !now.After(r.request.Start.Add(config.Objective))
+		late = !useful && (late || time.Duration(r.waited.Load()) > time.Duration(waitedShare*float64(config.Objective)))
+	}
 	a := r.service.admission
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.policy.Answered(useful, late, time.Now())
+	a.policy.Answered(useful, late, now)
+}
+
+// sawWait notes for how long an attempt waited in a queue here.
+func (r *run) sawWait(d time.Duration) {
+	for {
+		longest := r.waited.Load()
+		if int64(d) <= longest || r.waited.CompareAndSwap(longest, int64(d)) {
+			return
+		}
+	}
 }
 
 // shortOfTime reports whether parts are missing for lack of time, and not
@@ -69,10 +104,24 @@
 }
 
 // Fit implements dispatch.Fitter.
-func (p *pool) Fit(caller string, within, patience time.Duration) (fit, total int, wait time.Duration) {
+func (p *pool) Fit(caller string, priority int, within, patience time.Duration) (fit, total int, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Fit(caller, priority, within, patience)
+}
+
+// Yields implements dispatch.Fitter.
+func (p *pool) Yields(priority int, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Yields(priority, now)
+}
+
+// Judged implements dispatch.Fitter.
+func (p *pool) Judged(priority int, taken bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.machine.Fit(caller, within, patience)
+	p.machine.Judged(priority, taken, now)
 }
 
 // Quantile implements plugin.Quantiler over the pool's recent latencies.
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -24,6 +24,7 @@
 	a := s.attempt
 	defer a.cancel()
 	e.decide(a, telemetry.Decision{Part: partDispatch, What: "dispatch", Leaf: s.leaf.ID, Why: s.action.Why, Took: s.action.Queued, Class: telemetry.Routine})
+	a.run.sawWait(s.action.Queued)
 	leaf := a.leafIndex(s.leaf.ID)
 	// The deadline is looked at again right before the bytes go: an instance
 	// that was paused since the decision must not start stale work.
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -130,6 +130,8 @@
 		versions: &versions{state: e.leafState, view: req.View},
 	}
 	r.suspect.Store(mode == quarantine.ModeSuspect)
+	before := e.margins.before(req.Service.Config.Objective, req.way())
+	r.due = due(req, before)
 	r.service = e.service(req.Service)
 	r.repetition = r.service.repetition.Load()
 	r.groups = e.plan(req, mode)
@@ -139,7 +141,7 @@
 		Versions:     r.versions,
 		Budget:       r.repetition,
 		Arrivals:     r,
-		SettleBefore: e.margins.before(req.Service.Config.Objective, req.way()),
+		SettleBefore: before,
 		HedgeAfter:   r.repetition.hedgeAfter(r),
 		Canary:       mode == quarantine.ModeCanary,
 		Suspect:      mode == quarantine.ModeSuspect,
@@ -148,6 +150,15 @@
 	return r
 }
 
+// due is when an answer must be settled to have its full value; zero: there is no
+// objective, and it has until the deadline.
+func due(req *Request, before time.Duration) time.Time {
+	if req.Service.Config.Objective <= 0 {
+		return time.Time{}
+	}
+	return req.Start.Add(req.Service.Config.Objective - before)
+}
+
 // finish drives the query to its answer; one that says "not run" is an error.
 func (r *run) finish() (*query.Answer, error) {
 	work, cancel := context.WithDeadline(r.ctx, r.request.Deadline)
--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -87,7 +87,8 @@
 	}
 	p.attempts[a.ticket] = a
 	p.handleAndUnlock(dispatch.Offered{
-		Ticket: a.ticket, Shard: shard, Caller: a.run.request.Caller.Name, Priority: a.run.request.Service.Config.Priority, Deadline: a.offer.Deadline,
+		Ticket: a.ticket, Shard: shard, Caller: a.run.request.Caller.Name, Priority: a.run.request.Service.Config.Priority,
+		Deadline: a.offer.Deadline, Due: a.run.due,
 		Avoid: p.translate(a.view, a.offer.Avoid), Hedge: a.offer.Hedge, Retry: a.offer.Retry, Solo: a.offer.Solo,
 	})
 }
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -36,6 +36,10 @@
 	direct atomic.Int64
 	// groups are those that other instances may gather.
 	groups []Group
+	// due is when the answer has its full value; zero: until the deadline.
+	due time.Time
+	// waited is the longest time that an attempt waited in a queue here, in nanoseconds.
+	waited atomic.Int64
 	ctx    context.Context // ends with the caller
 	work   context.Context // of the exchanges: ends with the deadline or the answer, too
 
--- a/kernel/dispatch/admission.go
+++ b/kernel/dispatch/admission.go
@@ -7,7 +7,11 @@
 
 // Fitter tells how a query's parts would fare on one upstream; *Machine is one.
 type Fitter interface {
-	Fit(caller string, within, patience time.Duration) (fit, total int, wait time.Duration)
+	Fit(caller string, priority int, within, patience time.Duration) (fit, total int, wait time.Duration)
+	// Yields says that a more urgent query is refused so often that this one is, too.
+	Yields(priority int, now time.Time) bool
+	// Judged is told of each decision.
+	Judged(priority int, taken bool, now time.Time)
 }
 
 // Decision says whether a query is taken in. A refused query has run nowhere.
@@ -17,6 +21,8 @@
 	RetryAfter time.Duration
 	// Fit is the share of shards that would answer in time, in [0, 1].
 	Fit float64
+	// Yields says that it was refused for more urgent queries.
+	Yields bool
 }
 
 // Patience is the share of a query's time that it may spend in a queue here.
@@ -43,7 +49,9 @@
 	Caller string
 	// Share is the caller's document.Caller.Share, at least 1.
 	Share int
-	// Left is the time to the deadline.
+	// Priority is the service's; 0 is the most urgent.
+	Priority int
+	// Left is the time in which an answer has its full value.
 	Left time.Duration
 	// LeastCoverage is the share of shards from which the answer is useful.
 	LeastCoverage float64
@@ -78,7 +86,7 @@
 	fit, total := 0, 0
 	var wait time.Duration
 	for _, u := range upstreams {
-		f, t, w := u.Fit(q.Caller, q.Left, patience)
+		f, t, w := u.Fit(q.Caller, q.Priority, q.Left, patience)
 		fit, total, wait = fit+f, total+t, max(wait, w)
 	}
 	d := Decision{Fit: 1}
@@ -86,6 +94,13 @@
 		d.Fit = float64(fit) / float64(total)
 	}
 	d.Admitted = (fit > 0 || total == 0) && d.Fit >= q.LeastCoverage
+	for _, u := range upstreams {
+		d.Yields = d.Yields || d.Admitted && u.Yields(q.Priority, now)
+	}
+	d.Admitted = d.Admitted && !d.Yields
+	for _, u := range upstreams {
+		u.Judged(q.Priority, d.Admitted, now)
+	}
 	if d.Admitted {
 		a.admitted++
 		a.usage.admitted(q.Caller)
@@ -99,8 +114,9 @@
 }
 
 // Answered tells how an admitted query ended: useful when it met the least
-// coverage in time, late when it did not for lack of time (and not because a
-// shard has no leaf, say).
+// coverage while the answer had its full value, late when it did not since it had to
+// wait (and not because a shard has no leaf, or a leaf is slow, say: to take in fewer
+// queries would mend neither).
 func (a *Admission) Answered(useful, late bool, now time.Time) {
 	switch {
 	case late:
--- a/kernel/dispatch/admission_test.go
+++ b/kernel/dispatch/admission_test.go
@@ -9,7 +9,7 @@
 // fakeFit is an upstream with a given wait on each of its shards.
 type fakeFit []time.Duration
 
-func (f fakeFit) Fit(_ string, within, patience time.Duration) (fit, total int, wait time.Duration) {
+func (f fakeFit) Fit(_ string, _ int, within, patience time.Duration) (fit, total int, wait time.Duration) {
 	for _, w := range f {
 		if w <= patience && w <= within {
 			fit++
@@ -19,6 +19,9 @@
 	return fit, len(f), wait
 }
 
+func (fakeFit) Yields(int, time.Time) bool  { return false }
+func (fakeFit) Judged(int, bool, time.Time) {}
+
 // request is a query of caller a with a second left that needs everything.
 var request = QueryRequest{Caller: "a", Share: 1, Left: time.Second, LeastCoverage: 1}
 
--- a/kernel/dispatch/estimate.go
+++ b/kernel/dispatch/estimate.go
@@ -27,12 +27,15 @@
 
 // times holds quantiles of an upstream's latency, refreshed now and then.
 type times struct {
-	sketch repetition.Latency
-	seen   int
-	last   time.Time     // of the last reply
-	least  time.Duration // low quantile
-	median time.Duration
-	most   time.Duration // high quantile
+	// sketch remembers long, for quantiles far out, and recent what decisions on load
+	// need.
+	sketch, recent repetition.Latency
+	seen           int
+	agedAt         time.Time     // of recent
+	last           time.Time     // of the last reply
+	least          time.Duration // low quantile
+	median         time.Duration
+	most           time.Duration // high quantile
 }
 
 // Quantiles of latency that decisions use, and how often they are refreshed.
@@ -48,6 +51,11 @@
 const (
 	staleAfter  = time.Second
 	staleWeight = 40
+	// agingInterval halves what recent remembers. With a memory of 2,048 replies alone,
+	// up to a fifth of the queries with the shorter objective were refused in the second
+	// and third second after a burst of five times the capacity, by latencies of the
+	// burst.
+	agingInterval = 250 * time.Millisecond
 )
 
 // known reports whether the quantiles describe the present. If silence were
@@ -57,17 +65,24 @@
 func (t *times) observe(d time.Duration, now time.Time) {
 	if !t.known(now) {
 		t.sketch.Fade(staleWeight)
+		t.recent.Fade(staleWeight)
 		t.seen, t.least, t.median, t.most = 0, 0, 0, 0
 	}
 	t.last = now
+	aged := now.Sub(t.agedAt) >= agingInterval
+	if aged {
+		t.agedAt = now
+		t.recent.Age(staleWeight)
+	}
 	t.sketch.Observe(d)
+	t.recent.Observe(d)
 	t.seen++
-	if t.seen%refreshInterval != 0 && t.seen != firstRefresh {
+	if t.seen%refreshInterval != 0 && t.seen != firstRefresh && !(aged && t.seen > firstRefresh) {
 		return
 	}
-	t.least = t.sketch.Quantile(leastQuantile)
-	t.median = t.sketch.Quantile(0.5)
-	t.most = t.sketch.Quantile(mostQuantile)
+	t.least = t.recent.Quantile(leastQuantile)
+	t.median = t.recent.Quantile(0.5)
+	t.most = t.recent.Quantile(mostQuantile)
 }
 
 // Estimate is how a new attempt would fare now.
@@ -89,17 +104,17 @@
 	return e
 }
 
-// Fit counts the shards on which a new attempt of the caller would wait no
+// Fit counts the shards on which a new attempt of the caller and priority would wait no
 // longer than patience and still finish within the given time, and all shards.
 // wait is the longest queueing time among the shards.
-func (m *Machine) Fit(caller string, within, patience time.Duration) (fit, total int, wait time.Duration) {
+func (m *Machine) Fit(caller string, priority int, within, patience time.Duration) (fit, total int, wait time.Duration) {
 	w := m.weight(caller)
 	for _, s := range m.shards {
 		if s.idle() {
 			fit++ // whatever is known of it may be old: let it show
 			continue
 		}
-		d := m.callerWait(s, caller, w)
+		d := m.callerWait(s, caller, priority, w)
 		wait = max(wait, d)
 		if d <= patience && d+m.times.median <= within {
 			fit++
@@ -113,7 +128,7 @@
 	if m.unbounded || a.shard.idle() || !m.times.known(now) {
 		return true
 	}
-	wait := m.callerWait(a.shard, a.caller, m.weight(a.caller))
+	wait := m.callerWait(a.shard, a.caller, a.priority, m.weight(a.caller))
 	return now.Add(wait + m.times.median).Before(a.deadline)
 }
 
@@ -127,19 +142,21 @@
 }
 
 // callerWait is how long a new attempt of the caller would wait: its own
-// queue at its share of the service, and no longer than the whole queue.
-func (m *Machine) callerWait(s *shard, caller string, weight float64) time.Duration {
-	if s.queue.length == 0 {
+// queue at its share of the service, and no longer than the whole queue. What is late
+// already yields to it.
+func (m *Machine) callerWait(s *shard, caller string, priority int, weight float64) time.Duration {
+	if s.queue.inTime() == 0 {
 		return 0
 	}
-	own, total := 1, weight
+	own, total := 1.0, weight
 	for _, q := range s.queue.active {
-		if q.name == caller {
-			own += q.length
-			continue
+		switch {
+		case q.name == caller:
+			own = q.ahead(priority)
+		case q.inTime() > 0:
+			total += q.weight
 		}
-		total += q.weight
 	}
-	turns := min(float64(own)*total/weight, float64(s.queue.length))
+	turns := min(own*total/weight, float64(s.queue.inTime()))
 	return time.Duration(turns * float64(s.interval()))
 }
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -33,11 +33,12 @@
 	running    map[Ticket]*attempt
 	waiting    map[Ticket]*attempt
 	// stalled are the shards with waiting work and none running.
-	stalled []*shard
-	times   times
-	expiry  expiryHeap
-	wake    time.Time // the Tick asked for, zero for none
-	actions []Action
+	stalled    []*shard
+	times      times
+	precedence precedence
+	expiry     expiryHeap
+	wake       time.Time // the Tick asked for, zero for none
+	actions    []Action
 
 	candidates []plugin.Candidate // scratch
 	chosen     []*leaf            // scratch, beside candidates
@@ -82,7 +83,10 @@
 	}
 	a := &attempt{
 		ticket: ev.Ticket, shard: s, caller: ev.Caller, priority: ev.Priority, deadline: ev.Deadline,
-		offered: now, hedge: ev.Hedge, solo: ev.Solo, place: noPlace,
+		due: ev.Due, offered: now, hedge: ev.Hedge, solo: ev.Solo, place: noPlace,
+	}
+	if a.due.IsZero() || a.due.After(a.deadline) {
+		a.due = a.deadline
 	}
 	m.setAvoid(a, ev)
 	if a.hedge && !m.hedgeFits(a) {
--- a/kernel/dispatch/messages.go
+++ b/kernel/dispatch/messages.go
@@ -27,10 +27,12 @@
 	Caller   string
 	Priority int // of its service, 0 is the most urgent
 	Deadline time.Time
-	Avoid    []int // view indexes of leaves
-	Hedge    bool
-	Retry    bool
-	Solo     bool
+	// Due is when the answer has its full value; zero: until the deadline.
+	Due   time.Time
+	Avoid []int // view indexes of leaves
+	Hedge bool
+	Retry bool
+	Solo  bool
 }
 
 // Withdrawn takes back a queued attempt; for a running one the runtime cancels
--- a/kernel/dispatch/queue.go
+++ b/kernel/dispatch/queue.go
@@ -13,6 +13,7 @@
 	caller   string
 	priority int
 	deadline time.Time
+	due      time.Time // Offered.Due, or the deadline
 	offered  time.Time
 	started  time.Time
 	avoid    []*leaf
@@ -22,7 +23,8 @@
 	// saturated is plugin.Sample.Saturated, noted at dispatch.
 	saturated bool
 	queued    bool
-	place     int // in the expiry heap
+	late      bool // in rankQueue.late
+	place     int  // in the expiry heap
 }
 
 // avoids reports whether the attempt must not go to the leaf.
@@ -43,6 +45,48 @@
 	// turn is the virtual time of the next service, as in callerQueue.
 	turn  float64
 	items []*attempt
+	// late are those whose answer can't have its full value any more. They get the
+	// slots that no other attempt of the shard waits for.
+	late []*attempt
+}
+
+// list is the attempts that can be in time, or the others.
+func (q *rankQueue) list(late bool) []*attempt {
+	if late {
+		return q.late
+	}
+	return q.items
+}
+
+// demote moves the oldest attempts that can't be in time any more, and returns how
+// many. The attempts of a rank are due in the order of their queries, or nearly so.
+func (q *rankQueue) demote(tooLate func(*attempt) bool) int {
+	n := 0
+	for n < len(q.items) && tooLate(q.items[n]) {
+		a := q.items[n]
+		a.late = true
+		i, _ := slices.BinarySearchFunc(q.late, a, compare)
+		q.late = slices.Insert(q.late, i, a)
+		n++
+	}
+	q.items = slices.Delete(q.items, 0, n)
+	return n
+}
+
+// remove takes out an attempt and reports whether it was there.
+func (q *rankQueue) remove(a *attempt) bool {
+	list := q.list(a.late)
+	i, ok := slices.BinarySearchFunc(list, a, compare)
+	if !ok {
+		return false
+	}
+	list = slices.Delete(list, i, i+1)
+	if a.late {
+		q.late = list
+	} else {
+		q.items = list
+	}
+	return true
 }
 
 // mostHalvings bounds how far a priority lowers the share of its queue.
@@ -50,14 +94,17 @@
 
 // cost is what one service moves the turn by: each rank halves the share, so that
 // what is less urgent waits longer under overload and is never left out.
-func (q *rankQueue) cost() float64 { return float64(int(1) << min(max(q.priority, 0), mostHalvings)) }
+func (q *rankQueue) cost() float64 { return rankCost(q.priority) }
+
+// rankCost is the cost of one service of a priority.
+func rankCost(priority int) float64 { return float64(int(1) << min(max(priority, 0), mostHalvings)) }
 
-// at returns the i-th attempt in the order of service.
-func (q *rankQueue) at(i int, newestFirst bool) *attempt {
+// at returns the i-th attempt of a list in the order of service.
+func at(list []*attempt, i int, newestFirst bool) *attempt {
 	if newestFirst {
-		return q.items[len(q.items)-1-i]
+		return list[len(list)-1-i]
 	}
-	return q.items[i]
+	return list[i]
 }
 
 // callerQueue is one caller's waiting attempts for a shard, by priority.
@@ -71,6 +118,28 @@
 	idle   []*rankQueue // the others, which keep their turn
 	clock  float64      // virtual time of the last service among the ranks
 	length int
+	late   int // of them, how many are late
+}
+
+// inTime is the number of attempts that can be in time.
+func (q *callerQueue) inTime() int { return q.length - q.late }
+
+// ahead is how many of the caller's attempts that can be in time are served before a
+// new one of a priority: its own rank's, and of each other rank as many as its share
+// gets meanwhile.
+func (q *callerQueue) ahead(priority int) float64 {
+	own, shares := 1.0, 1/rankCost(priority)
+	all := 1.0
+	for _, r := range q.ranks {
+		n := float64(len(r.items))
+		all += n
+		if r.priority == priority {
+			own += n
+		} else if n > 0 {
+			shares += 1 / rankCost(r.priority)
+		}
+	}
+	return min(own*shares*rankCost(priority), all)
 }
 
 // rank returns the queue of a priority and makes it one that waits.
@@ -93,6 +162,7 @@
 	r := q.rank(a.priority)
 	i, _ := slices.BinarySearchFunc(r.items, a, compare)
 	r.items = slices.Insert(r.items, i, a)
+	a.late = false
 	q.length++
 }
 
@@ -102,13 +172,14 @@
 		return
 	}
 	r := q.ranks[at]
-	i, ok := slices.BinarySearchFunc(r.items, a, compare)
-	if !ok {
+	if !r.remove(a) {
 		return
 	}
-	r.items = slices.Delete(r.items, i, i+1)
 	q.length--
-	if len(r.items) == 0 {
+	if a.late {
+		q.late--
+	}
+	if len(r.items)+len(r.late) == 0 {
 		q.ranks = slices.Delete(q.ranks, at, at+1)
 		q.idle = append(q.idle, r)
 	}
@@ -137,6 +208,7 @@
 	var out []*attempt
 	for _, r := range q.ranks {
 		out = append(out, r.items...)
+		out = append(out, r.late...)
 	}
 	return out
 }
@@ -149,6 +221,21 @@
 	active  []*callerQueue // callers with waiting attempts
 	turn    float64        // virtual time of the last service
 	length  int
+	late    int // of them, how many are late
+}
+
+// inTime is the number of attempts that can be in time.
+func (f *fairQueue) inTime() int { return f.length - f.late }
+
+// demote sets the attempts apart that can't be in time any more.
+func (f *fairQueue) demote(tooLate func(*attempt) bool) {
+	for _, q := range f.active {
+		for _, r := range q.ranks {
+			n := r.demote(tooLate)
+			q.late += n
+			f.late += n
+		}
+	}
 }
 
 // push adds an attempt of a caller with the given weight.
@@ -174,6 +261,9 @@
 	q := f.callers[a.caller]
 	q.remove(a)
 	f.length--
+	if a.late {
+		f.late--
+	}
 	a.queued = false
 	if q.length == 0 {
 		f.active = slices.DeleteFunc(f.active, func(o *callerQueue) bool { return o == q })
@@ -198,13 +288,16 @@
 }
 
 // oldest returns the largest share of its time that a caller's oldest query
-// has waited, 0 for an empty queue.
+// has waited which can be in time, 0 for an empty queue.
 func (f *fairQueue) oldest(now time.Time) float64 {
 	share := 0.0
 	for _, q := range f.active {
 		for _, r := range q.ranks {
+			if len(r.items) == 0 {
+				continue
+			}
 			a := r.items[0]
-			if all := a.deadline.Sub(a.offered); all > 0 {
+			if all := a.due.Sub(a.offered); all > 0 {
 				share = max(share, float64(now.Sub(a.offered))/float64(all))
 			}
 		}
--- a/kernel/dispatch/queue_test.go
+++ b/kernel/dispatch/queue_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 )
 
 // TestPrioritiesShare keeps the queues of three priorities of one caller full, the
@@ -40,3 +42,53 @@
 		}
 	}
 }
+
+// TestLateWorkYields lets attempts wait until those that came first can't be in time any
+// more: whoever still can goes before them, the ranks in turn, and they are served when
+// nobody else waits.
+func TestLateWorkYields(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+	offer := func(q, priority int, due time.Duration) []uint64 {
+		o := offered(q)
+		o.Priority = priority
+		if due > 0 {
+			o.Due = start.Add(due)
+		}
+		return dispatched(m.Handle(o, start))
+	}
+	running := offer(1, 0, second)
+	offer(2, 0, 50*time.Millisecond)
+	offer(3, 0, 60*time.Millisecond)
+	offer(4, 0, 500*time.Millisecond)
+	offer(5, 1, 500*time.Millisecond)
+	offer(6, 0, 0) // no objective: in time until the deadline
+	now := start.Add(100 * time.Millisecond)
+	var order []uint64
+	for range 5 {
+		running = dispatched(m.Handle(reply(int(running[0]), 0), now))
+		order = append(order, running...)
+	}
+	if want := []uint64{5, 4, 6, 2, 3}; !slices.Equal(order, want) {
+		t.Errorf("served in the order %v, want %v", order, want)
+	}
+}
+
+// TestLateWorkIsNoReasonToWait has late attempts wait before a shard: a query that can be
+// in time does not wait for them.
+func TestLateWorkIsNoReasonToWait(t *testing.T) {
+	m := newTestMachine(t, testView(1, 1, 1, 1, 1))
+	for q := range 10 {
+		o := offered(q)
+		o.Due = start.Add(50 * time.Millisecond)
+		m.Handle(o, start)
+	}
+	now := start.Add(100 * time.Millisecond)
+	m.Handle(reply(0, 40*time.Millisecond), now)
+	if _, _, wait := m.Fit("a", 0, second, second); wait != 0 {
+		t.Errorf("a wait of %v behind work that is late", wait)
+	}
+	m.Handle(Withdrawn{Ticket: ticket(5)}, now) // one that is late leaves the queue
+	if n := m.shards[0].queue; n.length != 7 || n.late != 7 {
+		t.Errorf("%d wait, %d of them late, want 7", n.length, n.late)
+	}
+}
--- a/kernel/dispatch/serve.go
+++ b/kernel/dispatch/serve.go
@@ -9,6 +9,7 @@
 
 // serve dispatches the shard's waiting attempts while leaves have room.
 func (m *Machine) serve(s *shard, now time.Time) {
+	m.demote(s, now)
 	s.order.Queued(s.queue.oldest(now), now)
 	for s.queue.length > 0 {
 		a, i, why := m.next(s, now)
@@ -34,17 +35,38 @@
 	}
 }
 
-// next finds the attempt to serve and its leaf: callers in turn, within a caller its
-// priorities in turn, and within those the order policy's end of the queue. The leaf is m.chosen[i].
+// demote sets the attempts apart that can't have their full value any more: a slot that
+// they got would make another query late too. With a burst of five times the usual load
+// and three kinds of query, see the table "late work yields" of the note on admission.
+func (m *Machine) demote(s *shard, now time.Time) {
+	if m.unbounded || s.queue.inTime() == 0 {
+		return
+	}
+	at := now.Add(m.times.median)
+	s.queue.demote(func(a *attempt) bool { return a.due.Before(a.deadline) && !at.Before(a.due) })
+}
+
+// next finds the attempt to serve and its leaf: those that can be in time before the
+// others, callers in turn, within a caller its priorities in turn, and within those the
+// order policy's end of the queue. The leaf is m.chosen[i].
 func (m *Machine) next(s *shard, now time.Time) (a *attempt, i int, why string) {
-	newest := s.order.NewestFirst()
 	if !m.anyRoom(s) {
 		return nil, 0, ""
 	}
+	if a, i, why = m.nextOf(s, false, now); a == nil {
+		a, i, why = m.nextOf(s, true, now)
+	}
+	return a, i, why
+}
+
+// nextOf finds the next attempt among those that can be in time, or among the others.
+func (m *Machine) nextOf(s *shard, late bool, now time.Time) (a *attempt, i int, why string) {
+	newest := s.order.NewestFirst() && !late
 	for _, q := range s.queue.inTurn() {
 		for _, r := range q.inTurn() {
-			for k := range min(scanDepth, len(r.items)) {
-				a := r.at(k, newest)
+			list := r.list(late)
+			for k := range min(scanDepth, len(list)) {
+				a := at(list, k, newest)
 				if m.gather(a, now) {
 					i, why := m.routing.Pick(m.candidates, now)
 					return a, i, why
--- a/kernel/repetition/latency.go
+++ b/kernel/repetition/latency.go
@@ -43,6 +43,10 @@
 	}
 }
 
+// Age halves the weight of what was seen so far, down to the given number of
+// observations.
+func (l *Latency) Age(least int) { l.Fade(max(least, int(l.total/2))) }
+
 // halve ages what has been seen.
 func (l *Latency) halve() { l.scale(0.5) }
 
