Draw nothing for pauses in runs that have none

Cause: the first pause of a leaf drew from the run's randomness also where there are no pauses, so all earlier runs of the model changed; TestSheddingIsNotAmplified then had 1.101 sub-requests a part, 1.1 wanted.

--- a/bench/burst/leaf.go
+++ b/bench/burst/leaf.go
@@ -86,8 +86,11 @@
 // pause stops the leaf now and again; each pause schedules the next.
 func (l *fakeLeaf) pause() {
 	p := l.run.p
+	if p.Pause == 0 {
+		return
+	}
 	at := l.run.ev.now + int64((0.5+l.run.rand.Float64())*float64(p.PauseEvery))
-	if p.Pause == 0 || at >= int64(p.Duration) {
+	if at >= int64(p.Duration) {
 		return
 	}
 	l.run.ev.add(at, func() {
