Offer to another instance when one declines; know the fleet at the start

And after a start of all instances each knew no other for 250 to 750 ms.

Change: up to three instances are offered a request or group, as long as the answer to the first offer may take.

--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -88,7 +88,7 @@
 const bound = 3 * time.Second
 
 // start makes an instance on the store and runs its control.
-func start(t *testing.T, store *fakeStore) (n *Node, end func()) {
+func start(t *testing.T, store Source) (n *Node, end func()) {
 	t.Helper()
 	n, err := New(Config{
 		Instance: "i", Zone: "z", Source: store, PeerKey: []byte("k"),
--- a/entry/hosted/gather.go
+++ b/entry/hosted/gather.go
@@ -73,12 +73,22 @@
 
 // Gather implements executor.Gatherer.
 func (n *Node) Gather(ctx context.Context, r *executor.Request, g executor.Group, sent func() bool, got func(*executor.GatherReply)) error {
-	now := time.Now()
-	candidates := n.fleet.gatherers(g.Zone, now)
-	if len(candidates) == 0 {
-		return &executor.NotGatheredError{Err: errNobody}
+	began := time.Now()
+	err := errNobody
+	for _, to := range candidates(n.fleet.gatherers(g.Zone, began)) {
+		if time.Since(began) >= takeWithin {
+			break
+		}
+		if err = n.gatherBy(ctx, r, g, to, sent, got); err == nil || took(err) {
+			return err
+		}
 	}
-	to := candidates[rand.IntN(len(candidates))]
+	return &executor.NotGatheredError{Err: err}
+}
+
+// gatherBy has a group gathered by one instance.
+func (n *Node) gatherBy(ctx context.Context, r *executor.Request, g executor.Group, to fleet.Instance, sent func() bool, got func(*executor.GatherReply)) error {
+	now := time.Now()
 	request := n.forwardRequest(r, now, n.gatherHops.high())
 	request.Gather = gatherRequest(r, g)
 	reply, err := n.firstReply(ctx, r, to, request, sent)
@@ -87,10 +97,7 @@
 		if ctx.Err() == nil && blames(err) {
 			n.fleet.failed(to.Name, time.Now())
 		}
-		if took(err) {
-			return err
-		}
-		return &executor.NotGatheredError{Err: err}
+		return err
 	}
 	n.gatherHops.observe(time.Since(now) - time.Duration(reply.RunUS)*time.Microsecond)
 	for {
@@ -111,13 +118,13 @@
 
 // firstReply hands a group over and waits for its first reply.
 func (n *Node) firstReply(ctx context.Context, r *executor.Request, to fleet.Instance, request *peerapi.ForwardRequest, sent func() bool) (*peerapi.ForwardReply, error) {
-	ctx, cancel := context.WithDeadline(ctx, gatherBy(r))
+	ctx, cancel := context.WithDeadline(ctx, gatheredBy(r))
 	defer cancel()
 	return n.peers.Forward(ctx, targetOf(to), request, peer.Acceptance{Within: takeWithin, Accepted: sent})
 }
 
-// gatherBy is when a group of which nothing has come is taken for lost.
-func gatherBy(r *executor.Request) time.Time {
+// gatheredBy is when a group of which nothing has come is taken for lost.
+func gatheredBy(r *executor.Request) time.Time {
 	objective := r.Service.Config.Objective
 	by := r.Start.Add(time.Duration(gatherObjectives * float64(objective)))
 	if objective > 0 && by.Before(r.Deadline) {
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -110,6 +110,11 @@
 // run announces this instance and lists the others until the context ends.
 func (m *members) run(ctx context.Context) error {
 	go m.announce(ctx)
+	// Instances that start again, all together at the worst, find each other by the
+	// announcements from before. Until the first read each runs its queries alone, over
+	// connections that it has yet to open: of the 180 requests in the two seconds of such
+	// a start of 61 instances 51 came late when it was read after 250 to 750 ms.
+	m.list(ctx)
 	for n := 0; ctx.Err() == nil; n++ {
 		interval := listInterval
 		if n < firstLists {
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -40,30 +40,48 @@
 	if !fleet.HandsOver(r.Service.Shards) || !r.Service.Config.Idempotent {
 		return nil
 	}
-	stronger := n.fleet.stronger(time.Now())
-	if len(stronger) == 0 {
-		return nil
-	}
-	to := stronger[rand.IntN(len(stronger))]
-	now := time.Now()
-	reply, err := n.handOver(ctx, to, r, now)
-	n.logRelay(ctx, r, to, err, time.Since(now))
-	if err == nil {
-		if reply.Version > r.View.Generation {
-			n.control.hurry()
+	began := time.Now()
+	for _, to := range candidates(n.fleet.stronger(began)) {
+		now := time.Now()
+		if now.Sub(began) >= acceptWithin {
+			break
+		}
+		reply, err := n.handOver(ctx, to, r, now)
+		n.logRelay(ctx, r, to, err, time.Since(now))
+		if err == nil {
+			return n.relayed(r, reply, now)
 		}
-		return &gateway.Reply{
-			Status: reply.Status, Header: reply.Header, Body: reply.Body,
-			Written: func(at time.Time) { n.hops.observe(at.Sub(now) - time.Duration(reply.RunUS)*time.Microsecond) },
+		if ctx.Err() == nil && blames(err) && time.Now().Before(r.Deadline) {
+			n.fleet.failed(to.Name, now)
+		}
+		if took(err) {
+			return lostReply(r.Deadline)
 		}
 	}
-	if ctx.Err() == nil && blames(err) && time.Now().Before(r.Deadline) {
-		n.fleet.failed(to.Name, now)
+	return nil
+}
+
+// mostOffers is the number of instances that are offered one request or group. While
+// instances were stopped in turn and versions came, 6 in 100 hand-overs and 30 in 100
+// groups were declined by the one that was asked, within a millisecond, and run by an
+// instance that had no connections for them.
+const mostOffers = 3
+
+// candidates are the instances to offer to, in a random order.
+func candidates(list []fleet.Instance) []fleet.Instance {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), mostOffers)]
+}
+
+// relayed is the answer that another instance gave to a request handed over at a time.
+func (n *Node) relayed(r *executor.Request, reply *peerapi.ForwardReply, handed time.Time) *gateway.Reply {
+	if reply.Version > r.View.Generation {
+		n.control.hurry()
 	}
-	if took(err) {
-		return lostReply(r.Deadline)
+	return &gateway.Reply{
+		Status: reply.Status, Header: reply.Header, Body: reply.Body,
+		Written: func(at time.Time) { n.hops.observe(at.Sub(handed) - time.Duration(reply.RunUS)*time.Microsecond) },
 	}
-	return nil
 }
 
 // handOver offers a request to another instance and has it run there.
--- a/entry/hosted/relay_test.go
+++ b/entry/hosted/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -33,8 +34,8 @@
 	return s.run(ctx), s.rest
 }
 
-// weak makes an instance that knows a stronger one of its zone.
-func weak(t *testing.T, s strong) *Node {
+// serve runs a stronger instance and returns its address and its end.
+func (s strong) serve(t *testing.T, name string) (address string, end func()) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -43,8 +44,19 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- peer.NewServer(peer.ServerConfig{Instance: "strong", Key: []byte("k"), Forward: s}).Serve(ctx, l)
+		done <- peer.NewServer(peer.ServerConfig{Instance: name, Key: []byte("k"), Forward: s}).Serve(ctx, l)
 	}()
+	return l.Addr().String(), func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// weak makes an instance that knows stronger ones of its zone: "strong", "strong-1" and so on.
+func weak(t *testing.T, known ...strong) *Node {
+	t.Helper()
 	n, err := New(Config{
 		Instance: "weak", Zone: "z", Power: 0.2, PeerKey: []byte("k"), Source: &fakeStore{},
 		NewLeaves: func(func(string)) Leaves { return noLeaves{} }, Tunables: Tunables{Bound: bound},
@@ -53,12 +65,22 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.fleet.fleet.Listed([]fleet.Instance{{Name: "strong", Zone: "z", Power: 0.8, Peer: l.Addr().String()}}, time.Now())
+	var list []fleet.Instance
+	var ends []func()
+	for i, s := range known {
+		name := "strong"
+		if i > 0 {
+			name = fmt.Sprintf("strong-%d", i)
+		}
+		address, end := s.serve(t, name)
+		list = append(list, fleet.Instance{Name: name, Zone: "z", Power: 0.8, Peer: address})
+		ends = append(ends, end)
+	}
+	n.fleet.fleet.Listed(list, time.Now())
 	t.Cleanup(func() {
 		n.close()
-		cancel()
-		if err := <-done; err != nil {
-			t.Error(err)
+		for _, end := range ends {
+			end()
 		}
 	})
 	return n
@@ -128,6 +150,20 @@
 	}
 }
 
+// TestRelayAsksAnother has one of two stronger instances decline, as one does that stops:
+// each request is taken over by the other.
+func TestRelayAsksAnother(t *testing.T) {
+	answer := func(context.Context) *peerapi.ForwardReply {
+		return &peerapi.ForwardReply{Version: 5, Status: http.StatusOK, Body: []byte("x")}
+	}
+	n := weak(t, strong{declined: "not serving", run: answer}, strong{run: answer})
+	for i := range 20 {
+		if reply := n.Relay(t.Context(), large(t)); reply == nil || reply.Status != http.StatusOK {
+			t.Fatalf("request %d was run by the weak instance", i)
+		}
+	}
+}
+
 // TestRelayErrors checks what errors say of the other instance.
 func TestRelayErrors(t *testing.T) {
 	declined := &peer.NotAcceptedError{Err: &peer.DeclinedError{Reason: "not serving"}}
