Give drain marks of the own leaf protocol the leaf's start

Cause: a leaf of the own protocol that drained and started again under its ID got no work for the two minutes that a mark lives: nothing told its starts apart, and a leaf that leaves is not asked for anything.

Change: a leaf tells its birth with each reply and with its health; a mark is of one start and ends with a later birth, relayed ones too. A leaf that leaves is asked for its health every 5 s. What a leaf says of itself is one type, leafclient.Said.

Ruled out: to let work through now and then, which a draining leaf must not get.

--- a/api/leafapi/leafapi.go
+++ b/api/leafapi/leafapi.go
@@ -28,6 +28,7 @@
 	HeaderRanges    = "Fuchsiaroad-Ranges"     // ranges covered by a reply, or held by a leaf that declines
 	HeaderVersions  = "Fuchsiaroad-Versions"   // index versions served now, comma-separated
 	HeaderDraining  = "Fuchsiaroad-Draining"   // "1": the leaf is leaving
+	HeaderBorn      = "Fuchsiaroad-Born"       // Unix ms of the leaf's start by its own clock; absent: not told
 	HeaderNotRun    = "Fuchsiaroad-Not-Run"    // a Decline: the request provably did not run
 	HeaderChecksum  = "Fuchsiaroad-Checksum"   // xxhash64 of the body, 16 hex digits
 	HeaderServiceUS = "Fuchsiaroad-Service-Us" // microseconds the request held a slot
@@ -51,6 +52,8 @@
 	Ready    bool     `json:"ready"`
 	Draining bool     `json:"draining"`
 	Versions []uint64 `json:"versions"`
+	// Born is the Unix millisecond of the leaf's start by its own clock; 0: not told.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Load is the answer of PathLoad. It may lag or mislead.
@@ -59,6 +62,16 @@
 	Queued   int `json:"queued"`
 }
 
+// ParseBorn reads a HeaderBorn value; 0 stands for one that is absent or malformed, since
+// a birth is only ever compared with another.
+func ParseBorn(s string) int64 {
+	born, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || born < 0 {
+		return 0
+	}
+	return born
+}
+
 // FormatVersions writes a HeaderVersions value.
 func FormatVersions(vs []uint64) string {
 	parts := make([]string, len(vs))
--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -52,8 +52,10 @@
 
 // LeavingLeaf is one leaf's drain mark with the age of its sighting.
 type LeavingLeaf struct {
-	Leaf  string `json:"leaf"`
-	AgeMS int64  `json:"age_ms"`
+	Leaf string `json:"leaf"`
+	// Born is the start of the leaf that the mark is of, 0: not known.
+	Born  int64 `json:"born,omitempty"`
+	AgeMS int64 `json:"age_ms"`
 }
 
 // Quarantined is a fingerprint's record. The fingerprint is a keyed hash: it
--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -34,7 +34,7 @@
 
 	ctx    context.Context // of Run; set before anything runs
 	inbox  chan func(now time.Time)
-	marks  chan string
+	marks  chan membership.Event
 	io     sync.WaitGroup
 	closed chan struct{}
 
@@ -59,7 +59,7 @@
 		membership: membership.New(membership.DefaultConfig(cfg.Instance, cfg.Seed)),
 		rnd:        rand.New(rand.NewPCG(cfg.Seed, 4)),
 		inbox:      make(chan func(time.Time), inboxLength),
-		marks:      make(chan string, marksLength),
+		marks:      make(chan membership.Event, marksLength),
 		closed:     make(chan struct{}),
 		waiters:    make(map[rollout.SaveID]chan rollout.Outcome),
 		shares:     newShares(),
@@ -91,8 +91,8 @@
 			return nil
 		case run := <-c.inbox:
 			run(time.Now())
-		case leaf := <-c.marks:
-			c.member(membership.SawLeaving{Leaf: leaf})
+		case sighting := <-c.marks:
+			c.member(sighting)
 		case <-timer.C:
 			c.tick(time.Now())
 		}
--- a/entry/control/members.go
+++ b/entry/control/members.go
@@ -110,7 +110,7 @@
 		Instance: d.Instance, Zone: c.cfg.Zone, Generation: current.Generation, Hash: current.Hash, Draining: d.Draining,
 	}
 	for _, l := range d.Leaving {
-		out.Leaving = append(out.Leaving, peerapi.LeavingLeaf{Leaf: l.Leaf, AgeMS: l.Age.Milliseconds()})
+		out.Leaving = append(out.Leaving, peerapi.LeavingLeaf{Leaf: l.Leaf, Born: l.Born, AgeMS: l.Age.Milliseconds()})
 	}
 	for _, g := range d.Generations {
 		out.Generations = append(out.Generations, peerapi.InstanceGeneration{Instance: g.Instance, Generation: g.Generation, AgeMS: g.Age.Milliseconds()})
@@ -133,7 +133,7 @@
 func (c *Control) heard(d *peerapi.Digest) {
 	in := &membership.Digest{Instance: d.Instance, Generation: d.Generation, Hash: d.Hash, Draining: d.Draining}
 	for _, l := range d.Leaving[:min(len(d.Leaving), maxLeaving)] {
-		in.Leaving = append(in.Leaving, membership.LeavingLeaf{Leaf: l.Leaf, Age: age(l.AgeMS)})
+		in.Leaving = append(in.Leaving, membership.LeavingLeaf{Leaf: l.Leaf, Born: l.Born, Age: age(l.AgeMS)})
 	}
 	for _, g := range d.Generations[:min(len(d.Generations), maxGenerations)] {
 		in.Generations = append(in.Generations, membership.RelayedGeneration{
@@ -174,12 +174,23 @@
 	return &peerapi.Document{Generation: v.Generation, Hash: v.Hash, TOML: v.Value}
 }
 
-// SawLeaving takes a leaf's own drain mark, seen on a reply. It does not wait:
-// when too many marks are queued this one is dropped, and the leaf's next reply
-// brings it again. Any goroutine may call it.
-func (c *Control) SawLeaving(leafID string) {
+// SawLeaving takes a leaf's own drain mark, seen on a reply, and the leaf's start. It
+// does not wait: when too many marks are queued this one is dropped, and the leaf's next
+// reply brings it again. Any goroutine may call it.
+func (c *Control) SawLeaving(leafID string, born int64) {
+	c.sight(membership.SawLeaving{Leaf: leafID, Born: born})
+}
+
+// SawBorn takes a start of a leaf that was not known. One that is dropped costs at most
+// the life of a mark. Any goroutine may call it.
+func (c *Control) SawBorn(leafID string, born int64) {
+	c.sight(membership.SawBorn{Leaf: leafID, Born: born})
+}
+
+// sight hands over what replies showed, without waiting.
+func (c *Control) sight(ev membership.Event) {
 	select {
-	case c.marks <- leafID:
+	case c.marks <- ev:
 	default:
 	}
 }
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -45,7 +45,7 @@
 		return
 	}
 	a.run.sawRun()
-	e.Learn(s.leaf.ID, reply.Versions, reply.Draining)
+	e.Learn(s.leaf.ID, reply.Said)
 	a.run.service.metrics.Attempt(telemetry.AttemptReply, s.action.Queued)
 	p.finish(a, dispatch.OutcomeReply, reply.Service)
 	a.run.mail.put(query.Reply{Attempt: a.offer.Attempt, Leaf: leaf, Version: reply.Version, Ranges: reply.Ranges, Body: reply.Body, Versions: reply.Versions, Carried: reply.Carried})
@@ -98,7 +98,7 @@
 		p.finish(a, outcome, 0)
 		a.run.mail.put(query.NotSent{Attempt: id, Leaf: leaf, Reason: query.ReasonDialFailed})
 	case errors.As(err, &declined):
-		e.Learn(declined.Leaf, declined.Versions, declined.Draining)
+		e.Learn(declined.Leaf, declined.Said)
 		outcome := dispatch.OutcomeDeclined
 		if declined.Reason == leafapi.DeclineOverloaded {
 			outcome = dispatch.OutcomeShed
@@ -149,10 +149,12 @@
 }
 
 // Learn keeps what a leaf said of itself. It implements probe.Learner.
-func (e *Executor) Learn(leafID string, versions []uint64, draining bool) {
-	e.leafState.saw(leafID, versions, time.Now())
-	if draining {
-		e.config.Sightings.SawLeaving(leafID)
+func (e *Executor) Learn(leafID string, said leafclient.Said) {
+	if e.leafState.saw(leafID, said, time.Now()) {
+		e.config.Sightings.SawBorn(leafID, said.Born)
+	}
+	if said.Draining {
+		e.config.Sightings.SawLeaving(leafID, said.Born)
 	}
 }
 
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -25,9 +25,11 @@
 	Run(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error)
 }
 
-// Sightings takes what replies show of leaves: a drain mark. It must not block.
+// Sightings takes what replies show of leaves: a drain mark, and a start that was not
+// known. A birth of 0 is not known. It must not block.
 type Sightings interface {
-	SawLeaving(leafID string)
+	SawLeaving(leafID string, born int64)
+	SawBorn(leafID string, born int64)
 	// SpreadNow asks to tell the peers at once what the quarantine learnt.
 	SpreadNow()
 }
--- a/entry/executor/leafstate.go
+++ b/entry/executor/leafstate.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/snapshot"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
@@ -19,10 +20,11 @@
 	index   map[string]int // leaf ID to index in view
 	heard   map[string]time.Time
 	broke   map[string]time.Time // when a connection to the leaf last broke
+	born    map[string]int64     // the start that the leaf last told
 }
 
 func newLeafState() *leafState {
-	return &leafState{heard: make(map[string]time.Time), broke: make(map[string]time.Time)}
+	return &leafState{heard: make(map[string]time.Time), broke: make(map[string]time.Time), born: make(map[string]int64)}
 }
 
 // follow moves the tracker to a newer view.
@@ -43,6 +45,7 @@
 	}
 	maps.DeleteFunc(s.heard, gone)
 	maps.DeleteFunc(s.broke, gone)
+	maps.DeleteFunc(s.born, func(id string, _ int64) bool { return gone(id, time.Time{}) })
 	if s.tracker == nil {
 		s.tracker = snapshot.New(v)
 		return
@@ -50,18 +53,24 @@
 	s.tracker.SetView(v)
 }
 
-// saw notes the versions that a leaf says it serves.
-func (s *leafState) saw(leafID string, versions []uint64, now time.Time) {
+// saw notes what a leaf says of itself, and reports whether it told a start that was
+// not known.
+func (s *leafState) saw(leafID string, said leafclient.Said, now time.Time) (started bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i, ok := s.index[leafID]
 	if !ok {
-		return
+		return false
 	}
 	s.heard[leafID] = now
-	if len(versions) > 0 {
-		s.tracker.Observe(i, versions)
+	if len(said.Versions) > 0 {
+		s.tracker.Observe(i, said.Versions)
+	}
+	if said.Born == 0 || said.Born == s.born[leafID] {
+		return false
 	}
+	s.born[leafID] = said.Born
+	return true
 }
 
 // sawBreak notes that a connection to the leaf broke.
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -351,8 +351,11 @@
 // resized says that the fleet's size has changed.
 func (c *control) resized() { c.post(fleetResized{}) }
 
-// SawLeaving implements executor.Sightings.
-func (c *control) SawLeaving(leafID string) { c.leafGone(leafID) }
+// SawLeaving implements executor.Sightings. Leaves are known by their incarnations here.
+func (c *control) SawLeaving(leafID string, _ int64) { c.leafGone(leafID) }
+
+// SawBorn implements executor.Sightings. Births come from the store here.
+func (c *control) SawBorn(string, int64) {}
 
 // SpreadNow implements executor.Sightings. Instances here do not tell each other
 // of quarantines.
--- a/entry/leafclient/errors.go
+++ b/entry/leafclient/errors.go
@@ -26,11 +26,10 @@
 
 // DeclinedError is the leaf's word that it did not run the request.
 type DeclinedError struct {
-	Leaf     string
-	Reason   leafapi.Decline
-	Versions []uint64
-	Ranges   []keyrange.Range
-	Draining bool
+	Leaf   string
+	Reason leafapi.Decline
+	Ranges []keyrange.Range
+	Said
 }
 
 // Error implements error.
--- a/entry/leafclient/leafclient.go
+++ b/entry/leafclient/leafclient.go
@@ -55,13 +55,20 @@
 	Passed *Passed
 }
 
+// Said is what a leaf says of itself, with each reply or when it is asked.
+type Said struct {
+	Versions []uint64 // of the index that it serves now
+	Draining bool
+	// Born is the leaf's start by its own clock, in Unix milliseconds; 0: not told.
+	Born int64
+}
+
 // Reply is a whole and checked reply.
 type Reply struct {
-	Version  uint64
-	Ranges   []keyrange.Range
-	Body     []byte
-	Versions []uint64
-	Draining bool
+	Version uint64
+	Ranges  []keyrange.Range
+	Body    []byte
+	Said
 	// Service is how long the leaf says that the request held a slot; 0 if it did not say.
 	Service time.Duration
 	// Carried is what the protocol's implementation hands on with the answer,
@@ -162,9 +169,12 @@
 	if err != nil {
 		return nil, &BrokenError{Leaf: t.ID, Cause: CauseMalformed, Err: err}
 	}
-	draining := resp.Header.Get(leafapi.HeaderDraining) == "1"
+	said := Said{
+		Versions: versions, Draining: resp.Header.Get(leafapi.HeaderDraining) == "1",
+		Born: leafapi.ParseBorn(resp.Header.Get(leafapi.HeaderBorn)),
+	}
 	if decline := resp.Header.Get(leafapi.HeaderNotRun); decline != "" && resp.StatusCode >= http.StatusBadRequest {
-		return nil, declined(t, resp, leafapi.Decline(decline), versions, draining)
+		return nil, declined(t, resp, leafapi.Decline(decline), said)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, &BrokenError{Leaf: t.ID, Cause: CauseStatus, Err: fmt.Errorf("status %d", resp.StatusCode)}
@@ -176,7 +186,7 @@
 	if int64(len(body)) > c.maxBody {
 		return nil, &BrokenError{Leaf: t.ID, Cause: CauseMalformed, Err: errors.New("reply body over the limit")}
 	}
-	reply := &Reply{Body: body, Versions: versions, Draining: draining}
+	reply := &Reply{Body: body, Said: said}
 	if err := reply.parseHeaders(r, resp.Header); err != nil {
 		return nil, &BrokenError{Leaf: t.ID, Cause: CauseMalformed, Err: err}
 	}
@@ -184,13 +194,13 @@
 }
 
 // declined reads the refusal of a leaf and leaves the connection reusable.
-func declined(t Target, resp *http.Response, reason leafapi.Decline, versions []uint64, draining bool) error {
+func declined(t Target, resp *http.Response, reason leafapi.Decline, said Said) error {
 	ranges, err := keyrange.ParseList(resp.Header.Get(leafapi.HeaderRanges))
 	if err != nil {
 		ranges = nil // the ranges of a decline are a hint only
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<12))
-	return &DeclinedError{Leaf: t.ID, Reason: reason, Versions: versions, Ranges: ranges, Draining: draining}
+	return &DeclinedError{Leaf: t.ID, Reason: reason, Ranges: ranges, Said: said}
 }
 
 // parseHeaders fills the reply from its headers and compares attempt and checksum.
--- a/entry/probe/probe.go
+++ b/entry/probe/probe.go
@@ -18,10 +18,14 @@
 
 // Times and bounds of probing.
 const (
-	interval    = 1 * time.Second
-	quietAfter  = 2 * time.Second // a leaf not heard of for so long is asked
-	timeout     = 1 * time.Second
-	concurrency = 32
+	interval   = 1 * time.Second
+	quietAfter = 2 * time.Second // a leaf not heard of for so long is asked
+	// leavingEvery is how often a leaf that leaves is asked whether it has started again:
+	// it gets no work that could show it. Unasked, it would get none for the two minutes
+	// that a mark lives.
+	leavingEvery = 5 * time.Second
+	timeout      = 1 * time.Second
+	concurrency  = 32
 )
 
 // Leaves opens connections and asks for health; *leafclient.Client does it.
@@ -34,7 +38,7 @@
 type Learner interface {
 	// Heard is when the leaf last said something, or the zero time.
 	Heard(leafID string) time.Time
-	Learn(leafID string, versions []uint64, draining bool)
+	Learn(leafID string, said leafclient.Said)
 }
 
 // Config is what a prober needs.
@@ -49,13 +53,14 @@
 // Prober warms and asks leaves.
 type Prober struct {
 	config Config
-	warm   map[string]int // leaf ID to connections asked for
+	warm   map[string]int       // leaf ID to connections asked for
+	asked  map[string]time.Time // when a leaf that leaves was last asked, by its ID
 	last   *view.View
 }
 
 // New makes a prober; Run makes it work.
 func New(c Config) *Prober {
-	return &Prober{config: c, warm: make(map[string]int)}
+	return &Prober{config: c, warm: make(map[string]int), asked: make(map[string]time.Time)}
 }
 
 // Run works until the context ends.
@@ -88,10 +93,17 @@
 	now := time.Now()
 	for i := range v.Leaves {
 		leaf := &v.Leaves[i]
-		if leaf.Leaving || leaf.Connections == 0 {
+		if leaf.Connections == 0 {
 			continue
 		}
 		target := TargetOf(v, leaf)
+		if leaf.Leaving {
+			if now.Sub(p.asked[leaf.ID]) >= leavingEvery {
+				p.asked[leaf.ID] = now
+				g.Go(func() error { p.ask(ctx, target, p.health, 1); return nil })
+			}
+			continue
+		}
 		if p.warm[leaf.ID] < leaf.Connections {
 			p.warm[leaf.ID] = leaf.Connections
 			g.Go(func() error { p.ask(ctx, target, p.config.Leaves.Warm, target.Connections); return nil })
@@ -120,7 +132,7 @@
 	if err != nil || h.ID != t.ID {
 		return // nothing is learnt of a leaf that doesn't answer as itself
 	}
-	p.config.Learner.Learn(t.ID, h.Versions, h.Draining)
+	p.config.Learner.Learn(t.ID, leafclient.Said{Versions: h.Versions, Draining: h.Draining, Born: h.Born})
 }
 
 // TargetOf says how a leaf of the view is reached.
--- a/kernel/membership/digest.go
+++ b/kernel/membership/digest.go
@@ -23,7 +23,7 @@
 func (m *Machine) digestLeaving(now time.Time) []LeavingLeaf {
 	var fresh, old []LeavingLeaf
 	for _, leaf := range slices.Sorted(maps.Keys(m.marks)) {
-		l := LeavingLeaf{Leaf: leaf, Age: now.Sub(m.marks[leaf])}
+		l := LeavingLeaf{Leaf: leaf, Born: m.marks[leaf].born, Age: now.Sub(m.marks[leaf].seen)}
 		switch {
 		case l.Age < m.cfg.FreshFor:
 			fresh = append(fresh, l)
--- a/kernel/membership/machine.go
+++ b/kernel/membership/machine.go
@@ -17,13 +17,29 @@
 	draining   bool
 }
 
+// mark says that a leaf is leaving.
+type mark struct {
+	seen time.Time // the freshest sighting
+	born int64     // the leaf's start, 0: not known
+}
+
+// before reports whether the mark is of a start before the given one.
+func (k mark) before(born int64) bool { return born != 0 && k.born < born }
+
+// birth is a leaf's start and when it was told.
+type birth struct {
+	born int64
+	at   time.Time
+}
+
 // Machine holds the membership as one entry sees it.
 type Machine struct {
 	cfg      Config
 	rand     *rand.Rand
 	actions  []Action
 	list     map[string]Instance
-	marks    map[string]time.Time // leaf to the time of the freshest sighting
+	marks    map[string]mark  // by leaf
+	births   map[string]birth // the start that a leaf told last, by leaf
 	peers    map[string]peerState
 	draining bool
 	next     time.Time // of the next round
@@ -37,7 +53,7 @@
 func New(cfg Config) *Machine {
 	return &Machine{
 		cfg: cfg, rand: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
-		list: make(map[string]Instance), marks: make(map[string]time.Time),
+		list: make(map[string]Instance), marks: make(map[string]mark), births: make(map[string]birth),
 		peers: make(map[string]peerState), leaving: make(map[string]bool),
 	}
 }
@@ -49,7 +65,9 @@
 	case ListRead:
 		m.readList(ev.Instances)
 	case SawLeaving:
-		m.sighted(ev.Leaf, now)
+		m.sighted(ev.Leaf, ev.Born, now)
+	case SawBorn:
+		m.started(ev.Leaf, ev.Born, now)
 	case DigestReceived:
 		m.receive(ev.Digest, now)
 	case PeerFailed:
@@ -82,23 +100,42 @@
 // the time on the way, and without the slack relays would make marks younger.
 const relaySlack = 2 * time.Second
 
-// sighted notes a sighting by this instance.
-func (m *Machine) sighted(leaf string, now time.Time) {
+// sighted notes a sighting by this instance. A late word of an earlier start of the leaf
+// counts for nothing.
+func (m *Machine) sighted(leaf string, born int64, now time.Time) {
+	seen := mark{seen: now, born: born}
+	if seen.before(m.births[leaf].born) {
+		return
+	}
 	_, known := m.marks[leaf]
-	m.marks[leaf] = now
+	m.marks[leaf] = seen
 	if !known {
 		m.push()
 	}
 }
 
+// started notes a start of a leaf, as the leaf itself told it last: it knows nothing of a
+// drain before. A birth earlier than the mark's, from a clock that went back, takes no
+// drain back; the mark ends with its life.
+func (m *Machine) started(leaf string, born int64, now time.Time) {
+	m.births[leaf] = birth{born: born, at: now}
+	if m.marks[leaf].before(born) {
+		delete(m.marks, leaf)
+	}
+}
+
 // relayedMark notes a sighting by another instance. One that is new here is
 // told on at once, while it is fresh.
-func (m *Machine) relayedMark(leaf string, seen, now time.Time) {
+func (m *Machine) relayedMark(leaf string, relayed mark, now time.Time) {
 	old, known := m.marks[leaf]
-	if now.Sub(seen) >= m.cfg.MarkLife || (known && !seen.After(old.Add(relaySlack))) {
+	seen := relayed.seen
+	if relayed.before(m.births[leaf].born) || (known && relayed.before(old.born)) {
+		return // of an earlier start
+	}
+	if now.Sub(seen) >= m.cfg.MarkLife || (known && !old.before(relayed.born) && !seen.After(old.seen.Add(relaySlack))) {
 		return
 	}
-	m.marks[leaf] = seen
+	m.marks[leaf] = relayed
 	if !known && now.Sub(seen) < m.cfg.FreshFor {
 		m.push()
 	}
@@ -112,7 +149,7 @@
 	m.peers[d.Instance] = peerState{generation: d.Generation, hash: d.Hash, heard: now, direct: now, draining: d.Draining}
 	for _, l := range d.Leaving {
 		if l.Age >= 0 {
-			m.relayedMark(l.Leaf, now.Add(-l.Age), now)
+			m.relayedMark(l.Leaf, mark{seen: now.Add(-l.Age), born: l.Born}, now)
 		}
 	}
 	for _, g := range d.Generations {
@@ -138,7 +175,8 @@
 
 // tick starts a round when it is time, and forgets what is old.
 func (m *Machine) tick(now time.Time) {
-	maps.DeleteFunc(m.marks, func(_ string, seen time.Time) bool { return now.Sub(seen) >= m.cfg.MarkLife })
+	maps.DeleteFunc(m.marks, func(_ string, k mark) bool { return now.Sub(k.seen) >= m.cfg.MarkLife })
+	maps.DeleteFunc(m.births, func(_ string, b birth) bool { return now.Sub(b.at) >= m.cfg.MarkLife })
 	maps.DeleteFunc(m.peers, func(_ string, p peerState) bool { return now.Sub(p.heard) >= m.cfg.MarkLife })
 	if now.Before(m.next) {
 		return
@@ -206,8 +244,8 @@
 			out[id] = true
 		}
 	}
-	for leaf, seen := range m.marks {
-		if now.Sub(seen) < m.cfg.MarkLife {
+	for leaf, k := range m.marks {
+		if now.Sub(k.seen) < m.cfg.MarkLife {
 			out[leaf] = true
 		}
 	}
--- a/kernel/membership/membership_test.go
+++ b/kernel/membership/membership_test.go
@@ -168,6 +168,52 @@
 	}
 }
 
+// TestLeafThatStartsAgainIsNotLeaving lets a leaf drain and start again under its ID: the
+// mark ends at each entry with the later birth, and no relayed mark brings it back.
+func TestLeafThatStartsAgainIsNotLeaving(t *testing.T) {
+	f := newFleet(8, Instance{ID: "leaf"})
+	f.give(0, SawLeaving{Leaf: "leaf", Born: 100})
+	f.run(5 * time.Second)
+	if got := f.knowing("leaf"); got != 8 {
+		t.Fatalf("%d of 8 entries know that it leaves", got)
+	}
+	for i := range 7 { // the last one has not asked it yet
+		f.give(i, SawBorn{Leaf: "leaf", Born: 200})
+	}
+	f.give(3, SawLeaving{Leaf: "leaf", Born: 100}) // a late word of the earlier start
+	f.run(10 * time.Second)
+	if got := f.knowing("leaf"); got != 1 {
+		t.Errorf("%d entries hold it for leaving, want only the one that has not asked it", got)
+	}
+	f.give(2, SawLeaving{Leaf: "leaf", Born: 200})
+	f.run(3 * time.Second)
+	if got := f.knowing("leaf"); got != 8 {
+		t.Errorf("%d of 8 entries know that it leaves again", got)
+	}
+}
+
+// TestClockOfALeafWentBack starts a leaf again with an earlier birth: its drain is not
+// taken back, it is not lost for good, and when it drains that is known.
+func TestClockOfALeafWentBack(t *testing.T) {
+	m := New(DefaultConfig("a", 1))
+	at := epoch
+	give := func(ev Event) { m.Handle(ev, at) }
+	give(SawLeaving{Leaf: "leaf", Born: 200})
+	give(SawBorn{Leaf: "leaf", Born: 100})
+	if !m.Leaving("leaf") {
+		t.Error("an earlier birth took a drain back")
+	}
+	at = at.Add(DefaultConfig("", 0).MarkLife + time.Second)
+	give(Tick{})
+	if m.Leaving("leaf") {
+		t.Error("the leaf is lost for longer than a mark lives")
+	}
+	give(SawLeaving{Leaf: "leaf", Born: 100})
+	if !m.Leaving("leaf") {
+		t.Error("a drain of the present start counts for nothing")
+	}
+}
+
 // TestListSaysLeaving takes the platform's own word.
 func TestListSaysLeaving(t *testing.T) {
 	m := New(DefaultConfig("a", 1))
--- a/kernel/membership/messages.go
+++ b/kernel/membership/messages.go
@@ -24,9 +24,11 @@
 	Generations []RelayedGeneration
 }
 
-// LeavingLeaf is one leaf's mark with the age of its freshest sighting.
+// LeavingLeaf is one leaf's mark with the age of its freshest sighting, and the start of
+// the leaf that it is of; 0: not known.
 type LeavingLeaf struct {
 	Leaf string
+	Born int64
 	Age  time.Duration
 }
 
@@ -44,7 +46,18 @@
 type ListRead struct{ Instances []Instance }
 
 // SawLeaving says that a leaf marked itself as leaving, in a reply or when asked.
-type SawLeaving struct{ Leaf string }
+// Born is the start of the leaf, 0: not known.
+type SawLeaving struct {
+	Leaf string
+	Born int64
+}
+
+// SawBorn says that a leaf told a start that was not known before, in Unix milliseconds
+// of its own clock. A mark of an earlier start counts no more.
+type SawBorn struct {
+	Leaf string
+	Born int64
+}
 
 // DigestReceived gives a peer's digest.
 type DigestReceived struct{ Digest *Digest }
@@ -63,6 +76,7 @@
 
 func (ListRead) isEvent()       {}
 func (SawLeaving) isEvent()     {}
+func (SawBorn) isEvent()        {}
 func (DigestReceived) isEvent() {}
 func (PeerFailed) isEvent()     {}
 func (SpreadNow) isEvent()      {}
--- a/standin/leaf/hints.go
+++ b/standin/leaf/hints.go
@@ -45,6 +45,7 @@
 			Ready:    !s.declining(now),
 			Draining: s.faults.Draining,
 			Versions: slices.Clone(s.settings.Versions),
+			Born:     s.born.UnixMilli(),
 		},
 		load: leafapi.Load{InFlight: s.slots.running, Queued: len(s.slots.waiting)},
 	}
--- a/standin/leaf/replies.go
+++ b/standin/leaf/replies.go
@@ -165,9 +165,10 @@
 // writeHeader sets the headers of a reply.
 func (s *Server) writeHeader(h http.Header, r reply) {
 	s.mu.Lock()
-	versions, draining := s.settings.Versions, s.faults.Draining
+	versions, draining, born := s.settings.Versions, s.faults.Draining, s.born.UnixMilli()
 	s.mu.Unlock()
 	h.Set(leafapi.HeaderAttempt, r.attempt)
+	h.Set(leafapi.HeaderBorn, strconv.FormatInt(born, 10))
 	h.Set(leafapi.HeaderVersions, leafapi.FormatVersions(versions))
 	h.Set(leafapi.HeaderRanges, keyrange.FormatList(r.ranges))
 	h.Set(echo.HeaderContentLength, strconv.Itoa(len(r.body)))
