--- a/kernel/dispatch/estimate.go
+++ b/kernel/dispatch/estimate.go
@@ -77,9 +77,21 @@
 	t.sketch.Observe(d)
 	t.recent.Observe(d)
 	t.seen++
-	if t.seen%refreshInterval != 0 && t.seen != firstRefresh && !(aged && t.seen > firstRefresh) {
-		return
+	if t.due(aged) {
+		t.refresh()
+	}
+}
+
+// due reports whether the quantiles are to be taken again.
+func (t *times) due(aged bool) bool {
+	if t.seen <= firstRefresh {
+		return t.seen == firstRefresh
 	}
+	return aged || t.seen%refreshInterval == 0
+}
+
+// refresh takes the quantiles again.
+func (t *times) refresh() {
 	t.least = t.recent.Quantile(leastQuantile)
 	t.median = t.recent.Quantile(0.5)
 	t.most = t.recent.Quantile(mostQuantile)
