--- a/api/leafapi/leafapi.go
+++ b/api/leafapi/leafapi.go
@@ -28,7 +28,7 @@
 	HeaderRanges    = "Fuchsiaroad-Ranges"     // ranges covered by a reply, or held by a leaf that declines
 	HeaderVersions  = "Fuchsiaroad-Versions"   // index versions served now, comma-separated
 	HeaderDraining  = "Fuchsiaroad-Draining"   // "1": the leaf is leaving
-	HeaderBorn      = "Fuchsiaroad-Born"       // Unix ms of the leaf's start by its own clock; absent: not told
+	HeaderBorn      = "Fuchsiaroad-Born"       // Unix ms of the leaf's start by its own clock; absent: not reported
 	HeaderNotRun    = "Fuchsiaroad-Not-Run"    // a Decline: the request provably did not run
 	HeaderChecksum  = "Fuchsiaroad-Checksum"   // xxhash64 of the body, 16 hex digits
 	HeaderServiceUS = "Fuchsiaroad-Service-Us" // microseconds the request held a slot
@@ -52,7 +52,7 @@
 	Ready    bool     `json:"ready"`
 	Draining bool     `json:"draining"`
 	Versions []uint64 `json:"versions"`
-	// Born is the Unix millisecond of the leaf's start by its own clock; 0: not told.
+	// Born is the Unix millisecond of the leaf's start by its own clock; 0: not reported.
 	Born int64 `json:"born,omitempty"`
 }
 
--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -8,7 +8,7 @@
 	MethodHello     = "hello"     // Hello -> Welcome
 	MethodDigest    = "digest"    // Digest -> Digest: an exchange
 	MethodDocument  = "document"  // DocumentRequest -> Document
-	MethodNews      = "news"      // NewsRequest -> News
+	MethodSync      = "sync"      // SyncRequest -> SyncReply
 	MethodOffer     = "offer"     // ForwardRequest -> OfferReply: nothing is run yet
 	MethodRun       = "run"       // ForwardID -> ForwardReply: runs what was offered, once
 	MethodRest      = "rest"      // ForwardID -> ForwardReply: what came since the last reply, when something has
@@ -50,7 +50,7 @@
 	Generations []InstanceGeneration `json:"generations,omitempty"`
 }
 
-// LeavingLeaf is one leaf's drain mark with the age of its sighting.
+// LeavingLeaf is one leaf's drain mark with the age of its last observation.
 type LeavingLeaf struct {
 	Leaf string `json:"leaf"`
 	// Born is the start of the leaf that the mark is of, 0: not known.
@@ -87,12 +87,12 @@
 	TOML       []byte `json:"toml,omitempty"`
 }
 
-// NewsRequest asks what another instance knows of the platform's store, if it
+// SyncRequest asks what another instance knows of the platform's store, if it
 // differs from what the asking one has.
-type NewsRequest struct {
+type SyncRequest struct {
 	// Version is the configuration in force, 0 for none.
 	Version uint64 `json:"version"`
-	// Hash is that of the leaves that a peer told last, 0 for none.
+	// Hash is that of the list of leaves received last, 0 for none.
 	Hash uint64 `json:"hash"`
 	// Seen is what the asking instance, and those that asked it, saw of leaves.
 	Seen []SeenLeaf `json:"seen,omitempty"`
@@ -100,7 +100,7 @@
 	Quarantine []Quarantined `json:"quarantine,omitempty"`
 }
 
-// SeenLeaf is one outcome at a leaf, or the word that a leaf is slow.
+// SeenLeaf is one outcome at a leaf, or the report that a leaf is slow.
 type SeenLeaf struct {
 	Leaf   string `json:"leaf"`
 	TookMS int64  `json:"took_ms"`
@@ -108,9 +108,9 @@
 	AgeMS  int64  `json:"age_ms"`
 }
 
-// News is what an instance knows of the store. Packed JSON is compressed by gzip where
+// SyncReply is what an instance knows of the store. Packed JSON is compressed by gzip where
 // it is long.
-type News struct {
+type SyncReply struct {
 	Version uint64 `json:"version"`
 	// ConfigAgeMS is how long ago the read of the configuration began that
 	// showed this version to be the newest; -1 for never.
--- a/bench/burst/params.go
+++ b/bench/burst/params.go
@@ -85,7 +85,7 @@
 	// queue; Hints turns the load endpoint on.
 	Hints       bool
 	LyingLeaves int
-	// Return makes refused callers come back when they were told to.
+	// Return makes refused callers come back when they were asked to.
 	Return bool
 	Seed   uint64
 
--- a/bench/burst/query.go
+++ b/bench/burst/query.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// comeBack makes a refused caller ask again when it was told to.
+// comeBack makes a refused caller ask again when it was asked to.
 func (r *run) comeBack(q *queryState, after time.Duration) {
 	if !r.p.Return || r.ev.now+int64(after) >= int64(r.p.Duration) {
 		return
--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -27,7 +27,7 @@
 	return list
 }
 
-// newMember is an entry's membership that has heard of all entries, and of as
+// newMember is an entry's membership that knows all entries, and of as
 // many leaving leaves as a digest takes.
 func newMember(entries int) *membership.Machine {
 	cfg := membership.DefaultConfig(entryNames(1)[0], 1)
@@ -63,10 +63,10 @@
 	digest := func(n int) float64 { return bytesOf(wire(newMember(n).Digest(later))) }
 	exchange := timed(func(n int) func() {
 		m := newMember(n)
-		heard := m.Digest(later)
-		heard.Instance = entryNames(2)[1]
+		digest := m.Digest(later)
+		digest.Instance = entryNames(2)[1]
 		return func() {
-			m.Handle(membership.DigestReceived{Digest: heard}, later)
+			m.Handle(membership.DigestReceived{Digest: digest}, later)
 			data, _ := json.Marshal(wire(m.Digest(later)))
 			var back peerapi.Digest
 			_ = json.Unmarshal(data, &back)
--- a/bench/capacity/spread.go
+++ b/bench/capacity/spread.go
@@ -7,10 +7,10 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/membership"
 )
 
-// hop is the time of one message between two entries.
-const hop = 3 * time.Millisecond
+// messageDelay is the time of one message between two entries.
+const messageDelay = 3 * time.Millisecond
 
-// spreadSizes are the numbers of entries to spread news among.
+// spreadSizes are the numbers of entries to spread a change among.
 var spreadSizes = []int{8, 64, 256, 512}
 
 // spreadRuns is the number of runs with other seeds.
@@ -42,7 +42,7 @@
 	return x
 }
 
-// spread is a fleet of memberships in virtual time to which news is given. The
+// spread is a fleet of memberships in virtual time to which a change is given. The
 // rounds of digests are left out: what is measured is the push alone.
 type spread struct {
 	machines  []*membership.Machine
@@ -51,8 +51,8 @@
 	exchanges int
 }
 
-// newsLeaf is the leaf of whose leaving the news tells.
-const newsLeaf = "data-0-0"
+// changedLeaf is the leaf that leaves.
+const changedLeaf = "data-0-0"
 
 // newSpread makes so many entries that all know the list.
 func newSpread(entries int, seed uint64) *spread {
@@ -67,24 +67,24 @@
 	return s
 }
 
-// run gives the news to one entry and follows it to the end. It returns when
+// run gives the change to one entry and follows it to the end. It returns when
 // the last entry that was reached by the push learnt it, and how many were.
 func (s *spread) run() (took time.Duration, reached int) {
-	s.give(0, membership.SawLeaving{Leaf: newsLeaf}, epoch)
+	s.give(0, membership.SawLeaving{Leaf: changedLeaf}, epoch)
 	known := make([]bool, len(s.machines))
 	last := epoch
 	for s.mail.Len() > 0 {
 		m := heap.Pop(&s.mail).(message)
 		s.give(m.to, membership.DigestReceived{Digest: m.digest}, m.at)
 		if !m.answer {
-			s.post(message{at: m.at.Add(hop), from: m.to, to: m.from, digest: s.machines[m.to].Digest(m.at), answer: true})
+			s.post(message{at: m.at.Add(messageDelay), from: m.to, to: m.from, digest: s.machines[m.to].Digest(m.at), answer: true})
 		}
-		if !known[m.to] && s.machines[m.to].Leaving(newsLeaf) {
+		if !known[m.to] && s.machines[m.to].Leaving(changedLeaf) {
 			known[m.to], last = true, m.at
 		}
 	}
 	for _, m := range s.machines {
-		if m.Leaving(newsLeaf) {
+		if m.Leaving(changedLeaf) {
 			reached++
 		}
 	}
@@ -96,34 +96,34 @@
 	for _, a := range s.machines[i].Handle(ev, now) {
 		if send, ok := a.(membership.SendDigest); ok {
 			s.exchanges++
-			s.post(message{at: now.Add(hop), from: i, to: s.index[send.Peer.Instance], digest: s.machines[i].Digest(now)})
+			s.post(message{at: now.Add(messageDelay), from: i, to: s.index[send.Peer.Instance], digest: s.machines[i].Digest(now)})
 		}
 	}
 }
 
 func (s *spread) post(m message) { heap.Push(&s.mail, m) }
 
-// measureSpread measures the push of one piece of news, the worst of some runs.
+// measureSpread measures the push of one change, the worst of some runs.
 func measureSpread() []Series {
-	hops := Series{Name: "push of news, hops to the last entry reached", Unit: "hops", Per: "entries"}
-	share := Series{Name: "push of news, least share of entries reached", Unit: "", Per: "entries"}
-	exchanges := Series{Name: "push of news, exchanges an entry", Unit: "", Per: "entries"}
+	steps := Series{Name: "push of a change, messages to the last entry reached", Unit: "messages", Per: "entries"}
+	share := Series{Name: "push of a change, least share of entries reached", Unit: "", Per: "entries"}
+	exchanges := Series{Name: "push of a change, exchanges an entry", Unit: "", Per: "entries"}
 	for _, n := range spreadSizes {
 		var worst, least, most float64
 		least = 1
 		for seed := range uint64(spreadRuns) {
 			s := newSpread(n, seed+1)
 			took, reached := s.run()
-			worst = max(worst, float64(took/hop))
+			worst = max(worst, float64(took/messageDelay))
 			least = min(least, float64(reached)/float64(n))
 			most = max(most, float64(s.exchanges)/float64(n))
 		}
 		size := float64(n)
-		hops.Points = append(hops.Points, Point{size, worst})
+		steps.Points = append(steps.Points, Point{size, worst})
 		share.Points = append(share.Points, Point{size, least})
 		exchanges.Points = append(exchanges.Points, Point{size, most})
 	}
-	out := []Series{hops, share, exchanges}
+	out := []Series{steps, share, exchanges}
 	for i := range out {
 		out[i].Line = fit(out[i].Points)
 	}
--- a/bench/experiment/sets.go
+++ b/bench/experiment/sets.go
@@ -40,7 +40,7 @@
 	"hints":      {"Load endpoints that are 200 ms late, and one of two that lies, over five seeds.", hints},
 	"home":       {"One home entry per shard, 1.25 ms further each way, beside eight entries.", home},
 	"opening":    {"The first moments of a burst, with nothing known yet; useful work of all that arrived then.", opening},
-	"return":     {"A burst of two seconds whose refused callers come back when told.", returning},
+	"return":     {"A burst of two seconds whose refused callers come back when asked.", returning},
 }
 
 func names() []string { return slices.Sorted(maps.Keys(sets)) }
@@ -226,7 +226,7 @@
 			p.Duration = duration(shards)
 			out = append(out, named(p, "eight entries"))
 			// All of a shard's work meets at one entry, which knows both leaves'
-			// true queues. The hop is made part of the way to the leaf.
+			// true queues. The round trip is made part of the way to the leaf.
 			p.Entries = 1
 			p.Delay += 1250 * time.Microsecond
 			out = append(out, named(p, "one home"))
--- a/cmd/fuchsiactl/config_apply.go
+++ b/cmd/fuchsiactl/config_apply.go
@@ -119,7 +119,7 @@
 	return &cobra.Command{
 		Use:   "status",
 		Short: "Show the generation in force per instance",
-		Long: `Status shows the generation in force at each instance as the entry last heard it,
+		Long: `Status shows the generation in force at each instance as the entry last received it,
 and how long ago. HIGHEST is no for an instance that is behind the highest
 generation known. Entries of the platform's list that the entry does not hear are
 listed in the table as unknown.`,
@@ -138,17 +138,17 @@
 	}
 }
 
-// statusTable lists the instances that were heard, then the entries of the
+// statusTable lists the instances that answered, then the entries of the
 // platform's list that were not.
 func statusTable(status *callerapi.ConfigStatus, list []platformapi.Instance) *table {
-	t := &table{header: []string{"INSTANCE", "GENERATION", "HIGHEST", "HASH", "HEARD"}}
-	heard := map[string]bool{}
+	t := &table{header: []string{"INSTANCE", "GENERATION", "HIGHEST", "HASH", "LAST REPLY"}}
+	alive := map[string]bool{}
 	for _, i := range status.Instances {
-		heard[i.Instance] = true
+		alive[i.Instance] = true
 		t.add(i.Instance, generationCell(i.Generation), yesNo(i.Generation >= status.Highest), shortHash(i.Hash), milliseconds(i.AgeMS)+" ago")
 	}
 	for _, i := range list {
-		if i.Role == platformapi.RoleEntry && !heard[i.ID] {
+		if i.Role == platformapi.RoleEntry && !alive[i.ID] {
 			t.add(i.ID, "unknown", "unknown", "unknown", "no")
 		}
 	}
--- a/cmd/fuchsiactl/demo.go
+++ b/cmd/fuchsiactl/demo.go
@@ -23,7 +23,7 @@
 		Long: `Demo starts a platform stand-in, the leaf stand-ins of a site at its size of today,
 and 8 entries, each as a process of its own on the loopback address. It sends an
 opening burst, loses a replica and changes the index version, and compares what
-callers were told with what the leaves recorded. It takes under a minute and needs
+callers were answered with what the leaves recorded. It takes under a minute and needs
 only Go. It ends the processes that it started, also on Ctrl-C.
 
 Exit codes: 0 every promise was kept; 1 one was broken, or the demo failed.`,
--- a/cmd/fuchsiactl/load.go
+++ b/cmd/fuchsiactl/load.go
@@ -69,7 +69,7 @@
 	flags.Uint64Var(&f.plan.Seed, "seed", 1, "seed of the schedule")
 	flags.DurationVar(&f.deadline, "deadline", 0, "deadline of each query; 0 is the service's")
 	flags.DurationVar(&f.patience, "patience", 30*time.Second, "most to wait for one answer")
-	flags.IntVar(&f.returns, "returns", 0, "how often a refused caller comes back when told when")
+	flags.IntVar(&f.returns, "returns", 0, "how often a refused caller comes back when given a time")
 	flags.IntVar(&f.maxOpen, "max-open", 20_000, "most queries open at once; more are counted as unsent")
 	flags.BoolVar(&f.verify, "verify-standin", false, "check the data of answers, which leaf stand-ins must have made")
 	flags.StringVar(&f.plot, "plot", "", "file for a plot of latency over time, such as load.svg")
--- a/cmd/fuchsiaroad/hosted.go
+++ b/cmd/fuchsiaroad/hosted.go
@@ -17,7 +17,7 @@
 func newHosted() *cobra.Command {
 	return &cobra.Command{
 		Use:   "hosted",
-		Short: "Serve on the users' platform until told to stop",
+		Short: "Serve on the users' platform until asked to stop",
 		Long: `Hosted runs one entry instance by the platform's settings file, whose path is in
 ` + platform.SettingsVariable + `. The first SIGTERM or SIGINT starts a graceful stop; SIGHUP reads
 the settings again, which is also done every two seconds.`,
--- a/cmd/fuchsiaroad/serve.go
+++ b/cmd/fuchsiaroad/serve.go
@@ -13,12 +13,12 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/node"
 )
 
-// newServe builds the command that serves until it is told to stop.
+// newServe builds the command that serves until it is asked to stop.
 func newServe() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
 		Use:   "serve --settings FILE",
-		Short: "Serve callers until told to stop",
+		Short: "Serve callers until asked to stop",
 		Long: `Serve runs one entry instance.
 
 The first SIGTERM or SIGINT starts a graceful stop: the instance tells its peers
--- a/cmd/internal/demo/outcome.go
+++ b/cmd/internal/demo/outcome.go
@@ -115,7 +115,7 @@
 	return added, nil
 }
 
-// check compares what callers were told with what the leaves recorded.
+// check compares what callers were answered with what the leaves recorded.
 func (d *demo) check(o *Outcome) error {
 	started := map[string]int{}
 	for _, id := range d.site.LeafIDs() {
--- a/cmd/internal/demo/phases.go
+++ b/cmd/internal/demo/phases.go
@@ -133,7 +133,7 @@
 const balancerLag = time.Second
 
 // stopEntry replaces an entry as maintenance does: a new one is started, the
-// old one is told to stop and must exit with 0, and the balancer lets go late.
+// old one is asked to stop and must exit with 0, and the balancer lets go late.
 func (d *demo) stopEntry(ctx context.Context, length time.Duration) error {
 	if !wait(ctx, length/4) {
 		return ctx.Err()
@@ -147,7 +147,7 @@
 		return err
 	}
 	d.sender.SetEntries(d.entries(nil))
-	d.logf("entry %s is told to stop, %s takes its place", old.ID, added.ID)
+	d.logf("entry %s is asked to stop, %s takes its place", old.ID, added.ID)
 	stopped := make(chan error, 1)
 	go func() { stopped <- old.Stop() }()
 	wait(ctx, balancerLag)
--- a/cmd/internal/loadgen/executions.go
+++ b/cmd/internal/loadgen/executions.go
@@ -1,17 +1,17 @@
 package loadgen
 
-// Executions compares what callers were told with what leaves really ran.
+// Executions compares what callers were answered with what leaves really ran.
 type Executions struct {
 	// Keys is the number of idempotency keys sent, Resends how many of them
 	// were sent a second time, and MaxPerKey the most executions of one.
 	Keys      int `json:"keys"`
 	Resends   int `json:"resends"`
 	MaxPerKey int `json:"max_per_key"`
-	// Refused is the number of queries of which every sending was told "not
+	// Refused is the number of queries of which every sending was answered "not
 	// run"; RefusedButRan those of them that a leaf had run.
 	Refused       int `json:"refused"`
 	RefusedButRan int `json:"refused_but_ran"`
-	// AnsweredNotRan counts keys whose caller was told of success while no leaf
+	// AnsweredNotRan counts keys whose caller saw success while no leaf
 	// had run them.
 	AnsweredNotRan int `json:"answered_not_ran"`
 }
@@ -21,8 +21,8 @@
 	key      bool
 	ran      int
 	resent   bool
-	refused  bool // every sending was told "not run"
-	answered bool // a sending was told of a complete or partial answer
+	refused  bool // every sending was answered "not run"
+	answered bool // a sending got a complete or partial answer
 }
 
 // CheckExecutions compares samples with the leaves' records. ran returns how
--- a/cmd/internal/loadgen/run.go
+++ b/cmd/internal/loadgen/run.go
@@ -62,7 +62,7 @@
 	Latency time.Duration
 	// Lag is how late the generator itself sent it.
 	Lag time.Duration
-	// Returns counts how often the caller came back when told to.
+	// Returns counts how often the caller came back when asked to.
 	Returns int
 	// Refusals counts sendings that were not run, and RefusalWait is the longest
 	// that one of them took to say so.
@@ -74,7 +74,7 @@
 type Options struct {
 	// MaxOpen is the most queries open at once; ones due above it are Unsent.
 	MaxOpen int
-	// Returns is how often a caller comes back when it is told when to.
+	// Returns is how often a caller comes back when it is given a time.
 	Returns int
 	// Progress, if not nil, is called each second with the queries due and ended.
 	Progress func(due, ended int)
@@ -113,13 +113,13 @@
 }
 
 // comesBack reports whether a caller asks again after a result. It does when it
-// is told when to, and nothing ran; or when it can't know, and its key makes
+// is given a time, and nothing ran; or when it can't know, and its key makes
 // sure that asking again runs nothing twice.
 func comesBack(r Result) bool {
 	return r.RetryAfter > 0 && (r.Kind == NotRun || (r.Kind == Unknown && r.Keyed))
 }
 
-// send sends one query, and again if it is told when to come back.
+// send sends one query, and again if it is given a time come back.
 func send(ctx context.Context, start time.Time, a Arrival, sender Sender, returns int) Sample {
 	planned := start.Add(a.At)
 	s := Sample{Arrival: a, Lag: time.Since(planned)}
--- a/entry/console/pages.go
+++ b/entry/console/pages.go
@@ -156,7 +156,7 @@
 // statusLine is one instance.
 type statusLine struct {
 	Instance string
-	Heard    bool
+	Alive    bool
 	State    callerapi.InstanceConfig
 	Behind   bool
 	Age      time.Duration
@@ -196,7 +196,7 @@
 		s.Refresh = c.savedPath(s.Saved)
 	}
 	for _, i := range s.Instances {
-		if i.Heard && i.State.Generation >= s.Saved {
+		if i.Alive && i.State.Generation >= s.Saved {
 			s.At++
 		}
 	}
@@ -204,20 +204,20 @@
 	return c.render(ctx, http.StatusOK, "status", "Generation in force", s)
 }
 
-// newStatusPage lists the instances that were heard, then the entries of the
+// newStatusPage lists the instances that answered, then the entries of the
 // platform's list that were not.
 func newStatusPage(status callerapi.ConfigStatus, list []platformapi.Instance) statusPage {
 	s := statusPage{Highest: status.Highest}
-	heard := map[string]bool{}
+	alive := map[string]bool{}
 	for _, i := range status.Instances {
-		heard[i.Instance] = true
+		alive[i.Instance] = true
 		s.Instances = append(s.Instances, statusLine{
-			Instance: i.Instance, Heard: true, State: i, Behind: i.Generation < status.Highest,
+			Instance: i.Instance, Alive: true, State: i, Behind: i.Generation < status.Highest,
 			Age: time.Duration(i.AgeMS) * time.Millisecond,
 		})
 	}
 	for _, i := range list {
-		if i.Role == platformapi.RoleEntry && !heard[i.ID] {
+		if i.Role == platformapi.RoleEntry && !alive[i.ID] {
 			s.Instances = append(s.Instances, statusLine{Instance: i.ID})
 		}
 	}
--- a/entry/control/control.go
+++ b/entry/control/control.go
@@ -91,8 +91,8 @@
 			return nil
 		case run := <-c.inbox:
 			run(time.Now())
-		case sighting := <-c.marks:
-			c.member(sighting)
+		case mark := <-c.marks:
+			c.member(mark)
 		case <-timer.C:
 			c.tick(time.Now())
 		}
--- a/entry/control/fleet_test.go
+++ b/entry/control/fleet_test.go
@@ -241,11 +241,11 @@
 // wire is an entry's way to its peers; an entry's address is its ID.
 type wire struct{ e *entry }
 
-const hop = 2 * time.Millisecond
+const forwardDelay = 2 * time.Millisecond
 
-// reach finds a peer after one hop.
+// reach finds a peer after one forwardDelay.
 func (w wire) reach(t peer.Target) (*control.Control, error) {
-	time.Sleep(hop)
+	time.Sleep(forwardDelay)
 	for _, p := range w.e.f.entries {
 		if p.id == t.Address && p != w.e && !p.noPeers.Load() && !w.e.noPeers.Load() {
 			return p.control.Load(), nil
--- a/entry/control/members.go
+++ b/entry/control/members.go
@@ -72,7 +72,7 @@
 			c.post(ctx, func(time.Time) { c.peerFailed(p.Instance, err) })
 			return
 		}
-		c.post(ctx, func(time.Time) { c.peerAnswered(p.Instance); c.heard(reply) })
+		c.post(ctx, func(time.Time) { c.peerAnswered(p.Instance); c.mergeDigest(reply) })
 	})
 }
 
@@ -129,8 +129,8 @@
 	return time.Duration(min(max(ms, -1), maxAgeMS)) * time.Millisecond
 }
 
-// heard takes in a peer's digest, up to the bounds.
-func (c *Control) heard(d *peerapi.Digest) {
+// mergeDigest takes in a peer's digest, up to the bounds.
+func (c *Control) mergeDigest(d *peerapi.Digest) {
 	in := &membership.Digest{Instance: d.Instance, Generation: d.Generation, Hash: d.Hash, Draining: d.Draining}
 	for _, l := range d.Leaving[:min(len(d.Leaving), maxLeaving)] {
 		in.Leaving = append(in.Leaving, membership.LeavingLeaf{Leaf: l.Leaf, Born: l.Born, Age: age(l.AgeMS)})
@@ -154,7 +154,7 @@
 	defer cancel()
 	reply := make(chan *peerapi.Digest, 1)
 	c.post(ctx, func(now time.Time) {
-		c.heard(d)
+		c.mergeDigest(d)
 		reply <- c.digest(now)
 	})
 	select {
--- a/entry/control/operators.go
+++ b/entry/control/operators.go
@@ -32,10 +32,10 @@
 func (c *Control) Submit(ctx context.Context, s operators.Submission) operators.Outcome {
 	var nonce [nonceBytes]byte
 	_, _ = rand.Read(nonce[:]) // never fails: crypto/rand ends the program instead
-	told := make(chan rollout.Outcome, 1)
+	outcome := make(chan rollout.Outcome, 1)
 	posted := c.post(ctx, func(time.Time) {
 		c.nextSave++
-		c.waiters[c.nextSave] = told
+		c.waiters[c.nextSave] = outcome
 		c.roll(rollout.Submit{
 			ID: c.nextSave, Nonce: hex.EncodeToString(nonce[:]), TOML: s.TOML, Hash: s.Hash,
 			Document: s.Document, IfVersion: s.IfVersion,
@@ -45,7 +45,7 @@
 		return operators.Outcome{State: operators.Refused, Reason: "the instance is stopping"}
 	}
 	select {
-	case o := <-told:
+	case o := <-outcome:
 		return outcomeOf(o)
 	case <-ctx.Done():
 	case <-c.closed:
@@ -70,10 +70,10 @@
 // resolve tells a submitter, and the log, what became of a save.
 func (c *Control) resolve(a rollout.Resolve) {
 	c.cfg.Log.Info("save settled", "save", a.ID, "state", a.Outcome.State, "generation", a.Outcome.Generation)
-	told := c.waiters[a.ID]
+	waiter := c.waiters[a.ID]
 	delete(c.waiters, a.ID)
 	select {
-	case told <- a.Outcome:
+	case waiter <- a.Outcome:
 	default: // the submitter has its answer; the log has the rest
 	}
 }
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -151,15 +151,15 @@
 // Learn keeps what a leaf said of itself. It implements probe.Learner.
 func (e *Executor) Learn(leafID string, said leafclient.Said) {
 	if e.leafState.saw(leafID, said, time.Now()) {
-		e.config.Sightings.SawBorn(leafID, said.Born)
+		e.config.LeafObserver.SawBorn(leafID, said.Born)
 	}
 	if said.Draining {
-		e.config.Sightings.SawLeaving(leafID, said.Born)
+		e.config.LeafObserver.SawLeaving(leafID, said.Born)
 	}
 }
 
-// Heard is when the leaf last said something, or the zero time.
-func (e *Executor) Heard(leafID string) time.Time { return e.leafState.lastHeard(leafID) }
+// LastReply is when the leaf last said something, or the zero time.
+func (e *Executor) LastReply(leafID string) time.Time { return e.leafState.lastReplyOf(leafID) }
 
 // decide logs a decision about an attempt.
 func (e *Executor) decide(a *attempt, d telemetry.Decision) {
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -25,9 +25,9 @@
 	Run(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error)
 }
 
-// Sightings takes what replies show of leaves: a drain mark, and a start that was not
+// LeafObserver takes what replies show of leaves: a drain mark, and a start that was not
 // known. A birth of 0 is not known. It must not block.
-type Sightings interface {
+type LeafObserver interface {
 	SawLeaving(leafID string, born int64)
 	SawBorn(leafID string, born int64)
 	// SpreadNow asks to tell the peers at once what the quarantine learnt.
@@ -49,7 +49,7 @@
 	// instance; 0 where that is not known.
 	Way time.Duration
 	// Only, if it is set, limits the request to the shards that this instance gathers
-	// for another. Interim is told what there is when an answer is due, and again with
+	// for another. Interim receives what there is when an answer is due, and again with
 	// each part that comes later; it must not block.
 	Only    []query.Group
 	Interim func(*query.Answer)
@@ -65,11 +65,11 @@
 
 // Config is what an executor needs.
 type Config struct {
-	Leaves    Leaves
-	Sightings Sightings
-	Log       *telemetry.Log
-	Metrics   *telemetry.Metrics
-	Policies  Policies
+	Leaves       Leaves
+	LeafObserver LeafObserver
+	Log          *telemetry.Log
+	Metrics      *telemetry.Metrics
+	Policies     Policies
 	// Zone is this instance's availability zone.
 	Zone string
 	// Seed seeds the kernel's random choices.
--- a/entry/executor/executor_test.go
+++ b/entry/executor/executor_test.go
@@ -96,12 +96,12 @@
 	return nil, &leafclient.BrokenError{Leaf: t.ID, Cause: leafclient.CauseClosed, Err: io.ErrUnexpectedEOF}
 }
 
-// noSightings drops sightings.
-type noSightings struct{}
+// noObserver drops what replies show.
+type noObserver struct{}
 
-func (noSightings) SawLeaving(string, int64) {}
-func (noSightings) SawBorn(string, int64)    {}
-func (noSightings) SpreadNow()               {}
+func (noObserver) SawLeaving(string, int64) {}
+func (noObserver) SawBorn(string, int64)    {}
+func (noObserver) SpreadNow()               {}
 
 // noLedger refuses every claim.
 type noLedger struct{}
@@ -130,7 +130,7 @@
 	}
 	b := &bench{t: t, log: log, metrics: telemetry.NewMetrics(), leaves: &fakeLeaves{by: make(map[string]behaviour), ran: make(map[string]int)}}
 	b.executor = New(Config{
-		Leaves: b.leaves, Sightings: noSightings{}, Log: log, Metrics: b.metrics, Ledger: noLedger{},
+		Leaves: b.leaves, LeafObserver: noObserver{}, Log: log, Metrics: b.metrics, Ledger: noLedger{},
 		Policies: Policies{Dispatch: dispatch.DefaultPolicies(), Repetition: "budgeted"},
 	})
 	if err := b.executor.config.Policies.Check(); err != nil {
--- a/entry/executor/leafstate.go
+++ b/entry/executor/leafstate.go
@@ -18,13 +18,13 @@
 	view    *view.View
 	tracker *snapshot.Tracker
 	index   map[string]int // leaf ID to index in view
-	heard   map[string]time.Time
+	replied map[string]time.Time
 	broke   map[string]time.Time // when a connection to the leaf last broke
-	born    map[string]int64     // the start that the leaf last told
+	born    map[string]int64     // the start that the leaf last reported
 }
 
 func newLeafState() *leafState {
-	return &leafState{heard: make(map[string]time.Time), broke: make(map[string]time.Time), born: make(map[string]int64)}
+	return &leafState{replied: make(map[string]time.Time), broke: make(map[string]time.Time), born: make(map[string]int64)}
 }
 
 // follow moves the tracker to a newer view.
@@ -43,7 +43,7 @@
 		_, ok := s.index[id]
 		return !ok
 	}
-	maps.DeleteFunc(s.heard, gone)
+	maps.DeleteFunc(s.replied, gone)
 	maps.DeleteFunc(s.broke, gone)
 	maps.DeleteFunc(s.born, func(id string, _ int64) bool { return gone(id, time.Time{}) })
 	if s.tracker == nil {
@@ -53,7 +53,7 @@
 	s.tracker.SetView(v)
 }
 
-// saw notes what a leaf says of itself, and reports whether it told a start that was
+// saw notes what a leaf says of itself, and returns whether it reported a start that was
 // not known.
 func (s *leafState) saw(leafID string, said leafclient.Said, now time.Time) (started bool) {
 	s.mu.Lock()
@@ -62,7 +62,7 @@
 	if !ok {
 		return false
 	}
-	s.heard[leafID] = now
+	s.replied[leafID] = now
 	if len(said.Versions) > 0 {
 		s.tracker.Observe(i, said.Versions)
 	}
@@ -84,18 +84,18 @@
 func (s *leafState) up(leafID string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.heard[leafID].Before(s.broke[leafID])
+	return !s.replied[leafID].Before(s.broke[leafID])
 }
 
-// lastHeard is when the leaf last said something; the zero time if it has
+// lastReplyOf is when the leaf last said something; the zero time if it has
 // broken a connection since.
-func (s *leafState) lastHeard(leafID string) time.Time {
+func (s *leafState) lastReplyOf(leafID string) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.heard[leafID].Before(s.broke[leafID]) {
+	if s.replied[leafID].Before(s.broke[leafID]) {
 		return time.Time{}
 	}
-	return s.heard[leafID]
+	return s.replied[leafID]
 }
 
 // versions is the leaves' state as one query sees it, by the indexes of its view.
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -56,7 +56,7 @@
 }
 
 // lost notes a leaf that was lost under a request. It reports whether that makes the
-// request a suspect, with what is to be told of it.
+// request a suspect, with what is to be reported of it.
 func (s *quarantineState) lost(fingerprint, leaf string, enough int, now time.Time) (suspect bool, actions []quarantine.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,7 +76,7 @@
 }
 
 // fingerprint names a request by a keyed hash of caller, service and body: it
-// can be told to peers and logged without saying anything of the request.
+// can be sent to peers and logged without saying anything of the request.
 func (s *quarantineState) fingerprint(r *Request) string {
 	mac := hmac.New(sha256.New, s.key)
 	mac.Write([]byte(r.Caller.Name))
@@ -150,7 +150,7 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case quarantine.Announce:
-			e.config.Sightings.SpreadNow()
+			e.config.LeafObserver.SpreadNow()
 		case quarantine.Changed:
 			e.tellRuns(action)
 		}
--- a/entry/executor/sharing.go
+++ b/entry/executor/sharing.go
@@ -15,22 +15,22 @@
 	return slices.Collect(maps.Values(e.pools))
 }
 
-// Sightings returns what was seen of leaves since the last call that other
+// Observations returns what was seen of leaves since the last call that other
 // instances should know of.
-func (e *Executor) Sightings() []slowness.Sighting {
-	var out []slowness.Sighting
+func (e *Executor) Observations() []slowness.Observation {
+	var out []slowness.Observation
 	for _, p := range e.allPools() {
 		p.mu.Lock()
-		out = append(out, p.machine.Sightings()...)
+		out = append(out, p.machine.Observations()...)
 		p.mu.Unlock()
 	}
 	return out
 }
 
-// TellSlow passes on what other instances saw.
-func (e *Executor) TellSlow(list []slowness.Slow) {
+// ReportSlow passes on what other instances saw.
+func (e *Executor) ReportSlow(list []slowness.Slow) {
 	for _, p := range e.allPools() {
 		p.mu.Lock()
-		p.handleAndUnlock(dispatch.SlowTold{Leaves: list})
+		p.handleAndUnlock(dispatch.SlowReported{Leaves: list})
 	}
 }
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -58,7 +58,7 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Written, if it is set, is told when the answer has gone out.
+	// Written, if it is set, is called when the answer has gone out.
 	Written func(at time.Time)
 }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -24,7 +24,7 @@
 // Executor runs passed-on requests; *executor.Executor does it.
 type Executor interface {
 	Forward(ctx context.Context, r *executor.Request) (*query.Answer, error)
-	// Written is told when an answer has gone out.
+	// Written is called when an answer has gone out.
 	Written(a *query.Answer, at time.Time)
 }
 
@@ -85,7 +85,7 @@
 const replyMargin = 5 * time.Millisecond
 
 // passedCaller is the caller of all passed-on requests: their clients are not
-// told apart, so none is served before another.
+// distinguished, so none is served before another.
 var passedCaller = &document.Caller{Name: "passed", Share: 1}
 
 // ServeHTTP implements http.Handler.
--- a/entry/gateway/gather.go
+++ b/entry/gateway/gather.go
@@ -42,8 +42,8 @@
 	answer *query.Answer // the newest; nil before the first is due
 	done   bool
 	err    error
-	told   map[keyrange.Range]bool // by the first range of a result
-	sent   attempts                // told
+	sentOn map[keyrange.Range]bool // by the first range of a result
+	sent   attempts                // reported so far
 }
 
 // attempts counts them.
@@ -52,7 +52,7 @@
 // Gather begins to gather parts of a request for another instance, by the given
 // view. It goes on until the context ends or all is there.
 func (g *Gateway) Gather(ctx context.Context, v *view.View, group Group) *Gathering {
-	x := &Gathering{gateway: g, group: group, wake: make(chan struct{}, 1), told: make(map[keyrange.Range]bool)}
+	x := &Gathering{gateway: g, group: group, wake: make(chan struct{}, 1), sentOn: make(map[keyrange.Range]bool)}
 	go func() {
 		answer, err := g.config.Executor.Forward(ctx, &executor.Request{
 			View: v, Service: group.Service, Caller: passedCaller, Start: group.Start, Deadline: group.Deadline,
@@ -74,7 +74,7 @@
 	}
 }
 
-// Next waits until there is something to tell that was not told before. The error is
+// Next waits until there is a result that was not returned before. The error is
 // an *executor.RefusedError, where nothing has run, or the context's.
 func (x *Gathering) Next(ctx context.Context) (*Gathered, error) {
 	for {
@@ -83,28 +83,28 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		got, err := x.news()
+		got, err := x.fresh()
 		if got != nil || err != nil {
 			return got, err
 		}
 	}
 }
 
-// news is what was not told yet; nil: nothing.
-func (x *Gathering) news() (*Gathered, error) {
+// fresh is what was not returned yet; nil: nothing.
+func (x *Gathering) fresh() (*Gathered, error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.err != nil {
 		return nil, x.err
 	}
-	first := len(x.told) == 0
+	first := len(x.sentOn) == 0
 	out := &Gathered{Going: !x.done, Version: x.answer.Version}
 	var parts merging
 	for _, r := range x.answer.Results {
-		if x.told[r.Part.Range] || !parts.add(r) {
+		if x.sentOn[r.Part.Range] || !parts.add(r) {
 			continue
 		}
-		x.told[r.Part.Range] = true
+		x.sentOn[r.Part.Range] = true
 		out.Ranges = append(append(out.Ranges, r.Part.Range), r.More...)
 	}
 	if len(out.Ranges) == 0 && !first && !x.done {
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -24,13 +24,13 @@
 const (
 	readShare = 0.25
 	askShare  = 0.125
-	// newsShare is the age of news above which an instance reads the store itself.
-	newsShare = 0.55
+	// staleShare is the age of a peer's state above which an instance reads the store itself.
+	staleShare = 0.55
 	// retryShare is the time between two tries of the store by an instance that is
 	// not the reader: two fit into the bound.
 	retryShare = 0.4
-	// mostAsk bounds the time between two questions: what is seen of slow leaves
-	// is told with them.
+	// mostAsk bounds the time between two questions: observations of slow
+	// leaves travel with them.
 	mostAsk = 600 * time.Millisecond
 	// readTimeout bounds one read at first; a store that is merely slow takes up
 	// to 250 ms, and one that is silent is best asked again on a new connection.
@@ -60,16 +60,16 @@
 	catalog  *catalog.Catalog
 	inbox    chan any
 	sequence uint64
-	// news is what this instance tells others; nil before it knows anything.
-	news atomic.Pointer[newsState]
+	// state is what this instance sends to others; nil before it knows anything.
+	state atomic.Pointer[syncState]
 	// version is that of the configuration in force.
 	version atomic.Uint64
-	// told is the list of leaves that a peer told last; the following goroutine's own.
-	told toldLeaves
+	// received is the list of leaves that a peer sent last; the following goroutine's own.
+	received receivedLeaves
 	// notBefore is when an instance that is not the reader may try the store again;
 	// the following goroutine's own.
 	notBefore time.Time
-	// urgent wakes the reading of news early.
+	// urgent wakes the synchronization early.
 	urgent chan struct{}
 	// badLeaves reports the entries of leaves that can't be used.
 	badLeaves *badEntries
@@ -135,7 +135,7 @@
 		configAge: configAge.Seconds(), leavesAge: leavesAge.Seconds(), version: c.catalog.Version(),
 		leaves: c.catalog.Leaves(), slowLeaves: len(n.sharing.slow(now)), instances: n.fleet.size(),
 		connections: open, dials: dials, running: n.executor.Running(), logDrops: n.log.Dropped(),
-		repeatsLeft: repeatsLeft, limitedShards: limited, hop: n.hops.high().Seconds(), gather: n.gatherHops.high().Seconds(),
+		repeatsLeft: repeatsLeft, limitedShards: limited, forward: n.forwardDelays.high().Seconds(), gather: n.gatherDelays.high().Seconds(),
 	})
 }
 
@@ -152,8 +152,8 @@
 		}
 	case leavesRead:
 		changed = c.takeLeaves(m.list, m.began, now, "store")
-	case newsRead:
-		changed = c.takeNews(m, now)
+	case syncRead:
+		changed = c.takeSync(m, now)
 	case retuned:
 		c.catalog.SetSettings(m.settings)
 		changed = true
@@ -167,7 +167,7 @@
 	if changed {
 		c.publish()
 	}
-	c.tellNews(now)
+	c.refreshState(now)
 }
 
 // takeConfig puts a configuration into the catalog.
@@ -194,14 +194,14 @@
 	return changed
 }
 
-// tellNews renews what other instances are told.
-func (c *control) tellNews(now time.Time) {
-	news, err := newsOf(c.catalog, c.news.Load(), now)
+// refreshState renews what other instances are sent.
+func (c *control) refreshState(now time.Time) {
+	state, err := newSyncState(c.catalog, c.state.Load(), now)
 	if err != nil {
-		c.log.Error("news for peers were not made", "err", err)
+		c.log.Error("state for peers was not encoded", "err", err)
 		return
 	}
-	c.news.Store(news)
+	c.state.Store(state)
 }
 
 // publish builds a view of what is in force.
@@ -220,9 +220,9 @@
 	return c.node.fleet.connections(u.ConnectionLimit, len(u.Shards))
 }
 
-// follow gets the news of the store until the context ends: from the zone's
+// follow synchronizes with the store until the context ends: from the zone's
 // reader, or from the store itself where this instance is the reader or the
-// reader has no news.
+// reader knows nothing.
 func (c *control) follow(ctx context.Context) {
 	pause := backoff.Backoff{Min: firstRetry, Max: mostRetry}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -255,7 +255,7 @@
 	}
 }
 
-// rest waits for d, or less when news are urgent.
+// rest waits for d, or less when an update is urgent.
 func (c *control) rest(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -266,7 +266,7 @@
 	}
 }
 
-// hurry asks for news at once: another instance knows a newer configuration.
+// hurry synchronizes at once: another instance knows a newer configuration.
 func (c *control) hurry() {
 	select {
 	case c.urgent <- struct{}{}:
@@ -274,12 +274,12 @@
 	}
 }
 
-// catchUp gets the news once, and says whether a peer told them. An instance that
+// catchUp synchronizes once, and says whether a peer answered. An instance that
 // is not the reader, and whose own read failed, asks others for a while before it
 // tries the store again: in an outage each of a large fleet would pay for calls
 // that the reader makes anyway.
 func (c *control) catchUp(ctx context.Context, timeout time.Duration) (asked bool, err error) {
-	c.node.shareSightings()
+	c.node.shareObservations()
 	reader, ask := c.node.fleet.reader(time.Now())
 	if ask {
 		err := c.ask(ctx, reader)
@@ -292,7 +292,7 @@
 			return true, err
 		}
 	}
-	c.told.forget()
+	c.received.forget()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
@@ -335,7 +335,7 @@
 	}
 }
 
-// post hands a message over without blocking. What finds the inbox full is told
+// post hands a message over without blocking. What finds the inbox full comes
 // again by the next read of the store, or follows with the next view.
 func (c *control) post(message any) {
 	select {
@@ -351,12 +351,12 @@
 // resized says that the fleet's size has changed.
 func (c *control) resized() { c.post(fleetResized{}) }
 
-// SawLeaving implements executor.Sightings. Leaves are known by their incarnations here.
+// SawLeaving implements executor.LeafObserver. Leaves are known by their incarnations here.
 func (c *control) SawLeaving(leafID string, _ int64) { c.leafGone(leafID) }
 
-// SawBorn implements executor.Sightings. Births come from the store here.
+// SawBorn implements executor.LeafObserver. Births come from the store here.
 func (c *control) SawBorn(string, int64) {}
 
-// SpreadNow implements executor.Sightings. Instances here do not tell each other
+// SpreadNow implements executor.LeafObserver. Instances here do not tell each other
 // of quarantines.
 func (c *control) SpreadNow() {}
--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -187,35 +187,35 @@
 	})
 }
 
-// TestNews checks what an instance tells others, and that one that knows nothing,
+// TestSyncReply checks what an instance tells others, and that one that knows nothing,
 // or leaves, tells that.
-func TestNews(t *testing.T) {
+func TestSyncReply(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &fakeStore{}
 		n, end := start(t, store)
 		defer end()
-		if news := n.News(peerapi.NewsRequest{}); news.ConfigAgeMS != -1 {
-			t.Errorf("news before the first read: %+v", news)
+		if reply := n.Sync(peerapi.SyncRequest{}); reply.ConfigAgeMS != -1 {
+			t.Errorf("reply before the first read: %+v", reply)
 		}
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		if news := n.News(peerapi.NewsRequest{}); news.ConfigAgeMS < 0 || news.Version != 0 || news.Config != nil {
-			t.Errorf("news while there is no configuration: %+v; want its age and no configuration", news)
+		if reply := n.Sync(peerapi.SyncRequest{}); reply.ConfigAgeMS < 0 || reply.Version != 0 || reply.Config != nil {
+			t.Errorf("reply while there is no configuration: %+v; want its age and no configuration", reply)
 		}
 		store.set(func(s *fakeStore) { s.version = 3 })
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		news := n.News(peerapi.NewsRequest{})
-		if news.Version != 3 || news.Config == nil || news.Leaves == nil {
-			t.Errorf("news for one that knows nothing: %+v", news)
+		reply := n.Sync(peerapi.SyncRequest{})
+		if reply.Version != 3 || reply.Config == nil || reply.Leaves == nil {
+			t.Errorf("reply for one that knows nothing: %+v", reply)
 		}
-		same := n.News(peerapi.NewsRequest{Version: 3, Hash: news.Hash})
+		same := n.Sync(peerapi.SyncRequest{Version: 3, Hash: reply.Hash})
 		if same.Config != nil || same.Leaves != nil {
-			t.Errorf("news for one that knows all: %+v", same)
+			t.Errorf("reply for one that knows all: %+v", same)
 		}
 		n.lifecycle.Set(lifecycle.Leaving)
-		if news := n.News(peerapi.NewsRequest{}); news.ConfigAgeMS != -1 {
-			t.Errorf("news of an instance that leaves: %+v", news)
+		if reply := n.Sync(peerapi.SyncRequest{}); reply.ConfigAgeMS != -1 {
+			t.Errorf("reply of an instance that leaves: %+v", reply)
 		}
 	})
 }
--- a/entry/hosted/gather.go
+++ b/entry/hosted/gather.go
@@ -89,7 +89,7 @@
 // gatherBy has a group gathered by one instance.
 func (n *Node) gatherBy(ctx context.Context, r *executor.Request, g executor.Group, to fleet.Instance, sent func() bool, got func(*executor.GatherReply)) error {
 	now := time.Now()
-	request := n.forwardRequest(r, now, n.gatherHops.high())
+	request := n.forwardRequest(r, now, n.gatherDelays.high())
 	request.Gather = gatherRequest(r, g)
 	reply, err := n.firstReply(ctx, r, to, request, sent)
 	n.logGather(ctx, r, g, to, reply, err, time.Since(now))
@@ -99,7 +99,7 @@
 		}
 		return err
 	}
-	n.gatherHops.observe(time.Since(now) - time.Duration(reply.RunUS)*time.Microsecond)
+	n.gatherDelays.observe(time.Since(now) - time.Duration(reply.RunUS)*time.Microsecond)
 	for {
 		got(gatherReply(reply))
 		if reply.Gathered == nil || !reply.Gathered.Going {
@@ -168,7 +168,7 @@
 func (n *Node) logGather(ctx context.Context, r *executor.Request, g executor.Group, to fleet.Instance, reply *peerapi.ForwardReply, err error, spent time.Duration) {
 	d := telemetry.Decision{
 		Part: gatherPart, What: "gathered", Request: r.Passed.ID, Took: spent, Class: telemetry.Routine,
-		More: []any{"by", to.Name, "to_zone", g.Zone, "ranges", len(g.Ranges), "config", r.View.Generation, "hop", n.gatherHops.high()},
+		More: []any{"by", to.Name, "to_zone", g.Zone, "ranges", len(g.Ranges), "config", r.View.Generation, "forward_delay", n.gatherDelays.high()},
 	}
 	switch {
 	case err != nil && errors.Is(ctx.Err(), context.Canceled):
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -110,14 +110,14 @@
 	fleet     *members
 	peers     *peer.Client
 	sharing   *sharing
-	// hops is what handing a request over takes within the zone, gatherHops what having
+	// forwardDelays is what handing a request over takes within the zone, gatherDelays what having
 	// a group gathered in another one does.
-	hops, gatherHops hops
-	gateway          *gateway.Gateway
-	view             atomic.Pointer[view.View]
-	current          atomic.Pointer[time.Time] // until when the view's configuration is the newest
-	limits           atomic.Pointer[catalog.Limits]
-	tunables         atomic.Pointer[Tunables]
+	forwardDelays, gatherDelays delayEstimate
+	gateway                     *gateway.Gateway
+	view                        atomic.Pointer[view.View]
+	current                     atomic.Pointer[time.Time] // until when the view's configuration is the newest
+	limits                      atomic.Pointer[catalog.Limits]
+	tunables                    atomic.Pointer[Tunables]
 }
 
 // hostedPolicies are the policies of a hosted instance.
@@ -156,11 +156,11 @@
 	n.tunables.Store(&c.Tunables)
 	n.fleet = newMembers(n)
 	n.sharing = newSharing()
-	n.peers = peer.NewClient(peer.ClientConfig{Instance: c.Instance, Key: c.PeerKey, DialTimeout: newsTimeout})
+	n.peers = peer.NewClient(peer.ClientConfig{Instance: c.Instance, Key: c.PeerKey, DialTimeout: syncTimeout})
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.leafGone)
 	n.executor = executor.New(executor.Config{
-		Leaves: n.leaves, Sightings: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
+		Leaves: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
 		RepeatSlack: n.fleet.repeatSlack, Gatherer: n, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
 	})
@@ -177,12 +177,12 @@
 
 // ages are those of the configuration and of the list of leaves in force.
 func (n *Node) ages() (config, leaves time.Duration) {
-	news := n.control.news.Load()
-	if news == nil {
+	state := n.control.state.Load()
+	if state == nil {
 		return 0, 0
 	}
 	now := time.Now()
-	return now.Sub(news.known.ConfigAt), now.Sub(news.known.LeavesAt)
+	return now.Sub(state.known.ConfigAt), now.Sub(state.known.LeavesAt)
 }
 
 // Log returns the logger of a part.
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -26,7 +26,7 @@
 	listInterval  = 20 * time.Second
 	firstInterval = 500 * time.Millisecond
 	firstLists    = 3
-	// passOver is for how long a reader without news is not asked.
+	// passOver is for how long a reader whose state is old is not asked.
 	passOver = 3 * time.Second
 	// callTimeout bounds one call about announcements; none of them is urgent.
 	callTimeout = 2 * time.Second
@@ -79,7 +79,7 @@
 	return m.fleet.RepeatSlack(shards, time.Now())
 }
 
-// reader is the instance to ask for news, if it is not this one.
+// reader is the instance to synchronize from, if it is not this one.
 func (m *members) reader(now time.Time) (fleet.Instance, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -100,7 +100,7 @@
 	return m.fleet.Gatherers(zone, now)
 }
 
-// failed notes that a reader gave no news.
+// failed notes that a reader did not answer, or with old state.
 func (m *members) failed(name string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/hosted/meters.go
+++ b/entry/hosted/meters.go
@@ -17,9 +17,9 @@
 	running              int64
 	slowLeaves           int
 	// repeatsLeft is the least number of repeats left at any of the limited shards.
-	repeatsLeft   float64
-	limitedShards int
-	hop, gather   float64 // seconds
+	repeatsLeft     float64
+	limitedShards   int
+	forward, gather float64 // seconds
 }
 
 // observe updates the gauges.
@@ -35,7 +35,7 @@
 	if s.limitedShards > 0 {
 		m.scope.Gauge("repeats_left_least").Update(s.repeatsLeft)
 	}
-	m.scope.Gauge("hand_over_seconds").Update(s.hop)
+	m.scope.Gauge("hand_over_seconds").Update(s.forward)
 	m.scope.Gauge("gather_seconds").Update(s.gather)
 	m.scope.Gauge("queries_in_progress").Update(float64(s.running))
 	m.scope.Gauge("log_lines_dropped").Update(float64(s.logDrops))
--- a/entry/hosted/quarantine_test.go
+++ b/entry/hosted/quarantine_test.go
@@ -12,12 +12,12 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 )
 
-// informed makes an instance that has news to tell, and the address where it does.
+// informed makes an instance that has reply to tell, and the address where it does.
 func informed(t *testing.T) (*Node, string) {
 	t.Helper()
 	n := weak(t, strong{})
 	now := time.Now()
-	n.control.news.Store(&newsState{known: catalog.Known{ConfigAt: now, LeavesAt: now}})
+	n.control.state.Store(&syncState{known: catalog.Known{ConfigAt: now, LeavesAt: now}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -25,7 +25,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- peer.NewServer(peer.ServerConfig{Instance: "reader", Key: []byte("k"), News: n}).Serve(ctx, l)
+		done <- peer.NewServer(peer.ServerConfig{Instance: "reader", Key: []byte("k"), Sync: n}).Serve(ctx, l)
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -22,13 +22,13 @@
 	// acceptWithin is how long the other instance may take to accept. It is in the
 	// same zone and takes far less than a millisecond unless it is gone or busy.
 	acceptWithin = 15 * time.Millisecond
-	// firstHop is kept for handing a request over and its answer back, before that
+	// firstForwardDelay is kept for handing a request over and its answer back, before that
 	// has been measured.
-	firstHop = 5 * time.Millisecond
-	// mostHop bounds what is kept: most hand-overs take 3 to 19 ms on a fifth of a core,
+	firstForwardDelay = 5 * time.Millisecond
+	// mostForwardDelay bounds what is kept: most hand-overs take 3 to 19 ms on a fifth of a core,
 	// and one during which an instance stood still says nothing of the next. Without the
 	// bound one of 3 s left the next requests no time to run.
-	mostHop = 30 * time.Millisecond
+	mostForwardDelay = 30 * time.Millisecond
 	// relayPart is the prefix of lines about requests that are handed over.
 	relayPart = "relay"
 )
@@ -80,7 +80,9 @@
 	}
 	return &gateway.Reply{
 		Status: reply.Status, Header: reply.Header, Body: reply.Body,
-		Written: func(at time.Time) { n.hops.observe(at.Sub(handed) - time.Duration(reply.RunUS)*time.Microsecond) },
+		Written: func(at time.Time) {
+			n.forwardDelays.observe(at.Sub(handed) - time.Duration(reply.RunUS)*time.Microsecond)
+		},
 	}
 }
 
@@ -88,15 +90,15 @@
 func (n *Node) handOver(ctx context.Context, to fleet.Instance, r *executor.Request, now time.Time) (*peerapi.ForwardReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	return n.peers.Forward(ctx, targetOf(to), n.forwardRequest(r, now, n.hops.high()), peer.Acceptance{Within: acceptWithin})
+	return n.peers.Forward(ctx, targetOf(to), n.forwardRequest(r, now, n.forwardDelays.high()), peer.Acceptance{Within: acceptWithin})
 }
 
-// forwardRequest is a request as it is handed over now, by a way that takes hop.
-func (n *Node) forwardRequest(r *executor.Request, now time.Time, hop time.Duration) *peerapi.ForwardRequest {
+// forwardRequest is a request as it is handed over now, and reaches the other instance after a delay.
+func (n *Node) forwardRequest(r *executor.Request, now time.Time, delay time.Duration) *peerapi.ForwardRequest {
 	p := r.Passed
 	return &peerapi.ForwardRequest{
 		Version: r.View.Generation, Request: p.ID, Method: p.Method, Target: p.Target, Host: p.Host, Header: p.Header, Body: p.Body,
-		SpentUS: (now.Sub(r.Start) + hop).Microseconds(), LeftUS: (r.Deadline.Sub(now) - hop).Microseconds(),
+		SpentUS: (now.Sub(r.Start) + delay).Microseconds(), LeftUS: (r.Deadline.Sub(now) - delay).Microseconds(),
 		WayUS: r.Way.Microseconds(),
 	}
 }
@@ -118,7 +120,7 @@
 func (n *Node) logRelay(ctx context.Context, r *executor.Request, to fleet.Instance, err error, spent time.Duration) {
 	d := telemetry.Decision{
 		Part: relayPart, What: "handed over", Request: r.Passed.ID, Took: spent,
-		More: []any{"to", to.Name, "config", r.View.Generation, "way", r.Way, "hop", n.hops.high()}, Class: telemetry.Outcome,
+		More: []any{"to", to.Name, "config", r.View.Generation, "way", r.Way, "forward_delay", n.forwardDelays.high()}, Class: telemetry.Outcome,
 	}
 	if err != nil {
 		d.Why = err.Error()
@@ -187,24 +189,24 @@
 	}, nil
 }
 
-// hops guards by a lock what is known of the time that a hand-over takes beside
+// delayEstimate guards by a lock what is known of the time that a hand-over takes beside
 // the run itself: the two calls and the writing of the answer, which on a fifth of
 // a core takes longer than the way.
-type hops struct {
+type delayEstimate struct {
 	mu       sync.Mutex
 	estimate margin.Estimate
 }
 
 // observe takes one hand-over's time.
-func (h *hops) observe(d time.Duration) {
+func (h *delayEstimate) observe(d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.estimate.Observe(min(d, mostHop))
+	h.estimate.Observe(min(d, mostForwardDelay))
 }
 
 // high is what most hand-overs do not exceed.
-func (h *hops) high() time.Duration {
+func (h *delayEstimate) high() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return min(h.estimate.High(firstHop), mostHop)
+	return min(h.estimate.High(firstForwardDelay), mostForwardDelay)
 }
--- a/entry/hosted/relay_test.go
+++ b/entry/hosted/relay_test.go
@@ -203,17 +203,17 @@
 
 // TestHopIsBounded lets one hand-over take seconds: the next still gets its time.
 func TestHopIsBounded(t *testing.T) {
-	var h hops
-	if got := h.high(); got != firstHop {
-		t.Errorf("%v before anything is known, want %v", got, firstHop)
+	var h delayEstimate
+	if got := h.high(); got != firstForwardDelay {
+		t.Errorf("%v before anything is known, want %v", got, firstForwardDelay)
 	}
 	for range 20 {
 		h.observe(4 * time.Millisecond)
 	}
 	before := h.high()
 	h.observe(3 * time.Second)
-	if got := h.high(); got > mostHop {
-		t.Errorf("%v is kept after a hand-over of 3 s, want at most %v", got, mostHop)
+	if got := h.high(); got > mostForwardDelay {
+		t.Errorf("%v is kept after a hand-over of 3 s, want at most %v", got, mostForwardDelay)
 	}
 	for range 40 {
 		h.observe(4 * time.Millisecond)
--- a/entry/hosted/sharing.go
+++ b/entry/hosted/sharing.go
@@ -8,38 +8,38 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/slowness"
 )
 
-// mostPending bounds the sightings that wait to be told.
+// mostPending bounds the observations that wait to be sent.
 const mostPending = 512
 
 // sharing gathers what this instance and those that ask it see of slow leaves,
-// and keeps what it was told itself. It guards the kernel's board by a lock.
+// and keeps what it was sent itself. It guards the kernel's detector by a lock.
 type sharing struct {
-	mu      sync.Mutex
-	board   *slowness.Board
-	pending []slowness.Sighting // for the instance that this one asks
-	others  []slowness.Slow     // what that one told
+	mu       sync.Mutex
+	detector *slowness.Detector
+	pending  []slowness.Observation // for the instance that this one asks
+	others   []slowness.Slow        // what that one reported
 }
 
 // newSharing makes it empty.
-func newSharing() *sharing { return &sharing{board: slowness.NewBoard()} }
+func newSharing() *sharing { return &sharing{detector: slowness.NewDetector()} }
 
-// add takes sightings, to be told on.
-func (s *sharing) add(list []slowness.Sighting, now time.Time) {
+// add takes observations, to be passed on.
+func (s *sharing) add(list []slowness.Observation, now time.Time) {
 	if len(list) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.Add(list, now)
+	s.detector.Add(list, now)
 	s.pending = append(s.pending, list[:min(len(list), mostPending-len(s.pending))]...)
 }
 
-// heard takes the sightings of an instance that asks. Their ages are as it says:
+// observe takes the observations of an instance that asks. Their ages are as it says:
 // the way here takes about a millisecond.
-func (s *sharing) heard(seen []peerapi.SeenLeaf, now time.Time) {
-	list := make([]slowness.Sighting, 0, len(seen))
+func (s *sharing) observe(seen []peerapi.SeenLeaf, now time.Time) {
+	list := make([]slowness.Observation, 0, len(seen))
 	for _, l := range seen {
-		list = append(list, slowness.Sighting{Leaf: l.Leaf, Took: ms(l.TookMS), Slow: l.Slow, At: now.Add(-ms(l.AgeMS))})
+		list = append(list, slowness.Observation{Leaf: l.Leaf, Took: ms(l.TookMS), Slow: l.Slow, At: now.Add(-ms(l.AgeMS))})
 	}
 	s.add(list, now)
 }
@@ -47,7 +47,7 @@
 // ms converts milliseconds of the wire.
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// takePending returns what is to be told to the instance that this one asks.
+// takePending returns what is to be sent to the instance that this one asks.
 func (s *sharing) takePending(now time.Time) []peerapi.SeenLeaf {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -59,8 +59,8 @@
 	return out
 }
 
-// told keeps what the asked instance says.
-func (s *sharing) told(slow []peerapi.SeenLeaf, began time.Time) {
+// setReported keeps what the asked instance says.
+func (s *sharing) setReported(slow []peerapi.SeenLeaf, began time.Time) {
 	list := make([]slowness.Slow, 0, len(slow))
 	for _, l := range slow {
 		list = append(list, slowness.Slow{Leaf: l.Leaf, Took: ms(l.TookMS), At: began.Add(-ms(l.AgeMS))})
@@ -74,7 +74,7 @@
 func (s *sharing) slow(now time.Time) []slowness.Slow {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	own := s.board.Slow(now)
+	own := s.detector.Slow(now)
 	known := make(map[string]bool, len(own))
 	for _, l := range own {
 		known[l.Leaf] = true
@@ -96,11 +96,11 @@
 	return out
 }
 
-// shareSightings collects what the executor saw, and tells it what others did.
-func (n *Node) shareSightings() {
+// shareObservations collects what the executor saw, and tells it what others did.
+func (n *Node) shareObservations() {
 	now := time.Now()
-	n.sharing.add(n.executor.Sightings(), now)
+	n.sharing.add(n.executor.Observations(), now)
 	if slow := n.sharing.slow(now); len(slow) > 0 {
-		n.executor.TellSlow(slow)
+		n.executor.ReportSlow(slow)
 	}
 }
--- a/entry/hosted/stop.go
+++ b/entry/hosted/stop.go
@@ -10,7 +10,7 @@
 // Shares of the grace time of a stop.
 const (
 	// leaveShare is for how long requests are still taken, so that the balancer
-	// has let go and clients have been told to close their connections.
+	// has let go and clients have been asked to close their connections.
 	leaveShare = 0.7
 	// finishShare is when the instance ends at the latest. What is kept of the
 	// grace time covers a late timer.
--- a/entry/hosted/news.go
+++ b/entry/hosted/sync.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	// newsTimeout bounds one question to a peer of the own zone, which takes less
+	// syncTimeout bounds one question to a peer of the own zone, which takes less
 	// than a millisecond when the peer is well.
-	newsTimeout = 250 * time.Millisecond
+	syncTimeout = 250 * time.Millisecond
 )
 
-// leafNews is a leaf as instances tell each other of it. Their clocks differ:
-// the end of the slow start is told as a time left.
-type leafNews struct {
+// leafRecord is a leaf as instances tell each other of it. Their clocks differ:
+// the end of the slow start is sent as a time left.
+type leafRecord struct {
 	ID, Service, Address, Zone string
 	Slots                      int
 	Draining                   bool
@@ -32,16 +32,16 @@
 	Restarts int    `json:",omitempty"`
 }
 
-// newLeafNews is what is told of a leaf.
-func newLeafNews(l *catalog.Leaf, now time.Time) leafNews {
-	return leafNews{
+// newLeafRecord is what is sent of a leaf.
+func newLeafRecord(l *catalog.Leaf, now time.Time) leafRecord {
+	return leafRecord{
 		ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Slots: l.Slots, Draining: l.Draining,
 		WarmLeft: max(l.WarmAt.Sub(now), 0), Born: l.Born, Sequence: l.Sequence, Revision: l.Revision, Restarts: l.Restarts,
 	}
 }
 
-// leaf is what was told.
-func (n *leafNews) leaf(now time.Time) catalog.Leaf {
+// leaf is what was received.
+func (n *leafRecord) leaf(now time.Time) catalog.Leaf {
 	return catalog.Leaf{
 		ID: n.ID, Service: n.Service, Address: n.Address, Zone: n.Zone, Slots: n.Slots, Draining: n.Draining,
 		WarmAt: now.Add(n.WarmLeft), Born: n.Born, Sequence: n.Sequence, Revision: n.Revision, Restarts: n.Restarts,
@@ -50,26 +50,26 @@
 
 // peerServer answers other instances.
 func (n *Node) peerServer() *peer.Server {
-	return peer.NewServer(peer.ServerConfig{Instance: n.config.Instance, Key: n.config.PeerKey, News: n, Forward: n})
+	return peer.NewServer(peer.ServerConfig{Instance: n.config.Instance, Key: n.config.PeerKey, Sync: n, Forward: n})
 }
 
-// News implements peer.NewsHandler. An instance that leaves has none: others are
+// Sync implements peer.SyncHandler. An instance that leaves knows nothing: others are
 // to ask elsewhere in time.
-func (n *Node) News(r peerapi.NewsRequest) *peerapi.News {
-	s := n.control.news.Load()
+func (n *Node) Sync(r peerapi.SyncRequest) *peerapi.SyncReply {
+	s := n.control.state.Load()
 	if s == nil || n.lifecycle.Leaving() {
-		return &peerapi.News{ConfigAgeMS: -1, LeavesAgeMS: -1}
+		return &peerapi.SyncReply{ConfigAgeMS: -1, LeavesAgeMS: -1}
 	}
 	now := time.Now()
-	out := &peerapi.News{
+	out := &peerapi.SyncReply{
 		Version: s.version, ConfigAgeMS: ageMS(s.known.ConfigAt, now),
 		Revision: s.known.Revision, Hash: s.hash, LeavesAgeMS: ageMS(s.known.LeavesAt, now),
 	}
 	if r.Version != s.version {
 		out.Config = s.config
 	}
-	s.tellLeaves(r.Hash, out)
-	n.sharing.heard(r.Seen, now)
+	s.writeLeaves(r.Hash, out)
+	n.sharing.observe(r.Seen, now)
 	out.Slow = n.sharing.tell(now)
 	n.executor.MergeQuarantine(r.Quarantine)
 	out.Quarantine = n.executor.Quarantine()
@@ -84,52 +84,52 @@
 	return now.Sub(at).Milliseconds()
 }
 
-// staleNewsError says that a peer's news are too old to be of use.
-type staleNewsError struct{ configAge, leavesAge time.Duration }
+// staleStateError says that a peer's state is too old to be of use.
+type staleStateError struct{ configAge, leavesAge time.Duration }
 
 // Error implements error.
-func (e *staleNewsError) Error() string {
-	return fmt.Sprintf("news are old: configuration %v, leaves %v", e.configAge, e.leavesAge)
+func (e *staleStateError) Error() string {
+	return fmt.Sprintf("state is old: configuration %v, leaves %v", e.configAge, e.leavesAge)
 }
 
-// ask gets the news from a peer. Their ages grow by the whole time of the call,
-// so that they are never taken for newer than they are.
+// ask synchronizes from a peer. The ages grow by the whole time of the call,
+// so that what it sends is never taken for newer than it is.
 func (c *control) ask(ctx context.Context, from fleet.Instance) error {
-	ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	began := time.Now()
 	seen := c.node.sharing.takePending(began)
-	news, err := c.node.peers.News(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, peerapi.NewsRequest{
-		Version: c.version.Load(), Hash: c.told.hash, Seen: seen,
+	reply, err := c.node.peers.Sync(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, peerapi.SyncRequest{
+		Version: c.version.Load(), Hash: c.received.hash, Seen: seen,
 		Quarantine: c.node.executor.Quarantine(),
 	})
 	if err != nil {
 		return err
 	}
-	c.node.executor.MergeQuarantine(news.Quarantine)
-	configAge := time.Duration(news.ConfigAgeMS) * time.Millisecond
-	leavesAge := time.Duration(news.LeavesAgeMS) * time.Millisecond
-	if configAge < 0 || leavesAge < 0 || max(configAge, leavesAge) > c.bound(newsShare) {
-		return &staleNewsError{configAge, leavesAge}
+	c.node.executor.MergeQuarantine(reply.Quarantine)
+	configAge := time.Duration(reply.ConfigAgeMS) * time.Millisecond
+	leavesAge := time.Duration(reply.LeavesAgeMS) * time.Millisecond
+	if configAge < 0 || leavesAge < 0 || max(configAge, leavesAge) > c.bound(staleShare) {
+		return &staleStateError{configAge, leavesAge}
 	}
-	c.node.sharing.told(news.Slow, began)
-	told := newsRead{version: news.Version, configAt: began.Add(-configAge), leavesAt: began.Add(-leavesAge)}
-	if told.config, err = decodeConfig(news); err != nil {
+	c.node.sharing.setReported(reply.Slow, began)
+	got := syncRead{version: reply.Version, configAt: began.Add(-configAge), leavesAt: began.Add(-leavesAge)}
+	if got.config, err = decodeConfig(reply); err != nil {
 		return err
 	}
-	if told.list, told.differs, err = c.told.take(news, time.Now()); err != nil {
-		c.told.forget()
+	if got.list, got.differs, err = c.received.take(reply, time.Now()); err != nil {
+		c.received.forget()
 		return err
 	}
-	if err := c.tell(ctx, told); err != nil {
-		c.told.forget() // the catalog has not got it
+	if err := c.tell(ctx, got); err != nil {
+		c.received.forget() // the catalog has not got it
 		return err
 	}
 	return nil
 }
 
-// newsRead is what a peer told.
-type newsRead struct {
+// syncRead is what a peer sent.
+type syncRead struct {
 	version  uint64
 	config   *catalog.Config // nil: that of the version asked with
 	configAt time.Time
@@ -139,7 +139,7 @@
 }
 
 // decodeConfig reads a peer's configuration; nil: it is the one asked with.
-func decodeConfig(n *peerapi.News) (*catalog.Config, error) {
+func decodeConfig(n *peerapi.SyncReply) (*catalog.Config, error) {
 	if n.Config == nil {
 		return nil, nil
 	}
@@ -150,12 +150,12 @@
 	return out, nil
 }
 
-// decodeLeafNews reads what a peer told of one leaf; its ID is returned in any case. A peer of another version may
-// tell what this one can't read: that names no leaf to use, and the others hold.
-func decodeLeafNews(data json.RawMessage, now time.Time) (catalog.Leaf, *catalog.BadEntry) {
-	var n leafNews
+// decodeLeafRecord reads what a peer sent of one leaf; its ID is returned in any case. A peer of another version may
+// send what this one can't read: that names no leaf to use, and the others hold.
+func decodeLeafRecord(data json.RawMessage, now time.Time) (catalog.Leaf, *catalog.BadEntry) {
+	var n leafRecord
 	if err := json.Unmarshal(data, &n); err != nil {
-		return catalog.Leaf{ID: n.ID}, &catalog.BadEntry{Name: n.ID, Revision: n.Revision, Reason: "told by a peer: " + err.Error()}
+		return catalog.Leaf{ID: n.ID}, &catalog.BadEntry{Name: n.ID, Revision: n.Revision, Reason: "sent by a peer: " + err.Error()}
 	}
 	l := n.leaf(now)
 	if n.WarmLeft < 0 || n.WarmLeft > catalog.LongestWarmUp {
@@ -164,8 +164,8 @@
 	return l, l.Check()
 }
 
-// takeNews puts a peer's news into the catalog and reports whether anything changed.
-func (c *control) takeNews(n newsRead, now time.Time) bool {
+// takeSync puts a peer's state into the catalog and reports whether anything changed.
+func (c *control) takeSync(n syncRead, now time.Time) bool {
 	changed := false
 	if n.config != nil {
 		changed = c.takeConfig(n.config, n.configAt, now, "peer")
--- a/entry/hosted/newsstate.go
+++ b/entry/hosted/syncstate.go
@@ -16,38 +16,38 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 )
 
-// What one instance tells another of leaves is what has changed since it asked last. The
-// whole list of 415 leaves is 73 kB: told to 60 instances at each change it filled links
-// of 14 Mbit/s for 42 ms each, and more so that of the instance that tells. Queries
+// What one instance sends another of leaves is what has changed since it asked last. The
+// whole list of 415 leaves is 73 kB: sent to 60 instances at each change it filled links
+// of 14 Mbit/s for 42 ms each, and more so that of the sender. Queries
 // of that moment came late, as their connections and hand-overs timed out.
 
-// mostPast is the number of earlier lists from which changes are told. An instance asks
+// mostPast is the number of earlier lists from which changes are sent. An instance asks
 // at least once for each two reads of the store, so a few would do.
 const mostPast = 8
 
-// newsState is what this instance tells others. It is immutable.
-type newsState struct {
+// syncState is what this instance sends to others. It is immutable.
+type syncState struct {
 	known   catalog.Known
 	version uint64
 	config  []byte // packed
 	hash    uint64
-	list    map[string]leafNews // by ID
-	leaves  []byte              // list, packed
-	past    []pastList          // the latest last
+	list    map[string]leafRecord // by ID
+	leaves  []byte                // list, packed
+	past    []pastList            // the latest last
 }
 
-// pastList is a list that was told before, and what leads from it to the present one.
+// pastList is a list that was sent before, and what leads from it to the present one.
 type pastList struct {
 	hash    uint64
-	list    map[string]leafNews
+	list    map[string]leafRecord
 	changed []byte // packed
 	gone    []string
 }
 
-// newsOf makes what is told of the catalog, from what was told before where it
+// newSyncState encodes the catalog, from what was encoded before where it
 // has not changed.
-func newsOf(c *catalog.Catalog, before *newsState, now time.Time) (*newsState, error) {
-	next := &newsState{known: c.Known(), version: c.Version()}
+func newSyncState(c *catalog.Catalog, before *syncState, now time.Time) (*syncState, error) {
+	next := &syncState{known: c.Known(), version: c.Version()}
 	if before != nil && before.version == next.version {
 		next.config = before.config
 	} else if c.Config() != nil {
@@ -66,11 +66,11 @@
 }
 
 // setLeaves fills in a list that differs from the one before.
-func (s *newsState) setLeaves(list []catalog.Leaf, before *newsState, now time.Time) error {
-	s.list = make(map[string]leafNews, len(list))
-	all := make([]leafNews, 0, len(list))
+func (s *syncState) setLeaves(list []catalog.Leaf, before *syncState, now time.Time) error {
+	s.list = make(map[string]leafRecord, len(list))
+	all := make([]leafRecord, 0, len(list))
 	for i := range list {
-		l := newLeafNews(&list[i], now)
+		l := newLeafRecord(&list[i], now)
 		s.list[l.ID] = l
 		all = append(all, l)
 	}
@@ -93,8 +93,8 @@
 }
 
 // lead finds what leads from a past list to the present one.
-func (p *pastList) lead(to map[string]leafNews) error {
-	changed := []leafNews{}
+func (p *pastList) lead(to map[string]leafRecord) error {
+	changed := []leafRecord{}
 	for _, id := range slices.Sorted(maps.Keys(to)) {
 		if was, ok := p.list[id]; !ok || !was.same(to[id]) {
 			changed = append(changed, to[id])
@@ -113,13 +113,13 @@
 
 // same reports whether two readings of a leaf mean the same: heartbeats and what is left
 // of a slow start count for nothing.
-func (n leafNews) same(o leafNews) bool {
+func (n leafRecord) same(o leafRecord) bool {
 	n.WarmLeft, n.Sequence, n.Revision = o.WarmLeft, o.Sequence, o.Revision
 	return n == o
 }
 
-// tellLeaves fills in the list, or what leads to it from the one with the given hash.
-func (s *newsState) tellLeaves(from uint64, out *peerapi.News) {
+// writeLeaves fills in the list, or what leads to it from the one with the given hash.
+func (s *syncState) writeLeaves(from uint64, out *peerapi.SyncReply) {
 	if from == s.hash {
 		return
 	}
@@ -132,30 +132,30 @@
 	out.Leaves = s.leaves
 }
 
-// toldLeaves is the list that another instance told last. It is used by one goroutine.
-type toldLeaves struct {
+// receivedLeaves is the list that another instance sent last. It is used by one goroutine.
+type receivedLeaves struct {
 	hash uint64 // 0: there is none
-	list map[string]toldLeaf
+	list map[string]receivedLeaf
 }
 
-// toldLeaf is one entry of such a list; bad is set where it can't be used.
-type toldLeaf struct {
+// receivedLeaf is one entry of such a list; bad is set where it can't be used.
+type receivedLeaf struct {
 	leaf catalog.Leaf
 	bad  *catalog.BadEntry
 }
 
-// forget makes the next one tell the whole list.
-func (t *toldLeaves) forget() { *t = toldLeaves{} }
+// forget makes the next request ask for the whole list.
+func (t *receivedLeaves) forget() { *t = receivedLeaves{} }
 
-// Errors of what is told of leaves.
+// Errors of a received list of leaves.
 var (
-	errOtherBase = errors.New("changes of a list that was not told")
-	errOtherList = errors.New("the list that was told is not the one with its hash")
+	errOtherBase = errors.New("changes of a list that was not received")
+	errOtherList = errors.New("the received list is not the one with its hash")
 )
 
-// take applies what was told and returns the whole list; differs is false when it is the
-// one that was told before.
-func (t *toldLeaves) take(n *peerapi.News, now time.Time) (list catalog.Listing, differs bool, err error) {
+// take applies what was received and returns the whole list; differs is false when it is the
+// one received before.
+func (t *receivedLeaves) take(n *peerapi.SyncReply, now time.Time) (list catalog.Listing, differs bool, err error) {
 	list.Revision = n.Revision
 	if n.Leaves == nil {
 		return list, false, nil
@@ -164,7 +164,7 @@
 	if err := unpack(n.Leaves, &entries); err != nil {
 		return list, false, fmt.Errorf("decode a peer's leaves: %w", err)
 	}
-	next := make(map[string]toldLeaf, len(t.list)+len(entries))
+	next := make(map[string]receivedLeaf, len(t.list)+len(entries))
 	if n.Base != 0 {
 		if n.Base != t.hash {
 			return list, false, errOtherBase
@@ -175,8 +175,8 @@
 		delete(next, id)
 	}
 	for _, e := range entries {
-		l, bad := decodeLeafNews(e, now)
-		next[l.ID] = toldLeaf{l, bad}
+		l, bad := decodeLeafRecord(e, now)
+		next[l.ID] = receivedLeaf{l, bad}
 	}
 	list.Leaves, list.Bad = splitBad(next)
 	if len(list.Bad) == 0 && catalog.HashOf(list.Leaves) != n.Hash {
@@ -187,7 +187,7 @@
 }
 
 // splitBad lists the entries that can be used, in the order of their IDs, and the others.
-func splitBad(list map[string]toldLeaf) (leaves []catalog.Leaf, bad []catalog.BadEntry) {
+func splitBad(list map[string]receivedLeaf) (leaves []catalog.Leaf, bad []catalog.BadEntry) {
 	leaves = make([]catalog.Leaf, 0, len(list))
 	for _, id := range slices.Sorted(maps.Keys(list)) {
 		if l := list[id]; l.bad == nil {
@@ -214,7 +214,7 @@
 func pack(v any) ([]byte, error) {
 	data, err := json.Marshal(v)
 	if err != nil {
-		return nil, fmt.Errorf("encode news: %w", err)
+		return nil, fmt.Errorf("encode state: %w", err)
 	}
 	if len(data) < packFrom {
 		return data, nil
@@ -224,15 +224,15 @@
 	defer writers.Put(w)
 	w.Reset(&out)
 	if _, err := w.Write(data); err != nil {
-		return nil, fmt.Errorf("compress news: %w", err)
+		return nil, fmt.Errorf("compress state: %w", err)
 	}
 	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("compress news: %w", err)
+		return nil, fmt.Errorf("compress state: %w", err)
 	}
 	return out.Bytes(), nil
 }
 
-// mostUnpacked bounds what compressed news may hold, in bytes: a list of 130,000 leaves.
+// mostUnpacked bounds what compressed state may hold, in bytes: a list of 130,000 leaves.
 const mostUnpacked = 64 << 20
 
 // gzipMagic begins compressed data; JSON begins otherwise.
@@ -245,7 +245,7 @@
 	}
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return fmt.Errorf("decompress news: %w", err)
+		return fmt.Errorf("decompress state: %w", err)
 	}
 	return json.NewDecoder(io.LimitReader(r, mostUnpacked)).Decode(into)
 }
--- a/entry/hosted/newsstate_test.go
+++ b/entry/hosted/syncstate_test.go
@@ -13,10 +13,10 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 )
 
-var newsStart = time.Unix(1000, 0)
+var listStart = time.Unix(1000, 0)
 
-// newsLeaf is a leaf of a list of the given size.
-func newsLeaf(i int) catalog.Leaf {
+// listedLeaf is a leaf of a list of the given size.
+func listedLeaf(i int) catalog.Leaf {
 	return catalog.Leaf{
 		ID: fmt.Sprintf("i-%010x", i*7919), Service: fmt.Sprintf("service%03d", i/3), Address: fmt.Sprintf("10.1.%d.%d:8568", i/250, 1+i%250),
 		Zone: "a", Slots: 2, Sequence: int64(i), Revision: uint64(1000 + i), Born: 1_700_000_000_000 + int64(i),
@@ -26,19 +26,19 @@
 // catalogOf is a catalog that has read a list.
 func catalogOf(revision uint64, leaves ...catalog.Leaf) *catalog.Catalog {
 	c := catalog.New(catalog.Settings{})
-	c.ConfigRead(&catalog.Config{Version: 3, Routes: make([]catalog.Route, 400)}, newsStart, newsStart)
-	c.LeavesRead(catalog.Listing{Leaves: leaves, Revision: revision}, newsStart, newsStart)
+	c.ConfigRead(&catalog.Config{Version: 3, Routes: make([]catalog.Route, 400)}, listStart, listStart)
+	c.LeavesRead(catalog.Listing{Leaves: leaves, Revision: revision}, listStart, listStart)
 	return c
 }
 
-// TestChangeOfOneLeafIsShort changes one of 400 leaves: who knew the list is told little,
-// and who did not is told all, compressed.
+// TestChangeOfOneLeafIsShort changes one of 400 leaves: who knew the list is received little,
+// and who did not is received all, compressed.
 func TestChangeOfOneLeafIsShort(t *testing.T) {
 	var leaves []catalog.Leaf
 	for i := range 400 {
-		leaves = append(leaves, newsLeaf(i))
+		leaves = append(leaves, listedLeaf(i))
 	}
-	before, err := newsOf(catalogOf(5, leaves...), nil, newsStart)
+	before, err := newSyncState(catalogOf(5, leaves...), nil, listStart)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,15 +46,15 @@
 	for i := range leaves {
 		leaves[i].Sequence++ // heartbeats are no change
 	}
-	after, err := newsOf(catalogOf(6, leaves[:399]...), before, newsStart)
+	after, err := newSyncState(catalogOf(6, leaves[:399]...), before, listStart)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var known, unknown peerapi.News
-	after.tellLeaves(before.hash, &known)
-	after.tellLeaves(0, &unknown)
+	var known, unknown peerapi.SyncReply
+	after.writeLeaves(before.hash, &known)
+	after.writeLeaves(0, &unknown)
 	if known.Base != before.hash || len(known.Leaves) > 300 || len(known.Gone) != 1 {
-		t.Errorf("one changed and one gone leaf are told in %d bytes, base %x, gone %v", len(known.Leaves), known.Base, known.Gone)
+		t.Errorf("one changed and one gone leaf are received in %d bytes, base %x, gone %v", len(known.Leaves), known.Base, known.Gone)
 	}
 	if unknown.Base != 0 || len(unknown.Leaves) > 20_000 {
 		t.Errorf("the whole list takes %d bytes, base %x", len(unknown.Leaves), unknown.Base)
@@ -64,13 +64,13 @@
 	}
 }
 
-// TestNewsFollowTheList changes a list at random and lets another instance ask now and
-// then, also after it has lost what it was told: it has the list each time.
-func TestNewsFollowTheList(t *testing.T) {
+// TestReceivedListFollows changes a list at random and lets another instance ask now and
+// then, also after it has lost what it was received: it has the list each time.
+func TestReceivedListFollows(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		leaves := map[int]catalog.Leaf{}
-		var told toldLeaves
-		var state *newsState
+		var received receivedLeaves
+		var state *syncState
 		whole := 0
 		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			for range rapid.IntRange(0, 3).Draw(t, "changes") {
@@ -78,7 +78,7 @@
 				l, ok := leaves[i]
 				switch {
 				case !ok:
-					leaves[i] = newsLeaf(i)
+					leaves[i] = listedLeaf(i)
 				case rapid.Bool().Draw(t, "goes"):
 					delete(leaves, i)
 				default:
@@ -87,21 +87,21 @@
 				}
 			}
 			var err error
-			if state, err = newsOf(catalogOf(uint64(step+1), slices.Collect(maps.Values(leaves))...), state, newsStart); err != nil {
+			if state, err = newSyncState(catalogOf(uint64(step+1), slices.Collect(maps.Values(leaves))...), state, listStart); err != nil {
 				t.Fatal(err)
 			}
 			if rapid.IntRange(0, 9).Draw(t, "forgets") == 0 {
-				told.forget()
+				received.forget()
 			}
 			if rapid.IntRange(0, 2).Draw(t, "asks") > 0 {
 				continue
 			}
-			n := &peerapi.News{Hash: state.hash, Revision: uint64(step + 1)}
-			state.tellLeaves(told.hash, n)
+			n := &peerapi.SyncReply{Hash: state.hash, Revision: uint64(step + 1)}
+			state.writeLeaves(received.hash, n)
 			if n.Base == 0 && n.Leaves != nil {
 				whole++
 			}
-			list, differs, err := told.take(n, newsStart)
+			list, differs, err := received.take(n, listStart)
 			if err != nil || differs != (n.Leaves != nil) {
 				t.Fatalf("differs %v, error %v", differs, err)
 			}
@@ -113,50 +113,50 @@
 }
 
 // TestChangesOfAnotherList refuses changes of a list that this instance does not have, and
-// a list that does not have the hash that was told.
+// a list that does not have the hash that was received.
 func TestChangesOfAnotherList(t *testing.T) {
-	state, err := newsOf(catalogOf(1, newsLeaf(1)), nil, newsStart)
+	state, err := newSyncState(catalogOf(1, listedLeaf(1)), nil, listStart)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var told toldLeaves
-	n := peerapi.News{Hash: state.hash, Leaves: state.leaves, Base: 77}
-	if _, _, err := told.take(&n, newsStart); err == nil {
+	var received receivedLeaves
+	n := peerapi.SyncReply{Hash: state.hash, Leaves: state.leaves, Base: 77}
+	if _, _, err := received.take(&n, listStart); err == nil {
 		t.Error("changes of an unknown list were taken")
 	}
 	n.Base, n.Hash = 0, 78
-	if _, _, err := told.take(&n, newsStart); err == nil {
+	if _, _, err := received.take(&n, listStart); err == nil {
 		t.Error("a list with another hash was taken")
 	}
 }
 
-// BenchmarkChangeOfOneLeaf takes what is told when one of 415 leaves has changed: 3.1 ms
+// BenchmarkChangeOfOneLeaf takes what is received when one of 415 leaves has changed: 3.1 ms
 // when all of them were decoded again and hashed by formatted text, 0.31 ms now.
 func BenchmarkChangeOfOneLeaf(b *testing.B) {
 	var leaves []catalog.Leaf
 	for i := range 415 {
-		leaves = append(leaves, newsLeaf(i))
+		leaves = append(leaves, listedLeaf(i))
 	}
-	first, err := newsOf(catalogOf(1, leaves...), nil, newsStart)
+	first, err := newSyncState(catalogOf(1, leaves...), nil, listStart)
 	if err != nil {
 		b.Fatal(err)
 	}
 	leaves[7].Draining = true
-	second, err := newsOf(catalogOf(2, leaves...), first, newsStart)
+	second, err := newSyncState(catalogOf(2, leaves...), first, listStart)
 	if err != nil {
 		b.Fatal(err)
 	}
-	all := peerapi.News{Hash: first.hash}
-	first.tellLeaves(0, &all)
-	change := peerapi.News{Hash: second.hash}
-	second.tellLeaves(first.hash, &change)
-	var base toldLeaves
-	if _, _, err := base.take(&all, newsStart); err != nil {
+	all := peerapi.SyncReply{Hash: first.hash}
+	first.writeLeaves(0, &all)
+	change := peerapi.SyncReply{Hash: second.hash}
+	second.writeLeaves(first.hash, &change)
+	var base receivedLeaves
+	if _, _, err := base.take(&all, listStart); err != nil {
 		b.Fatal(err)
 	}
 	for b.Loop() {
-		told := base
-		if _, _, err := told.take(&change, newsStart); err != nil {
+		received := base
+		if _, _, err := received.take(&change, listStart); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/entry/leafclient/leafclient.go
+++ b/entry/leafclient/leafclient.go
@@ -59,7 +59,7 @@
 type Said struct {
 	Versions []uint64 // of the index that it serves now
 	Draining bool
-	// Born is the leaf's start by its own clock, in Unix milliseconds; 0: not told.
+	// Born is the leaf's start by its own clock, in Unix milliseconds; 0: not reported.
 	Born int64
 }
 
--- a/entry/ledger/runtime.go
+++ b/entry/ledger/runtime.go
@@ -153,7 +153,7 @@
 	r.log.Debug("Claim answered.", "bucket", i, "claim", id, "answer", word)
 	w := r.waiters[id]
 	if w == nil {
-		return // its caller has gone, which the machine has been told
+		return // its caller has gone, which the machine knows
 	}
 	delete(r.waiters, id)
 	w.answer <- a
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 	n.executor = executor.New(executor.Config{
-		Leaves: n.leaves, Sightings: n.control, Log: n.log, Metrics: n.metrics, Policies: policies(s.Policy),
+		Leaves: n.leaves, LeafObserver: n.control, Log: n.log, Metrics: n.metrics, Policies: policies(s.Policy),
 		Zone: s.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: s.Peer.Key, Ledger: n.ledger,
 		MaxQueries: s.Limits.Queries, MaxQueue: s.Limits.Queue,
 	})
--- a/entry/node/status.go
+++ b/entry/node/status.go
@@ -57,13 +57,13 @@
 	for i := range v.Leaves {
 		leaf := &v.Leaves[i]
 		stats := n.leaves.Stats(probe.TargetOf(v, leaf))
-		heard := int64(-1)
-		if at := n.executor.Heard(leaf.ID); !at.IsZero() {
-			heard = time.Since(at).Milliseconds()
+		sinceReply := int64(-1)
+		if at := n.executor.LastReply(leaf.ID); !at.IsZero() {
+			sinceReply = time.Since(at).Milliseconds()
 		}
 		s.Leaves = append(s.Leaves, LeafStatus{
 			ID: leaf.ID, Upstream: v.Upstreams[leaf.Upstream].Name, Leaving: leaf.Leaving,
-			Connections: stats.Used, Share: stats.Limit, Dials: stats.Dials, HeardMS: heard,
+			Connections: stats.Used, Share: stats.Limit, Dials: stats.Dials, HeardMS: sinceReply,
 		})
 	}
 	sort.Slice(s.Leaves, func(i, j int) bool { return s.Leaves[i].ID < s.Leaves[j].ID })
--- a/entry/operators/control.go
+++ b/entry/operators/control.go
@@ -25,9 +25,9 @@
 	// is not settled in time or the context ends first; the save may then still
 	// take effect.
 	Submit(ctx context.Context, s Submission) Outcome
-	// ConfigStatus is the generation in force per instance, as last heard.
+	// ConfigStatus is the generation in force per instance, as last received.
 	ConfigStatus() callerapi.ConfigStatus
-	// Instances is the platform's list as last heard.
+	// Instances is the platform's list as last received.
 	Instances() []platformapi.Instance
 }
 
@@ -95,7 +95,7 @@
 	RetryAfter time.Duration
 }
 
-// SaveResult is the outcome of a save, as the operator is told it.
+// SaveResult is the outcome of a save, as the operator sees it.
 type SaveResult struct {
 	Outcome
 	// Hash is that of the submitted document, when valid.
--- a/entry/operators/operatorstest/control.go
+++ b/entry/operators/operatorstest/control.go
@@ -22,8 +22,8 @@
 // The faults of a submission.
 const (
 	None        Fault = iota
-	LostReply         // it takes effect, and the submitter isn't told
-	LostRequest       // it does not take effect, and the submitter isn't told
+	LostReply         // it takes effect, and the submitter doesn't learn it
+	LostRequest       // it does not take effect, and the submitter doesn't learn it
 	Refuse            // the store does not take it
 	Overtaken         // another operator's save comes first
 	Unreadable        // the same, and the other's version can't be read
--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -68,10 +68,10 @@
 	return &reply, nil
 }
 
-// News asks a peer what it knows of the platform's store.
-func (c *Client) News(ctx context.Context, t Target, r peerapi.NewsRequest) (*peerapi.News, error) {
-	var reply peerapi.News
-	if err := c.call(ctx, t, peerapi.MethodNews, r, &reply); err != nil {
+// Sync asks a peer what it knows of the platform's store.
+func (c *Client) Sync(ctx context.Context, t Target, r peerapi.SyncRequest) (*peerapi.SyncReply, error) {
+	var reply peerapi.SyncReply
+	if err := c.call(ctx, t, peerapi.MethodSync, r, &reply); err != nil {
 		return nil, err
 	}
 	return &reply, nil
--- a/entry/peer/codec.go
+++ b/entry/peer/codec.go
@@ -12,7 +12,7 @@
 )
 
 // quietly keeps the library from writing to the standard logger: what goes
-// wrong on a connection is told by the errors of the calls on it.
+// wrong on a connection shows in the errors of the calls on it.
 var quietly = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
 
 // maxMessage bounds one message, in bytes: a document of the largest size fits.
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -31,10 +31,10 @@
 	Document(above uint64) *peerapi.Document
 }
 
-// NewsHandler tells what this instance knows of the platform's store. It is
+// SyncHandler tells what this instance knows of the platform's store. It is
 // called by many goroutines.
-type NewsHandler interface {
-	News(r peerapi.NewsRequest) *peerapi.News
+type SyncHandler interface {
+	Sync(r peerapi.SyncRequest) *peerapi.SyncReply
 }
 
 // Rest waits for the next reply of a run and says whether more may come.
@@ -58,8 +58,8 @@
 	// Handler answers the calls of instances that spread their own document;
 	// nil where there is none.
 	Handler Handler
-	// News answers questions about the platform's store; nil where none are.
-	News NewsHandler
+	// Sync answers questions about the platform's store; nil where none are.
+	Sync SyncHandler
 	// Forward runs requests that are handed over; nil where none are.
 	Forward ForwardHandler
 }
@@ -201,14 +201,14 @@
 
 // call answers a proved peer.
 func (s *session) call(from string, req *jsonrpc2.Request) (any, error) {
-	handler, news := s.server.config.Handler, s.server.config.News
+	handler, sync := s.server.config.Handler, s.server.config.Sync
 	switch {
-	case req.Method == peerapi.MethodNews && news != nil:
-		var r peerapi.NewsRequest
+	case req.Method == peerapi.MethodSync && sync != nil:
+		var r peerapi.SyncRequest
 		if err := params(req, &r); err != nil {
 			return nil, err
 		}
-		return news.News(r), nil
+		return sync.Sync(r), nil
 	case handler == nil:
 	case req.Method == peerapi.MethodDigest:
 		var d peerapi.Digest
--- a/entry/platform/follow.go
+++ b/entry/platform/follow.go
@@ -32,7 +32,7 @@
 	RetryMin, RetryMax time.Duration
 	// Rand spreads retries; nil draws a seed.
 	Rand *rand.Rand
-	// Failed is told of each failed call and the delay before the next one.
+	// Failed is called for each failed call and the delay before the next one.
 	Failed func(err error, retryIn time.Duration)
 }
 
--- a/entry/probe/probe.go
+++ b/entry/probe/probe.go
@@ -1,6 +1,6 @@
 // Package probe keeps an entry ready for the hour that everyone calls: it opens
 // connections ahead of traffic, at the leaves' pace, and asks leaves that have
-// not been heard of lately which index versions they serve. What it learns is a
+// not answered lately which index versions they serve. What it learns is a
 // hint: no promise rests on it.
 package probe
 
@@ -19,7 +19,7 @@
 // Times and bounds of probing.
 const (
 	interval   = 1 * time.Second
-	quietAfter = 2 * time.Second // a leaf not heard of for so long is asked
+	quietAfter = 2 * time.Second // a leaf silent for so long is asked
 	// leavingEvery is how often a leaf that leaves is asked whether it has started again:
 	// it gets no work that could show it. Unasked, it would get none for the two minutes
 	// that a mark lives.
@@ -36,8 +36,8 @@
 
 // Learner keeps what leaves say; *executor.Executor does it.
 type Learner interface {
-	// Heard is when the leaf last said something, or the zero time.
-	Heard(leafID string) time.Time
+	// LastReply is when the leaf last said something, or the zero time.
+	LastReply(leafID string) time.Time
 	Learn(leafID string, said leafclient.Said)
 }
 
@@ -109,7 +109,7 @@
 			g.Go(func() error { p.ask(ctx, target, p.config.Leaves.Warm, target.Connections); return nil })
 			continue
 		}
-		if now.Sub(p.config.Learner.Heard(leaf.ID)) > quietAfter {
+		if now.Sub(p.config.Learner.LastReply(leaf.ID)) > quietAfter {
 			g.Go(func() error { p.ask(ctx, target, p.health, 1); return nil })
 		}
 	}
--- a/entry/probe/probe_test.go
+++ b/entry/probe/probe_test.go
@@ -54,7 +54,7 @@
 	return f.answer(t.ID)
 }
 
-func (f *fake) Heard(id string) time.Time {
+func (f *fake) LastReply(id string) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.heard[id]
--- a/entry/telemetry/log.go
+++ b/entry/telemetry/log.go
@@ -75,18 +75,18 @@
 
 // Log is the queued logger. Close it to flush.
 type Log struct {
-	queue     chan record
-	done      chan struct{}
-	drops     atomic.Int64
-	limits    [classes]*rate.Limiter
-	leftOut   [classes]atomic.Int64 // since the last line that told
-	toldAt    atomic.Int64          // second in which that was
-	decisions bool
-	level     log.Level
-	formatter log.Formatter
-	closeOnce sync.Once
-	mu        sync.RWMutex
-	closed    bool
+	queue      chan record
+	done       chan struct{}
+	drops      atomic.Int64
+	limits     [classes]*rate.Limiter
+	leftOut    [classes]atomic.Int64 // since the last line that reported them
+	reportedAt atomic.Int64          // second in which that was
+	decisions  bool
+	level      log.Level
+	formatter  log.Formatter
+	closeOnce  sync.Once
+	mu         sync.RWMutex
+	closed     bool
 }
 
 // record is a line before it is formatted.
@@ -245,8 +245,8 @@
 // tellLeftOut logs, at most once a second, how many lines were over the budgets.
 func (l *Log) tellLeftOut(now time.Time) {
 	second := now.Unix()
-	told := l.toldAt.Load()
-	if second == told || !l.toldAt.CompareAndSwap(told, second) {
+	last := l.reportedAt.Load()
+	if second == last || !l.reportedAt.CompareAndSwap(last, second) {
 		return
 	}
 	failures, outcomes, routine := l.leftOut[Failure].Swap(0), l.leftOut[Outcome].Swap(0), l.leftOut[Routine].Swap(0)
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -164,7 +164,7 @@
 // newest: an unknown route does not exist.
 func (c *Catalog) FreshUntil() time.Time { return c.configAt.Add(c.settings.Fresh) }
 
-// Sees reports whether a list at the revision is news.
+// Sees reports whether a list at the revision is new.
 func (c *Catalog) sees(revision uint64) bool { return !c.hasList || revision >= c.revision }
 
 // LeavesRead takes the whole list of leaves at a revision of the store. A list
@@ -295,8 +295,8 @@
 func (c *Catalog) Config() *Config { return c.config }
 
 // List returns the leaves of the last list in the order of their IDs, without
-// those that are held: whoever is told of them decides that by its own gap. Entries
-// in doubt are told as they were read, for the same reason.
+// those that are held: whoever receives them decides that by its own gap. Entries
+// in doubt are sent as they were read, for the same reason.
 func (c *Catalog) List() []Leaf {
 	out := sorted(c.listed)
 	for i := range out {
--- a/kernel/catalog/incarnation.go
+++ b/kernel/catalog/incarnation.go
@@ -3,8 +3,8 @@
 import "time"
 
 // The entries of one ID tell of one leaf after the other: a leaf that starts again
-// may keep its ID, and knows nothing of before. Which entry is the later one is told
-// by the store's revision. Whether it is of the same start is told by the birth, or,
+// may keep its ID, and knows nothing of before. Which entry is the later one follows
+// from the store's revision. Whether it is of the same start follows from the birth, or,
 // for leaves that state none, by a sequence that went back.
 //
 // Births come from the leaves' clocks, which may step. A birth that is earlier than
@@ -69,7 +69,7 @@
 		return c.mergeDoubtful(old, l, began)
 	case newStart:
 		if l.Born == 0 {
-			l.Restarts = max(l.Restarts, old.Restarts+1) // as told, or counted here
+			l.Restarts = max(l.Restarts, old.Restarts+1) // as received, or counted here
 		}
 		delete(c.doubts, l.ID)
 		return l
--- a/kernel/dispatch/admission.go
+++ b/kernel/dispatch/admission.go
@@ -10,7 +10,7 @@
 	Fit(caller string, priority int, within, patience time.Duration) (fit, total int, wait time.Duration)
 	// Yields says that a more urgent query is refused so often that this one is, too.
 	Yields(priority int, now time.Time) bool
-	// Judged is told of each decision.
+	// Judged is called with each decision.
 	Judged(priority int, taken bool, now time.Time)
 }
 
@@ -61,7 +61,7 @@
 // work goes to parts of a query whose other parts can't be served.
 type Admission struct {
 	rand *rand.Rand
-	// refused is the number of callers that were told to come back and have
+	// refused is the number of callers that were asked to come back and have
 	// not been taken in since.
 	refused float64
 	// admitted is a decaying count of admissions over rateWindow.
--- a/kernel/dispatch/machine.go
+++ b/kernel/dispatch/machine.go
@@ -60,8 +60,8 @@
 		if l := m.byIndex[ev.Leaf]; l != nil {
 			m.routing.Hint(l.key, ev.InFlight, ev.Queued, now)
 		}
-	case SlowTold:
-		m.told(ev.Leaves)
+	case SlowReported:
+		m.peersReported(ev.Leaves)
 	case Tick:
 		m.tick(now)
 	}
--- a/kernel/dispatch/messages.go
+++ b/kernel/dispatch/messages.go
@@ -58,19 +58,19 @@
 	Queued   int
 }
 
-// SlowTold passes on what other instances saw of leaves, by their IDs.
-type SlowTold struct{ Leaves []slowness.Slow }
+// SlowReported passes on what other instances saw of leaves, by their IDs.
+type SlowReported struct{ Leaves []slowness.Slow }
 
 // Tick lets time-driven work happen (expiry, probing).
 type Tick struct{}
 
-func (Offered) isEvent()     {}
-func (Withdrawn) isEvent()   {}
-func (Finished) isEvent()    {}
-func (ViewChanged) isEvent() {}
-func (LoadHint) isEvent()    {}
-func (SlowTold) isEvent()    {}
-func (Tick) isEvent()        {}
+func (Offered) isEvent()      {}
+func (Withdrawn) isEvent()    {}
+func (Finished) isEvent()     {}
+func (ViewChanged) isEvent()  {}
+func (LoadHint) isEvent()     {}
+func (SlowReported) isEvent() {}
+func (Tick) isEvent()         {}
 
 // Outcome is how a dispatched attempt ended.
 type Outcome int
--- a/kernel/dispatch/sharing.go
+++ b/kernel/dispatch/sharing.go
@@ -7,14 +7,14 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/slowness"
 )
 
-// Sightings returns what the routing policy saw since the last call that other
+// Observations returns what the routing policy saw since the last call that other
 // instances should know of. A policy that shares nothing gives none.
-func (m *Machine) Sightings() []slowness.Sighting {
+func (m *Machine) Observations() []slowness.Observation {
 	sharer, ok := m.routing.(plugin.Sharer)
 	if !ok {
 		return nil
 	}
-	seen := sharer.Sightings()
+	seen := sharer.Observations()
 	if len(seen) == 0 {
 		return nil
 	}
@@ -22,10 +22,10 @@
 	for id, l := range m.leaves {
 		ids[l.key] = id
 	}
-	out := make([]slowness.Sighting, 0, len(seen))
+	out := make([]slowness.Observation, 0, len(seen))
 	for _, s := range seen {
 		if id, ok := ids[s.Key]; ok {
-			out = append(out, slowness.Sighting{Leaf: id, Took: s.Took, Slow: s.Slow, At: s.At})
+			out = append(out, slowness.Observation{Leaf: id, Took: s.Took, Slow: s.Slow, At: s.At})
 		}
 	}
 	return out
@@ -69,15 +69,15 @@
 	return []int{i}
 }
 
-// told passes the word of other instances to the routing policy.
-func (m *Machine) told(list []slowness.Slow) {
+// peersReported passes the reports of other instances to the routing policy.
+func (m *Machine) peersReported(list []slowness.Slow) {
 	sharer, ok := m.routing.(plugin.Sharer)
 	if !ok {
 		return
 	}
 	for _, s := range list {
 		if l := m.leaves[s.Leaf]; l != nil {
-			sharer.Told(l.key, s.Took, s.At)
+			sharer.PeerReported(l.key, s.Took, s.At)
 		}
 	}
 }
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -1,8 +1,8 @@
-// Package fleet knows the other instances and decides whom to ask for news of
+// Package fleet knows the other instances and decides from whom to learn
 // the platform's store. Reads of the store are priced, and bytes between zones
 // are too: one instance reads the store, one a zone asks that one, and the others
 // ask that of their zone. Nothing hangs on who it is: too many readers cost calls,
-// and one that is gone, frozen or itself without news is noticed by the age of
+// and one that is gone, frozen or itself without knowledge is noticed by the age of
 // what it tells and passed over.
 package fleet
 
@@ -44,9 +44,9 @@
 
 // member is what is known of an instance.
 type member struct {
-	instance Instance
-	heardAt  time.Time // when its mark last changed
-	passTo   time.Time // until when it is passed over
+	instance    Instance
+	announcedAt time.Time // when its mark last changed
+	passTo      time.Time // until when it is passed over
 }
 
 // Fleet is the state. It is used by one goroutine at a time.
@@ -81,11 +81,11 @@
 			f.members[i.Name] = m
 		}
 		if m.instance != i {
-			m.instance, m.heardAt = i, now
+			m.instance, m.announcedAt = i, now
 		}
 	}
 	maps.DeleteFunc(f.members, func(name string, m *member) bool {
-		return !named[name] || now.Sub(m.heardAt) >= f.settings.ForgetAfter
+		return !named[name] || now.Sub(m.announcedAt) >= f.settings.ForgetAfter
 	})
 	f.reshape()
 	f.noteSlack(now)
@@ -104,7 +104,7 @@
 	return len(f.members) + 1
 }
 
-// Reader is the instance to ask for news; ok is false when this instance is to
+// Reader is the instance to synchronize from; ok is false when this instance is to
 // read the store itself.
 func (f *Fleet) Reader(now time.Time) (i Instance, ok bool) {
 	lead := f.first(now, func(i Instance) bool { return i.Zone == f.self.Zone })
@@ -141,7 +141,7 @@
 func HandsOver(shards int) bool { return shards >= strongShards }
 
 // strongEnough is how many times this instance's power another must have to be
-// handed a query: the hop costs both of them about a tenth of what a query over
+// handed a query: forwarding costs both of them about a tenth of what a query over
 // many shards does.
 const strongEnough = 2
 
@@ -183,7 +183,7 @@
 // rank orders the instances alike everywhere.
 func rank(i Instance) uint64 { return xxhash.Sum64String(i.Zone + "\x00" + i.Name) }
 
-// Failed notes that an instance gave no news, or old ones.
+// Failed notes that an instance did not answer, or with old state.
 func (f *Fleet) Failed(name string, now time.Time) {
 	if m := f.members[name]; m != nil {
 		m.passTo = now.Add(f.settings.PassOver)
--- a/kernel/ledger/claims.go
+++ b/kernel/ledger/claims.go
@@ -5,7 +5,7 @@
 // recordMargin is the time allowed for the write of a result.
 const recordMargin = 250 * time.Millisecond
 
-// fullRetryAfter is how long a caller is told to wait for a full bucket.
+// fullRetryAfter is how long a caller is asked to wait for a full bucket.
 const fullRetryAfter = 30 * time.Second
 
 // expire refuses claims whose time to be confirmed has passed.
--- a/kernel/margin/margin.go
+++ b/kernel/margin/margin.go
@@ -11,7 +11,7 @@
 	FirstOwn = 4 * time.Millisecond
 	// UnknownWay is assumed of the way from and to a caller whose connection does
 	// not tell its round trip: two of 6 ms, which a new connection takes, and 2 ms to
-	// be heard on a small share of a core.
+	// be received on a small share of a core.
 	UnknownWay = 14 * time.Millisecond
 	// unseen is kept for what an instance can't measure: until it is given the
 	// processor to read a request, and until the answer has left. Of 1106 queries of a
--- a/kernel/membership/digest.go
+++ b/kernel/membership/digest.go
@@ -17,7 +17,7 @@
 	}
 }
 
-// digestLeaving lists fresh sightings, the freshest first, and a few older
+// digestLeaving lists fresh observations, the freshest first, and a few older
 // ones chosen at random: nearly everyone knows those, and an entry that does
 // not hears of them within some rounds.
 func (m *Machine) digestLeaving(now time.Time) []LeavingLeaf {
@@ -44,12 +44,12 @@
 	var out []RelayedGeneration
 	for _, id := range ids[:min(len(ids), m.cfg.MaxGenerations)] {
 		p := m.peers[id]
-		out = append(out, RelayedGeneration{Instance: id, Generation: p.generation, Age: now.Sub(p.heard)})
+		out = append(out, RelayedGeneration{Instance: id, Generation: p.generation, Age: now.Sub(p.seen)})
 	}
 	return out
 }
 
-// Generation is the generation in force at a peer, as last heard.
+// Generation is the generation in force at a peer, as last received.
 type Generation struct {
 	Instance   string
 	Generation uint64
@@ -63,7 +63,7 @@
 	var out []Generation
 	for _, id := range slices.Sorted(maps.Keys(m.peers)) {
 		p := m.peers[id]
-		out = append(out, Generation{Instance: id, Generation: p.generation, Hash: p.hash, Age: now.Sub(p.heard), Draining: p.draining})
+		out = append(out, Generation{Instance: id, Generation: p.generation, Hash: p.hash, Age: now.Sub(p.seen), Draining: p.draining})
 	}
 	return out
 }
--- a/kernel/membership/machine.go
+++ b/kernel/membership/machine.go
@@ -12,21 +12,21 @@
 type peerState struct {
 	generation uint64
 	hash       string
-	heard      time.Time // when its state was current, by the age relayed
+	seen       time.Time // when its state was current, by the age relayed
 	direct     time.Time // when it last spoke to this instance
 	draining   bool
 }
 
 // mark says that a leaf is leaving.
 type mark struct {
-	seen time.Time // the freshest sighting
+	seen time.Time // the freshest observation
 	born int64     // the leaf's start, 0: not known
 }
 
 // before reports whether the mark is of a start before the given one.
 func (k mark) before(born int64) bool { return born != 0 && k.born < born }
 
-// birth is a leaf's start and when it was told.
+// birth is a leaf's start and when it was reported.
 type birth struct {
 	born int64
 	at   time.Time
@@ -39,12 +39,12 @@
 	actions  []Action
 	list     map[string]Instance
 	marks    map[string]mark  // by leaf
-	births   map[string]birth // the start that a leaf told last, by leaf
+	births   map[string]birth // the start that a leaf reported last, by leaf
 	peers    map[string]peerState
 	draining bool
 	next     time.Time // of the next round
-	news     bool      // something waits to be pushed
-	pushed   time.Time // when news was last pushed
+	pending  bool      // something waits to be pushed
+	pushed   time.Time // when something was last pushed
 	leaving  map[string]bool
 	entries  []string
 }
@@ -65,7 +65,7 @@
 	case ListRead:
 		m.readList(ev.Instances)
 	case SawLeaving:
-		m.sighted(ev.Leaf, ev.Born, now)
+		m.observed(ev.Leaf, ev.Born, now)
 	case SawBorn:
 		m.started(ev.Leaf, ev.Born, now)
 	case DigestReceived:
@@ -95,14 +95,14 @@
 	}
 }
 
-// relaySlack is how much fresher a relayed sighting must be to replace a known
-// one. It is more than an exchange may take: the age of a relayed sighting lacks
+// relaySlack is how much fresher a relayed observation must be to replace a known
+// one. It is more than an exchange may take: the age of a relayed observation lacks
 // the time on the way, and without the slack relays would make marks younger.
 const relaySlack = 2 * time.Second
 
-// sighted notes a sighting by this instance. A late word of an earlier start of the leaf
+// observed notes a observation by this instance. A late word of an earlier start of the leaf
 // counts for nothing.
-func (m *Machine) sighted(leaf string, born int64, now time.Time) {
+func (m *Machine) observed(leaf string, born int64, now time.Time) {
 	seen := mark{seen: now, born: born}
 	if seen.before(m.births[leaf].born) {
 		return
@@ -114,7 +114,7 @@
 	}
 }
 
-// started notes a start of a leaf, as the leaf itself told it last: it knows nothing of a
+// started notes a start of a leaf, as the leaf itself reported it last: it knows nothing of a
 // drain before. A birth earlier than the mark's, from a clock that went back, takes no
 // drain back; the mark ends with its life.
 func (m *Machine) started(leaf string, born int64, now time.Time) {
@@ -124,8 +124,8 @@
 	}
 }
 
-// relayedMark notes a sighting by another instance. One that is new here is
-// told on at once, while it is fresh.
+// relayedMark notes a observation by another instance. One that is new here is
+// passed on at once, while it is fresh.
 func (m *Machine) relayedMark(leaf string, relayed mark, now time.Time) {
 	old, known := m.marks[leaf]
 	seen := relayed.seen
@@ -146,7 +146,7 @@
 	if d.Instance == m.cfg.Instance {
 		return
 	}
-	m.peers[d.Instance] = peerState{generation: d.Generation, hash: d.Hash, heard: now, direct: now, draining: d.Draining}
+	m.peers[d.Instance] = peerState{generation: d.Generation, hash: d.Hash, seen: now, direct: now, draining: d.Draining}
 	for _, l := range d.Leaving {
 		if l.Age >= 0 {
 			m.relayedMark(l.Leaf, mark{seen: now.Add(-l.Age), born: l.Born}, now)
@@ -158,18 +158,18 @@
 	m.act(PeerAhead{Peer: m.peer(d.Instance), Generation: d.Generation})
 }
 
-// relayed takes in what a peer heard of another instance. It never replaces
+// relayed takes in what a peer knows of another instance. It never replaces
 // what is newer, and never makes a generation go back.
 func (m *Machine) relayed(g RelayedGeneration, now time.Time) {
 	if g.Instance == m.cfg.Instance || g.Age < 0 {
 		return
 	}
-	heard := now.Add(-g.Age)
+	seen := now.Add(-g.Age)
 	p := m.peers[g.Instance]
-	if !heard.After(p.heard) || g.Generation < p.generation || now.Sub(heard) > m.cfg.MarkLife {
+	if !seen.After(p.seen) || g.Generation < p.generation || now.Sub(seen) > m.cfg.MarkLife {
 		return
 	}
-	p.generation, p.heard = g.Generation, heard
+	p.generation, p.seen = g.Generation, seen
 	m.peers[g.Instance] = p
 }
 
@@ -177,7 +177,7 @@
 func (m *Machine) tick(now time.Time) {
 	maps.DeleteFunc(m.marks, func(_ string, k mark) bool { return now.Sub(k.seen) >= m.cfg.MarkLife })
 	maps.DeleteFunc(m.births, func(_ string, b birth) bool { return now.Sub(b.at) >= m.cfg.MarkLife })
-	maps.DeleteFunc(m.peers, func(_ string, p peerState) bool { return now.Sub(p.heard) >= m.cfg.MarkLife })
+	maps.DeleteFunc(m.peers, func(_ string, p peerState) bool { return now.Sub(p.seen) >= m.cfg.MarkLife })
 	if now.Before(m.next) {
 		return
 	}
@@ -187,27 +187,27 @@
 }
 
 // push tells some peers at once. Each that learns something new does the same,
-// so that news reaches everyone in a number of steps that grows with the
+// so that it reaches everyone in a number of steps that grows with the
 // logarithm of the fleet.
-// News that comes close together is told together, at most every pushGap.
-func (m *Machine) push() { m.news = true }
+// What comes close together is sent together, at most every pushGap.
+func (m *Machine) push() { m.pending = true }
 
 // pushGap is the least time between two pushes.
 const pushGap = 100 * time.Millisecond
 
-// tellNews pushes when there is news and the last push is long enough ago.
-func (m *Machine) tellNews(now time.Time) {
-	if !m.news || now.Sub(m.pushed) < pushGap {
+// pushPending pushes when something waits and the last push is long enough ago.
+func (m *Machine) pushPending(now time.Time) {
+	if !m.pending || now.Sub(m.pushed) < pushGap {
 		return
 	}
-	m.news = false
+	m.pending = false
 	m.pushed = now
 	m.send(m.cfg.PushFanout)
 }
 
-// nextWake is the time of the next round or of news that waits.
+// nextWake is the time of the next round or of a push that waits.
 func (m *Machine) nextWake() time.Time {
-	if at := m.pushed.Add(pushGap); m.news && at.Before(m.next) {
+	if at := m.pushed.Add(pushGap); m.pending && at.Before(m.next) {
 		return at
 	}
 	return m.next
@@ -232,11 +232,11 @@
 	if m.next.IsZero() {
 		m.next = now
 	}
-	m.tellNews(now)
+	m.pushPending(now)
 	m.act(WakeAt{At: m.nextWake()})
 }
 
-// computeLeaving is the OR of the list and the sightings.
+// computeLeaving is the OR of the list and the observations.
 func (m *Machine) computeLeaving(now time.Time) map[string]bool {
 	out := make(map[string]bool)
 	for id, in := range m.list {
@@ -253,7 +253,7 @@
 }
 
 // computeEntries lists the entries that may hold connections: those of the
-// list, leaving ones too, those heard of lately, and this one.
+// list, leaving ones too, those that answered lately, and this one.
 func (m *Machine) computeEntries(now time.Time) []string {
 	set := map[string]bool{m.cfg.Instance: true}
 	for id, in := range m.list {
@@ -262,7 +262,7 @@
 		}
 	}
 	for id, p := range m.peers {
-		if now.Sub(p.heard) < m.cfg.HeardLife {
+		if now.Sub(p.seen) < m.cfg.HeardLife {
 			set[id] = true
 		}
 	}
--- a/kernel/membership/membership_test.go
+++ b/kernel/membership/membership_test.go
@@ -21,8 +21,8 @@
 // epoch is where the tests' virtual time starts.
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// hop is the time of an exchange between two entries.
-const hop = 3 * time.Millisecond
+// forwardDelay is the time of an exchange between two entries.
+const forwardDelay = 3 * time.Millisecond
 
 // fleet drives machines in virtual time: each SendDigest is an exchange.
 type fleet struct {
@@ -69,7 +69,7 @@
 			var to int
 			_, _ = fmt.Sscanf(a.Peer.Instance, "entry-%d", &to)
 			f.sent++
-			f.mail = append(f.mail, letter{f.now.Add(hop), i, to, f.machines[i].Digest(f.now), true})
+			f.mail = append(f.mail, letter{f.now.Add(forwardDelay), i, to, f.machines[i].Digest(f.now), true})
 		}
 	}
 }
@@ -98,7 +98,7 @@
 		default:
 			f.give(l.to, DigestReceived{Digest: l.digest})
 			if l.answer {
-				f.mail = append(f.mail, letter{f.now.Add(hop), l.to, l.from, f.machines[l.to].Digest(f.now), false})
+				f.mail = append(f.mail, letter{f.now.Add(forwardDelay), l.to, l.from, f.machines[l.to].Digest(f.now), false})
 			}
 		}
 	}
@@ -153,7 +153,7 @@
 	}
 	f.run(2 * time.Minute)
 	if got := f.knowing("leaf"); got != 0 {
-		t.Errorf("%d entries hold it for leaving long after the last sighting", got)
+		t.Errorf("%d entries hold it for leaving long after the last observation", got)
 	}
 }
 
@@ -343,8 +343,8 @@
 	}
 }
 
-// TestNewsIsToldTogether lets many leaves leave at once.
-func TestNewsIsToldTogether(t *testing.T) {
+// TestChangesArePushedTogether lets many leaves leave at once.
+func TestChangesArePushedTogether(t *testing.T) {
 	f := newFleet(8)
 	f.run(2 * time.Second)
 	before := f.sent
--- a/kernel/membership/messages.go
+++ b/kernel/membership/messages.go
@@ -24,7 +24,7 @@
 	Generations []RelayedGeneration
 }
 
-// LeavingLeaf is one leaf's mark with the age of its freshest sighting, and the start of
+// LeavingLeaf is one leaf's mark with the age of its freshest observation, and the start of
 // the leaf that it is of; 0: not known.
 type LeavingLeaf struct {
 	Leaf string
@@ -52,7 +52,7 @@
 	Born int64
 }
 
-// SawBorn says that a leaf told a start that was not known before, in Unix milliseconds
+// SawBorn says that a leaf reported a start that was not known before, in Unix milliseconds
 // of its own clock. A mark of an earlier start counts no more.
 type SawBorn struct {
 	Leaf string
@@ -65,7 +65,7 @@
 // PeerFailed says that a peer did not answer.
 type PeerFailed struct{ Peer string }
 
-// SpreadNow asks to tell some peers at once, for news outside of this machine.
+// SpreadNow asks to tell some peers at once, for a change outside of this machine.
 type SpreadNow struct{}
 
 // Drain says that this instance is leaving.
@@ -117,22 +117,22 @@
 	Instance string
 	// Interval is the time between rounds of digests.
 	Interval time.Duration
-	// Fanout is the number of peers told in a round.
+	// Fanout is the number of peers sent to in a round.
 	Fanout int
-	// PushFanout is the number of peers told at once of news.
+	// PushFanout is the number of peers sent to at once.
 	PushFanout int
-	// MarkLife is how long a sighting of a leaving leaf counts. It must be
+	// MarkLife is how long a observation of a leaving leaf counts. It must be
 	// longer than the list lags, since nobody sees the mark of a leaf that
 	// gets no work.
 	MarkLife time.Duration
-	// FreshFor is how long a sighting is told in every digest.
+	// FreshFor is how long a observation is sent in every digest.
 	FreshFor time.Duration
 	// HeardLife is how long a peer counts after its last digest.
 	HeardLife time.Duration
 	// MaxLeaving and MaxGenerations bound the lists of a digest.
 	MaxLeaving     int
 	MaxGenerations int
-	// MaxOld bounds the sightings in a digest that are not fresh.
+	// MaxOld bounds the observations in a digest that are not fresh.
 	MaxOld int
 	Seed   uint64
 }
--- a/kernel/plugin/policy.go
+++ b/kernel/plugin/policy.go
@@ -68,23 +68,23 @@
 	Hint(key, inFlight, queued int, now time.Time)
 }
 
-// Sighting is an outcome at a leaf that other instances should know of.
-type Sighting struct {
+// Observation is an outcome at a leaf that other instances should know of.
+type Observation struct {
 	Key int // Candidate.Key
 	// Took is how long the attempt took, or was out before it was given up.
 	Took time.Duration
 	// Slow says that this was far more than usual; else it shows that a leaf
-	// which was told to be slow is not.
+	// which was reported to be slow is not.
 	Slow bool
 	At   time.Time
 }
 
-// Sharer is a Routing that tells other instances what it sees, and heeds them.
+// Sharer is a Routing that shares what it sees with other instances, and heeds them.
 type Sharer interface {
-	// Sightings returns what was seen since the last call.
-	Sightings() []Sighting
-	// Told takes the word that a leaf took so long, at the given time.
-	Told(key int, took time.Duration, at time.Time)
+	// Observations returns what was seen since the last call.
+	Observations() []Observation
+	// PeerReported takes another instance's report that a leaf took so long, at the given time.
+	PeerReported(key int, took time.Duration, at time.Time)
 }
 
 // Comparer is a Routing that tells which candidates are about as good as the best.
--- a/kernel/quarantine/machine.go
+++ b/kernel/quarantine/machine.go
@@ -118,7 +118,7 @@
 	}
 	m.put(r)
 	if r.Level > old.Level {
-		// News is passed on at once, and each entry does so once per level, so
+		// A record is passed on at once, and each entry does so once per level, so
 		// that it reaches all in a number of steps that grows with the logarithm
 		// of the fleet.
 		m.out = append(m.out, Announce{Record: r}, Changed{Fingerprint: r.Fingerprint, Phase: r.Phase(), Left: r.Until.Sub(now)})
--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -16,7 +16,7 @@
 	MaxRecords int
 	// MaxGood bounds the known-good fingerprints kept.
 	MaxGood int
-	// DigestRecords bounds the records told to a peer.
+	// DigestRecords bounds the records sent to a peer.
 	DigestRecords int
 }
 
--- a/kernel/query/group.go
+++ b/kernel/query/group.go
@@ -16,7 +16,7 @@
 }
 
 // OfferGroup asks the runtime to have a group gathered. What was not accepted is
-// told by NotSent, and asked of the leaves by this query then.
+// reported by NotSent, and asked of the leaves by this query then.
 type OfferGroup struct {
 	Attempt AttemptID
 	Group   int // index in Config.Groups
@@ -231,9 +231,9 @@
 		return
 	}
 	share := m.share(m.version)
-	if m.told && share <= m.toldShare {
+	if m.reported && share <= m.reportedShare {
 		return
 	}
-	m.told, m.toldShare = true, share
+	m.reported, m.reportedShare = true, share
 	m.act(Interim{Answer: m.answer(MissingSettled)})
 }
--- a/kernel/query/machine.go
+++ b/kernel/query/machine.go
@@ -39,11 +39,11 @@
 	gate   gate
 	hedges hedgeQueue
 	settle time.Time // when the rest is not waited for any more
-	// told and toldShare are of the last interim answer.
-	told      bool
-	toldShare float64
-	wake      time.Time // the wish last told
-	slowest   time.Duration
+	// reported and reportedShare are of the last interim answer.
+	reported      bool
+	reportedShare float64
+	wake          time.Time // the wish last returned
+	slowest       time.Duration
 
 	count      counts
 	retryAfter time.Duration
@@ -55,7 +55,7 @@
 
 // space is one upstream of the query.
 type space struct {
-	first      int // upstream index in the view of the start, told in the answer
+	first      int // upstream index in the view of the start, given in the answer
 	now        int // upstream index in the current view, or noUpstream
 	hedgeAfter time.Duration
 	cells      []int // by cell of the grid: its first part plus one, 0 for none
@@ -64,7 +64,7 @@
 	only *keyrange.Set
 }
 
-// counts are told in the answer.
+// counts are given in the answer.
 type counts struct{ sent, hedges, retries, ignored, groups int }
 
 // New returns the machine of one query; Begin starts it.
@@ -219,13 +219,13 @@
 	return m.mayHaveRun == 0 && m.given > 0 && 1-m.given < least-shareTolerance
 }
 
-// wish asks for a wake-up when the next one is earlier than that last told.
+// wish asks for a wake-up when the next one is earlier than that last returned.
 func (m *Machine) wish(now time.Time) {
 	if m.finished || m.spaces == nil {
 		return
 	}
 	at := m.cfg.Deadline
-	if !m.settle.IsZero() && m.settle.Before(at) && !m.told {
+	if !m.settle.IsZero() && m.settle.Before(at) && !m.reported {
 		at = m.settle
 	}
 	if due, ok := m.hedges.next(); ok && due.Before(at) {
--- a/kernel/query/messages.go
+++ b/kernel/query/messages.go
@@ -226,7 +226,7 @@
 	// repetition, and replies that were late, repeated or crossed.
 	Sent, Hedges, Retries, Ignored int
 	// Groups counts those that other instances were to gather; what these sent is
-	// counted as sent where they told.
+	// counted as sent where they reported them.
 	Groups int
 	// Moves counts changes of the pinned version.
 	Moves int
--- a/kernel/query/outcome.go
+++ b/kernel/query/outcome.go
@@ -7,7 +7,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
 )
 
-// Without a queue's hint a caller is told to come back after backoffBase and
+// Without a queue's hint a caller is asked to come back after backoffBase and
 // up to backoffSpread more, by the request's seed.
 const (
 	backoffBase   = 250 * time.Millisecond
--- a/kernel/rollout/messages.go
+++ b/kernel/rollout/messages.go
@@ -187,7 +187,7 @@
 	Unknown  State = "unknown"  // the reply was lost and nothing read since settles it
 )
 
-// Outcome is what the submitter is told.
+// Outcome is what the submitter learns.
 type Outcome struct {
 	State State
 	// Generation is the submission's own, when accepted.
--- a/kernel/rollout/save.go
+++ b/kernel/rollout/save.go
@@ -7,7 +7,7 @@
 
 // Times of a submission.
 const (
-	// SaveWait is how long a submitter waits before it is told "unknown".
+	// SaveWait is how long a submitter waits before it gets "unknown".
 	SaveWait = 8 * time.Second
 	// settleFor is how long an unknown submission is watched for.
 	settleFor = 10 * time.Minute
@@ -19,16 +19,16 @@
 
 // save is one submission in progress.
 type save struct {
-	id      SaveID
-	link    Link
-	version Version // Generation is set when it is known
-	putting bool
-	lost    bool // the reply of a try was lost
-	beaten  bool // the store named a conflict at the only try
-	told    bool // the submitter was told "unknown"
-	waitEnd time.Time
-	dropAt  time.Time
-	tryAt   time.Time
+	id       SaveID
+	link     Link
+	version  Version // Generation is set when it is known
+	putting  bool
+	lost     bool // the reply of a try was lost
+	beaten   bool // the store named a conflict at the only try
+	answered bool // the submitter was answered "unknown"
+	waitEnd  time.Time
+	dropAt   time.Time
+	tryAt    time.Time
 }
 
 // submit starts a save. A form opened on a version below the one in force has
@@ -152,7 +152,7 @@
 	switch {
 	case s.beaten && !behind:
 		m.finish(s, Outcome{State: Conflict, Current: m.newest(v)})
-	case read && behind && s.lost && !s.putting && !s.told:
+	case read && behind && s.lost && !s.putting && !s.answered:
 		m.put(s)
 	}
 }
@@ -171,7 +171,7 @@
 			delete(m.saves, s.id)
 			continue
 		}
-		if !s.told && !now.Before(s.waitEnd) {
+		if !s.answered && !now.Before(s.waitEnd) {
 			m.waited(s)
 		}
 		if !s.putting && !s.tryAt.IsZero() && !now.Before(s.tryAt) {
@@ -183,7 +183,7 @@
 
 // readEvery is the time between reads for a save.
 func (s *save) readEvery() time.Duration {
-	if s.told {
+	if s.answered {
 		return settleSlowly
 	}
 	return settleEvery
@@ -195,7 +195,7 @@
 		m.finish(s, Outcome{State: Conflict, Reason: "the newer version can't be read yet"})
 		return
 	}
-	s.told = true
+	s.answered = true
 	m.emit(Resolve{s.id, Outcome{State: Unknown, Reason: "the store's reply was lost and it can't be read back yet"}})
 }
 
@@ -209,7 +209,7 @@
 	}
 	for _, s := range m.saves {
 		earliest(s.dropAt)
-		if !s.told {
+		if !s.answered {
 			earliest(s.waitEnd)
 		}
 		if !s.putting {
--- a/kernel/slowness/board.go
+++ b/kernel/slowness/detector.go
@@ -1,7 +1,7 @@
 // Package slowness gathers what many instances see of slow leaves. One instance
 // of a large fleet asks a leaf about once a second and learns too late that it
 // is slow; together they ask it often. A leaf that merely pauses for a moment is
-// told apart by the time between two sightings.
+// distinguished by the time between two observations.
 package slowness
 
 import (
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// Sighting is one outcome at a leaf.
-type Sighting struct {
+// Observation is one outcome at a leaf.
+type Observation struct {
 	Leaf string
 	// Took is how long the attempt took, or was out before it was given up.
 	Took time.Duration
@@ -30,32 +30,32 @@
 }
 
 const (
-	// pause is longer than leaves pause for a moment (120 ms): sightings that
+	// pause is longer than leaves pause for a moment (120 ms): observations that
 	// lie closer together may all be of one pause.
 	pause = 150 * time.Millisecond
-	// remember is for how long a sighting counts. It is shorter than the time
+	// remember is for how long a observation counts. It is shorter than the time
 	// between two pauses of a leaf (3 s).
 	remember = 2 * time.Second
-	// mostLeaves bounds the board.
+	// mostLeaves bounds the leaves that are kept.
 	mostLeaves = 1024
 )
 
-// Board is the state. It is used by one goroutine at a time.
-type Board struct {
+// Detector is the state. It is used by one goroutine at a time.
+type Detector struct {
 	leaves map[string]*entry
 }
 
 // entry is what was seen of a leaf.
 type entry struct {
-	first, last time.Time // of the slow sightings that count
+	first, last time.Time // of the slow observations that count
 	took        time.Duration
 }
 
-// NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{leaves: make(map[string]*entry)} }
+// NewDetector returns an empty detector.
+func NewDetector() *Detector { return &Detector{leaves: make(map[string]*entry)} }
 
-// Add takes sightings; they may come late and in any order.
-func (b *Board) Add(list []Sighting, now time.Time) {
+// Add takes observations; they may come late and in any order.
+func (b *Detector) Add(list []Observation, now time.Time) {
 	for _, s := range list {
 		if now.Sub(s.At) < remember {
 			b.add(s)
@@ -63,8 +63,8 @@
 	}
 }
 
-// add takes one sighting.
-func (b *Board) add(s Sighting) {
+// add takes one observation.
+func (b *Detector) add(s Observation) {
 	e := b.leaves[s.Leaf]
 	switch {
 	case !s.Slow:
@@ -90,7 +90,7 @@
 
 // Slow lists the leaves that are taken to be slow now, in the order of their
 // names, and forgets what no longer counts.
-func (b *Board) Slow(now time.Time) []Slow {
+func (b *Detector) Slow(now time.Time) []Slow {
 	var out []Slow
 	for leaf, e := range b.leaves {
 		if now.Sub(e.last) >= remember {
--- a/plugins/nearest/nearest.go
+++ b/plugins/nearest/nearest.go
@@ -62,15 +62,15 @@
 	unansweredAt time.Time
 	health       health.Leaf
 	backAt       time.Time // when an ejected leaf came back
-	toldAt       time.Time // when others last saw it slow
+	reportedAt   time.Time // when others last saw it slow
 }
 
 type policy struct {
-	rand      *rand.Rand
-	leaves    []leaf
-	peers     health.Peers
-	delay     float64 // moving average over all leaves, seconds
-	sightings []plugin.Sighting
+	rand         *rand.Rand
+	leaves       []leaf
+	peers        health.Peers
+	delay        float64 // moving average over all leaves, seconds
+	observations []plugin.Observation
 }
 
 // New returns an independent instance.
@@ -210,57 +210,57 @@
 	l.learntAt = now
 }
 
-// Bounds of what is told to other instances.
+// Bounds of what is sent to other instances.
 const (
 	// slowTimes the usual delay makes an outcome slow.
 	slowTimes = 3
 	// failedTook stands for the delay of an attempt that failed.
 	failedTook = 500 * time.Millisecond
-	// clearFor is for how long after others saw a leaf slow a good reply is told.
+	// clearFor is for how long after others saw a leaf slow a good reply is sent.
 	clearFor = 3 * time.Second
-	// mostSightings bounds what waits to be told.
-	mostSightings = 128
+	// mostObservations bounds what waits to be sent.
+	mostObservations = 128
 )
 
 // sight keeps an outcome that others should know of.
 func (p *policy) sight(key int, s plugin.Sample, now time.Time) {
-	if len(p.sightings) >= mostSightings || p.delay == 0 {
+	if len(p.observations) >= mostObservations || p.delay == 0 {
 		return
 	}
-	seen := plugin.Sighting{Key: key, Took: s.Latency, At: now}
+	seen := plugin.Observation{Key: key, Took: s.Latency, At: now}
 	switch late := s.Latency.Seconds() > slowTimes*p.delay; {
 	case s.Failed:
 		seen.Took, seen.Slow = failedTook, true
 	case late && (s.OK || s.Cancelled || s.TimedOut):
 		seen.Slow = true
-	case s.OK && now.Sub(p.leaf(key).toldAt) < clearFor:
+	case s.OK && now.Sub(p.leaf(key).reportedAt) < clearFor:
 	default:
 		return
 	}
-	p.sightings = append(p.sightings, seen)
+	p.observations = append(p.observations, seen)
 }
 
-// Sightings implements plugin.Sharer.
-func (p *policy) Sightings() []plugin.Sighting {
-	out := p.sightings
-	p.sightings = nil
+// Observations implements plugin.Sharer.
+func (p *policy) Observations() []plugin.Observation {
+	out := p.observations
+	p.observations = nil
 	return out
 }
 
-// Told implements plugin.Sharer. What this instance has seen since counts more.
-func (p *policy) Told(key int, took time.Duration, at time.Time) {
+// PeerReported implements plugin.Sharer. What this instance has seen since counts more.
+func (p *policy) PeerReported(key int, took time.Duration, at time.Time) {
 	l := p.leaf(key)
-	if !at.After(l.learntAt) || !at.After(l.toldAt) {
+	if !at.After(l.learntAt) || !at.After(l.reportedAt) {
 		return
 	}
-	l.toldAt = at
+	l.reportedAt = at
 	l.delay = max(p.expected(l, at), took.Seconds())
 	// Instances forget at different times, so that not all of them try the leaf
 	// again at the same moment.
 	l.learntAt = at.Add(time.Duration(p.rand.Float64() * float64(forgetSpread)))
 }
 
-// forgetSpread is by how much later some instances forget what they were told.
+// forgetSpread is by how much later some instances forget what they were sent.
 const forgetSpread = 1500 * time.Millisecond
 
 // Hint is not used: what load endpoints say lags.
--- a/standin/hosted/hosted.go
+++ b/standin/hosted/hosted.go
@@ -30,7 +30,7 @@
 	HeaderInstance   = "Fuchsiaroad-Instance-Id"
 )
 
-// Settings are what an instance is told.
+// Settings are what an instance reads.
 type Settings struct {
 	Name, Zone string
 	// Clients, Ready and Peers are addresses of the instance, IP:port.
--- a/standin/site/entry.go
+++ b/standin/site/entry.go
@@ -134,7 +134,7 @@
 // stopTime bounds a graceful stop.
 const stopTime = 60 * time.Second
 
-// Stop replaces the entry as the platform does: it is marked as leaving and told
+// Stop replaces the entry as the platform does: it is marked as leaving and asked
 // to stop. A nil error says that it exited with 0.
 func (e *Entry) Stop() error {
 	e.site.mu.Lock()
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -112,7 +112,7 @@
 const copyBuffer = 16 << 10
 
 // copy carries one direction to its end. The end of a silenced direction is not
-// told either.
+// informed either.
 func (p *proxy) copy(to, from net.Conn, dropped func(*link) bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, copyBuffer)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -22,7 +22,7 @@
 	Clients   int
 	// Binary is the path of the product's program, Dir where logs are kept.
 	Binary, Dir string
-	// Say is told of each fault as it begins; nil: nobody is.
+	// Say is called for each fault as it begins; nil: nobody is.
 	Say func(format string, args ...any)
 }
 
