--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -94,6 +94,11 @@
 	Version uint64 `json:"version"`
 	// Hash is that of the list of leaves received last, 0 for none.
 	Hash uint64 `json:"hash"`
+	// Fleet is that of the list of instances in force, 0 for none.
+	Fleet uint64 `json:"fleet"`
+	// AgeMS is the age of what the asking instance knows of configuration and leaves; -1
+	// while it knows nothing.
+	AgeMS int64 `json:"age_ms"`
 	// Seen is what the asking instance, and those that asked it, saw of leaves.
 	Seen []SeenLeaf `json:"seen,omitempty"`
 	// Quarantine lists quarantined fingerprints and suspects.
@@ -131,6 +136,13 @@
 	Base uint64 `json:"base,omitempty"`
 	// Gone lists the IDs of leaves that the list with the hash Base has and that are no more.
 	Gone []string `json:"gone,omitempty"`
+	// Fleet is the hash of the instances known, 0 before the first list, and FleetAgeMS
+	// how long ago the read of them began; -1 for never.
+	Fleet      uint64 `json:"fleet"`
+	FleetAgeMS int64  `json:"fleet_age_ms"`
+	// Instances is the list of instances as packed JSON, if its hash is another than that
+	// asked with.
+	Instances []byte `json:"instances,omitempty"`
 	// Slow lists the leaves that are taken to be slow.
 	Slow []SeenLeaf `json:"slow,omitempty"`
 	// Quarantine lists quarantined fingerprints and suspects.
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -3,45 +3,21 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/hosted/statesync"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
-	"github.com/fuchsiaroad/fuchsiaroad/kernel/backoff"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
-// Times of reading the store, as shares of the bound within which a change must
-// be in force everywhere: the reader reads after a quarter, the instances of its
-// zone and those that ask for theirs ask after an eighth each. A change is
-// everywhere after half of the bound and the calls' own time; what is left covers
-// one reader that fails.
 const (
-	readShare = 0.25
-	askShare  = 0.125
-	// staleShare is the age of a peer's state above which an instance reads the store itself.
-	staleShare = 0.55
-	// retryShare is the time between two tries of the store by an instance that is
-	// not the reader: two fit into the bound.
-	retryShare = 0.4
-	// mostAsk bounds the time between two questions: observations of slow
-	// leaves travel with them.
-	mostAsk = 600 * time.Millisecond
-	// readTimeout bounds one read at first; a store that is merely slow takes up
-	// to 250 ms, and one that is silent is best asked again on a new connection.
-	// It doubles with each failure up to mostReadTimeout, for a store that is
-	// slower still. An instance that started while the store was silent for a
-	// moment took 1.1 s to its first configuration with a fixed second.
-	readTimeout     = 300 * time.Millisecond
-	mostReadTimeout = 2 * time.Second
-	// firstRetry is the first pause after a failed read, doubled up to mostRetry.
-	firstRetry = 50 * time.Millisecond
-	mostRetry  = time.Second
 	// tickInterval is how often the catalog drops what is over.
 	tickInterval = 500 * time.Millisecond
 	// inboxLength bounds what waits for the control goroutine.
@@ -61,11 +37,17 @@
 	inbox    chan any
 	sequence uint64
 	// state is what this instance sends to others; nil before it knows anything.
-	state atomic.Pointer[syncState]
+	state atomic.Pointer[statesync.State]
 	// version is that of the configuration in force.
 	version atomic.Uint64
-	// received is the list of leaves that a peer sent last; the following goroutine's own.
-	received receivedLeaves
+	// peers reaches other instances.
+	peers syncPeers
+	// receiver keeps what a peer sent last; the following goroutine's own.
+	receiver statesync.Receiver
+	// storeTried says that the store was read during the start.
+	storeTried bool
+	// suggested is a peer that knows better than this instance; nil: none.
+	suggested atomic.Pointer[fleet.Instance]
 	// notBefore is when an instance that is not the reader may try the store again;
 	// the following goroutine's own.
 	notBefore time.Time
@@ -75,6 +57,11 @@
 	badLeaves *badEntries
 }
 
+// syncPeers asks other instances what they know.
+type syncPeers interface {
+	Sync(ctx context.Context, t peer.Target, r peerapi.SyncRequest) (*peerapi.SyncReply, error)
+}
+
 // configRead is a read of the configuration; nil: there is none.
 type configRead struct {
 	config *catalog.Config
@@ -99,7 +86,7 @@
 // newControl makes control; it reads nothing yet.
 func newControl(n *Node) *control {
 	return &control{
-		node: n, log: n.log.Part("control"), catalog: catalog.New(n.config.Tunables.Catalog),
+		node: n, log: n.log.Part("control"), peers: n.peers, catalog: catalog.New(n.config.Tunables.Catalog),
 		inbox: make(chan any, inboxLength), urgent: make(chan struct{}, 1),
 		badLeaves: newBadEntries(n.log.Part("control"), n.metrics.Scope, "leaves"),
 	}
@@ -107,7 +94,9 @@
 
 // run reads the store and publishes views until the context ends.
 func (c *control) run(ctx context.Context) error {
-	go c.follow(ctx)
+	var following sync.WaitGroup
+	following.Go(func() { c.follow(ctx) })
+	defer following.Wait()
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for {
@@ -133,9 +122,9 @@
 	repeatsLeft, limited := n.executor.RepeatsLeft(now)
 	stateMeter{n.metrics.Scope.SubScope("hosted")}.observe(state{
 		configAge: configAge.Seconds(), leavesAge: leavesAge.Seconds(), version: c.catalog.Version(),
-		leaves: c.catalog.Leaves(), slowLeaves: len(n.sharing.slow(now)), instances: n.fleet.size(),
+		leaves: c.catalog.Leaves(), slowLeaves: len(n.slow.Slow(now)), instances: n.fleet.size(),
 		connections: open, dials: dials, running: n.executor.Running(), logDrops: n.log.Dropped(),
-		repeatsLeft: repeatsLeft, limitedShards: limited, forward: n.forwardDelays.high().Seconds(), gather: n.gatherDelays.high().Seconds(),
+		repeatsLeft: repeatsLeft, limitedShards: limited, forward: n.ForwardDelay().Seconds(), gather: n.GatherDelay().Seconds(),
 	})
 }
 
@@ -152,8 +141,8 @@
 		}
 	case leavesRead:
 		changed = c.takeLeaves(m.list, m.began, now, "store")
-	case syncRead:
-		changed = c.takeSync(m, now)
+	case *statesync.Update:
+		changed = c.takeUpdate(m, now)
 	case retuned:
 		c.catalog.SetSettings(m.settings)
 		changed = true
@@ -196,7 +185,7 @@
 
 // refreshState renews what other instances are sent.
 func (c *control) refreshState(now time.Time) {
-	state, err := newSyncState(c.catalog, c.state.Load(), now)
+	state, err := statesync.New(c.catalog, c.state.Load(), now)
 	if err != nil {
 		c.log.Error("state for peers was not encoded", "err", err)
 		return
@@ -220,113 +209,8 @@
 	return c.node.fleet.connections(u.ConnectionLimit, len(u.Shards))
 }
 
-// follow synchronizes with the store until the context ends: from the zone's
-// reader, or from the store itself where this instance is the reader or the
-// reader knows nothing.
-func (c *control) follow(ctx context.Context) {
-	pause := backoff.Backoff{Min: firstRetry, Max: mostRetry}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	failing := time.Time{}
-	timeout := readTimeout
-	for ctx.Err() == nil {
-		began := time.Now()
-		asked, err := c.catchUp(ctx, timeout)
-		timeout = readTimeout
-		if err != nil {
-			timeout = min(max(2*time.Since(began), readTimeout), mostReadTimeout)
-		}
-		wait := c.bound(readShare) - time.Since(began)
-		if asked {
-			wait = min(c.bound(askShare), mostAsk) - time.Since(began)
-		}
-		switch {
-		case err != nil:
-			wait = pause.Next(random)
-			if failing.IsZero() && ctx.Err() == nil {
-				failing = began
-				c.log.Warn("store lost", "err", err)
-			}
-		case !failing.IsZero():
-			c.log.Info("store regained", "after", time.Since(failing))
-			failing = time.Time{}
-			pause.Reset()
-		}
-		c.rest(ctx, max(wait, 0))
-	}
-}
-
-// rest waits for d, or less when an update is urgent.
-func (c *control) rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.urgent:
-	case <-ctx.Done():
-	}
-}
-
-// hurry synchronizes at once: another instance knows a newer configuration.
-func (c *control) hurry() {
-	select {
-	case c.urgent <- struct{}{}:
-	default:
-	}
-}
-
-// catchUp synchronizes once, and says whether a peer answered. An instance that
-// is not the reader, and whose own read failed, asks others for a while before it
-// tries the store again: in an outage each of a large fleet would pay for calls
-// that the reader makes anyway.
-func (c *control) catchUp(ctx context.Context, timeout time.Duration) (asked bool, err error) {
-	c.node.shareObservations()
-	reader, ask := c.node.fleet.reader(time.Now())
-	if ask {
-		err := c.ask(ctx, reader)
-		if err == nil {
-			return true, nil
-		}
-		c.node.fleet.failed(reader.Name, time.Now())
-		c.log.Info("reader passed over", "reader", reader.Name, "err", err)
-		if time.Now().Before(c.notBefore) {
-			return true, err
-		}
-	}
-	c.received.forget()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return c.readConfig(ctx) })
-	g.Go(func() error { return c.readLeaves(ctx) })
-	err = g.Wait()
-	if err != nil && ask {
-		c.notBefore = time.Now().Add(c.bound(retryShare))
-	}
-	return false, err
-}
-
-// readConfig reads the configuration once.
-func (c *control) readConfig(ctx context.Context) error {
-	began := time.Now()
-	config, err := c.node.config.Source.Config(ctx)
-	if err != nil {
-		return err
-	}
-	return c.tell(ctx, configRead{config: config, began: began})
-}
-
-// readLeaves reads the list of leaves once.
-func (c *control) readLeaves(ctx context.Context) error {
-	began := time.Now()
-	list, err := c.node.config.Source.Leaves(ctx)
-	if err != nil {
-		return err
-	}
-	return c.tell(ctx, leavesRead{list: list, began: began})
-}
-
-// tell hands a message to the control goroutine.
-func (c *control) tell(ctx context.Context, message any) error {
+// post hands a message to the control goroutine.
+func (c *control) post(ctx context.Context, message any) error {
 	select {
 	case c.inbox <- message:
 		return nil
@@ -335,9 +219,9 @@
 	}
 }
 
-// post hands a message over without blocking. What finds the inbox full comes
-// again by the next read of the store, or follows with the next view.
-func (c *control) post(message any) {
+// offer hands a message over without blocking. What finds the inbox full comes
+// again with the next read of the store, or follows with the next view.
+func (c *control) offer(message any) {
 	select {
 	case c.inbox <- message:
 	default:
@@ -346,10 +230,10 @@
 }
 
 // leafGone takes the leaf's own sign.
-func (c *control) leafGone(id string) { c.post(leafGone{id: id}) }
+func (c *control) leafGone(id string) { c.offer(leafGone{id: id}) }
 
 // resized says that the fleet's size has changed.
-func (c *control) resized() { c.post(fleetResized{}) }
+func (c *control) resized() { c.offer(fleetResized{}) }
 
 // SawLeaving implements executor.LeafObserver. Leaves are known by their incarnations here.
 func (c *control) SawLeaving(leafID string, _ int64) { c.leafGone(leafID) }
--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -71,8 +71,9 @@
 func (s *fakeStore) Instances(context.Context) ([]fleet.Instance, []catalog.BadEntry, error) {
 	return nil, nil, nil
 }
-func (s *fakeStore) Announce(context.Context, fleet.Instance) (bool, error) { return false, nil }
-func (s *fakeStore) Withdraw(context.Context, string) error                 { return nil }
+func (s *fakeStore) Announce(context.Context, fleet.Instance, bool) (bool, error) {
+	return false, nil
+}
 
 // noLeaves is a leaf protocol without leaves.
 type noLeaves struct{}
@@ -194,27 +195,27 @@
 		store := &fakeStore{}
 		n, end := start(t, store)
 		defer end()
-		if reply := n.Sync(peerapi.SyncRequest{}); reply.ConfigAgeMS != -1 {
+		if reply := n.Sync("other", peerapi.SyncRequest{}); reply.ConfigAgeMS != -1 {
 			t.Errorf("reply before the first read: %+v", reply)
 		}
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		if reply := n.Sync(peerapi.SyncRequest{}); reply.ConfigAgeMS < 0 || reply.Version != 0 || reply.Config != nil {
+		if reply := n.Sync("other", peerapi.SyncRequest{}); reply.ConfigAgeMS < 0 || reply.Version != 0 || reply.Config != nil {
 			t.Errorf("reply while there is no configuration: %+v; want its age and no configuration", reply)
 		}
 		store.set(func(s *fakeStore) { s.version = 3 })
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		reply := n.Sync(peerapi.SyncRequest{})
+		reply := n.Sync("other", peerapi.SyncRequest{})
 		if reply.Version != 3 || reply.Config == nil || reply.Leaves == nil {
 			t.Errorf("reply for one that knows nothing: %+v", reply)
 		}
-		same := n.Sync(peerapi.SyncRequest{Version: 3, Hash: reply.Hash})
+		same := n.Sync("other", peerapi.SyncRequest{Version: 3, Hash: reply.Hash})
 		if same.Config != nil || same.Leaves != nil {
 			t.Errorf("reply for one that knows all: %+v", same)
 		}
 		n.lifecycle.Set(lifecycle.Leaving)
-		if reply := n.Sync(peerapi.SyncRequest{}); reply.ConfigAgeMS != -1 {
+		if reply := n.Sync("other", peerapi.SyncRequest{}); reply.ConfigAgeMS != -1 {
 			t.Errorf("reply of an instance that leaves: %+v", reply)
 		}
 	})
--- a/entry/hosted/gather.go
+++ b/entry/hosted/forwarding/gather.go
@@ -1,4 +1,4 @@
-package hosted
+package forwarding
 
 import (
 	"context"
@@ -33,12 +33,12 @@
 
 // Plan implements executor.Gatherer. Only parts that a combiner merges are gathered
 // elsewhere.
-func (n *Node) Plan(r *executor.Request, upstream int, away []dispatch.Away) []executor.Group {
+func (f *Forwarder) Plan(r *executor.Request, upstream int, away []dispatch.Away) []executor.Group {
 	if r.Service.Config.TopK <= 0 {
 		return nil
 	}
 	now := time.Now()
-	able := func(zone string) bool { return zone != n.config.Zone && len(n.fleet.gatherers(zone, now)) > 0 }
+	able := func(zone string) bool { return zone != f.config.Zone && len(f.config.Fleet.Gatherers(zone, now)) > 0 }
 	var out []executor.Group
 	for _, g := range gather.Plan(zonesOf(r.View, away), able, rand.IntN) {
 		out = append(out, executor.Group{Zone: g.Zone, Group: query.Group{Upstream: upstream, Ranges: rangesOf(&r.View.Upstreams[upstream], g.Shards)}})
@@ -72,14 +72,14 @@
 var errNobody = errors.New("no instance of the zone is to be asked")
 
 // Gather implements executor.Gatherer.
-func (n *Node) Gather(ctx context.Context, r *executor.Request, g executor.Group, sent func() bool, got func(*executor.GatherReply)) error {
+func (f *Forwarder) Gather(ctx context.Context, r *executor.Request, g executor.Group, sent func() bool, got func(*executor.GatherReply)) error {
 	began := time.Now()
 	err := errNobody
-	for _, to := range candidates(n.fleet.gatherers(g.Zone, began)) {
+	for _, to := range candidates(f.config.Fleet.Gatherers(g.Zone, began)) {
 		if time.Since(began) >= takeWithin {
 			break
 		}
-		if err = n.gatherBy(ctx, r, g, to, sent, got); err == nil || took(err) {
+		if err = f.gatherBy(ctx, r, g, to, sent, got); err == nil || took(err) {
 			return err
 		}
 	}
@@ -87,25 +87,26 @@
 }
 
 // gatherBy has a group gathered by one instance.
-func (n *Node) gatherBy(ctx context.Context, r *executor.Request, g executor.Group, to fleet.Instance, sent func() bool, got func(*executor.GatherReply)) error {
+func (f *Forwarder) gatherBy(ctx context.Context, r *executor.Request, g executor.Group, to fleet.Instance, sent func() bool, got func(*executor.GatherReply)) error {
 	now := time.Now()
-	request := n.forwardRequest(r, now, n.gatherDelays.high())
+	request := f.forwardRequest(r, now, f.gatherDelays.high())
 	request.Gather = gatherRequest(r, g)
-	reply, err := n.firstReply(ctx, r, to, request, sent)
-	n.logGather(ctx, r, g, to, reply, err, time.Since(now))
+	reply, err := f.firstReply(ctx, r, to, request, sent)
+	f.logGather(ctx, r, g, to, reply, err, time.Since(now))
 	if err != nil {
 		if ctx.Err() == nil && blames(err) {
-			n.fleet.failed(to.Name, time.Now())
+			f.config.Fleet.Failed(to, time.Now())
 		}
 		return err
 	}
-	n.gatherDelays.observe(time.Since(now) - time.Duration(reply.RunUS)*time.Microsecond)
+	f.config.Fleet.Answered(to)
+	f.gatherDelays.observe(time.Since(now) - time.Duration(reply.RunUS)*time.Microsecond)
 	for {
 		got(gatherReply(reply))
 		if reply.Gathered == nil || !reply.Gathered.Going {
 			return nil
 		}
-		if reply, err = n.peers.Rest(ctx, targetOf(to), request.ID); err != nil {
+		if reply, err = f.config.Peers.Rest(ctx, targetOf(to), request.ID); err != nil {
 			return err
 		}
 	}
@@ -117,10 +118,10 @@
 }
 
 // firstReply hands a group over and waits for its first reply.
-func (n *Node) firstReply(ctx context.Context, r *executor.Request, to fleet.Instance, request *peerapi.ForwardRequest, sent func() bool) (*peerapi.ForwardReply, error) {
+func (f *Forwarder) firstReply(ctx context.Context, r *executor.Request, to fleet.Instance, request *peerapi.ForwardRequest, sent func() bool) (*peerapi.ForwardReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, gatheredBy(r))
 	defer cancel()
-	return n.peers.Forward(ctx, targetOf(to), request, peer.Acceptance{Within: takeWithin, Accepted: sent})
+	return f.config.Peers.Forward(ctx, targetOf(to), request, peer.Acceptance{Within: takeWithin, Accepted: sent})
 }
 
 // gatheredBy is when a group of which nothing has come is taken for lost.
@@ -165,10 +166,10 @@
 }
 
 // logGather tells what came of a group.
-func (n *Node) logGather(ctx context.Context, r *executor.Request, g executor.Group, to fleet.Instance, reply *peerapi.ForwardReply, err error, spent time.Duration) {
+func (f *Forwarder) logGather(ctx context.Context, r *executor.Request, g executor.Group, to fleet.Instance, reply *peerapi.ForwardReply, err error, spent time.Duration) {
 	d := telemetry.Decision{
 		Part: gatherPart, What: "gathered", Request: r.Passed.ID, Took: spent, Class: telemetry.Routine,
-		More: []any{"by", to.Name, "to_zone", g.Zone, "ranges", len(g.Ranges), "config", r.View.Generation, "forward_delay", n.gatherDelays.high()},
+		More: []any{"by", to.Name, "to_zone", g.Zone, "ranges", len(g.Ranges), "config", r.View.Generation, "forward_delay", f.gatherDelays.high()},
 	}
 	switch {
 	case err != nil && errors.Is(ctx.Err(), context.Canceled):
@@ -181,12 +182,12 @@
 		d.Why = reply.Gathered.Refused
 		d.More = append(d.More, "parts", len(reply.Gathered.Signatures), "ran", time.Duration(reply.RunUS)*time.Microsecond)
 	}
-	n.log.Decide(d)
+	f.config.Log.Decide(d)
 }
 
 // offerGather says why this instance does not gather a group, or nothing. All parts
 // of an answer are of one configuration.
-func (n *Node) offerGather(v *view.View, r *peerapi.ForwardRequest) string {
+func (f *Forwarder) offerGather(v *view.View, r *peerapi.ForwardRequest) string {
 	switch {
 	case v.Generation != r.Version:
 		return "another configuration"
@@ -211,12 +212,12 @@
 }
 
 // runGather gathers a group for another instance.
-func (n *Node) runGather(ctx context.Context, v *view.View, r *peerapi.ForwardRequest, handed gateway.Handed) (*peerapi.ForwardReply, peer.Rest) {
-	if why := n.offerGather(v, r); why != "" { // it changed since the offer
+func (f *Forwarder) runGather(ctx context.Context, v *view.View, r *peerapi.ForwardRequest, handed gateway.Handed) (*peerapi.ForwardReply, peer.Rest) {
+	if why := f.offerGather(v, r); why != "" { // it changed since the offer
 		return &peerapi.ForwardReply{Version: v.Generation, Gathered: &peerapi.Gathered{Refused: why}}, nil
 	}
 	began := time.Now()
-	gathering := n.gateway.Gather(ctx, v, gateway.Group{
+	gathering := f.gateway.Gather(ctx, v, gateway.Group{
 		Handed: handed, Service: v.Services[r.Gather.Service], Only: onlyOf(v, r.Gather),
 	})
 	next := func(ctx context.Context) (*peerapi.ForwardReply, bool) {
--- a/entry/hosted/gather_test.go
+++ b/entry/hosted/forwarding/gather_test.go
@@ -1,4 +1,4 @@
-package hosted
+package forwarding
 
 import (
 	"context"
@@ -20,12 +20,12 @@
 )
 
 // elsewhere makes an instance of zone z that knows another one, of zone y.
-func elsewhere(t *testing.T, other strong) *Node {
+func elsewhere(t *testing.T, other strong) *fixture {
 	t.Helper()
 	n := weak(t, other)
-	list := n.fleet.stronger(time.Now())
+	list := n.fleet.Stronger(time.Now())
 	list[0].Zone = "y"
-	n.fleet.fleet.Listed(list, time.Now())
+	n.fleet.Listed(list, time.Now())
 	return n
 }
 
@@ -74,7 +74,7 @@
 		if errors.As(err, &not) != tc.notRun {
 			t.Errorf("%s: %v, says that nothing ran: %v", tc.name, err, !tc.notRun)
 		}
-		if still := len(n.fleet.gatherers("y", time.Now())) == 1; still != tc.asked {
+		if still := len(n.fleet.Gatherers("y", time.Now())) == 1; still != tc.asked {
 			t.Errorf("%s: the other instance is asked again: %v, want %v", tc.name, still, tc.asked)
 		}
 	}
@@ -138,7 +138,7 @@
 func TestGatherIsOfOneConfiguration(t *testing.T) {
 	n := elsewhere(t, strong{})
 	r := twoZones(t, 5)
-	n.view.Store(r.View)
+	n.view = r.View
 	n.lifecycle.Serve()
 	for _, tc := range []struct {
 		name     string
@@ -165,4 +165,4 @@
 	}
 }
 
-var _ peer.ForwardHandler = (*Node)(nil)
+var _ peer.ForwardHandler = (*Forwarder)(nil)
--- a/entry/hosted/relay.go
+++ b/entry/hosted/forwarding/relay.go
@@ -1,4 +1,4 @@
-package hosted
+package forwarding
 
 import (
 	"context"
@@ -36,23 +36,24 @@
 // Relay implements gateway.Relay: an instance with little processor hands a query
 // over many shards to a stronger one of its zone. Whatever goes wrong before that
 // one has accepted, this instance runs the request itself.
-func (n *Node) Relay(ctx context.Context, r *executor.Request) *gateway.Reply {
+func (f *Forwarder) Relay(ctx context.Context, r *executor.Request) *gateway.Reply {
 	if !fleet.HandsOver(r.Service.Shards) || !r.Service.Config.Idempotent {
 		return nil
 	}
 	began := time.Now()
-	for _, to := range candidates(n.fleet.stronger(began)) {
+	for _, to := range candidates(f.config.Fleet.Stronger(began)) {
 		now := time.Now()
 		if now.Sub(began) >= acceptWithin {
 			break
 		}
-		reply, err := n.handOver(ctx, to, r, now)
-		n.logRelay(ctx, r, to, err, time.Since(now))
+		reply, err := f.handOver(ctx, to, r, now)
+		f.logRelay(ctx, r, to, err, time.Since(now))
 		if err == nil {
-			return n.relayed(r, reply, now)
+			f.config.Fleet.Answered(to)
+			return f.relayed(r, reply, now)
 		}
 		if ctx.Err() == nil && blames(err) && time.Now().Before(r.Deadline) {
-			n.fleet.failed(to.Name, now)
+			f.config.Fleet.Failed(to, now)
 		}
 		if took(err) {
 			return lostReply(r.Deadline)
@@ -74,27 +75,27 @@
 }
 
 // relayed is the answer that another instance gave to a request handed over at a time.
-func (n *Node) relayed(r *executor.Request, reply *peerapi.ForwardReply, handed time.Time) *gateway.Reply {
+func (f *Forwarder) relayed(r *executor.Request, reply *peerapi.ForwardReply, handed time.Time) *gateway.Reply {
 	if reply.Version > r.View.Generation {
-		n.control.hurry()
+		f.config.Hurry()
 	}
 	return &gateway.Reply{
 		Status: reply.Status, Header: reply.Header, Body: reply.Body,
 		Written: func(at time.Time) {
-			n.forwardDelays.observe(at.Sub(handed) - time.Duration(reply.RunUS)*time.Microsecond)
+			f.forwardDelays.observe(at.Sub(handed) - time.Duration(reply.RunUS)*time.Microsecond)
 		},
 	}
 }
 
 // handOver offers a request to another instance and has it run there.
-func (n *Node) handOver(ctx context.Context, to fleet.Instance, r *executor.Request, now time.Time) (*peerapi.ForwardReply, error) {
+func (f *Forwarder) handOver(ctx context.Context, to fleet.Instance, r *executor.Request, now time.Time) (*peerapi.ForwardReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	return n.peers.Forward(ctx, targetOf(to), n.forwardRequest(r, now, n.forwardDelays.high()), peer.Acceptance{Within: acceptWithin})
+	return f.config.Peers.Forward(ctx, targetOf(to), f.forwardRequest(r, now, f.forwardDelays.high()), peer.Acceptance{Within: acceptWithin})
 }
 
 // forwardRequest is a request as it is handed over now, and reaches the other instance after a delay.
-func (n *Node) forwardRequest(r *executor.Request, now time.Time, delay time.Duration) *peerapi.ForwardRequest {
+func (f *Forwarder) forwardRequest(r *executor.Request, now time.Time, delay time.Duration) *peerapi.ForwardRequest {
 	p := r.Passed
 	return &peerapi.ForwardRequest{
 		Version: r.View.Generation, Request: p.ID, Method: p.Method, Target: p.Target, Host: p.Host, Header: p.Header, Body: p.Body,
@@ -117,16 +118,16 @@
 }
 
 // logRelay tells what came of handing a request over.
-func (n *Node) logRelay(ctx context.Context, r *executor.Request, to fleet.Instance, err error, spent time.Duration) {
+func (f *Forwarder) logRelay(ctx context.Context, r *executor.Request, to fleet.Instance, err error, spent time.Duration) {
 	d := telemetry.Decision{
 		Part: relayPart, What: "handed over", Request: r.Passed.ID, Took: spent,
-		More: []any{"to", to.Name, "config", r.View.Generation, "way", r.Way, "forward_delay", n.forwardDelays.high()}, Class: telemetry.Outcome,
+		More: []any{"to", to.Name, "config", r.View.Generation, "way", r.Way, "forward_delay", f.forwardDelays.high()}, Class: telemetry.Outcome,
 	}
 	if err != nil {
 		d.Why = err.Error()
 		d.What, d.Class = handedOverEnd(ctx, err)
 	}
-	n.log.Decide(d)
+	f.config.Log.Decide(d)
 }
 
 // handedOverEnd says what an error of a hand-over means. A client that has left ends it
@@ -155,16 +156,16 @@
 
 // Offer implements peer.ForwardHandler. A request is declined while this instance
 // leaves, or knows only an older configuration than the one by which it came in.
-func (n *Node) Offer(_ string, r *peerapi.ForwardRequest) string {
-	v := n.View()
+func (f *Forwarder) Offer(_ string, r *peerapi.ForwardRequest) string {
+	v := f.config.Views.View()
 	switch {
-	case v == nil || n.lifecycle.Leaving():
+	case v == nil || f.config.Lifecycle.Leaving():
 		return "not serving"
 	case v.Generation < r.Version:
-		n.control.hurry()
+		f.config.Hurry()
 		return "older configuration"
 	case r.Gather != nil:
-		return n.offerGather(v, r)
+		return f.offerGather(v, r)
 	case !gateway.Routed(v, r.Host, r.Target):
 		return "no route"
 	}
@@ -172,8 +173,8 @@
 }
 
 // RunOffered implements peer.ForwardHandler.
-func (n *Node) RunOffered(ctx context.Context, r *peerapi.ForwardRequest) (*peerapi.ForwardReply, peer.Rest) {
-	v := n.View()
+func (f *Forwarder) RunOffered(ctx context.Context, r *peerapi.ForwardRequest) (*peerapi.ForwardReply, peer.Rest) {
+	v := f.config.Views.View()
 	now := time.Now()
 	handed := gateway.Handed{
 		Passed: &leafclient.Passed{ID: r.Request, Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Body: r.Body},
@@ -181,9 +182,9 @@
 		Way: time.Duration(r.WayUS) * time.Microsecond,
 	}
 	if r.Gather != nil {
-		return n.runGather(ctx, v, r, handed)
+		return f.runGather(ctx, v, r, handed)
 	}
-	reply := n.gateway.Run(ctx, v, handed)
+	reply := f.gateway.Run(ctx, v, handed)
 	return &peerapi.ForwardReply{
 		Version: v.Generation, Status: reply.Status, Header: reply.Header, Body: reply.Body, RunUS: time.Since(now).Microseconds(),
 	}, nil
--- a/entry/hosted/relay_test.go
+++ b/entry/hosted/forwarding/relay_test.go
@@ -1,17 +1,21 @@
-package hosted
+package forwarding
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
@@ -20,6 +24,8 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // strong is a stronger instance as a test plays it.
 type strong struct {
 	declined string
@@ -54,17 +60,33 @@
 	}
 }
 
+// fixture is an instance that hands over, as far as that needs one.
+type fixture struct {
+	*Forwarder
+	fleet     *fleet.Fleet
+	peers     *peer.Client
+	view      *view.View
+	lifecycle lifecycle.Lifecycle
+}
+
+// View implements Views.
+func (n *fixture) View() *view.View { return n.view }
+
+// fleetSettings are the times of the fleet in these tests.
+var fleetSettings = fleet.Settings{ForgetAfter: time.Minute, PassOver: 3 * time.Second, MostPassOver: time.Minute}
+
 // weak makes an instance that knows stronger ones of its zone: "strong", "strong-1" and so on.
-func weak(t *testing.T, known ...strong) *Node {
+func weak(t *testing.T, known ...strong) *fixture {
 	t.Helper()
-	n, err := New(Config{
-		Instance: "weak", Zone: "z", Power: 0.2, PeerKey: []byte("k"), Source: &fakeStore{},
-		NewLeaves: func(func(string)) Leaves { return noLeaves{} }, Tunables: Tunables{Bound: bound},
-		Log: telemetry.Options{Level: "info"}, LogSink: discard{},
-	})
+	log, err := telemetry.NewLog(io.Discard, telemetry.Options{Level: "info"})
 	if err != nil {
 		t.Fatal(err)
 	}
+	n := &fixture{
+		fleet: fleet.New(fleet.Instance{Name: "weak", Zone: "z", Power: 0.2}, fleetSettings),
+		peers: peer.NewClient(peer.ClientConfig{Instance: "weak", Key: []byte("k")}),
+	}
+	n.Forwarder = New(Config{Zone: "z", Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Log: log, Hurry: func() {}})
 	var list []fleet.Instance
 	var ends []func()
 	for i, s := range known {
@@ -76,9 +98,10 @@
 		list = append(list, fleet.Instance{Name: name, Zone: "z", Power: 0.8, Peer: address})
 		ends = append(ends, end)
 	}
-	n.fleet.fleet.Listed(list, time.Now())
+	n.fleet.Listed(list, time.Now())
 	t.Cleanup(func() {
-		n.close()
+		n.peers.Close()
+		log.Close()
 		for _, end := range ends {
 			end()
 		}
@@ -86,11 +109,6 @@
 	return n
 }
 
-// discard is a log that nobody reads.
-type discard struct{}
-
-func (discard) Write(b []byte) (int, error) { return len(b), nil }
-
 // largeShards is a number of shards from which queries are handed over.
 const largeShards = 30
 
@@ -144,7 +162,7 @@
 		if status != tc.status {
 			t.Errorf("%s: status %d, want %d", tc.name, status, tc.status)
 		}
-		if got := len(n.fleet.stronger(time.Now())) == 1; got != tc.asked {
+		if got := len(n.fleet.Stronger(time.Now())) == 1; got != tc.asked {
 			t.Errorf("%s: the stronger instance is asked again: %v, want %v", tc.name, got, tc.asked)
 		}
 	}
@@ -201,8 +219,8 @@
 	}
 }
 
-// TestHopIsBounded lets one hand-over take seconds: the next still gets its time.
-func TestHopIsBounded(t *testing.T) {
+// TestForwardDelayIsBounded lets one hand-over take seconds: the next still gets its time.
+func TestForwardDelayIsBounded(t *testing.T) {
 	var h delayEstimate
 	if got := h.high(); got != firstForwardDelay {
 		t.Errorf("%v before anything is known, want %v", got, firstForwardDelay)
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -20,6 +20,8 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/gateway"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/hosted/forwarding"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/hosted/slowleaves"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
@@ -41,10 +43,9 @@
 	Leaves(ctx context.Context) (catalog.Listing, error)
 	// Instances reads the announcements of all instances; they may be seconds old.
 	Instances(ctx context.Context) ([]fleet.Instance, []catalog.BadEntry, error)
-	// Announce writes this instance's announcement, and reports whether there was one.
-	Announce(ctx context.Context, i fleet.Instance) (existed bool, err error)
-	// Withdraw takes it back.
-	Withdraw(ctx context.Context, name string) error
+	// Announce writes this instance's announcement, and reports whether there was one;
+	// known says that there should be.
+	Announce(ctx context.Context, i fleet.Instance, known bool) (existed bool, err error)
 }
 
 // Leaves is the leaf protocol with its connections.
@@ -69,6 +70,9 @@
 	Peer string
 	// PeerKey is the secret that instances prove to each other.
 	PeerKey []byte
+	// Seeds are addresses of instances, like Peer, at which one that knows no other finds
+	// some. They may be old or down; its own may be among them.
+	Seeds []string
 	// FirstStart says that all instances start, for the first time.
 	FirstStart bool
 	// Power is the share of a core that this instance has; 0: not known.
@@ -109,15 +113,13 @@
 	control   *control
 	fleet     *members
 	peers     *peer.Client
-	sharing   *sharing
-	// forwardDelays is what handing a request over takes within the zone, gatherDelays what having
-	// a group gathered in another one does.
-	forwardDelays, gatherDelays delayEstimate
-	gateway                     *gateway.Gateway
-	view                        atomic.Pointer[view.View]
-	current                     atomic.Pointer[time.Time] // until when the view's configuration is the newest
-	limits                      atomic.Pointer[catalog.Limits]
-	tunables                    atomic.Pointer[Tunables]
+	slow      *slowleaves.Exchange
+	*forwarding.Forwarder
+	gateway  *gateway.Gateway
+	view     atomic.Pointer[view.View]
+	current  atomic.Pointer[time.Time] // until when the view's configuration is the newest
+	limits   atomic.Pointer[catalog.Limits]
+	tunables atomic.Pointer[Tunables]
 }
 
 // hostedPolicies are the policies of a hosted instance.
@@ -155,14 +157,17 @@
 	n := &Node{config: c, log: log, metrics: c.Instruments}
 	n.tunables.Store(&c.Tunables)
 	n.fleet = newMembers(n)
-	n.sharing = newSharing()
+	n.slow = slowleaves.New()
 	n.peers = peer.NewClient(peer.ClientConfig{Instance: c.Instance, Key: c.PeerKey, DialTimeout: syncTimeout})
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.leafGone)
+	n.Forwarder = forwarding.New(forwarding.Config{
+		Zone: c.Zone, Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Log: log, Hurry: n.control.hurry,
+	})
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		RepeatSlack: n.fleet.repeatSlack, Gatherer: n, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
+		RepeatSlack: n.fleet.repeatSlack, Gatherer: n.Forwarder, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
@@ -170,8 +175,9 @@
 	}
 	n.gateway = gateway.New(gateway.Config{
 		Executor: n.executor, Views: n, Lifecycle: &n.lifecycle, Headers: c.Headers,
-		Combiner: newCombiner(), Relay: n, Log: log, Metrics: n.metrics,
+		Combiner: newCombiner(), Relay: n.Forwarder, Log: log, Metrics: n.metrics,
 	})
+	n.Forwarder.Serve(n.gateway)
 	return n, nil
 }
 
@@ -182,7 +188,7 @@
 		return 0, 0
 	}
 	now := time.Now()
-	return now.Sub(state.known.ConfigAt), now.Sub(state.known.LeavesAt)
+	return now.Sub(state.Known.ConfigAt), now.Sub(state.Known.LeavesAt)
 }
 
 // Log returns the logger of a part.
@@ -191,7 +197,7 @@
 // Retune puts changed settings in force.
 func (n *Node) Retune(t Tunables) {
 	n.tunables.Store(&t)
-	n.control.post(retuned{t.Catalog})
+	n.control.offer(retuned{t.Catalog})
 }
 
 // View implements gateway.Views.
@@ -273,7 +279,7 @@
 	}
 	g.Go(func() error { return n.peerServer().Serve(ctx, peers) })
 	g.Go(func() error { return n.control.run(ctx) })
-	g.Go(func() error { return n.fleet.run(ctx) })
+	g.Go(func() error { return n.fleet.announce(ctx) })
 	g.Go(func() error {
 		select {
 		case <-stop:
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -4,8 +4,11 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/hosted/statesync"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/backoff"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
@@ -14,31 +17,50 @@
 // Times of the announcements of instances.
 const (
 	// announceInterval is the time between two announcements. Each is a priced
-	// write; only an instance that ended without a word is noticed by their end.
-	announceInterval = time.Minute
-	// listedWithin is the time within which each instance reads the announcements again:
-	// the longest pause and the longest call.
-	listedWithin = 3*listInterval/2 + callTimeout
+	// write; only an instance that ended for good is noticed by their end.
+	announceInterval = 3 * time.Minute
+	// announceRetry is the first pause after an announcement that failed. None is urgent.
+	announceRetry = 500 * time.Millisecond
 	// forgetAfter is two announcements missed.
 	forgetAfter = 3 * announceInterval
-	// listInterval is the time between two reads of the announcements, and
-	// firstLists how many at the start follow faster, while all instances start.
-	listInterval  = 20 * time.Second
-	firstInterval = 500 * time.Millisecond
-	firstLists    = 3
-	// passOver is for how long a reader whose state is old is not asked.
-	passOver = 3 * time.Second
+	// listInterval is the time between two reads of the announcements by the reader of
+	// the store. Soon after its start it reads them more often, as others start too:
+	// after listShare of the time since, and at least listAgain.
+	listInterval = 20 * time.Second
+	listAgain    = 500 * time.Millisecond
+	listShare    = 0.5
+	// ownListAfter is the age of the list from which an instance that is not the reader
+	// reads it itself: those that it learns from can't.
+	ownListAfter = 3 * listInterval / 2
+	// listedWithin is the time within which every instance knows a new list: the longest
+	// age, the call, and what the way over a lead takes, with one that fails.
+	listedWithin = ownListAfter + callTimeout + 4*time.Second
+	// passOver is for how long an instance that failed is not asked, and mostPassOver for
+	// how long at most while it fails again and again.
+	passOver     = 3 * time.Second
+	mostPassOver = time.Minute
 	// callTimeout bounds one call about announcements; none of them is urgent.
 	callTimeout = 2 * time.Second
+	// knownWithin is for how long an instance that starts again waits for a list that may
+	// have its announcement from before, which then needs no new one.
+	knownWithin = 2 * time.Second
 )
 
 // members guards the kernel's fleet by a lock and keeps it up to date.
 type members struct {
-	node *Node
-	log  *telemetry.Part
-	self fleet.Instance
+	node  *Node
+	log   *telemetry.Part
+	self  fleet.Instance
+	begun time.Time
 	// bad reports the announcements that can't be used.
 	bad *badEntries
+	// known is closed once there is a list.
+	known     chan struct{}
+	knownOnce sync.Once
+	// sent is the list as other instances get it.
+	sent atomic.Pointer[statesync.Instances]
+	// tried is when this instance last read the list; the following goroutine's own.
+	tried time.Time
 
 	mu    sync.Mutex
 	fleet *fleet.Fleet
@@ -48,14 +70,18 @@
 func newMembers(n *Node) *members {
 	span := n.config.Tunables.Catalog.Repeats.Window
 	self := fleet.Instance{Name: n.config.Instance, Zone: n.config.Zone, Peer: n.config.Peer, Power: n.config.Power, Mark: rand.Uint64()}
-	return &members{
-		node: n, log: n.log.Part("fleet"), self: self,
+	m := &members{
+		node: n, log: n.log.Part("fleet"), self: self, begun: time.Now(), known: make(chan struct{}),
 		bad: newBadEntries(n.log.Part("fleet"), n.metrics.Scope, "instances"),
 		fleet: fleet.New(self, fleet.Settings{
-			ForgetAfter: forgetAfter, PassOver: passOver, ListedWithin: listedWithin,
+			ForgetAfter: forgetAfter, PassOver: passOver, MostPassOver: mostPassOver, ListedWithin: listedWithin,
 			Span: span, HoldParts: max(span, listedWithin),
 		}),
 	}
+	seeds := append([]string(nil), n.config.Seeds...)
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	m.fleet.SetSeeds(seeds)
+	return m
 }
 
 // size is the number of instances.
@@ -79,83 +105,195 @@
 	return m.fleet.RepeatSlack(shards, time.Now())
 }
 
-// reader is the instance to synchronize from, if it is not this one.
-func (m *members) reader(now time.Time) (fleet.Instance, bool) {
+// source is the instance to learn from, and as what this one does so.
+func (m *members) source(now time.Time) (fleet.Instance, fleet.Role) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.fleet.Reader(now)
+	return m.fleet.Source(now)
 }
 
-// stronger lists the instances of the zone to which a large query may be handed.
-func (m *members) stronger(now time.Time) []fleet.Instance {
+// otherLeads lists the leads of the other zones.
+func (m *members) otherLeads(now time.Time) []fleet.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.OtherLeads(now)
+}
+
+// zoneSize is the number of instances of the zone.
+func (m *members) zoneSize() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.ZoneSize()
+}
+
+// Stronger lists the instances of the zone to which a large query may be handed.
+func (m *members) Stronger(now time.Time) []fleet.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.fleet.Stronger(now)
 }
 
-// gatherers lists the instances of a zone that may gather parts for this one.
-func (m *members) gatherers(zone string, now time.Time) []fleet.Instance {
+// Gatherers lists the instances of a zone that may gather parts for this one.
+func (m *members) Gatherers(zone string, now time.Time) []fleet.Instance {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.fleet.Gatherers(zone, now)
 }
 
-// failed notes that a reader did not answer, or with old state.
-func (m *members) failed(name string, now time.Time) {
+// Failed notes that an instance did not answer, or with old state.
+func (m *members) Failed(i fleet.Instance, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.fleet.Failed(name, now)
+	m.fleet.Failed(i, now)
 }
 
-// run announces this instance and lists the others until the context ends.
-func (m *members) run(ctx context.Context) error {
-	go m.announce(ctx)
-	// Instances that start again, all together at the worst, find each other by the
-	// announcements from before. Until the first read each runs its queries alone, over
-	// connections that it has yet to open: of the 180 requests in the two seconds of such
-	// a start of 61 instances 51 came late when it was read after 250 to 750 ms.
-	m.list(ctx)
-	for n := 0; ctx.Err() == nil; n++ {
-		interval := listInterval
-		if n < firstLists {
-			interval = firstInterval << n
-		}
-		sleep(ctx, interval/2+rand.N(interval))
-		m.list(ctx)
+// Answered notes that an instance is well.
+func (m *members) Answered(i fleet.Instance) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fleet.Answered(i)
+}
+
+// find is a member by its name.
+func (m *members) find(name string) (fleet.Instance, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.Find(name)
+}
+
+// seeds lists the addresses of the seeds that are not this instance's own.
+func (m *members) seeds() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.Seeds()
+}
+
+// isSeed reports whether the settings name this instance as a seed.
+func (m *members) isSeed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.IsSeed()
+}
+
+// announced reports whether the others know this instance by the list.
+func (m *members) announced() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.Announced()
+}
+
+// listedAt is when the read of the store began that shows the fleet.
+func (m *members) listedAt() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.ListedAt()
+}
+
+// listDue reports whether this instance is to read the announcements itself.
+func (m *members) listDue(role fleet.Role, now time.Time) bool {
+	age := now.Sub(m.listedAt())
+	if role != fleet.RoleReader {
+		return age >= ownListAfter && now.Sub(m.tried) >= listInterval
 	}
-	return ctx.Err()
+	since := time.Duration(listShare * float64(now.Sub(m.begun)))
+	interval := min(max(since, listAgain), listInterval)
+	return age >= interval && now.Sub(m.tried) >= interval
 }
 
-// list reads the announcements. A change of the fleet's shape changes shares.
+// list reads the announcements.
 func (m *members) list(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	began := time.Now()
+	m.tried = began
 	list, bad, err := m.node.config.Source.Instances(ctx)
 	if err != nil {
 		m.log.Warn("announcements were not read", "err", err)
 		return
 	}
 	m.bad.report(bad)
+	m.change(func(f *fleet.Fleet) { f.Listed(list, began) })
+}
+
+// received takes the list of another instance.
+func (m *members) received(u *statesync.Update) {
+	if u.FleetAt.IsZero() {
+		return
+	}
+	m.change(func(f *fleet.Fleet) {
+		if u.Instances != nil {
+			f.Received(u.Instances, u.FleetAt)
+		} else if s := m.sent.Load(); s != nil && s.Hash == u.FleetHash {
+			f.Confirmed(u.FleetAt)
+		}
+	})
+}
+
+// change changes the fleet. A change of its shape changes shares.
+func (m *members) change(do func(*fleet.Fleet)) {
 	m.mu.Lock()
 	before := m.fleet.Shape()
-	m.fleet.Listed(list, time.Now())
+	do(m.fleet)
 	after := m.fleet.Shape()
+	listed := !m.fleet.ListedAt().IsZero()
+	m.encode(m.fleet.List())
 	m.mu.Unlock()
+	if listed {
+		m.knownOnce.Do(func() { close(m.known) })
+	}
 	if before != after {
 		m.log.Info("size of the fleet", "instances", after.Size, "before", before.Size, "runners", after.Runners, "runs", after.Runs)
 		m.node.control.resized()
 	}
 }
 
-// announce writes the announcement again and again, until this instance leaves.
-func (m *members) announce(ctx context.Context) {
-	pause := backoff.Backoff{Min: firstRetry, Max: announceInterval}
+// encode renews what others get, where it differs.
+func (m *members) encode(list []fleet.Instance) {
+	if s := m.sent.Load(); s != nil && s.Hash == fleet.HashOf(list) {
+		return
+	}
+	s, err := statesync.NewInstances(list)
+	if err != nil {
+		m.log.Error("list of instances was not encoded", "err", err)
+		return
+	}
+	m.sent.Store(s)
+}
+
+// hash is that of the list in force, 0 for none.
+func (m *members) hash() uint64 {
+	if s := m.sent.Load(); s != nil {
+		return s.Hash
+	}
+	return 0
+}
+
+// write fills in the list for a peer that asks.
+func (m *members) write(r *peerapi.SyncRequest, out *peerapi.SyncReply, now time.Time) {
+	at := m.listedAt()
+	s := m.sent.Load()
+	if s == nil || at.IsZero() {
+		return
+	}
+	out.FleetAgeMS = statesync.AgeMS(at, now)
+	s.Write(r.Fleet, out)
+}
+
+// announce writes the announcement again and again, until this instance leaves. One that
+// starts again and is on the list as it is writes nothing at first: that the others count
+// it is all that an announcement does.
+func (m *members) announce(ctx context.Context) error {
+	pause := backoff.Backoff{Min: announceRetry, Max: announceInterval}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	doubt := false // an announcement that is there may be of a call that failed here
+	if m.startedAgain(ctx) {
+		m.joined(true)
+		sleep(ctx, announceInterval/2+rand.N(announceInterval/2))
+	}
 	for ctx.Err() == nil && !m.node.lifecycle.Leaving() {
 		m.self.Mark++
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		existed, err := m.node.config.Source.Announce(call, m.self)
+		existed, err := m.node.config.Source.Announce(call, m.self, m.announced())
 		cancel()
 		wait := announceInterval
 		if err != nil {
@@ -168,6 +306,22 @@
 		}
 		sleep(ctx, wait)
 	}
+	return ctx.Err()
+}
+
+// startedAgain waits for a list and reports whether it has this instance as it is.
+func (m *members) startedAgain(ctx context.Context) bool {
+	if m.node.config.FirstStart {
+		return false
+	}
+	timer := time.NewTimer(knownWithin)
+	defer timer.Stop()
+	select {
+	case <-m.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return m.announced()
 }
 
 // joined says that the others can know of this instance from now on.
@@ -183,13 +337,3 @@
 	defer m.mu.Unlock()
 	m.fleet.Joined(how, time.Now())
 }
-
-// withdraw takes the announcement back, so that the others don't wait for it to
-// fall silent.
-func (m *members) withdraw(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := m.node.config.Source.Withdraw(ctx, m.self.Name); err != nil {
-		m.log.Warn("announcement was not withdrawn", "err", err)
-	}
-}
--- a/entry/hosted/members_test.go
+++ b/entry/hosted/members_test.go
@@ -2,44 +2,406 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 )
 
-// announced is a store with the announcements of instances that ran before.
-type announced struct {
-	fakeStore
-	list []fleet.Instance
+// sharedStore is the platform's store as a fleet sees it. It refuses some instances.
+type sharedStore struct {
+	mu        sync.Mutex
+	version   uint64
+	announced map[string]fleet.Instance
+	refused   func(instance string) bool
+	reads     int // of configuration and leaves
+	lists     int // of announcements
+	writes    int
 }
 
-func (s *announced) Instances(context.Context) ([]fleet.Instance, []catalog.BadEntry, error) {
-	return s.list, nil, nil
+// count is the number of calls by kind since the last count.
+func (s *sharedStore) count() (reads, lists, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reads, lists, writes = s.reads, s.lists, s.writes
+	s.reads, s.lists, s.writes = 0, 0, 0
+	return reads, lists, writes
+}
+
+// set changes the store.
+func (s *sharedStore) set(change func(s *sharedStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// storeDelay is the time of a call to the store, and peerDelay that to another instance.
+const (
+	storeDelay = 4 * time.Millisecond
+	peerDelay  = time.Millisecond
+)
+
+// storeOf is the store as one instance reaches it. It implements Source.
+type storeOf struct {
+	*sharedStore
+	instance string
+}
+
+// call plays one call and counts it.
+func (s storeOf) call(counter *int, do func()) error {
+	time.Sleep(storeDelay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*counter++
+	if s.refused != nil && s.refused(s.instance) {
+		return io.ErrUnexpectedEOF
+	}
+	do()
+	return nil
+}
+
+func (s storeOf) Config(context.Context) (out *catalog.Config, err error) {
+	err = s.call(&s.reads, func() { out = &catalog.Config{Version: s.version} })
+	return out, err
+}
+
+func (s storeOf) Leaves(context.Context) (out catalog.Listing, err error) {
+	err = s.call(&s.reads, func() { out = catalog.Listing{Revision: s.version} })
+	return out, err
+}
+
+func (s storeOf) Instances(context.Context) (out []fleet.Instance, bad []catalog.BadEntry, err error) {
+	err = s.call(&s.lists, func() {
+		for _, i := range s.announced {
+			out = append(out, i)
+		}
+	})
+	return out, nil, err
+}
+
+func (s storeOf) Announce(_ context.Context, i fleet.Instance, _ bool) (existed bool, err error) {
+	err = s.call(&s.writes, func() {
+		_, existed = s.announced[i.Name]
+		s.announced[i.Name] = i
+	})
+	return existed, err
+}
+
+// city is a fleet of instances in virtual time.
+type city struct {
+	t       *testing.T
+	store   *sharedStore
+	size    int
+	mu      sync.Mutex
+	running map[string]*resident // by address
+}
+
+// resident is one running instance of a city.
+type resident struct {
+	node *Node
+	end  func()
+}
+
+// zones is the number of zones of a city, and seedCount that of its seeds.
+const (
+	zones     = 5
+	seedCount = 3
+)
+
+// newCity makes a fleet of which nothing runs yet.
+func newCity(t *testing.T, size int) *city {
+	return &city{t: t, size: size, store: &sharedStore{version: 1, announced: make(map[string]fleet.Instance)}, running: make(map[string]*resident)}
+}
+
+// address is where instance i is reached.
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/200, 1+i%200) }
+
+// name is that of instance i.
+func name(i int) string { return fmt.Sprintf("i-%03d", i) }
+
+// start runs instance i.
+func (c *city) start(i int, first bool) {
+	seeds := make([]string, 0, seedCount)
+	for s := range seedCount {
+		seeds = append(seeds, address(s))
+	}
+	n, err := New(Config{
+		Instance: name(i), Zone: fmt.Sprintf("z%d", i%zones), Peer: address(i), Seeds: seeds, FirstStart: first, Power: 1,
+		Source: storeOf{c.store, name(i)}, PeerKey: []byte("k"), NewLeaves: func(func(string)) Leaves { return noLeaves{} },
+		Tunables: Tunables{Bound: bound, Grace: time.Second, Catalog: catalog.Settings{Fresh: bound, LapseAfter: bound, ReturnWithin: time.Second, Retire: time.Second}},
+		Log:      telemetry.Options{Level: "error", Format: "json"}, LogSink: io.Discard,
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.control.peers = peersOf{c, name(i)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = n.control.run(ctx) })
+	done.Go(func() { _ = n.fleet.announce(ctx) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[address(i)] = &resident{node: n, end: func() {
+		cancel()
+		done.Wait()
+		synctest.Wait()
+		n.close()
+	}}
+}
+
+// startAll runs all instances within 0.3 s.
+func (c *city) startAll(first bool) {
+	for i := range c.size {
+		c.start(i, first)
+		time.Sleep(300 * time.Millisecond / time.Duration(c.size))
+	}
+}
+
+// stopAll ends all instances at once.
+func (c *city) stopAll() {
+	c.mu.Lock()
+	all := c.running
+	c.running = make(map[string]*resident)
+	c.mu.Unlock()
+	for _, r := range all {
+		r.end()
+	}
+}
+
+// errRefused says that nothing listens at an address.
+var errRefused = errors.New("connection refused")
+
+// peersOf are the other instances as one reaches them.
+type peersOf struct {
+	*city
+	instance string
+}
+
+// Sync implements syncPeers.
+func (c peersOf) Sync(ctx context.Context, to peer.Target, r peerapi.SyncRequest) (*peerapi.SyncReply, error) {
+	time.Sleep(peerDelay)
+	c.mu.Lock()
+	other := c.running[to.Address]
+	c.mu.Unlock()
+	if other == nil || ctx.Err() != nil {
+		return nil, errRefused
+	}
+	return other.node.Sync(c.instance, r), nil
+}
+
+// behind counts the running instances that don't have a version in force.
+func (c *city) behind(want uint64) int {
+	synctest.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.size - len(c.running)
+	for _, r := range c.running {
+		if version(r.node) != want {
+			n++
+		}
+	}
+	return n
+}
+
+// settled starts a fleet for the first time and waits until all know each other.
+func settled(t *testing.T, size int) *city {
+	c := newCity(t, size)
+	c.startAll(true)
+	time.Sleep(30 * time.Second)
+	return c
+}
+
+// TestFirstStartReadsLittle starts fleets of two sizes for the first time: only the seeds
+// read the store, and all know the fleet soon.
+func TestFirstStartReadsLittle(t *testing.T) {
+	for _, size := range []int{20, 80} {
+		synctest.Test(t, func(t *testing.T) {
+			c := newCity(t, size)
+			defer c.stopAll()
+			c.startAll(true)
+			time.Sleep(10 * time.Second)
+			if n := c.behind(1); n != 0 {
+				t.Errorf("%d instances have no configuration after 10 s", n)
+			}
+			for _, r := range c.running {
+				if got := r.node.fleet.size(); got != size {
+					t.Errorf("one instance knows %d of %d", got, size)
+				}
+			}
+			// Three seeds read twice each quarter of the bound until the list has them.
+			reads, lists, writes := c.store.count()
+			if most := 3 * 2 * 14; reads > most || lists > 3*10 || writes != size {
+				t.Errorf("%d instances: %d reads, %d lists, %d writes; want at most %d, 30 and %d", size, reads, lists, writes, most, size)
+			}
+		})
+	}
+}
+
+// TestRestartOfAllWhileSomeAreRefused ends all instances at once and starts them again
+// while the store refuses three in ten: all serve soon, by what the seeds and the
+// store say, and the announcements from before are not written again.
+func TestRestartOfAllWhileSomeAreRefused(t *testing.T) {
+	for _, size := range []int{20, 80} {
+		synctest.Test(t, func(t *testing.T) {
+			c := settled(t, size)
+			c.stopAll()
+			c.store.set(func(s *sharedStore) {
+				s.version = 2
+				s.refused = func(name string) bool { return name[len(name)-1] >= '7' }
+			})
+			c.store.count()
+			c.startAll(false)
+			defer c.stopAll()
+			time.Sleep(500 * time.Millisecond)
+			if n := c.behind(2); n != 0 {
+				t.Errorf("%d of %d instances don't serve half a second after the last has started", n, size)
+			}
+			reads, lists, writes := c.store.count()
+			if reads > 40 || lists > 20 || writes != 0 {
+				t.Errorf("%d instances: %d reads, %d lists, %d writes", size, reads, lists, writes)
+			}
+		})
+	}
+}
+
+// TestRestartOfAllWithoutSeeds ends all instances; the seeds don't come back.
+func TestRestartOfAllWithoutSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := settled(t, 40)
+		c.stopAll()
+		for i := seedCount; i < c.size; i++ {
+			c.start(i, false)
+		}
+		defer c.stopAll()
+		time.Sleep(500 * time.Millisecond)
+		if n := c.behind(1); n != seedCount {
+			t.Errorf("%d instances don't serve after half a second, want the %d that are gone", n, seedCount)
+		}
+	})
+}
+
+// TestOutageCostsTheSameInALargeFleet takes the store away for 20 s.
+func TestOutageCostsTheSameInALargeFleet(t *testing.T) {
+	for _, size := range []int{20, 80} {
+		synctest.Test(t, func(t *testing.T) {
+			c := settled(t, size)
+			defer c.stopAll()
+			c.store.count()
+			c.store.set(func(s *sharedStore) { s.refused = func(string) bool { return true } })
+			time.Sleep(20 * time.Second)
+			// The reader tries each half second at most, a lead and two members of each of
+			// five zones each 1.2 s: two calls each.
+			reads, _, _ := c.store.count()
+			if most := 2 * (40 + 3*zones*20*10/12); reads > most {
+				t.Errorf("%d instances: %d reads in an outage of 20 s, want at most %d", size, reads, most)
+			}
+			c.store.set(func(s *sharedStore) { s.version, s.refused = 2, nil })
+			time.Sleep(bound)
+			if n := c.behind(2); n != 0 {
+				t.Errorf("%d of %d instances are behind after the outage", n, size)
+			}
+		})
+	}
+}
+
+// TestReaderIsRefused has the store refuse the reader and many others, while a version
+// comes: it is in force everywhere within the bound after they could have noticed.
+func TestReaderIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := settled(t, 40)
+		defer c.stopAll()
+		var reader string
+		for _, r := range c.running {
+			if _, role := r.node.fleet.source(time.Now()); role == fleet.RoleReader {
+				reader = r.node.config.Instance
+			}
+		}
+		c.store.set(func(s *sharedStore) {
+			s.refused = func(name string) bool { return name == reader || name[len(name)-1] >= '7' }
+		})
+		time.Sleep(time.Second)
+		c.store.set(func(s *sharedStore) { s.version = 2 })
+		time.Sleep(bound)
+		if n := c.behind(2); n != 0 {
+			t.Errorf("%d instances are behind", n)
+		}
+	})
 }
 
-// TestStartFindsTheOthers starts an instance where others are announced: it knows of them
-// before the first request can have come.
+// TestOneThatIsNotRefusedIsEnough has the store refuse all instances but one that is no
+// lead: what it reads reaches all.
+func TestOneThatIsNotRefusedIsEnough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := settled(t, 20)
+		defer c.stopAll()
+		var served string
+		for _, r := range c.running {
+			if _, role := r.node.fleet.source(time.Now()); role == fleet.RoleMember {
+				served = r.node.config.Instance
+			}
+		}
+		c.store.set(func(s *sharedStore) {
+			s.version = 2
+			s.refused = func(name string) bool { return name != served }
+		})
+		time.Sleep(6 * bound)
+		if n := c.behind(2); n != 0 {
+			t.Errorf("%d instances are behind", n)
+		}
+	})
+}
+
+// TestLeadThatLeavesCostsNoReads stops the lead of each zone: its members ask another one
+// and don't read the store.
+func TestLeadThatLeavesCostsNoReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := settled(t, 40)
+		defer c.stopAll()
+		for address, r := range c.running {
+			if _, role := r.node.fleet.source(time.Now()); role == fleet.RoleLead {
+				delete(c.running, address)
+				r.end()
+			}
+		}
+		c.store.count()
+		time.Sleep(3 * time.Second)
+		// The reader reads twice each quarter of the bound.
+		if reads, _, _ := c.store.count(); reads > 2*(4+1)+2*zones {
+			t.Errorf("%d reads while leads are gone", reads)
+		}
+	})
+}
+
+// TestStartFindsTheOthers starts an instance without seeds where others are announced: it
+// knows of them before the first request can have come.
 func TestStartFindsTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &announced{fakeStore: fakeStore{version: 1}, list: []fleet.Instance{{Name: "j", Zone: "z", Power: 2, Mark: 1}, {Name: "k", Zone: "y", Power: 1, Mark: 1}}}
 		n, end := start(t, store)
 		defer end()
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = n.fleet.run(ctx)
-		}()
 		time.Sleep(time.Millisecond)
 		synctest.Wait()
 		if got := n.fleet.size(); got != 3 {
 			t.Errorf("a fleet of %d a millisecond after the start, want 3", got)
 		}
-		cancel()
-		<-done
-		synctest.Wait()
 	})
 }
+
+// announced is a store with the announcements of instances that ran before.
+type announced struct {
+	fakeStore
+	list []fleet.Instance
+}
+
+func (s *announced) Instances(context.Context) ([]fleet.Instance, []catalog.BadEntry, error) {
+	return s.list, nil, nil
+}
--- a/entry/hosted/quarantine_test.go
+++ b/entry/hosted/quarantine_test.go
@@ -2,22 +2,40 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/hosted/statesync"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 )
 
+// idle makes an instance that runs nothing of its own.
+func idle(t *testing.T) *Node {
+	t.Helper()
+	n, err := New(Config{
+		Instance: "idle", Zone: "z", Power: 0.2, PeerKey: []byte("k"), Source: &fakeStore{},
+		NewLeaves: func(func(string)) Leaves { return noLeaves{} }, Tunables: Tunables{Bound: bound},
+		Log: telemetry.Options{Level: "info"}, LogSink: io.Discard,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.close)
+	return n
+}
+
 // informed makes an instance that has reply to tell, and the address where it does.
 func informed(t *testing.T) (*Node, string) {
 	t.Helper()
-	n := weak(t, strong{})
+	n := idle(t)
 	now := time.Now()
-	n.control.state.Store(&syncState{known: catalog.Known{ConfigAt: now, LeavesAt: now}})
+	n.control.state.Store(&statesync.State{Known: catalog.Known{ConfigAt: now, LeavesAt: now}})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -49,7 +67,7 @@
 		return false
 	}
 	reader, address := informed(t)
-	first, third := weak(t, strong{}), weak(t, strong{})
+	first, third := idle(t), idle(t)
 	first.executor.MergeQuarantine([]peerapi.Quarantined{{Fingerprint: fingerprint, Level: quarantined, LeftMS: 10_000}})
 	if !knows(first) || knows(reader) || knows(third) {
 		t.Fatal("only the first instance is to know of the request")
--- a/entry/hosted/sharing.go
+++ b/entry/hosted/slowleaves/slowleaves.go
@@ -1,4 +1,7 @@
-package hosted
+// Package slowleaves keeps what this instance and those that ask it saw of slow leaves, and
+// what the instance that it asks reported. One instance of a large fleet asks a leaf rarely
+// and would learn too late on its own that it is slow.
+package slowleaves
 
 import (
 	"sync"
@@ -11,20 +14,20 @@
 // mostPending bounds the observations that wait to be sent.
 const mostPending = 512
 
-// sharing gathers what this instance and those that ask it see of slow leaves,
+// Exchange gathers what this instance and those that ask it see of slow leaves,
 // and keeps what it was sent itself. It guards the kernel's detector by a lock.
-type sharing struct {
+type Exchange struct {
 	mu       sync.Mutex
 	detector *slowness.Detector
 	pending  []slowness.Observation // for the instance that this one asks
 	others   []slowness.Slow        // what that one reported
 }
 
-// newSharing makes it empty.
-func newSharing() *sharing { return &sharing{detector: slowness.NewDetector()} }
+// New makes an empty one.
+func New() *Exchange { return &Exchange{detector: slowness.NewDetector()} }
 
-// add takes observations, to be passed on.
-func (s *sharing) add(list []slowness.Observation, now time.Time) {
+// Add takes observations, to be passed on.
+func (s *Exchange) Add(list []slowness.Observation, now time.Time) {
 	if len(list) == 0 {
 		return
 	}
@@ -34,21 +37,21 @@
 	s.pending = append(s.pending, list[:min(len(list), mostPending-len(s.pending))]...)
 }
 
-// observe takes the observations of an instance that asks. Their ages are as it says:
+// Observe takes the observations of an instance that asks. Their ages are as it says:
 // the way here takes about a millisecond.
-func (s *sharing) observe(seen []peerapi.SeenLeaf, now time.Time) {
+func (s *Exchange) Observe(seen []peerapi.SeenLeaf, now time.Time) {
 	list := make([]slowness.Observation, 0, len(seen))
 	for _, l := range seen {
 		list = append(list, slowness.Observation{Leaf: l.Leaf, Took: ms(l.TookMS), Slow: l.Slow, At: now.Add(-ms(l.AgeMS))})
 	}
-	s.add(list, now)
+	s.Add(list, now)
 }
 
 // ms converts milliseconds of the wire.
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// takePending returns what is to be sent to the instance that this one asks.
-func (s *sharing) takePending(now time.Time) []peerapi.SeenLeaf {
+// TakePending returns what is to be sent to the instance that this one asks.
+func (s *Exchange) TakePending(now time.Time) []peerapi.SeenLeaf {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]peerapi.SeenLeaf, 0, len(s.pending))
@@ -59,8 +62,8 @@
 	return out
 }
 
-// setReported keeps what the asked instance says.
-func (s *sharing) setReported(slow []peerapi.SeenLeaf, began time.Time) {
+// SetReported keeps what the asked instance says.
+func (s *Exchange) SetReported(slow []peerapi.SeenLeaf, began time.Time) {
 	list := make([]slowness.Slow, 0, len(slow))
 	for _, l := range slow {
 		list = append(list, slowness.Slow{Leaf: l.Leaf, Took: ms(l.TookMS), At: began.Add(-ms(l.AgeMS))})
@@ -70,8 +73,8 @@
 	s.others = list
 }
 
-// slow lists the leaves that are taken to be slow here or by the asked instance.
-func (s *sharing) slow(now time.Time) []slowness.Slow {
+// Slow lists the leaves that are taken to be slow here or by the asked instance.
+func (s *Exchange) Slow(now time.Time) []slowness.Slow {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	own := s.detector.Slow(now)
@@ -87,20 +90,11 @@
 	return own
 }
 
-// tell is the list for an instance that asks.
-func (s *sharing) tell(now time.Time) []peerapi.SeenLeaf {
+// Report is the list for an instance that asks.
+func (s *Exchange) Report(now time.Time) []peerapi.SeenLeaf {
 	var out []peerapi.SeenLeaf
-	for _, l := range s.slow(now) {
+	for _, l := range s.Slow(now) {
 		out = append(out, peerapi.SeenLeaf{Leaf: l.Leaf, TookMS: l.Took.Milliseconds(), Slow: true, AgeMS: now.Sub(l.At).Milliseconds()})
 	}
 	return out
 }
-
-// shareObservations collects what the executor saw, and tells it what others did.
-func (n *Node) shareObservations() {
-	now := time.Now()
-	n.sharing.add(n.executor.Observations(), now)
-	if slow := n.sharing.slow(now); len(slow) > 0 {
-		n.executor.ReportSlow(slow)
-	}
-}
--- a/entry/hosted/syncstate_test.go
+++ b/entry/hosted/statesync/state_test.go
@@ -1,4 +1,4 @@
-package hosted
+package statesync
 
 import (
 	"fmt"
@@ -38,7 +38,7 @@
 	for i := range 400 {
 		leaves = append(leaves, listedLeaf(i))
 	}
-	before, err := newSyncState(catalogOf(5, leaves...), nil, listStart)
+	before, err := New(catalogOf(5, leaves...), nil, listStart)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,7 +46,7 @@
 	for i := range leaves {
 		leaves[i].Sequence++ // heartbeats are no change
 	}
-	after, err := newSyncState(catalogOf(6, leaves[:399]...), before, listStart)
+	after, err := New(catalogOf(6, leaves[:399]...), before, listStart)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,7 +70,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		leaves := map[int]catalog.Leaf{}
 		var received receivedLeaves
-		var state *syncState
+		var state *State
 		whole := 0
 		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
 			for range rapid.IntRange(0, 3).Draw(t, "changes") {
@@ -87,7 +87,7 @@
 				}
 			}
 			var err error
-			if state, err = newSyncState(catalogOf(uint64(step+1), slices.Collect(maps.Values(leaves))...), state, listStart); err != nil {
+			if state, err = New(catalogOf(uint64(step+1), slices.Collect(maps.Values(leaves))...), state, listStart); err != nil {
 				t.Fatal(err)
 			}
 			if rapid.IntRange(0, 9).Draw(t, "forgets") == 0 {
@@ -115,7 +115,7 @@
 // TestChangesOfAnotherList refuses changes of a list that this instance does not have, and
 // a list that does not have the hash that was received.
 func TestChangesOfAnotherList(t *testing.T) {
-	state, err := newSyncState(catalogOf(1, listedLeaf(1)), nil, listStart)
+	state, err := New(catalogOf(1, listedLeaf(1)), nil, listStart)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,12 +137,12 @@
 	for i := range 415 {
 		leaves = append(leaves, listedLeaf(i))
 	}
-	first, err := newSyncState(catalogOf(1, leaves...), nil, listStart)
+	first, err := New(catalogOf(1, leaves...), nil, listStart)
 	if err != nil {
 		b.Fatal(err)
 	}
 	leaves[7].Draining = true
-	second, err := newSyncState(catalogOf(2, leaves...), first, listStart)
+	second, err := New(catalogOf(2, leaves...), first, listStart)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/entry/hosted/stop.go
+++ b/entry/hosted/stop.go
@@ -28,7 +28,6 @@
 	begin := time.Now()
 	grace := n.tunables.Load().Grace
 	n.lifecycle.Set(lifecycle.Leaving)
-	go n.fleet.withdraw(ctx)
 	log.Info("leaving: still serving until the balancer has let go", "queries", n.executor.Running())
 	most := time.Duration(leaveShare * float64(grace))
 	sleep(ctx, min(leastLeave, most))
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -34,7 +34,7 @@
 // SyncHandler tells what this instance knows of the platform's store. It is
 // called by many goroutines.
 type SyncHandler interface {
-	Sync(r peerapi.SyncRequest) *peerapi.SyncReply
+	Sync(from string, r peerapi.SyncRequest) *peerapi.SyncReply
 }
 
 // Rest waits for the next reply of a run and says whether more may come.
@@ -208,7 +208,7 @@
 		if err := params(req, &r); err != nil {
 			return nil, err
 		}
-		return sync.Sync(r), nil
+		return sync.Sync(from, r), nil
 	case handler == nil:
 	case req.Method == peerapi.MethodDigest:
 		var d peerapi.Digest
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -1,14 +1,16 @@
-// Package fleet knows the other instances and decides from whom to learn
-// the platform's store. Reads of the store are priced, and bytes between zones
+// Package fleet knows the other instances and decides from whom to learn what the
+// platform's store holds. Reads of the store are priced, and bytes between zones
 // are too: one instance reads the store, one a zone asks that one, and the others
 // ask that of their zone. Nothing hangs on who it is: too many readers cost calls,
 // and one that is gone, frozen or itself without knowledge is noticed by the age of
-// what it tells and passed over.
+// what it sends.
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,9 +33,10 @@
 	// ForgetAfter is the time without an announcement after which an instance
 	// counts as gone.
 	ForgetAfter time.Duration
-	// PassOver is for how long a reader that failed is not asked.
-	PassOver time.Duration
-	// ListedWithin is the time within which every instance reads the list again.
+	// PassOver is for how long an instance that failed is not asked; it doubles with
+	// each failure in a row up to MostPassOver.
+	PassOver, MostPassOver time.Duration
+	// ListedWithin is the time within which every instance knows a new list.
 	ListedWithin time.Duration
 	// Span is the span of time that the limit on repeats holds for.
 	Span time.Duration
@@ -47,6 +50,7 @@
 	instance    Instance
 	announcedAt time.Time // when its mark last changed
 	passTo      time.Time // until when it is passed over
+	failures    int       // in a row
 }
 
 // Fleet is the state. It is used by one goroutine at a time.
@@ -55,8 +59,12 @@
 	self     Instance
 	members  map[string]*member
 	listed   bool
-	shape    Shape
-	slack    slack
+	listedAt time.Time // when the read of the store began that shows the members
+	// announced is this instance as the last list has it; the zero value: it has not.
+	announced Instance
+	seeds     seeds
+	shape     Shape
+	slack     slack
 }
 
 // New returns a fleet that knows only this instance.
@@ -66,13 +74,50 @@
 	return f
 }
 
-// Listed takes the announcements as the store has them.
-func (f *Fleet) Listed(list []Instance, now time.Time) {
-	f.listed = true
+// Listed takes the announcements as a read of the store had them that began at a time.
+func (f *Fleet) Listed(list []Instance, began time.Time) {
+	f.take(list, began, func(m *member, i Instance) {
+		if m.instance != i {
+			m.instance, m.announcedAt = i, began
+		}
+	})
+	maps.DeleteFunc(f.members, func(_ string, m *member) bool {
+		return began.Sub(m.announcedAt) >= f.settings.ForgetAfter
+	})
+	f.reshape()
+	f.noteSlack(began)
+}
+
+// Received takes the list that another instance has of a read of the store at a time. That
+// one has forgotten who fell silent. A list older than the one in force is not taken.
+func (f *Fleet) Received(list []Instance, at time.Time) {
+	if f.listed && !at.After(f.listedAt) {
+		return
+	}
+	f.take(list, at, func(m *member, i Instance) { m.instance, m.announcedAt = i, at })
+	f.reshape()
+	f.noteSlack(at)
+}
+
+// Confirmed notes that the list in force was still that of a read of the store at a time.
+func (f *Fleet) Confirmed(at time.Time) {
+	if !f.listed || !at.After(f.listedAt) {
+		return
+	}
+	f.listedAt = at
+	for _, m := range f.members {
+		m.announcedAt = at
+	}
+}
+
+// take makes the members those of a list; note keeps what it says of one.
+func (f *Fleet) take(list []Instance, at time.Time, note func(*member, Instance)) {
+	f.listed, f.listedAt, f.announced = true, at, Instance{}
 	named := make(map[string]bool, len(list))
 	for _, i := range list {
 		named[i.Name] = true
 		if i.Name == f.self.Name {
+			f.announced = i
 			continue
 		}
 		m := f.members[i.Name]
@@ -80,15 +125,49 @@
 			m = &member{}
 			f.members[i.Name] = m
 		}
-		if m.instance != i {
-			m.instance, m.announcedAt = i, now
-		}
+		note(m, i)
 	}
-	maps.DeleteFunc(f.members, func(name string, m *member) bool {
-		return !named[name] || now.Sub(m.announcedAt) >= f.settings.ForgetAfter
-	})
-	f.reshape()
-	f.noteSlack(now)
+	maps.DeleteFunc(f.members, func(name string, _ *member) bool { return !named[name] })
+}
+
+// ListedAt is when the read of the store began that shows the fleet; zero for never.
+func (f *Fleet) ListedAt() time.Time { return f.listedAt }
+
+// Announced reports whether the list has this instance as it is.
+func (f *Fleet) Announced() bool { return f.announced.means(f.self) }
+
+// List returns the instances as the last list had them, by name. This instance is on it
+// only if it was on that one.
+func (f *Fleet) List() []Instance {
+	out := make([]Instance, 0, len(f.members)+1)
+	for _, m := range f.members {
+		out = append(out, m.instance)
+	}
+	if f.announced.Name != "" {
+		out = append(out, f.announced)
+	}
+	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// means reports whether two announcements say the same of an instance.
+func (i Instance) means(o Instance) bool {
+	i.Mark = o.Mark
+	return i == o
+}
+
+// HashOf is a hash of a list that is ordered by name; marks don't change it. It is not 0.
+func HashOf(list []Instance) uint64 {
+	h := xxhash.New()
+	var buf []byte
+	for _, i := range list {
+		buf = append(buf[:0], i.Name...)
+		buf = append(append(buf, 0), i.Zone...)
+		buf = append(append(buf, 0), i.Peer...)
+		buf = strconv.AppendFloat(append(buf, 0), i.Power, 'g', -1, 64)
+		_, _ = h.Write(append(buf, 0)) // never fails
+	}
+	return max(h.Sum64(), 1)
 }
 
 // unlisted is the size that is assumed before the first list: limits that the
@@ -104,33 +183,6 @@
 	return len(f.members) + 1
 }
 
-// Reader is the instance to synchronize from; ok is false when this instance is to
-// read the store itself.
-func (f *Fleet) Reader(now time.Time) (i Instance, ok bool) {
-	lead := f.first(now, func(i Instance) bool { return i.Zone == f.self.Zone })
-	if lead.Name != f.self.Name {
-		return lead, true
-	}
-	head := f.first(now, func(Instance) bool { return true })
-	return head, head.Name != f.self.Name
-}
-
-// first is the instance of the highest rank, this one included, that is among
-// those meant and not passed over.
-func (f *Fleet) first(now time.Time, among func(Instance) bool) Instance {
-	best, score := f.self, rank(f.self)
-	for _, name := range slices.Sorted(maps.Keys(f.members)) {
-		m := f.members[name]
-		if !among(m.instance) || now.Before(m.passTo) {
-			continue
-		}
-		if r := rank(m.instance); r > score {
-			best, score = m.instance, r
-		}
-	}
-	return best
-}
-
 // strongShards is the number of shards from which a query is handed to a stronger
 // instance of the zone. An exchange takes about 80 us of a core: 30 of them take 12 ms
 // on a fifth of one, a quarter of the shortest objective.
@@ -184,8 +236,23 @@
 func rank(i Instance) uint64 { return xxhash.Sum64String(i.Zone + "\x00" + i.Name) }
 
 // Failed notes that an instance did not answer, or with old state.
-func (f *Fleet) Failed(name string, now time.Time) {
-	if m := f.members[name]; m != nil {
-		m.passTo = now.Add(f.settings.PassOver)
+func (f *Fleet) Failed(i Instance, now time.Time) {
+	m := f.members[i.Name]
+	if m == nil {
+		f.seeds.failed(i.Peer, now, f.settings.PassOver)
+		return
+	}
+	pause := f.settings.PassOver << min(m.failures, mostDoublings)
+	m.passTo = now.Add(max(min(pause, f.settings.MostPassOver), f.settings.PassOver))
+	m.failures++
+}
+
+// mostDoublings bounds the doublings of a pause.
+const mostDoublings = 10
+
+// Answered notes that an instance is well.
+func (f *Fleet) Answered(i Instance) {
+	if m := f.members[i.Name]; m != nil {
+		m.failures = 0
 	}
 }
--- a/kernel/fleet/fleet_test.go
+++ b/kernel/fleet/fleet_test.go
@@ -40,9 +40,9 @@
 		if f.Size() != len(list) {
 			t.Fatalf("size %d, want %d", f.Size(), len(list))
 		}
-		r, ask := f.Reader(start)
+		r, role := f.Source(start)
 		switch {
-		case !ask:
+		case role == RoleReader:
 			readers++
 		case r.Zone != list[i].Zone:
 			crossing[list[i].Zone]++
@@ -56,15 +56,15 @@
 // TestFailedReaderIsPassedOver lets the reader fail, and come back.
 func TestFailedReaderIsPassedOver(t *testing.T) {
 	for _, f := range fleets(zone("a", 3)) {
-		first, ask := f.Reader(start)
-		if !ask {
+		first, role := f.Source(start)
+		if role == RoleReader {
 			continue
 		}
-		f.Failed(first.Name, start)
-		if next, _ := f.Reader(start); next.Name == first.Name {
+		f.Failed(first, start)
+		if next, _ := f.Source(start); next.Name == first.Name {
 			t.Errorf("%s asks a reader that failed", f.self.Name)
 		}
-		if again, _ := f.Reader(start.Add(3 * time.Second)); again.Name != first.Name {
+		if again, _ := f.Source(start.Add(3 * time.Second)); again.Name != first.Name {
 			t.Errorf("%s asks %s and not %s after the pause", f.self.Name, again.Name, first.Name)
 		}
 	}
--- a/kernel/fleet/slack.go
+++ b/kernel/fleet/slack.go
@@ -48,10 +48,10 @@
 	}
 }
 
-// noteSlack keeps the part by the list that was just read.
-func (f *Fleet) noteSlack(now time.Time) {
-	h := append(f.slack.history, slackPart{at: now, many: f.slackOf(strongShards), few: f.slackOf(1)})
-	for len(h) > 1 && now.Sub(h[1].at) >= f.settings.HoldParts {
+// noteSlack keeps the part by a list that was read at a time.
+func (f *Fleet) noteSlack(at time.Time) {
+	h := append(f.slack.history, slackPart{at: at, many: f.slackOf(strongShards), few: f.slackOf(1)})
+	for len(h) > 1 && at.Sub(h[1].at) >= f.settings.HoldParts {
 		h = h[1:] // the next one has been in force all the while
 	}
 	f.slack.history = h
--- /dev/null
+++ b/kernel/fleet/sources_test.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestNewcomerAsksSeeds lets an instance know nobody, then seeds that fail, then a list
+// without and with itself.
+func TestNewcomerAsksSeeds(t *testing.T) {
+	list := zone("a", 4)
+	for i := range list {
+		list[i].Peer = "10.0.0." + string(rune('1'+i)) + ":1"
+	}
+	f := New(list[0], settings)
+	f.SetSeeds([]string{"10.0.9.1:1", "10.0.9.2:1"})
+	want := func(at time.Duration, peer string, role Role) Instance {
+		t.Helper()
+		i, got := f.Source(start.Add(at))
+		if i.Peer != peer || got != role {
+			t.Errorf("after %v: asks %q as %v, want %q as %v", at, i.Peer, got, peer, role)
+		}
+		return i
+	}
+	f.Failed(want(0, "10.0.9.1:1", RoleNewcomer), start)
+	f.Failed(want(0, "10.0.9.2:1", RoleNewcomer), start)
+	want(0, "", RoleReader)
+	want(settings.PassOver, "10.0.9.1:1", RoleNewcomer)
+	f.Listed(list[1:], start)
+	if want(settings.PassOver, "10.0.9.1:1", RoleNewcomer); f.Announced() {
+		t.Error("is announced by a list without it")
+	}
+	f.Listed(list, start.Add(time.Second))
+	if _, role := f.Source(start.Add(time.Second)); role == RoleNewcomer || !f.Announced() {
+		t.Errorf("is a %v once it is on the list", role)
+	}
+	moved := slices.Clone(list)
+	moved[0].Peer = "10.0.0.99:1"
+	f.Listed(moved, start.Add(2*time.Second))
+	if f.Announced() {
+		t.Error("is announced by a list that has it at another address")
+	}
+}
+
+// TestSeedReadsTheStore lets an instance that is a seed start where nobody is on a list: it
+// does not wait for the other seeds, which may wait for it.
+func TestSeedReadsTheStore(t *testing.T) {
+	list := zone("a", 1)
+	f := New(list[0], settings)
+	f.SetSeeds([]string{list[0].Peer, "10.0.9.2:1"})
+	if i, role := f.Source(start); role != RoleReader || !f.IsSeed() || len(f.Seeds()) != 1 {
+		t.Errorf("a seed asks %v as %v before any list", i, role)
+	}
+}
+
+// TestListSpreadsBetweenInstances passes a list on: the receiver knows the fleet as of the
+// read of the store, and not an older one.
+func TestListSpreadsBetweenInstances(t *testing.T) {
+	list := append(zone("a", 5), zone("b", 3)...)
+	first, second := New(list[0], settings), New(list[1], settings)
+	first.Listed(list, start)
+	sent := first.List()
+	if len(sent) != len(list) || HashOf(sent) != HashOf(first.List()) {
+		t.Fatalf("sends %d instances, want %d", len(sent), len(list))
+	}
+	second.Received(sent, start)
+	if second.Size() != len(list) || !second.Announced() || HashOf(second.List()) != HashOf(sent) {
+		t.Errorf("a fleet of %d is received, want %d with the same hash", second.Size(), len(list))
+	}
+	second.Received(list[:2], start.Add(-time.Second))
+	if second.Size() != len(list) {
+		t.Error("an older list is taken")
+	}
+	second.Confirmed(start.Add(time.Minute))
+	if at := second.ListedAt(); !at.Equal(start.Add(time.Minute)) {
+		t.Errorf("the list is of %v after it was confirmed", at)
+	}
+	marked := slices.Clone(sent)
+	marked[0].Mark = 77
+	if HashOf(marked) != HashOf(sent) {
+		t.Error("a mark changes the hash")
+	}
+}
+
+// TestSilentInstanceStaysForgotten passes a list on whose sender has forgotten an instance.
+func TestSilentInstanceStaysForgotten(t *testing.T) {
+	list := zone("a", 3)
+	first, second := New(list[0], settings), New(list[1], settings)
+	first.Listed(list, start)
+	list[0].Mark++
+	list[1].Mark++
+	first.Listed(list, start.Add(settings.ForgetAfter))
+	second.Received(first.List(), start.Add(settings.ForgetAfter))
+	if second.Size() != 2 {
+		t.Errorf("a fleet of %d, want 2: one is silent", second.Size())
+	}
+}
+
+// TestFailuresInARowPassOverForLonger lets an instance that is gone fail again and again.
+func TestFailuresInARowPassOverForLonger(t *testing.T) {
+	set := settings
+	set.MostPassOver = 10 * time.Second
+	list := zone("a", 2)
+	f := New(list[0], set)
+	f.Listed(list, start)
+	now := start
+	for _, pause := range []time.Duration{3, 6, 10, 10} {
+		f.Failed(list[1], now)
+		if got := f.members[list[1].Name].passTo.Sub(now); got != pause*time.Second {
+			t.Errorf("is passed over for %v, want %v", got, pause*time.Second)
+		}
+		now = now.Add(pause * time.Second)
+	}
+	f.Answered(list[1])
+	f.Failed(list[1], now)
+	if got := f.members[list[1].Name].passTo.Sub(now); got != set.PassOver {
+		t.Errorf("is passed over for %v after it has answered, want %v", got, set.PassOver)
+	}
+}
+
+// TestOtherLeads names one instance of each other zone.
+func TestOtherLeads(t *testing.T) {
+	list := append(append(zone("a", 5), zone("b", 3)...), zone("c", 4)...)
+	f := New(list[0], settings)
+	f.Listed(list, start)
+	leads := f.OtherLeads(start)
+	if len(leads) != 2 || leads[0].Zone == leads[1].Zone || leads[0].Zone == "a" || leads[1].Zone == "a" {
+		t.Fatalf("%v, want one instance of zone b and one of c", leads)
+	}
+	f.Failed(leads[0], start)
+	if next := f.OtherLeads(start); slices.Contains(next, leads[0]) || len(next) != 2 {
+		t.Errorf("%v after one has failed, want another of its zone", next)
+	}
+	if f.ZoneSize() != 5 {
+		t.Errorf("%d instances of the zone, want 5", f.ZoneSize())
+	}
+}
