Start gently, keep connections to partners, and none without a share

All instances poll the three seeds each 25 ms while these start: the seeds were the last to serve (0.3 s after the others). Now one seed at a time, 0.1 s apart, and the store is read as soon as the first one knows nothing. 2. The first request that an instance hands over opens a connection (four round trips), and its delay was taken for 5 ms; 21 in 100 such requests were late (155 of 2,146), of the others 2 in 100. Connections to the strong instances of the zone, and of these to those of other zones, are opened ahead; the first delay follows from the instance's power. 3. A leaf of a shard takes 120 connections and 195 instances kept one each: 315 resets, each a 502 as the request may have run. An instance whose share is less than one closes the connection after its exchange. A leaf that two upstreams ask has the greater share. 4. One that knows nothing was passed over for hand-overs as well, for 3 s. Now only for the synchronization; a first failure passes over for 0.5 s, doubled up to a minute. 5. A request that comes before the configuration is to come back after 150 ms in place of 20: it spent its one retry before anyone could serve it.

--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -21,13 +21,24 @@
 	retryAfter time.Duration // 0: none is given
 }
 
-// startRetryAfter is when to come back to an instance that starts or stops. The
-// balancer sends the next connection elsewhere.
-const startRetryAfter = 20 * time.Millisecond
+const (
+	// elsewhereRetryAfter is when to come back where another instance can serve: the
+	// balancer sends the next connection elsewhere.
+	elsewhereRetryAfter = 20 * time.Millisecond
+	// startRetryAfter is when to come back to an instance that starts. The balancer sends
+	// it requests only while most of its zone is not ready either, and a caller that comes
+	// back at once spends its tries before anyone can serve it.
+	startRetryAfter = 150 * time.Millisecond
+)
 
-// unavailable refuses a request that has not run.
+// unavailable refuses a request that has not run here and may run elsewhere.
 func unavailable(detail string) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, detail: detail, retryAfter: startRetryAfter}
+	return &refusal{status: http.StatusServiceUnavailable, detail: detail, retryAfter: elsewhereRetryAfter}
+}
+
+// starting refuses a request that came before there was a configuration.
+func starting() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, detail: "no configuration yet", retryAfter: startRetryAfter}
 }
 
 // logPart is the prefix of the gateway's lines.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -170,7 +170,7 @@
 	}
 	v := g.config.Views.View()
 	if v == nil {
-		return nil, unavailable("no configuration yet")
+		return nil, starting()
 	}
 	target := originForm(r.RequestURI)
 	service, refused := g.service(v, r.Host, target)
--- a/entry/hosted/begin.go
+++ b/entry/hosted/begin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -13,17 +14,19 @@
 
 // Times of the start of an instance.
 const (
-	// seedPatience is for how long an instance waits for a seed that knows the state before
-	// it reads the store itself. When all start at once the seeds need some of it to start
-	// and read; when it starts alone they answer at once.
-	seedPatience = 250 * time.Millisecond
-	// firstPatience is the same for the first start of all instances, long before any
-	// requests come.
+	// seedPatience is for how long an instance waits for a seed's first answer before it
+	// reads the store beside asking seeds. One that is well takes a few milliseconds. Where
+	// the first seed that is asked knows nothing, all instances may be starting, and the
+	// store is read at once.
+	seedPatience = 50 * time.Millisecond
+	// firstPatience is for how long the seeds alone are asked at the first start of all
+	// instances, long before any requests come.
 	firstPatience = time.Second
-	// seedAgain is the first pause after all seeds were asked in vain, doubled up to
-	// mostSeedAgain.
-	seedAgain     = 25 * time.Millisecond
-	mostSeedAgain = 250 * time.Millisecond
+	// seedAgain is the pause after a seed was asked in vain, doubled up to mostSeedAgain.
+	// When all instances start at once each of them asks the same few seeds: asked more
+	// often, these spend their own start on the others' connections.
+	seedAgain     = 100 * time.Millisecond
+	mostSeedAgain = 400 * time.Millisecond
 )
 
 // begin gets the first state: from a seed, which has configuration, leaves and the fleet in
@@ -32,42 +35,40 @@
 func (c *control) begin(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var g errgroup.Group
-	for _, learn := range []func(context.Context) bool{c.beginBySeeds, c.beginByStore} {
-		g.Go(func() error {
-			if learn(ctx) {
-				cancel()
-			}
-			return nil
-		})
-	}
-	_ = g.Wait() // there are no errors
+	alone := make(chan struct{}) // closed when the first seed was asked in vain
+	var learning sync.WaitGroup
+	learning.Go(func() { c.beginBySeeds(ctx, cancel, alone) })
+	learning.Go(func() { c.beginByStore(ctx, cancel, alone) })
+	learning.Wait()
 	if c.storeTried {
 		c.receiver.Forget() // the catalog may have another list
 	}
 }
 
-// beginBySeeds asks the seeds in turn until one knows the state. It reports whether one did.
-func (c *control) beginBySeeds(ctx context.Context) bool {
+// beginBySeeds asks the seeds in turn until one knows the state, and then ends the start.
+func (c *control) beginBySeeds(ctx context.Context, learned func(), alone chan<- struct{}) {
 	pause := backoff.Backoff{Min: seedAgain, Max: mostSeedAgain}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	seeds := c.node.fleet.seeds()
-	for ctx.Err() == nil && len(seeds) > 0 {
-		for _, seed := range seeds {
-			err := c.ask(ctx, fleet.Instance{Peer: seed})
-			if err == nil || stale(err) {
-				return true
-			}
+	for i := 0; ctx.Err() == nil && len(seeds) > 0; i++ {
+		seed := seeds[i%len(seeds)]
+		err := c.ask(ctx, fleet.Instance{Peer: seed})
+		if err == nil || stale(err) {
+			learned()
+			return
+		}
+		if i == 0 {
+			c.log.Info("first seed knows nothing", "seed", seed, "err", err)
+			close(alone)
 		}
 		sleep(ctx, pause.Next(random))
 	}
-	return false
 }
 
-// beginByStore reads the store until that works, at first only after the seeds had their
-// time. It reports whether it did.
-func (c *control) beginByStore(ctx context.Context) bool {
-	sleep(ctx, c.patience())
+// beginByStore reads the store until that works, and then ends the start. At first it waits
+// for the seeds.
+func (c *control) beginByStore(ctx context.Context, learned func(), alone <-chan struct{}) {
+	c.awaitSeeds(ctx, alone)
 	pause := backoff.Backoff{Min: firstRetry, Max: mostRetry}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	timeout := readTimeout
@@ -79,7 +80,8 @@
 		g.Go(func() error { c.node.fleet.list(ctx); return nil })
 		err := g.Wait()
 		if err == nil {
-			return true
+			learned()
+			return
 		}
 		if ctx.Err() == nil {
 			c.log.Warn("store was not read", "err", err, "since_start", time.Since(c.node.fleet.begun))
@@ -87,17 +89,22 @@
 		timeout = min(max(2*time.Since(began), readTimeout), mostReadTimeout)
 		sleep(ctx, pause.Next(random))
 	}
-	return false
 }
 
-// patience is for how long the seeds alone are asked. A seed has nobody to wait for.
-func (c *control) patience() time.Duration {
-	switch {
-	case len(c.node.config.Seeds) == 0 || c.node.fleet.isSeed():
-		return 0
-	case c.node.config.FirstStart:
-		return firstPatience
-	default:
-		return seedPatience
+// awaitSeeds waits until it is time to read the store: a seed has nobody to wait for.
+func (c *control) awaitSeeds(ctx context.Context, alone <-chan struct{}) {
+	if len(c.node.config.Seeds) == 0 || c.node.fleet.isSeed() {
+		return
+	}
+	if c.node.config.FirstStart {
+		sleep(ctx, firstPatience)
+		return
+	}
+	timer := time.NewTimer(seedPatience)
+	defer timer.Stop()
+	select {
+	case <-alone:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
--- a/entry/hosted/forwarding/forwarding.go
+++ b/entry/hosted/forwarding/forwarding.go
@@ -21,6 +21,8 @@
 	Stronger(now time.Time) []fleet.Instance
 	// Gatherers lists the instances of a zone that may gather parts for this one.
 	Gatherers(zone string, now time.Time) []fleet.Instance
+	// Partners lists the instances to which this one hands over much.
+	Partners(now time.Time) []fleet.Instance
 	// Failed notes that an instance did not answer, Answered that it is well.
 	Failed(i fleet.Instance, now time.Time)
 	Answered(i fleet.Instance)
@@ -36,6 +38,8 @@
 type Peers interface {
 	Forward(ctx context.Context, to peer.Target, r *peerapi.ForwardRequest, a peer.Acceptance) (*peerapi.ForwardReply, error)
 	Rest(ctx context.Context, to peer.Target, id uint64) (*peerapi.ForwardReply, error)
+	// Connect opens a connection where none is kept.
+	Connect(ctx context.Context, to peer.Target) error
 }
 
 // Config is what a forwarder needs.
@@ -46,7 +50,9 @@
 	Views     Views
 	Lifecycle Lifecycle
 	Peers     Peers
-	Log       *telemetry.Log
+	// Power is the share of a core that this instance has; 0: not known.
+	Power float64
+	Log   *telemetry.Log
 	// Hurry is called when another instance has a newer configuration.
 	Hurry func()
 }
@@ -62,7 +68,12 @@
 }
 
 // New makes a forwarder. It runs nothing before Serve.
-func New(c Config) *Forwarder { return &Forwarder{config: c} }
+func New(c Config) *Forwarder {
+	first := firstDelay(c.Power)
+	return &Forwarder{
+		config: c, forwardDelays: delayEstimate{first: first}, gatherDelays: delayEstimate{first: min(first+crossZone, mostForwardDelay)},
+	}
+}
 
 // Serve sets the gateway that runs what other instances hand over.
 func (f *Forwarder) Serve(g *gateway.Gateway) { f.gateway = g }
--- a/entry/hosted/forwarding/relay.go
+++ b/entry/hosted/forwarding/relay.go
@@ -22,9 +22,14 @@
 	// acceptWithin is how long the other instance may take to accept. It is in the
 	// same zone and takes far less than a millisecond unless it is gone or busy.
 	acceptWithin = 15 * time.Millisecond
-	// firstForwardDelay is kept for handing a request over and its answer back, before that
-	// has been measured.
-	firstForwardDelay = 5 * time.Millisecond
+	// leastFirstDelay is kept for handing a request over and its answer back, before that
+	// has been measured, on an instance with a whole core.
+	leastFirstDelay = 5 * time.Millisecond
+	// forwardWork is the processor time that it takes on a whole core: an instance with a
+	// small share of one takes longer, and the first answers after its start would be late.
+	forwardWork = 2400 * time.Microsecond
+	// crossZone is what a hand-over to another zone takes more.
+	crossZone = 3 * time.Millisecond
 	// mostForwardDelay bounds what is kept: most hand-overs take 3 to 19 ms on a fifth of a core,
 	// and one during which an instance stood still says nothing of the next. Without the
 	// bound one of 3 s left the next requests no time to run.
@@ -194,10 +199,19 @@
 // the run itself: the two calls and the writing of the answer, which on a fifth of
 // a core takes longer than the way.
 type delayEstimate struct {
+	first    time.Duration // assumed before anything was observed
 	mu       sync.Mutex
 	estimate margin.Estimate
 }
 
+// firstDelay is what is assumed of a hand-over by an instance with a share of a core.
+func firstDelay(power float64) time.Duration {
+	if power <= 0 {
+		return leastFirstDelay
+	}
+	return min(max(leastFirstDelay, time.Duration(float64(forwardWork)/power)), mostForwardDelay)
+}
+
 // observe takes one hand-over's time.
 func (h *delayEstimate) observe(d time.Duration) {
 	h.mu.Lock()
@@ -209,5 +223,5 @@
 func (h *delayEstimate) high() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return min(h.estimate.High(firstForwardDelay), mostForwardDelay)
+	return min(h.estimate.High(h.first), mostForwardDelay)
 }
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -28,6 +28,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
@@ -162,7 +163,7 @@
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.leafGone)
 	n.Forwarder = forwarding.New(forwarding.Config{
-		Zone: c.Zone, Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Log: log, Hurry: n.control.hurry,
+		Zone: c.Zone, Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Power: c.Power, Log: log, Hurry: n.control.hurry,
 	})
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
@@ -220,24 +221,30 @@
 // publish puts a new view in force. The connections' shares are those of the
 // view, and the executor knows it, before any query does.
 func (n *Node) publish(v *view.View, l catalog.Limits) {
-	n.leaves.Apply(targets(v))
+	n.leaves.Apply(targets(v, n.fleet.transient))
 	n.executor.Follow(v)
 	n.limits.Store(&l)
 	n.view.Store(v)
 	n.lifecycle.Serve()
 }
 
-// targets lists the leaves of a view, each once.
-func targets(v *view.View) []leafclient.Target {
+// targets lists the leaves of a view, each once. One that several upstreams ask has the
+// greatest of its shares.
+func targets(v *view.View, transient func(*document.Upstream) bool) []leafclient.Target {
 	out := make([]leafclient.Target, 0, len(v.Leaves))
-	seen := make(map[string]bool, len(v.Leaves))
+	index := make(map[string]int, len(v.Leaves))
 	for i := range v.Leaves {
 		l := &v.Leaves[i]
-		if seen[l.ID] {
+		u := v.Upstreams[l.Upstream].Config
+		t := leafclient.Target{ID: l.ID, Name: l.Name, Address: l.Address, Connections: l.Connections, Transient: transient(u), DialCost: u.DialCost}
+		at, listed := index[l.ID]
+		if !listed {
+			index[l.ID] = len(out)
+			out = append(out, t)
 			continue
 		}
-		seen[l.ID] = true
-		out = append(out, leafclient.Target{ID: l.ID, Name: l.Name, Address: l.Address, Connections: l.Connections, DialCost: v.Upstreams[l.Upstream].Config.DialCost})
+		out[at].Connections = max(out[at].Connections, t.Connections)
+		out[at].Transient = out[at].Transient && t.Transient
 	}
 	return out
 }
@@ -280,6 +287,7 @@
 	g.Go(func() error { return n.peerServer().Serve(ctx, peers) })
 	g.Go(func() error { return n.control.run(ctx) })
 	g.Go(func() error { return n.fleet.announce(ctx) })
+	g.Go(func() error { return n.KeepConnected(ctx, n.fleet.known) })
 	g.Go(func() error {
 		select {
 		case <-stop:
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -11,6 +11,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/hosted/statesync"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/backoff"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 )
 
@@ -36,9 +37,12 @@
 	// age, the call, and what the way over a lead takes, with one that fails.
 	listedWithin = ownListAfter + callTimeout + 4*time.Second
 	// passOver is for how long an instance that failed is not asked, and mostPassOver for
-	// how long at most while it fails again and again.
-	passOver     = 3 * time.Second
+	// how long at most while it fails again and again. The first pause is short: one that
+	// starts again is back soon, and when all do there is nobody else to ask.
+	passOver     = 500 * time.Millisecond
 	mostPassOver = time.Minute
+	// passOutdated is for how long an instance whose state is old is not synchronized from.
+	passOutdated = 3 * time.Second
 	// callTimeout bounds one call about announcements; none of them is urgent.
 	callTimeout = 2 * time.Second
 	// knownWithin is for how long an instance that starts again waits for a list that may
@@ -74,7 +78,7 @@
 		node: n, log: n.log.Part("fleet"), self: self, begun: time.Now(), known: make(chan struct{}),
 		bad: newBadEntries(n.log.Part("fleet"), n.metrics.Scope, "instances"),
 		fleet: fleet.New(self, fleet.Settings{
-			ForgetAfter: forgetAfter, PassOver: passOver, MostPassOver: mostPassOver, ListedWithin: listedWithin,
+			ForgetAfter: forgetAfter, PassOver: passOver, MostPassOver: mostPassOver, PassOutdated: passOutdated, ListedWithin: listedWithin,
 			Span: span, HoldParts: max(span, listedWithin),
 		}),
 	}
@@ -98,6 +102,21 @@
 	return m.fleet.Connections(limit, shards)
 }
 
+// transient reports whether this instance's share of the connections to a leaf is less
+// than one.
+func (m *members) transient(u *document.Upstream) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.Transient(u.ConnectionLimit, len(u.Shards))
+}
+
+// Partners lists the instances to which this one hands over much.
+func (m *members) Partners(now time.Time) []fleet.Instance {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fleet.Partners(now)
+}
+
 // repeatSlack is this instance's part of the repeats that the fleet may make.
 func (m *members) repeatSlack(shards int) float64 {
 	m.mu.Lock()
@@ -140,7 +159,14 @@
 	return m.fleet.Gatherers(zone, now)
 }
 
-// Failed notes that an instance did not answer, or with old state.
+// Outdated notes that an instance is well and knows nothing, or only what is old.
+func (m *members) Outdated(i fleet.Instance, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fleet.Outdated(i, now)
+}
+
+// Failed notes that an instance did not answer.
 func (m *members) Failed(i fleet.Instance, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/leafclient/exchanger.go
+++ b/entry/leafclient/exchanger.go
@@ -156,7 +156,7 @@
 	named := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		named[t.key()] = true
-		x.leaf(t).setLimit(t.Connections)
+		x.leaf(t).setShare(t)
 	}
 	x.mu.Lock()
 	var dropped []*sockets
--- a/entry/leafclient/leafclient.go
+++ b/entry/leafclient/leafclient.go
@@ -31,6 +31,9 @@
 	Address string // IP:port
 	// Connections is the most connections this entry may hold to the leaf.
 	Connections int
+	// Transient says that this entry's share is less than one connection: one may be
+	// opened for an exchange and is closed after it, so that others get their turn.
+	Transient bool
 	// DialCost is the usual time of a new connection; at most one dial starts per DialCost.
 	DialCost time.Duration
 }
--- a/entry/leafclient/sockets.go
+++ b/entry/leafclient/sockets.go
@@ -41,6 +41,8 @@
 	limiter  *rate.Limiter
 	places   places
 	dials    atomic.Int64
+	// transient connections are closed after one exchange.
+	transient atomic.Bool
 
 	mu     sync.Mutex
 	idle   []*socket // the one used last is used next
@@ -55,6 +57,7 @@
 		s.limiter = rate.NewLimiter(rate.Every(t.DialCost), 1)
 	}
 	s.places.setLimit(t.Connections)
+	s.transient.Store(t.Transient)
 	return s
 }
 
@@ -88,7 +91,7 @@
 // put gives a connection back for the next exchange.
 func (s *sockets) put(c *socket) {
 	s.mu.Lock()
-	if _, limit := s.places.count(); s.closed || len(s.idle) >= limit {
+	if _, limit := s.places.count(); s.closed || s.transient.Load() || len(s.idle) >= limit {
 		s.mu.Unlock()
 		s.drop(c)
 		return
@@ -126,9 +129,11 @@
 	return newSocket(conn), nil
 }
 
-// setLimit changes the share; idle connections beyond it are closed.
-func (s *sockets) setLimit(n int) {
-	if !s.places.setLimit(n) {
+// setShare changes the share; idle connections beyond it are closed.
+func (s *sockets) setShare(t Target) {
+	becameTransient := t.Transient && !s.transient.Swap(t.Transient)
+	s.transient.Store(t.Transient)
+	if !s.places.setLimit(t.Connections) && !becameTransient {
 		return
 	}
 	for c := s.pop(); c != nil; c = s.pop() {
--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -77,6 +77,13 @@
 	return &reply, nil
 }
 
+// Connect opens a connection to a peer where none is kept, so that the next call does not
+// wait for it.
+func (c *Client) Connect(ctx context.Context, t Target) error {
+	_, err := c.conn(ctx, t)
+	return err
+}
+
 // Keep closes the connections to peers that are not named.
 func (c *Client) Keep(targets []Target) {
 	keep := make(map[Target]bool, len(targets))
--- a/kernel/fleet/connections.go
+++ b/kernel/fleet/connections.go
@@ -23,6 +23,21 @@
 	return even
 }
 
+// Transient reports whether this instance's share of the connections that one leaf takes
+// from all instances is less than one: a fleet may be larger than the limit. One that keeps
+// a connection all the same would have the leaf refuse those of others.
+func (f *Fleet) Transient(limit, shards int) bool {
+	runners, self := f.concentrated(shards)
+	switch {
+	case runners == 0:
+		return limit < f.Size()
+	case self:
+		return int(runnersPart*float64(limit)) < runners
+	default:
+		return int(othersPart*float64(limit)) < f.Size()-runners
+	}
+}
+
 // slackOf is this instance's part, in (0, 1], of the repeats of an upstream of so many
 // shards that the fleet may make without any request, by the last list. Repeats are
 // made where the queries are run: with an even part each of the few that run them had
--- a/kernel/fleet/connections_test.go
+++ b/kernel/fleet/connections_test.go
@@ -78,3 +78,41 @@
 func powered(name, zone string, power float64) Instance {
 	return Instance{Name: name, Zone: zone, Power: power, Peer: "10.0.0.1:1", Mark: 1}
 }
+
+// TestTransient checks whose share of a leaf's connections is less than one.
+func TestTransient(t *testing.T) {
+	const limit, many, few = 53, 90, 1
+	for _, f := range fleets(unequal(18)) {
+		strong := f.self.Power > 0.5
+		if got := f.Transient(limit, many); got == strong {
+			t.Errorf("%s: %v for a large query", f.self.Name, got)
+		}
+		if !f.Transient(limit, few) || f.Transient(60, few) {
+			t.Errorf("%s: keeps one of 53 connections for 60 instances, or none of 60", f.self.Name)
+		}
+	}
+	for _, f := range fleets(zone("a", 8)) {
+		if f.Transient(26, many) {
+			t.Error("one of 8 equal instances keeps none of 26 connections")
+		}
+	}
+}
+
+// TestPartners lists those to whom requests are handed over.
+func TestPartners(t *testing.T) {
+	for _, f := range fleets(unequal(18)) {
+		got := f.Partners(start)
+		want := 2 // the strong ones of the zone
+		if f.self.Power > 0.5 {
+			want = 4 // those of the other zones
+		}
+		for _, i := range got {
+			if i.Power < 0.5 || (i.Zone == f.self.Zone) == (f.self.Power > 0.5) {
+				t.Errorf("%s hands over to %s", f.self.Name, i.Name)
+			}
+		}
+		if len(got) != want {
+			t.Errorf("%s has %d partners, want %d", f.self.Name, len(got), want)
+		}
+	}
+}
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -36,6 +36,9 @@
 	// PassOver is for how long an instance that failed is not asked; it doubles with
 	// each failure in a row up to MostPassOver.
 	PassOver, MostPassOver time.Duration
+	// PassOutdated is for how long an instance that is well is not synchronized from when
+	// what it knows is old.
+	PassOutdated time.Duration
 	// ListedWithin is the time within which every instance knows a new list.
 	ListedWithin time.Duration
 	// Span is the span of time that the limit on repeats holds for.
@@ -51,6 +54,7 @@
 	announcedAt time.Time // when its mark last changed
 	passTo      time.Time // until when it is passed over
 	failures    int       // in a row
+	outdatedTo  time.Time // until when it is not synchronized from
 }
 
 // Fleet is the state. It is used by one goroutine at a time.
@@ -216,6 +220,27 @@
 	return out
 }
 
+// mostPartners bounds the instances to which connections are kept open ahead.
+const mostPartners = 16
+
+// Partners lists the instances to which this one hands over much: the stronger ones of its
+// zone, or, where there is none, those of other zones that gather parts for it.
+func (f *Fleet) Partners(now time.Time) []Instance {
+	out := f.Stronger(now)
+	if len(out) == 0 && f.shape.Runs {
+		zones := make(map[string]bool)
+		for _, m := range f.members {
+			zones[m.instance.Zone] = m.instance.Zone != f.self.Zone
+		}
+		for _, zone := range slices.Sorted(maps.Keys(zones)) {
+			if zones[zone] {
+				out = append(out, f.Gatherers(zone, now)...)
+			}
+		}
+	}
+	return out[:min(len(out), mostPartners)]
+}
+
 // Gatherers lists the instances of another zone that may gather parts for this one:
 // those that are not passed over and not far weaker than its strongest, by name.
 func (f *Fleet) Gatherers(zone string, now time.Time) []Instance {
@@ -235,7 +260,17 @@
 // rank orders the instances alike everywhere.
 func rank(i Instance) uint64 { return xxhash.Sum64String(i.Zone + "\x00" + i.Name) }
 
-// Failed notes that an instance did not answer, or with old state.
+// Outdated notes that an instance is well and knows nothing, or only what is old.
+func (f *Fleet) Outdated(i Instance, now time.Time) {
+	m := f.members[i.Name]
+	if m == nil {
+		f.seeds.failed(i.Peer, now, f.settings.PassOutdated)
+		return
+	}
+	m.outdatedTo = now.Add(f.settings.PassOutdated)
+}
+
+// Failed notes that an instance did not answer.
 func (f *Fleet) Failed(i Instance, now time.Time) {
 	m := f.members[i.Name]
 	if m == nil {
--- a/kernel/fleet/sources.go
+++ b/kernel/fleet/sources.go
@@ -53,7 +53,7 @@
 	leads := make(map[string]Instance)
 	for _, m := range f.members {
 		i := m.instance
-		if i.Zone == f.self.Zone || now.Before(m.passTo) {
+		if i.Zone == f.self.Zone || now.Before(m.passTo) || now.Before(m.outdatedTo) {
 			continue
 		}
 		if lead, ok := leads[i.Zone]; !ok || rank(i) > rank(lead) {
@@ -80,11 +80,11 @@
 }
 
 // first is the instance of the highest rank, this one included, that is among
-// those meant and not passed over.
+// those meant and can be synchronized from.
 func (f *Fleet) first(now time.Time, among func(Instance) bool) Instance {
 	best, score := f.self, rank(f.self)
 	for _, m := range f.members {
-		if !among(m.instance) || now.Before(m.passTo) {
+		if !among(m.instance) || now.Before(m.passTo) || now.Before(m.outdatedTo) {
 			continue
 		}
 		if r := rank(m.instance); r > score {
--- a/kernel/fleet/sources_test.go
+++ b/kernel/fleet/sources_test.go
@@ -119,6 +119,23 @@
 	}
 }
 
+// TestOutdatedIsStillHandedTo synchronizes from a strong instance whose state is old: requests
+// are handed to it all the same.
+func TestOutdatedIsStillHandedTo(t *testing.T) {
+	set := settings
+	set.PassOutdated = 3 * time.Second
+	list := []Instance{powered("weak", "a", 0.2), powered("strong", "a", 0.8)}
+	f := New(list[0], set)
+	f.Listed(list, start)
+	f.Outdated(list[1], start)
+	if _, role := f.Source(start); role == RoleMember {
+		t.Error("an instance whose state is old is asked at once again")
+	}
+	if got := f.Stronger(start); len(got) != 1 {
+		t.Errorf("requests are handed to %v, want the strong one", got)
+	}
+}
+
 // TestOtherLeads names one instance of each other zone.
 func TestOtherLeads(t *testing.T) {
 	list := append(append(zone("a", 5), zone("b", 3)...), zone("c", 4)...)
