Count a leaf that serves again and is lost again under a request as lost twice

Cause of the known red TestRequestThatBreaksLeaves/at_most_once: a request was suspected after three different leaves were lost under it. Now a strike is a life of a leaf, from one loss to the next (kernel/quarantine); a leaf that has not served since is still one.

--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -107,14 +107,15 @@
 		a.run.mail.put(query.Declined{Attempt: id, Leaf: leaf, Reason: query.DeclineReason(declined.Reason), Versions: declined.Versions, Ranges: declined.Ranges})
 	case errors.As(err, &broken):
 		closed := broken.Cause == leafclient.CauseClosed
-		if closed {
-			e.leafState.sawBreak(broken.Leaf, time.Now())
+		lost := broken.Cause == leafclient.CauseLost
+		if closed || lost {
+			e.leafState.sawBreak(a.leafID, time.Now())
 		}
 		if broken.Carried != nil {
 			a.run.sawRun()
 		}
 		p.finish(a, brokenOutcome(broken.Cause), 0)
-		crash := closed && x.up || broken.Cause == leafclient.CauseLost && e.lost(a)
+		crash := closed && x.up || lost && e.lost(a)
 		a.run.mail.put(query.Broken{Attempt: id, Leaf: leaf, Cause: string(broken.Cause), Crash: crash, Carried: broken.Carried})
 	default:
 		p.finish(a, dispatch.OutcomeBroken, 0)
--- a/entry/executor/leafstate.go
+++ b/entry/executor/leafstate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/snapshot"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
@@ -21,10 +22,11 @@
 	replied map[string]time.Time
 	broke   map[string]time.Time // when a connection to the leaf last broke
 	born    map[string]int64     // the start that the leaf last reported
+	lives   map[string]int       // how often the leaf has served again after a break
 }
 
 func newLeafState() *leafState {
-	return &leafState{replied: make(map[string]time.Time), broke: make(map[string]time.Time), born: make(map[string]int64)}
+	return &leafState{replied: make(map[string]time.Time), broke: make(map[string]time.Time), born: make(map[string]int64), lives: make(map[string]int)}
 }
 
 // follow moves the tracker to a newer view.
@@ -46,6 +48,7 @@
 	maps.DeleteFunc(s.replied, gone)
 	maps.DeleteFunc(s.broke, gone)
 	maps.DeleteFunc(s.born, func(id string, _ int64) bool { return gone(id, time.Time{}) })
+	maps.DeleteFunc(s.lives, func(id string, _ int) bool { return gone(id, time.Time{}) })
 	if s.tracker == nil {
 		s.tracker = snapshot.New(v)
 		return
@@ -62,6 +65,9 @@
 	if !ok {
 		return false
 	}
+	if s.replied[leafID].Before(s.broke[leafID]) {
+		s.lives[leafID]++
+	}
 	s.replied[leafID] = now
 	if len(said.Versions) > 0 {
 		s.tracker.Observe(i, said.Versions)
@@ -80,6 +86,13 @@
 	s.broke[leafID] = now
 }
 
+// life is the leaf's present one, or the one that it has just lost.
+func (s *leafState) life(leafID string) quarantine.Life {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return quarantine.Life{Leaf: leafID, Number: s.lives[leafID]}
+}
+
 // up reports whether the leaf has answered since it last broke a connection.
 func (s *leafState) up(leafID string) bool {
 	s.mu.Lock()
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -57,13 +57,13 @@
 
 // lost notes a leaf that was lost under a request. It reports whether that makes the
 // request a suspect, with what is to be reported of it.
-func (s *quarantineState) lost(fingerprint, leaf string, enough int, now time.Time) (suspect bool, actions []quarantine.Action) {
+func (s *quarantineState) lost(fingerprint string, leaf quarantine.Life, enough int, now time.Time) (suspect bool, actions []quarantine.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.strikes.Lost(fingerprint, leaf, enough, now) {
 		return false, nil
 	}
-	return true, slices.Clone(s.machine.Handle(quarantine.Observed{Fingerprint: fingerprint, Leaf: leaf, Crashed: true}, now))
+	return true, slices.Clone(s.machine.Handle(quarantine.Observed{Fingerprint: fingerprint, Leaf: leaf.Leaf, Crashed: true}, now))
 }
 
 // ran notes that a leaf ran a request to its end.
--- a/entry/executor/suspicion.go
+++ b/entry/executor/suspicion.go
@@ -26,7 +26,7 @@
 		return true
 	}
 	enough := max(e.config.LostToSuspect, int(r.direct.Load())/2)
-	suspect, actions := e.quarantine.lost(r.fingerprint, a.leafID, enough, time.Now())
+	suspect, actions := e.quarantine.lost(r.fingerprint, e.leafState.life(a.leafID), enough, time.Now())
 	if !suspect {
 		return false
 	}
--- a/kernel/quarantine/strikes.go
+++ b/kernel/quarantine/strikes.go
@@ -14,23 +14,31 @@
 	byRequest map[string]*strikes
 }
 
+// Life is the time of a leaf between two losses of it: one that serves again after it was
+// lost and is lost once more counts twice, as a service may have few leaves.
+type Life struct {
+	Leaf string
+	// Number grows with each time that the leaf serves again.
+	Number int
+}
+
 // strikes are the losses of one request.
 type strikes struct {
-	leaves map[string]bool
-	until  time.Time
+	lost  map[Life]bool
+	until time.Time
 }
 
 // Lost notes that a leaf was lost under a request, and reports whether so many
-// different ones were that it is suspected. It then counts from anew.
-func (s *Strikes) Lost(fingerprint, leaf string, enough int, now time.Time) bool {
+// lives were that it is suspected. It then counts from anew.
+func (s *Strikes) Lost(fingerprint string, leaf Life, enough int, now time.Time) bool {
 	r := s.byRequest[fingerprint]
 	if r == nil || !now.Before(r.until) {
-		r = &strikes{leaves: make(map[string]bool)}
+		r = &strikes{lost: make(map[Life]bool)}
 		s.keep(fingerprint, r, now)
 	}
 	r.until = now.Add(s.For)
-	r.leaves[leaf] = true
-	if len(r.leaves) < enough {
+	r.lost[leaf] = true
+	if len(r.lost) < enough {
 		return false
 	}
 	delete(s.byRequest, fingerprint)
--- a/kernel/quarantine/strikes_test.go
+++ b/kernel/quarantine/strikes_test.go
@@ -15,16 +15,19 @@
 		leaf string // lost; empty: the request ran to its end
 		at   time.Duration
 		want bool
+		life int // how often the leaf has served again
 	}
 	for _, tc := range []struct {
 		name  string
 		steps []step
 	}{
-		{"three leaves", []step{{"a", 0, false}, {"b", 0, false}, {"c", 0, true}}},
-		{"one leaf again and again", []step{{"a", 0, false}, {"a", 1, false}, {"a", 2, false}, {"a", 3, false}}},
-		{"a success between", []step{{"a", 0, false}, {"b", 0, false}, {"", 0, false}, {"c", 0, false}, {"a", 0, false}, {"b", 0, true}}},
-		{"long ago", []step{{"a", 0, false}, {"b", 0, false}, {"c", lasts, false}}},
-		{"counted from anew", []step{{"a", 0, false}, {"b", 0, false}, {"c", 0, true}, {"a", 0, false}}},
+		{"three leaves", []step{{leaf: "a"}, {leaf: "b"}, {leaf: "c", want: true}}},
+		{"one leaf again and again", []step{{leaf: "a"}, {leaf: "a", at: 1}, {leaf: "a", at: 2}, {leaf: "a", at: 3}}},
+		{"one leaf that serves between", []step{{leaf: "a"}, {leaf: "a", life: 1}, {leaf: "a", life: 2, want: true}}},
+		{"two leaves by turns", []step{{leaf: "a"}, {leaf: "b"}, {leaf: "a", life: 1, want: true}}},
+		{"a success between", []step{{leaf: "a"}, {leaf: "b"}, {}, {leaf: "c"}, {leaf: "a"}, {leaf: "b", want: true}}},
+		{"long ago", []step{{leaf: "a"}, {leaf: "b"}, {leaf: "c", at: lasts}}},
+		{"counted from anew", []step{{leaf: "a"}, {leaf: "b"}, {leaf: "c", want: true}, {leaf: "a"}}},
 	} {
 		s := quarantine.Strikes{For: lasts, Most: 8}
 		for i, st := range tc.steps {
@@ -32,7 +35,7 @@
 				s.Ran(fp)
 				continue
 			}
-			if got := s.Lost(fp, st.leaf, enough, epoch.Add(st.at)); got != st.want {
+			if got := s.Lost(fp, quarantine.Life{Leaf: st.leaf, Number: st.life}, enough, epoch.Add(st.at)); got != st.want {
 				t.Errorf("%s, step %d: suspected %v, want %v", tc.name, i, got, st.want)
 			}
 		}
@@ -43,12 +46,12 @@
 func TestStrikesAreBounded(t *testing.T) {
 	s := quarantine.Strikes{For: time.Minute, Most: 4}
 	for i := range 100 {
-		s.Lost(fmt.Sprint("request-", i), "a", 2, epoch.Add(time.Duration(i)*time.Second))
+		s.Lost(fmt.Sprint("request-", i), quarantine.Life{Leaf: "a"}, 2, epoch.Add(time.Duration(i)*time.Second))
 	}
-	if !s.Lost("request-99", "b", 2, epoch.Add(100*time.Second)) {
+	if !s.Lost("request-99", quarantine.Life{Leaf: "b"}, 2, epoch.Add(100*time.Second)) {
 		t.Error("the latest request was forgotten")
 	}
-	if s.Lost("request-10", "b", 2, epoch.Add(100*time.Second)) {
+	if s.Lost("request-10", quarantine.Life{Leaf: "b"}, 2, epoch.Add(100*time.Second)) {
 		t.Error("an early request is still remembered beyond the bound")
 	}
 }
