Gather parts for another version that has the same set of shards

What makes parts belong together is the set of shards, by which the upstream is named; the number of records now goes with the offer.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -173,14 +173,17 @@
 	// WayUS is the microseconds that the request and its answer spend between the
 	// client and the instance that took it in.
 	WayUS int64 `json:"way_us"`
-	// Gather, if it is set, asks for some shards only, by this very version.
+	// Gather, if it is set, asks for some shards only.
 	Gather *Gather `json:"gather,omitempty"`
 }
 
 // Gather names the shards that are asked for.
 type Gather struct {
-	Service  string `json:"service"`
+	Service string `json:"service"`
+	// Upstream is named by the set of its shards.
 	Upstream string `json:"upstream"`
+	// TopK is how many records the answer has at most.
+	TopK int `json:"top_k"`
 	// Ranges are whole shards.
 	Ranges []Range `json:"ranges"`
 }
--- a/entry/hosted/forwarding/gather.go
+++ b/entry/hosted/forwarding/gather.go
@@ -137,7 +137,7 @@
 // gatherRequest names a group's shards on the wire.
 func gatherRequest(r *executor.Request, g executor.Group) *peerapi.Gather {
 	up := &r.View.Upstreams[g.Upstream]
-	out := &peerapi.Gather{Service: r.Service.Config.Name, Upstream: up.Name}
+	out := &peerapi.Gather{Service: r.Service.Config.Name, Upstream: up.Name, TopK: r.Service.Config.TopK}
 	for _, k := range g.Ranges {
 		out.Ranges = append(out.Ranges, peerapi.Range{k.From, k.To})
 	}
@@ -186,14 +186,18 @@
 }
 
 // offerGather says why this instance does not gather a group, or nothing. All parts
-// of an answer are of one configuration.
+// of an answer are of one set of shards, by which the upstream is named: another version
+// of the configuration that has the same set will do, as while a version spreads.
 func (f *Forwarder) offerGather(v *view.View, r *peerapi.ForwardRequest) string {
-	switch {
-	case v.Generation != r.Version:
-		return "another configuration"
-	case onlyOf(v, r.Gather) == nil:
+	if v.Generation < r.Version {
+		f.config.Hurry()
+	}
+	if onlyOf(v, r.Gather) == nil {
 		return "no such shards"
 	}
+	if v.Services[r.Gather.Service].Config.TopK != r.Gather.TopK {
+		return "another number of records"
+	}
 	return ""
 }
 
--- a/entry/hosted/forwarding/relay.go
+++ b/entry/hosted/forwarding/relay.go
@@ -166,11 +166,11 @@
 	switch {
 	case v == nil || f.config.Lifecycle.Leaving():
 		return "not serving"
+	case r.Gather != nil:
+		return f.offerGather(v, r)
 	case v.Generation < r.Version:
 		f.config.Hurry()
 		return "older configuration"
-	case r.Gather != nil:
-		return f.offerGather(v, r)
 	case !gateway.Routed(v, r.Host, r.Target):
 		return "no route"
 	}
