Bound the age of what a lead and its members know while some instances are refused

Seen in virtual time by TestNobodyIsBehindWhileSomeAreRefused: 2.77 s of a bound of 3 s, eight tenths are wanted.

Change: only a failed read delays the next one; a lead takes the reader's state for old from 0.4 of the bound on, as it is one step newer than what members see; a refused lead asks further leads until its state is as new as a reader's. Ruled out: the bound itself (the store was stable for 6 s by then).

--- a/entry/hosted/follow.go
+++ b/entry/hosted/follow.go
@@ -20,9 +20,11 @@
 const (
 	readShare = 0.25
 	askShare  = 0.125
-	// staleShare is the age of a peer's state above which it is old: a lead then reads
+	// staleShare is the age of a peer's state above which it is old, and oldReaderShare
+	// the same for that of the reader, whose state is one step newer: a lead then reads
 	// the store itself.
-	staleShare = 0.55
+	staleShare     = 0.55
+	oldReaderShare = 0.4
 	// retryShare is the time between two tries of the store by an instance that is
 	// not the reader: two fit into the bound.
 	retryShare = 0.4
@@ -124,12 +126,13 @@
 	c.receiver.Forget()
 	readErr := c.readStore(ctx, timeout)
 	c.listIfDue(ctx, role)
+	if readErr == nil {
+		c.notBefore = time.Time{}
+		return role != fleet.RoleReader, nil
+	}
 	if role != fleet.RoleReader {
 		c.notBefore = time.Now().Add(c.retryAfter(role, err))
 	}
-	if readErr == nil {
-		return false, nil
-	}
 	if role != fleet.RoleMember && c.askOtherLeads(ctx) {
 		return true, nil
 	}
@@ -139,8 +142,7 @@
 // fresh reports whether what this instance knows is as new as the reader's may be. While it
 // is, a peer that does not answer is no reason to read the store: another may answer next.
 func (c *control) fresh() bool {
-	age := c.ageMS(time.Now())
-	return age >= 0 && ms(age) < c.bound(readShare)
+	return c.age() < c.bound(readShare)
 }
 
 // askPeers asks the instances that this one is to learn from until one answers with fresh
@@ -153,7 +155,11 @@
 		if role == fleet.RoleReader {
 			return role, nil
 		}
-		if err = c.ask(ctx, from); err == nil {
+		err = c.ask(ctx, from)
+		if err == nil && role == fleet.RoleLead && c.age() > c.bound(oldReaderShare) {
+			err = &staleStateError{c.age()}
+		}
+		if err == nil {
 			c.node.fleet.Answered(from)
 			return role, nil
 		}
@@ -200,12 +206,17 @@
 // has failed: the store may refuse some instances and serve others.
 func (c *control) askOtherLeads(ctx context.Context) bool {
 	leads := c.node.fleet.otherLeads(time.Now())
+	answered := false
 	for _, lead := range leads[:min(len(leads), mostAsked)] {
-		if c.ask(ctx, lead) == nil {
-			return true
+		if c.ask(ctx, lead) != nil {
+			continue
+		}
+		answered = true
+		if c.fresh() {
+			break
 		}
 	}
-	return false
+	return answered
 }
 
 // listIfDue reads the announcements when it is this instance's turn.
--- a/entry/hosted/members_test.go
+++ b/entry/hosted/members_test.go
@@ -437,3 +437,42 @@
 func (s *announced) Instances(context.Context) ([]fleet.Instance, []catalog.BadEntry, error) {
 	return s.list, nil, nil
 }
+
+// TestNobodyIsBehindWhileSomeAreRefused has the store refuse the reader, a lead and many
+// others for long: what every instance knows stays younger than eight tenths of the bound, so
+// that a leaf which leaves gets no work after it although calls take their time.
+func TestNobodyIsBehindWhileSomeAreRefused(t *testing.T) {
+	for _, refusedLeads := range []int{0, 1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			c := settled(t, 40)
+			defer c.stopAll()
+			refused := make(map[string]bool)
+			leads := 0
+			for _, r := range c.running {
+				name := r.node.config.Instance
+				_, role := r.node.fleet.source(time.Now())
+				switch {
+				case role == fleet.RoleReader:
+					refused[name] = true
+				case role == fleet.RoleLead && leads < refusedLeads:
+					leads++
+					refused[name] = true
+				case role == fleet.RoleMember && name[len(name)-1] >= '7':
+					refused[name] = true
+				}
+			}
+			c.store.set(func(s *sharedStore) { s.refused = func(name string) bool { return refused[name] } })
+			worst := time.Duration(0)
+			for range 300 {
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				for _, r := range c.running {
+					worst = max(worst, ms(r.node.control.ageMS(time.Now())))
+				}
+			}
+			if most := bound * 8 / 10; worst >= most {
+				t.Errorf("%d leads refused: one instance's state was %v old, want less than %v", refusedLeads, worst, most)
+			}
+		})
+	}
+}
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -113,6 +113,18 @@
 	return max(config, leaves)
 }
 
+// age is that of what this instance knows; as good as endless while it knows nothing.
+func (c *control) age() time.Duration {
+	age := c.ageMS(time.Now())
+	if age < 0 {
+		return unknownAge
+	}
+	return ms(age)
+}
+
+// unknownAge is over any bound.
+const unknownAge = 24 * time.Hour
+
 // compare takes the age of what an asking instance knows. While this one's own state is
 // old, it asks one that knows better: so what one instance could read reaches those that
 // the store refuses.
