--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 LINT_VERSION := v2.15.0
 LINT := $(TOOLS)/golangci-lint
 
-.PHONY: all test demo build tools lint model fmt fuzz test-long
+.PHONY: all test demo build tools lint tidy model fmt fuzz test-long
 
 all: build
 
@@ -27,6 +27,10 @@
 lint: $(LINT)
 	@for m in $(MODULES); do echo "lint $$m"; (cd $$m && $(LINT) run ./...) || exit 1; done
 
+# Each module states what it needs, the siblings by their folders.
+tidy:
+	@for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy -diff) || { echo "go.mod of $$m is not tidy"; exit 1; }; done
+
 model:
 	@./spec/check
 
--- a/standin/hosted/hosted.go
+++ b/standin/hosted/hosted.go
@@ -36,10 +36,13 @@
 	// Clients, Ready and Peers are addresses of the instance, IP:port.
 	Clients, Ready, Peers string
 	Store                 string
-	Grace, Bound          time.Duration
-	Ratio, Slack          float64
-	Window                time.Duration
-	Heartbeat             time.Duration
+	// Seeds are addresses like Peers of instances that the platform names; empty: it
+	// gives no control addresses.
+	Seeds        []string
+	Grace, Bound time.Duration
+	Ratio, Slack float64
+	Window       time.Duration
+	Heartbeat    time.Duration
 	// First says that all instances start, for the first time.
 	First bool
 }
@@ -54,9 +57,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers' port: %w", err)
 	}
+	listen := map[string]string{"front": s.Clients, "ready-addr": s.Ready}
+	if len(s.Seeds) > 0 {
+		listen["control"] = s.Peers
+	}
 	return map[string]any{
 		"node-name": s.Name, "zone": s.Zone, "ip": ip, "internal-ports": []int{port, port},
-		"listen-addrs": map[string]string{"front": s.Clients, "ready-addr": s.Ready}, "heartbeat-ms": s.Heartbeat.Milliseconds(), "bootstrap": s.First,
+		"listen-addrs": listen, "seeds": s.Seeds, "heartbeat-ms": s.Heartbeat.Milliseconds(), "bootstrap": s.First,
 		"limits": map[string]any{"cpu-share": 0.5, "cpu-cores": 1, "memory-mb": 284},
 		"parameters": map[string]any{
 			"grace-period-s": s.Grace.Seconds(), "config-apply-ms": s.Bound.Milliseconds(), "drain-timeout-ms": s.Bound.Milliseconds(),
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -64,6 +65,7 @@
 	end       context.CancelFunc
 	ledger    *ledger
 	instances []*instance
+	seeds     []string // addresses of the first instances, for the others
 
 	mu      sync.Mutex
 	leaves  map[string]*fakeLeaf
@@ -223,6 +225,9 @@
 // taken, between an end and the next start, by connections that go out.
 func (s *site) ip(i int) string { return fmt.Sprintf("127.3.%d.%d", s.seed%250, 1+i) }
 
+// mostSeeds is the number of instances that the settings name to the others.
+const mostSeeds = 3
+
 // newInstance lays out an instance's files and proxies.
 func (s *site) newInstance(i int) (*instance, error) {
 	addresses, err := hosted.FreeAddresses(s.ip(i), 3)
@@ -237,8 +242,12 @@
 	if n.store, err = newProxy(s.address); err != nil {
 		return nil, err
 	}
+	if len(s.seeds) < mostSeeds {
+		s.seeds = append(s.seeds, addresses[2])
+	}
 	file, err := hosted.Settings{
 		Name: name, Zone: fmt.Sprintf("z%d", i%2), Clients: addresses[0], Ready: addresses[1], Peers: addresses[2], Store: n.store.address(),
+		Seeds: slices.Clone(s.seeds),
 		Grace: graceTime, Bound: bound, Ratio: ratio, Slack: slack, Window: repeatWindow, Heartbeat: heartbeat,
 	}.File()
 	if err != nil {
