--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -124,7 +124,7 @@
 		configAge: configAge.Seconds(), leavesAge: leavesAge.Seconds(), version: c.catalog.Version(),
 		leaves: c.catalog.Leaves(), slowLeaves: len(n.slow.Slow(now)), instances: n.fleet.size(),
 		connections: open, dials: dials, running: n.executor.Running(), logDrops: n.log.Dropped(),
-		repeatsLeft: repeatsLeft, limitedShards: limited, forward: n.ForwardDelay().Seconds(), gather: n.GatherDelay().Seconds(),
+		repeatsLeft: repeatsLeft, limitedShards: limited, forward: n.forwarder.ForwardDelay().Seconds(), gather: n.forwarder.GatherDelay().Seconds(),
 	})
 }
 
--- a/entry/hosted/forwarding/relay.go
+++ b/entry/hosted/forwarding/relay.go
@@ -30,9 +30,8 @@
 	forwardWork = 2400 * time.Microsecond
 	// crossZone is what a hand-over to another zone takes more.
 	crossZone = 3 * time.Millisecond
-	// mostForwardDelay bounds what is kept: most hand-overs take 3 to 19 ms on a fifth of a core,
-	// and one during which an instance stood still says nothing of the next. Without the
-	// bound one of 3 s left the next requests no time to run.
+	// mostForwardDelay bounds what is kept: a hand-over during which an instance stood still
+	// says nothing of the next, which must have its time to run.
 	mostForwardDelay = 30 * time.Millisecond
 	// relayPart is the prefix of lines about requests that are handed over.
 	relayPart = "relay"
@@ -67,10 +66,9 @@
 	return nil
 }
 
-// mostOffers is the number of instances that are offered one request or group. While
-// instances were stopped in turn and versions came, 6 in 100 hand-overs and 30 in 100
-// groups were declined by the one that was asked, within a millisecond, and run by an
-// instance that had no connections for them.
+// mostOffers is the number of instances that are offered one request or group: while
+// instances stop in turn and versions come, some decline at once, and the one that asks
+// may have no connections for it.
 const mostOffers = 3
 
 // candidates are the instances to offer to, in a random order.
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -115,12 +115,12 @@
 	fleet     *members
 	peers     *peer.Client
 	slow      *slowleaves.Exchange
-	*forwarding.Forwarder
-	gateway  *gateway.Gateway
-	view     atomic.Pointer[view.View]
-	current  atomic.Pointer[time.Time] // until when the view's configuration is the newest
-	limits   atomic.Pointer[catalog.Limits]
-	tunables atomic.Pointer[Tunables]
+	forwarder *forwarding.Forwarder
+	gateway   *gateway.Gateway
+	view      atomic.Pointer[view.View]
+	current   atomic.Pointer[time.Time] // until when the view's configuration is the newest
+	limits    atomic.Pointer[catalog.Limits]
+	tunables  atomic.Pointer[Tunables]
 }
 
 // hostedPolicies are the policies of a hosted instance.
@@ -162,13 +162,13 @@
 	n.peers = peer.NewClient(peer.ClientConfig{Instance: c.Instance, Key: c.PeerKey, DialTimeout: syncTimeout})
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.leafGone)
-	n.Forwarder = forwarding.New(forwarding.Config{
+	n.forwarder = forwarding.New(forwarding.Config{
 		Zone: c.Zone, Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Power: c.Power, Log: log, Hurry: n.control.hurry,
 	})
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		RepeatSlack: n.fleet.repeatSlack, Gatherer: n.Forwarder, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
+		RepeatSlack: n.fleet.repeatSlack, Gatherer: n.forwarder, Ages: n.ages, LostToSuspect: lostToSuspect, QuarantineFor: quarantineFor,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
@@ -176,9 +176,9 @@
 	}
 	n.gateway = gateway.New(gateway.Config{
 		Executor: n.executor, Views: n, Lifecycle: &n.lifecycle, Headers: c.Headers,
-		Combiner: newCombiner(), Relay: n.Forwarder, Log: log, Metrics: n.metrics,
+		Combiner: newCombiner(), Relay: n.forwarder, Log: log, Metrics: n.metrics,
 	})
-	n.Forwarder.Serve(n.gateway)
+	n.forwarder.Serve(n.gateway)
 	return n, nil
 }
 
@@ -287,7 +287,7 @@
 	g.Go(func() error { return n.peerServer().Serve(ctx, peers) })
 	g.Go(func() error { return n.control.run(ctx) })
 	g.Go(func() error { return n.fleet.announce(ctx) })
-	g.Go(func() error { return n.KeepConnected(ctx, n.fleet.known) })
+	g.Go(func() error { return n.forwarder.KeepConnected(ctx, n.fleet.known) })
 	g.Go(func() error {
 		select {
 		case <-stop:
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -22,7 +22,7 @@
 
 // peerServer answers other instances.
 func (n *Node) peerServer() *peer.Server {
-	return peer.NewServer(peer.ServerConfig{Instance: n.config.Instance, Key: n.config.PeerKey, Sync: n, Forward: n})
+	return peer.NewServer(peer.ServerConfig{Instance: n.config.Instance, Key: n.config.PeerKey, Sync: n, Forward: n.forwarder})
 }
 
 // Sync implements peer.SyncHandler. An instance that leaves knows nothing: others are
--- a/entry/peer/forward.go
+++ b/entry/peer/forward.go
@@ -88,8 +88,8 @@
 	return reply, nil
 }
 
-// errEnded answers for a run that was ended: it has no answer of its own to give.
-// Without it, one that the end of this instance cut off was reported as if it were whole.
+// errEnded answers for a run that was ended: it has no answer of its own to give, and what
+// the end of this instance cut off must not look whole.
 func errEnded() error {
 	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "the run was ended"}
 }
--- a/kernel/dispatch/estimate.go
+++ b/kernel/dispatch/estimate.go
@@ -51,10 +51,8 @@
 const (
 	staleAfter  = time.Second
 	staleWeight = 40
-	// agingInterval halves what recent remembers. With a memory of 2,048 replies alone,
-	// up to a fifth of the queries with the shorter objective were refused in the second
-	// and third second after a burst of five times the capacity, by latencies of the
-	// burst.
+	// agingInterval halves what recent remembers, so that latencies of a burst refuse
+	// nothing once it is over.
 	agingInterval = 250 * time.Millisecond
 )
 
--- a/kernel/fleet/connections.go
+++ b/kernel/fleet/connections.go
@@ -12,9 +12,7 @@
 
 // Connections is this instance's share of the connections that one leaf takes from all
 // instances, at least one. Where a few strong instances run the queries over many
-// shards, an even share leaves most connections to instances that open none: over 71
-// instances it was one each, and 8 of them sent 22,781 of the 25,189 parts that the
-// logs of a calm day had.
+// shards, an even share leaves most connections to instances that open none.
 func (f *Fleet) Connections(limit, shards int) int {
 	even := max(1, limit/f.Size())
 	if runners, self := f.concentrated(shards); self {
@@ -40,8 +38,7 @@
 
 // slackOf is this instance's part, in (0, 1], of the repeats of an upstream of so many
 // shards that the fleet may make without any request, by the last list. Repeats are
-// made where the queries are run: with an even part each of the few that run them had
-// 2.6 of 164 for each shard.
+// made where the queries are run: an even part would leave most of them unused.
 func (f *Fleet) slackOf(shards int) float64 {
 	runners, self := f.concentrated(shards)
 	switch {
