--- a/entry/hosted/follow.go
+++ b/entry/hosted/follow.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// hurry synchronizes at once: another instance knows a newer configuration.
+// hurry synchronizes at once: another instance knows something newer.
 func (c *control) hurry() {
 	select {
 	case c.urgent <- struct{}{}:
@@ -104,7 +104,8 @@
 	}
 }
 
-// catchUp synchronizes once, and says whether peers were asked rather than the store.
+// catchUp synchronizes once. It says whether the next time is that of an instance which asks
+// peers, rather than that of the reader, also where this one had to read the store itself.
 func (c *control) catchUp(ctx context.Context, timeout time.Duration) (asked bool, err error) {
 	c.node.shareObservations()
 	if better := c.suggested.Swap(nil); better != nil {
--- a/entry/hosted/quarantine_test.go
+++ b/entry/hosted/quarantine_test.go
@@ -30,7 +30,7 @@
 	return n
 }
 
-// informed makes an instance that has reply to tell, and the address where it does.
+// informed makes an instance that others can synchronize from, and its address.
 func informed(t *testing.T) (*Node, string) {
 	t.Helper()
 	n := idle(t)
