Log who read the store and from whom an instance has its state

An instance whose configuration was old said so ("store lost"), but not which instance it waited for: a reader whose calls the store does not answer wrote no line while other leads could answer it, and "from peer" did not name the peer.

Each read of the store but a reader's good ones is a line now (role, age of the state before it, time-out, time taken, error), all are counted by role and outcome (hosted_store_reads), a peer that offers fresher state is a line, and "configuration in force" and "leaves changed" name the peer. At most one line a read, so as bounded as the reads are. No decision changes.

--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -74,6 +74,26 @@
 	began time.Time
 }
 
+// peerUpdate is the state that a peer has sent.
+type peerUpdate struct {
+	update *statesync.Update
+	peer   string // its name, or its address before it is known
+}
+
+// origin is where state comes from.
+type origin struct {
+	peer  string    // empty: this instance's own read of the store
+	began time.Time // when the read of the store began
+}
+
+// pairs names the origin and its age in a log line.
+func (o origin) pairs(now time.Time) []any {
+	if o.peer == "" {
+		return []any{"from", "store", "age", now.Sub(o.began)}
+	}
+	return []any{"from", "peer", "peer", o.peer, "age", now.Sub(o.began)}
+}
+
 // leafGone says that a leaf, by its incarnation, takes no more work.
 type leafGone struct{ id string }
 
@@ -137,11 +157,11 @@
 		if m.config == nil {
 			c.catalog.ConfigMissing(m.began)
 		} else {
-			changed = c.takeConfig(m.config, m.began, now, "store")
+			changed = c.takeConfig(m.config, origin{began: m.began}, now)
 		}
 	case leavesRead:
-		changed = c.takeLeaves(m.list, m.began, now, "store")
-	case *statesync.Update:
+		changed = c.takeLeaves(m.list, origin{began: m.began}, now)
+	case peerUpdate:
 		changed = c.takeUpdate(m, now)
 	case retuned:
 		c.catalog.SetSettings(m.settings)
@@ -160,11 +180,12 @@
 }
 
 // takeConfig puts a configuration into the catalog.
-func (c *control) takeConfig(cfg *catalog.Config, began, now time.Time, from string) bool {
+func (c *control) takeConfig(cfg *catalog.Config, from origin, now time.Time) bool {
 	before := c.catalog.Version()
-	changed := c.catalog.ConfigRead(cfg, began, now)
+	changed := c.catalog.ConfigRead(cfg, from.began, now)
 	if changed {
-		c.log.Info("configuration in force", "version", cfg.Version, "before", before, "from", from, "age", now.Sub(began), "routes", len(cfg.Routes))
+		pairs := []any{"version", cfg.Version, "before", before, "routes", len(cfg.Routes)}
+		c.log.Info("configuration in force", append(pairs, from.pairs(now)...)...)
 		c.version.Store(cfg.Version)
 	}
 	until := c.catalog.FreshUntil()
@@ -173,12 +194,13 @@
 }
 
 // takeLeaves puts a list of leaves into the catalog.
-func (c *control) takeLeaves(list catalog.Listing, began, now time.Time, from string) bool {
+func (c *control) takeLeaves(list catalog.Listing, from origin, now time.Time) bool {
 	c.badLeaves.report(list.Bad)
 	before := c.catalog.Leaves()
-	changed := c.catalog.LeavesRead(list, began, now)
+	changed := c.catalog.LeavesRead(list, from.began, now)
 	if changed {
-		c.log.Info("leaves changed", "revision", list.Revision, "bad", len(list.Bad), "leaves", c.catalog.Leaves(), "before", before, "from", from, "age", now.Sub(began))
+		pairs := []any{"revision", list.Revision, "bad", len(list.Bad), "leaves", c.catalog.Leaves(), "before", before}
+		c.log.Info("leaves changed", append(pairs, from.pairs(now)...)...)
 	}
 	return changed
 }
--- a/entry/hosted/follow.go
+++ b/entry/hosted/follow.go
@@ -125,7 +125,9 @@
 		return true, err
 	}
 	c.receiver.Forget()
+	began, age := time.Now(), c.age()
 	readErr := c.readStore(ctx, timeout)
+	c.observeRead(storeRead{role: role, began: began, age: age, timeout: timeout, err: readErr})
 	c.listIfDue(ctx, role)
 	if readErr == nil {
 		c.notBefore = time.Time{}
@@ -220,6 +222,31 @@
 	return answered
 }
 
+// storeRead is one read of the store by an instance.
+type storeRead struct {
+	role    fleet.Role
+	began   time.Time
+	age     time.Duration // of this instance's state before the read
+	timeout time.Duration
+	err     error
+}
+
+// observeRead counts a read of the store and logs it, but for a reader's reads that succeed.
+func (c *control) observeRead(r storeRead) {
+	outcome := "read"
+	if r.err != nil {
+		outcome = "failed"
+	}
+	c.node.metrics.Scope.SubScope("hosted").Tagged(map[string]string{"role": r.role.String(), "outcome": outcome}).Counter("store_reads").Inc(1)
+	pairs := []any{"role", r.role, "age", r.age, "timeout", r.timeout, "took", time.Since(r.began)}
+	switch {
+	case r.err != nil:
+		c.log.Warn("store read failed", append(pairs, "err", r.err)...)
+	case r.role != fleet.RoleReader:
+		c.log.Info("store read", pairs...)
+	}
+}
+
 // listIfDue reads the announcements when it is this instance's turn.
 func (c *control) listIfDue(ctx context.Context, role fleet.Role) {
 	if c.node.fleet.listDue(role, time.Now()) {
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -90,7 +91,7 @@
 	}
 	c.node.slow.SetReported(reply.Slow, began)
 	c.node.fleet.received(update)
-	if err := c.post(ctx, update); err != nil {
+	if err := c.post(ctx, peerUpdate{update: update, peer: cmp.Or(from.Name, from.Peer)}); err != nil {
 		c.receiver.Forget() // the catalog has not got it
 		return err
 	}
@@ -134,6 +135,7 @@
 		return
 	}
 	if i, ok := c.node.fleet.find(from); ok {
+		c.log.Info("fresher state offered", "peer", from, "age", theirs, "own_age", ours)
 		c.suggested.Store(&i)
 		c.hurry()
 	}
@@ -143,17 +145,19 @@
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // takeUpdate puts a peer's state into the catalog and reports whether anything changed.
-func (c *control) takeUpdate(u *statesync.Update, now time.Time) bool {
+func (c *control) takeUpdate(m peerUpdate, now time.Time) bool {
+	u := m.update
+	configFrom, leavesFrom := origin{peer: m.peer, began: u.ConfigAt}, origin{peer: m.peer, began: u.LeavesAt}
 	changed := false
 	if u.Config != nil {
-		changed = c.takeConfig(u.Config, u.ConfigAt, now, "peer")
+		changed = c.takeConfig(u.Config, configFrom, now)
 	} else if u.Version == 0 {
 		c.catalog.ConfigMissing(u.ConfigAt)
 	} else if u.Version == c.catalog.Version() {
-		changed = c.takeConfig(c.catalog.Config(), u.ConfigAt, now, "peer")
+		changed = c.takeConfig(c.catalog.Config(), configFrom, now)
 	}
 	if !u.Differs {
 		return c.catalog.LeavesConfirmed(u.List.Revision, u.LeavesAt) || changed
 	}
-	return c.takeLeaves(u.List, u.LeavesAt, now, "peer") || changed
+	return c.takeLeaves(u.List, leavesFrom, now) || changed
 }
