--- /dev/null
+++ b/entry/hosted/freshness_test.go
@@ -0,0 +1,128 @@
+package hosted
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
+)
+
+// unserved are the instances that the store does not serve: the reader, the leads of all zones
+// and every third member.
+func unserved(roles map[string]fleet.Role) map[string]bool {
+	out := make(map[string]bool)
+	for i, name := range slices.Sorted(maps.Keys(roles)) {
+		if roles[name] != fleet.RoleMember || i%10 < 3 {
+			out[name] = true
+		}
+	}
+	return out
+}
+
+// worstAge is the greatest age of the state of the instances that are not excepted.
+func (c *city) worstAge(except map[string]bool) time.Duration {
+	synctest.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	worst := time.Duration(0)
+	for _, r := range c.running {
+		if !except[r.node.config.Instance] {
+			worst = max(worst, r.node.control.age())
+		}
+	}
+	return worst
+}
+
+// TestUnservedLeadsDoNotMakeServedInstancesStale has the store serve neither the reader nor any
+// lead: the instances that it serves stay within eight tenths of the bound.
+func TestUnservedLeadsDoNotMakeServedInstancesStale(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		size   int
+		silent bool
+	}{{"61 refused", 61, false}, {"61 silent", 61, true}, {"195 silent", 195, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worst := worstAgeServed(t, c.size, c.silent)
+				if limit := bound * 8 / 10; worst >= limit {
+					t.Errorf("state of a served instance was %v old, want less than %v", worst, limit)
+				}
+			})
+		})
+	}
+}
+
+// worstAgeServed is the greatest age of the state of the instances that the store serves, in ten
+// seconds in which it does not serve the others.
+func worstAgeServed(t *testing.T, size int, silent bool) time.Duration {
+	c := newCity(t, size)
+	c.zones = 3
+	c.settle()
+	defer c.stopAll()
+	out := unserved(c.roles())
+	isOut := func(name string) bool { return out[name] }
+	c.store.set(func(s *sharedStore) {
+		if silent {
+			s.silent = isOut
+		} else {
+			s.refused = isOut
+		}
+	})
+	worst := time.Duration(0)
+	for range 200 {
+		time.Sleep(50 * time.Millisecond)
+		worst = max(worst, c.worstAge(out))
+	}
+	return worst
+}
+
+// TestLeadWithSilentReadLearnsFromItsMember has the store answer one member only: what it reads
+// reaches its lead with the member's next sync, although the lead waits for a read of its own.
+func TestLeadWithSilentReadLearnsFromItsMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCity(t, 20)
+		c.zones = 1
+		c.settle()
+		defer c.stopAll()
+		var lead, served *Node
+		for _, r := range c.running {
+			if _, role := r.node.fleet.source(time.Now()); role == fleet.RoleReader {
+				lead = r.node
+			} else {
+				served = r.node
+			}
+		}
+		worst := time.Duration(0)
+		for round := range 8 {
+			want := uint64(round + 2)
+			c.store.set(func(s *sharedStore) { s.silent = func(string) bool { return true } })
+			time.Sleep(2*bound + time.Duration(round)*300*time.Millisecond)
+			c.store.set(func(s *sharedStore) {
+				s.version = want
+				s.silent = func(name string) bool { return name != served.config.Instance }
+			})
+			read := c.await(served, want)
+			c.await(lead, want)
+			worst = max(worst, time.Since(read))
+		}
+		if limit := bound/8 + syncTimeout; worst > limit {
+			t.Errorf("the lead had a member's state %v after the member, want at most %v", worst, limit)
+		}
+	})
+}
+
+// await waits until an instance has a version in force and returns when it had.
+func (c *city) await(n *Node, want uint64) time.Time {
+	c.t.Helper()
+	for end := time.Now().Add(20 * bound); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		synctest.Wait()
+		if version(n) == want {
+			return time.Now()
+		}
+	}
+	c.t.Fatalf("%s has version %d after %v, want %d", n.config.Instance, version(n), 20*bound, want)
+	return time.Time{}
+}
--- a/entry/hosted/members_test.go
+++ b/entry/hosted/members_test.go
@@ -22,10 +22,12 @@
 type sharedStore struct {
 	mu        sync.Mutex
 	version   uint64
+	revision  uint64 // grows all the time, as heartbeats of leaves are written
 	announced map[string]fleet.Instance
 	refused   func(instance string) bool
-	reads     int // of configuration and leaves
-	lists     int // of announcements
+	silent    func(instance string) bool // calls hang until their time is over
+	reads     int                        // of configuration and leaves
+	lists     int                        // of announcements
 	writes    int
 }
 
@@ -58,11 +60,17 @@
 }
 
 // call plays one call and counts it.
-func (s storeOf) call(counter *int, do func()) error {
+func (s storeOf) call(ctx context.Context, counter *int, do func()) error {
 	time.Sleep(storeDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	*counter++
+	if s.silent != nil && s.silent(s.instance) {
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return ctx.Err()
+	}
 	if s.refused != nil && s.refused(s.instance) {
 		return io.ErrUnexpectedEOF
 	}
@@ -70,18 +78,21 @@
 	return nil
 }
 
-func (s storeOf) Config(context.Context) (out *catalog.Config, err error) {
-	err = s.call(&s.reads, func() { out = &catalog.Config{Version: s.version} })
+func (s storeOf) Config(ctx context.Context) (out *catalog.Config, err error) {
+	err = s.call(ctx, &s.reads, func() { out = &catalog.Config{Version: s.version} })
 	return out, err
 }
 
-func (s storeOf) Leaves(context.Context) (out catalog.Listing, err error) {
-	err = s.call(&s.reads, func() { out = catalog.Listing{Revision: s.version} })
+func (s storeOf) Leaves(ctx context.Context) (out catalog.Listing, err error) {
+	err = s.call(ctx, &s.reads, func() {
+		s.revision++
+		out = catalog.Listing{Revision: s.revision}
+	})
 	return out, err
 }
 
-func (s storeOf) Instances(context.Context) (out []fleet.Instance, bad []catalog.BadEntry, err error) {
-	err = s.call(&s.lists, func() {
+func (s storeOf) Instances(ctx context.Context) (out []fleet.Instance, bad []catalog.BadEntry, err error) {
+	err = s.call(ctx, &s.lists, func() {
 		for _, i := range s.announced {
 			out = append(out, i)
 		}
@@ -89,8 +100,8 @@
 	return out, nil, err
 }
 
-func (s storeOf) Announce(_ context.Context, i fleet.Instance, _ bool) (existed bool, err error) {
-	err = s.call(&s.writes, func() {
+func (s storeOf) Announce(ctx context.Context, i fleet.Instance, _ bool) (existed bool, err error) {
+	err = s.call(ctx, &s.writes, func() {
 		_, existed = s.announced[i.Name]
 		s.announced[i.Name] = i
 	})
@@ -102,6 +113,7 @@
 	t       *testing.T
 	store   *sharedStore
 	size    int
+	zones   int
 	mu      sync.Mutex
 	running map[string]*resident // by address
 }
@@ -112,7 +124,7 @@
 	end  func()
 }
 
-// zones is the number of zones of a city, and seedCount that of its seeds.
+// zones is the usual number of zones of a city, and seedCount that of its seeds.
 const (
 	zones     = 5
 	seedCount = 3
@@ -120,7 +132,7 @@
 
 // newCity makes a fleet of which nothing runs yet.
 func newCity(t *testing.T, size int) *city {
-	return &city{t: t, size: size, store: &sharedStore{version: 1, announced: make(map[string]fleet.Instance)}, running: make(map[string]*resident)}
+	return &city{t: t, size: size, zones: zones, store: &sharedStore{version: 1, announced: make(map[string]fleet.Instance)}, running: make(map[string]*resident)}
 }
 
 // address is where instance i is reached.
@@ -136,7 +148,7 @@
 		seeds = append(seeds, address(s))
 	}
 	n, err := New(Config{
-		Instance: name(i), Zone: fmt.Sprintf("z%d", i%zones), Peer: address(i), Seeds: seeds, FirstStart: first, Power: 1,
+		Instance: name(i), Zone: fmt.Sprintf("z%d", i%c.zones), Peer: address(i), Seeds: seeds, FirstStart: first, Power: 1,
 		Source: storeOf{c.store, name(i)}, PeerKey: []byte("k"), NewLeaves: func(func(string)) Leaves { return noLeaves{} },
 		Tunables: Tunables{Bound: bound, Grace: time.Second, Catalog: catalog.Settings{Fresh: bound, LapseAfter: bound, ReturnWithin: time.Second, Retire: time.Second}},
 		Log:      telemetry.Options{Level: "error", Format: "json"}, LogSink: io.Discard,
@@ -222,14 +234,30 @@
 	return n
 }
 
-// settled starts a fleet for the first time and waits until all know each other.
-func settled(t *testing.T, size int) *city {
-	c := newCity(t, size)
+// settle starts the fleet for the first time and waits until all know each other.
+func (c *city) settle() {
 	c.startAll(true)
 	time.Sleep(30 * time.Second)
+}
+
+// settled is a fleet that has settled.
+func settled(t *testing.T, size int) *city {
+	c := newCity(t, size)
+	c.settle()
 	return c
 }
 
+// roles are those of the running instances, by name.
+func (c *city) roles() map[string]fleet.Role {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make(map[string]fleet.Role, len(c.running))
+	for _, r := range c.running {
+		_, out[r.node.config.Instance] = r.node.fleet.source(time.Now())
+	}
+	return out
+}
+
 // TestFirstStartReadsLittle starts fleets of two sizes for the first time: only the seeds
 // read the store, and all know the fleet soon.
 func TestFirstStartReadsLittle(t *testing.T) {
