Learn from other instances while a read of the store gets no answer

Cause: one goroutine asked peers, read the store and read the announcements, one after the other. A lead that got no answer from the store waited for its read (0.3 s, doubled up to 2 s) or for its list of announcements (2 s) before it looked at the fresher state that a member had offered, and all members of its zone waited with it.

Now learning from peers, reading the store and reading the announcements are a goroutine each. A list that comes from the store while a peer is being asked is counted, so that "unchanged" of that peer does not confirm another list than the one that it was compared with.

--- a/entry/hosted/begin.go
+++ b/entry/hosted/begin.go
@@ -40,9 +40,6 @@
 	learning.Go(func() { c.beginBySeeds(ctx, cancel, alone) })
 	learning.Go(func() { c.beginByStore(ctx, cancel, alone) })
 	learning.Wait()
-	if c.storeTried {
-		c.receiver.Forget() // the catalog may have another list
-	}
 }
 
 // beginBySeeds asks the seeds in turn until one knows the state, and then ends the start.
@@ -69,12 +66,11 @@
 // for the seeds.
 func (c *control) beginByStore(ctx context.Context, learned func(), alone <-chan struct{}) {
 	c.awaitSeeds(ctx, alone)
-	pause := backoff.Backoff{Min: firstRetry, Max: mostRetry}
+	pause := backoff.Backoff{Min: firstRetry, Max: maxRetryDelay}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	timeout := readTimeout
 	for ctx.Err() == nil {
 		began := time.Now()
-		c.storeTried = true
 		var g errgroup.Group
 		g.Go(func() error { return c.readStore(ctx, timeout) })
 		g.Go(func() error { c.node.fleet.list(ctx); return nil })
@@ -86,7 +82,7 @@
 		if ctx.Err() == nil {
 			c.log.Warn("store was not read", "err", err, "since_start", time.Since(c.node.fleet.begun))
 		}
-		timeout = min(max(2*time.Since(began), readTimeout), mostReadTimeout)
+		timeout = min(max(2*time.Since(began), readTimeout), maxReadTimeout)
 		sleep(ctx, pause.Next(random))
 	}
 }
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -42,15 +42,19 @@
 	version atomic.Uint64
 	// peers reaches other instances.
 	peers syncPeers
-	// receiver keeps what a peer sent last; the following goroutine's own.
-	receiver statesync.Receiver
-	// storeTried says that the store was read during the start.
-	storeTried bool
+	// receiver keeps what a peer sent last, on top of the store's lists up to receiverBase;
+	// the goroutine's own that learns from peers, like oldSince.
+	receiver     statesync.Receiver
+	receiverBase uint64
+	// oldSince is when this instance's state became old; zero: it is not.
+	oldSince time.Time
+	// storeLists counts the lists from the store that differed from the one in force. What a
+	// peer says to be unchanged is the list that was in force when it was asked.
+	storeLists atomic.Uint64
+	// readFails says that the last read of the store by this instance failed.
+	readFails atomic.Bool
 	// suggested is a peer that knows better than this instance; nil: none.
 	suggested atomic.Pointer[fleet.Instance]
-	// notBefore is when an instance that is not the reader may try the store again;
-	// the following goroutine's own.
-	notBefore time.Time
 	// urgent wakes the synchronization early.
 	urgent chan struct{}
 	// badLeaves reports the entries of leaves that can't be used.
@@ -78,6 +82,7 @@
 type peerUpdate struct {
 	update *statesync.Update
 	peer   string // its name, or its address before it is known
+	base   uint64 // the store's lists when it was asked
 }
 
 // origin is where state comes from.
@@ -112,7 +117,7 @@
 	}
 }
 
-// run reads the store and publishes views until the context ends.
+// run follows the store and publishes views until the context ends.
 func (c *control) run(ctx context.Context) error {
 	var following sync.WaitGroup
 	following.Go(func() { c.follow(ctx) })
@@ -176,7 +181,11 @@
 	if changed {
 		c.publish()
 	}
+	hash := c.state.Load().Hash()
 	c.refreshState(now)
+	if _, ok := message.(leavesRead); ok && c.state.Load().Hash() != hash {
+		c.storeLists.Add(1)
+	}
 }
 
 // takeConfig puts a configuration into the catalog.
--- a/entry/hosted/freshness_test.go
+++ b/entry/hosted/freshness_test.go
@@ -109,6 +109,7 @@
 			c.await(lead, want)
 			worst = max(worst, time.Since(read))
 		}
+		t.Logf("worst delay %v", worst)
 		if limit := bound/8 + syncTimeout; worst > limit {
 			t.Errorf("the lead had a member's state %v after the member, want at most %v", worst, limit)
 		}
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -63,7 +63,7 @@
 	knownOnce sync.Once
 	// sent is the list as other instances get it.
 	sent atomic.Pointer[statesync.Instances]
-	// tried is when this instance last read the list; the following goroutine's own.
+	// tried is when this instance last read the list; the listing goroutine's own.
 	tried time.Time
 
 	mu    sync.Mutex
@@ -216,7 +216,8 @@
 }
 
 // listDue reports whether this instance is to read the announcements itself.
-func (m *members) listDue(role fleet.Role, now time.Time) bool {
+func (m *members) listDue(now time.Time) bool {
+	_, role := m.source(now)
 	age := now.Sub(m.listedAt())
 	if role != fleet.RoleReader {
 		return age >= ownListAfter && now.Sub(m.tried) >= listInterval
--- a/entry/hosted/statesync/state.go
+++ b/entry/hosted/statesync/state.go
@@ -33,6 +33,23 @@
 	past    []pastList            // the latest last
 }
 
+// Hash is that of the list of leaves; 0 before there is a state.
+func (s *State) Hash() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.hash
+}
+
+// AsOf is when the older one of the last good reads of configuration and leaves began; zero
+// while either is missing.
+func (s *State) AsOf() time.Time {
+	if s.Known.ConfigAt.Before(s.Known.LeavesAt) {
+		return s.Known.ConfigAt
+	}
+	return s.Known.LeavesAt
+}
+
 // New encodes the catalog, from what was encoded before where it has not changed.
 func New(c *catalog.Catalog, before *State, now time.Time) (*State, error) {
 	next := &State{Known: c.Known(), version: c.Version()}
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -74,6 +74,11 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	began := time.Now()
+	base := c.storeLists.Load()
+	if base != c.receiverBase {
+		c.receiver.Forget()
+		c.receiverBase = base
+	}
 	reply, err := c.peers.Sync(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, peerapi.SyncRequest{
 		Version: c.version.Load(), Hash: c.receiver.Hash(), Fleet: c.node.fleet.hash(), AgeMS: c.ageMS(began),
 		Seen: c.node.slow.TakePending(began), Quarantine: c.node.executor.Quarantine(),
@@ -91,7 +96,7 @@
 	}
 	c.node.slow.SetReported(reply.Slow, began)
 	c.node.fleet.received(update)
-	if err := c.post(ctx, peerUpdate{update: update, peer: cmp.Or(from.Name, from.Peer)}); err != nil {
+	if err := c.post(ctx, peerUpdate{update: update, peer: cmp.Or(from.Name, from.Peer), base: base}); err != nil {
 		c.receiver.Forget() // the catalog has not got it
 		return err
 	}
@@ -156,8 +161,12 @@
 	} else if u.Version == c.catalog.Version() {
 		changed = c.takeConfig(c.catalog.Config(), configFrom, now)
 	}
-	if !u.Differs {
+	switch {
+	case u.Differs:
+		return c.takeLeaves(u.List, leavesFrom, now) || changed
+	case m.base == c.storeLists.Load():
 		return c.catalog.LeavesConfirmed(u.List.Revision, u.LeavesAt) || changed
+	default: // the list in force is another by now
+		return changed
 	}
-	return c.takeLeaves(u.List, leavesFrom, now) || changed
 }
