Do not age a list of leaves by an older read of the same revision

Cause: LeavesRead took each list that was not of an older revision, and with it the time of its read, also an earlier one. LeavesConfirmed and ConfigRead have always kept the later time. On a store whose revision moves with each heartbeat this does not show; on one that is quiet, or whose leaves can't write, it does.

A read of the same revision that began earlier changes nothing now, as the list is the same. TestOlderReadOfTheSameRevisionDoesNotAgeTheList fails before (3 s), passes now.

--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -168,7 +168,8 @@
 func (c *Catalog) sees(revision uint64) bool { return !c.hasList || revision >= c.revision }
 
 // LeavesRead takes the whole list of leaves at a revision of the store. A list
-// older than one taken before is dropped: what was seen leaving stays so. It
+// older than one taken before is dropped, also one of the same revision from an earlier read:
+// what was seen leaving stays so, and the list does not age. It
 // reports whether anything changed; the first list is a change, also an empty one.
 //
 // Entries of leaves that live lapse in an outage and come back after it. Those
@@ -178,7 +179,7 @@
 // overwrote the entry may have taken the leaf's place, and if the leaf lives its next
 // heartbeat brings it back.
 func (c *Catalog) LeavesRead(list Listing, began, now time.Time) bool {
-	if !c.sees(list.Revision) {
+	if !c.sees(list.Revision) || c.hasList && list.Revision == c.revision && began.Before(c.listedAt) {
 		return false
 	}
 	first := !c.hasList
--- a/kernel/catalog/catalog_test.go
+++ b/kernel/catalog/catalog_test.go
@@ -50,6 +50,18 @@
 	}
 }
 
+// TestOlderReadOfTheSameRevisionDoesNotAgeTheList takes a list again from a read that began
+// earlier, as a peer sends it.
+func TestOlderReadOfTheSameRevisionDoesNotAgeTheList(t *testing.T) {
+	c := New(testSettings)
+	list := Listing{Leaves: []Leaf{{ID: "x", Service: "a"}}, Revision: 20}
+	c.LeavesRead(list, start, start)
+	c.LeavesRead(list, start.Add(-3*time.Second), start)
+	if at := c.Known().LeavesAt; !at.Equal(start) {
+		t.Errorf("the list is of a read %v earlier than the one that showed it", start.Sub(at))
+	}
+}
+
 // TestLapsedEntriesReturn plays an outage in which entries lapsed: they are kept
 // for the time in which they may come back, and are gone after it.
 func TestLapsedEntriesReturn(t *testing.T) {
