Give an answer of the store that has begun the time that its length takes

A configuration of 5,600 routes takes longer than 0.3 and 0.6 s on a link of 14 Mbit/s, so own reads of members failed one after the other, each of them after it had used the link for nothing. Class: a step of the chain that is cut while it moves, and begins again.

Now the time-out is for the first byte of each HTTP answer; the call as a whole has 0.3 of the bound, which is what is left after the last member's turn.

TestLargeConfigurationIsReadOverASlowLink, 0.75 s on the way, bound 3 s: before, the reader's state was 3.4 s old and a member's read failed; now under 2.4 s, and it is read.

--- a/entry/hosted/freshness_test.go
+++ b/entry/hosted/freshness_test.go
@@ -1,12 +1,15 @@
 package hosted
 
 import (
+	"context"
 	"maps"
+	"net/http/httptrace"
 	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 )
 
@@ -116,6 +119,47 @@
 	})
 }
 
+// slowLink is a store whose answers begin at once and whose configuration takes its time on the way.
+type slowLink struct {
+	fakeStore
+	transfer time.Duration
+}
+
+func (s *slowLink) Config(ctx context.Context) (*catalog.Config, error) {
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil {
+		trace.GotFirstResponseByte()
+	}
+	select {
+	case <-time.After(s.transfer):
+		return s.fakeStore.Config(ctx)
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestLargeConfigurationIsReadOverASlowLink has the configuration take longer on its way than an
+// instance waits for a silent store.
+func TestLargeConfigurationIsReadOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowLink{fakeStore: fakeStore{version: 1}, transfer: 5 * readTimeout / 2}
+		n, end := start(t, store)
+		defer end()
+		time.Sleep(bound)
+		worst := time.Duration(0)
+		for range 100 {
+			time.Sleep(50 * time.Millisecond)
+			synctest.Wait()
+			worst = max(worst, n.control.age())
+		}
+		if limit := bound * 8 / 10; worst >= limit {
+			t.Errorf("the reader's state was %v old, want less than %v", worst, limit)
+		}
+		if err := newStoreReader(n.control).readAs(t.Context(), fleet.RoleMember); err != nil {
+			t.Errorf("a member did not read it: %v", err)
+		}
+	})
+}
+
 // await waits until an instance has a version in force and returns when it had.
 func (c *city) await(n *Node, want uint64) time.Time {
 	c.t.Helper()
--- a/entry/hosted/storeread.go
+++ b/entry/hosted/storeread.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -26,12 +29,14 @@
 	// the bound. memberRetryShare is the mean time between those of a member.
 	leadRetryShare   = 0.4
 	memberRetryShare = 2.0
-	// readTimeout bounds one read at first; a store that is merely slow takes up
-	// to 250 ms, and one that is silent is best asked again on a new connection.
-	// It doubles with each failure of the reader up to maxReadTimeout, for a store that is
-	// slower still.
+	// readTimeout bounds the wait for the first byte of an answer at first; a store that is
+	// merely slow takes up to 250 ms, and one that is silent is best asked again on a new
+	// connection. It doubles with each failure of the reader up to maxReadTimeout, for a store
+	// that is slower still.
 	readTimeout    = 300 * time.Millisecond
 	maxReadTimeout = 2 * time.Second
+	// transferShare bounds a call whose answer has begun.
+	transferShare = 0.3
 	// firstRetry is the reader's first pause after a failed read, doubled up to maxRetryDelay.
 	firstRetry    = 50 * time.Millisecond
 	maxRetryDelay = time.Second
@@ -153,30 +158,42 @@
 	if role == fleet.RoleReader {
 		return r.readStore(ctx, r.timeout)
 	}
-	err := within(ctx, readTimeout, r.readConfig)
+	err := r.within(ctx, readTimeout, r.readConfig)
 	if errors.Is(err, context.DeadlineExceeded) {
-		err = within(ctx, 2*readTimeout, r.readConfig)
+		err = r.within(ctx, 2*readTimeout, r.readConfig)
 	}
 	if err != nil {
 		return err
 	}
-	return within(ctx, 2*readTimeout, r.readLeaves)
+	return r.within(ctx, 2*readTimeout, r.readLeaves)
 }
 
-// within makes a call within a time.
-func within(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// within makes a call of which each HTTP answer begins within a time. One that has begun may
+// take longer, as a large configuration does on a narrow link.
+func (c *control) within(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, max(timeout, c.bound(transferShare)))
 	defer cancel()
-	return call(ctx)
+	var silent atomic.Bool
+	timer := time.AfterFunc(timeout, func() {
+		silent.Store(true)
+		cancel()
+	})
+	defer timer.Stop()
+	err := call(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn:              func(string) { timer.Reset(timeout) },
+		GotFirstResponseByte: func() { timer.Stop() },
+	}))
+	if err != nil && silent.Load() {
+		return fmt.Errorf("no answer within %v: %w", timeout, context.DeadlineExceeded)
+	}
+	return err
 }
 
 // readStore reads the configuration and the leaves from the store.
 func (c *control) readStore(ctx context.Context, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return c.readConfig(ctx) })
-	g.Go(func() error { return c.readLeaves(ctx) })
+	g.Go(func() error { return c.within(ctx, timeout, c.readConfig) })
+	g.Go(func() error { return c.within(ctx, timeout, c.readLeaves) })
 	return g.Wait()
 }
 
