Cut a sync off when the peer is silent, not when its answer is long

In the seconds in which members of a zone had to learn version 10, their lead sent 1,486 kB/s over a link of 1,750 kB/s, and 42 syncs with leads that were well ended after 250 ms.

Cause: 250 ms bounded the whole answer of a peer. 19 members that are sent a list of 684 leaves or a large configuration at once share the lead's link and take longer together; each answer that was cut off closed its connection, with what else ran on it, and was asked for again from the start.

Now a sync ends when no byte came in for 250 ms, and has 0.3 of the bound as a whole. An instance whose peers take that long still reads the store itself in its turn.

TestLargeReplyOverAFullLinkIsNotCutOff takes a reply of 64 kB in chunks of 4 kB each 50 ms; with the call bounded by 250 ms it ends without the reply. Virtual time.

--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// syncTimeout bounds one question to a peer of the own zone, which takes less
-	// than a millisecond when the peer is well.
+	// syncTimeout bounds the silence of a peer, which answers in less than a millisecond
+	// when it is well. syncShare is the share of the bound that an answer may take which
+	// arrives all the while: a large one does on a full link.
 	syncTimeout = 250 * time.Millisecond
+	syncShare   = 0.3
 	// fresherBy is by how much newer a peer's state must be to be worth asking for.
 	fresherBy = time.Second
 )
@@ -71,7 +73,7 @@
 // ask synchronizes from a peer. Old state is taken too, as it is never taken for newer
 // than it is, and reported as an error: an instance that starts in an outage serves by it.
 func (c *control) ask(ctx context.Context, from fleet.Instance) error {
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.bound(syncShare))
 	defer cancel()
 	began := time.Now()
 	base := c.storeLists.Load()
--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -31,13 +32,18 @@
 	TLS      *tls.Config // nil: plain TCP
 	// DialTimeout bounds opening a connection; 0 means one second.
 	DialTimeout time.Duration
+	// Silence bounds the time in which no byte comes in during Sync, whose reply may be
+	// large: one that moves is not cut off. 0 sets no bound.
+	Silence time.Duration
+	// Dial opens a connection; nil: TCP, or TLS where it is set.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Client calls peers over one kept connection each. It is safe for concurrent use.
 type Client struct {
 	config    ClientConfig
 	mu        sync.Mutex
-	conns     map[Target]*jsonrpc2.Conn
+	conns     map[Target]*link
 	used      []Target // of conns, the latest use last
 	lastOffer atomic.Uint64
 }
@@ -47,7 +53,7 @@
 	if c.DialTimeout == 0 {
 		c.DialTimeout = time.Second
 	}
-	return &Client{config: c, conns: make(map[Target]*jsonrpc2.Conn)}
+	return &Client{config: c, conns: make(map[Target]*link)}
 }
 
 // Digest exchanges digests with a peer.
@@ -70,8 +76,17 @@
 
 // Sync asks a peer what it knows of the platform's store.
 func (c *Client) Sync(ctx context.Context, t Target, r peerapi.SyncRequest) (*peerapi.SyncReply, error) {
+	conn, err := c.conn(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	if c.config.Silence > 0 {
+		var release func()
+		ctx, release = conn.untilSilent(ctx, c.config.Silence)
+		defer release()
+	}
 	var reply peerapi.SyncReply
-	if err := c.call(ctx, t, peerapi.MethodSync, r, &reply); err != nil {
+	if err := c.callOn(ctx, conn, t, peerapi.MethodSync, r, &reply); err != nil {
 		return nil, err
 	}
 	return &reply, nil
@@ -110,15 +125,25 @@
 	if err != nil {
 		return err
 	}
-	if err := conn.Call(ctx, method, params, result); err != nil {
-		c.drop(t, conn)
-		return &UnreachableError{Address: t.Address, Method: method, Err: err}
+	return c.callOn(ctx, conn, t, method, params, result)
+}
+
+// callOn makes one call on a connection.
+func (c *Client) callOn(ctx context.Context, conn *link, t Target, method string, params, result any) error {
+	err := conn.Call(ctx, method, params, result)
+	if err == nil {
+		return nil
 	}
-	return nil
+	c.drop(t, conn)
+	var silence *SilenceError
+	if errors.As(context.Cause(ctx), &silence) {
+		err = silence
+	}
+	return &UnreachableError{Address: t.Address, Method: method, Err: err}
 }
 
 // conn returns the kept connection or opens one.
-func (c *Client) conn(ctx context.Context, t Target) (*jsonrpc2.Conn, error) {
+func (c *Client) conn(ctx context.Context, t Target) (*link, error) {
 	c.mu.Lock()
 	conn := c.conns[t]
 	if conn != nil {
@@ -165,7 +190,7 @@
 }
 
 // drop forgets a connection that failed.
-func (c *Client) drop(t Target, conn *jsonrpc2.Conn) {
+func (c *Client) drop(t Target, conn *link) {
 	c.mu.Lock()
 	if c.conns[t] == conn {
 		delete(c.conns, t)
@@ -175,24 +200,28 @@
 }
 
 // open dials and proves.
-func (c *Client) open(ctx context.Context, t Target) (*jsonrpc2.Conn, error) {
+func (c *Client) open(ctx context.Context, t Target) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
 	defer cancel()
 	raw, err := c.dial(ctx, t.Address)
 	if err != nil {
 		return nil, &UnreachableError{Address: t.Address, Method: "dial", Err: err}
 	}
+	counted := &countedConn{Conn: raw}
 	// The connection outlives the call that opened it.
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(raw, boundedCodec{}), jsonrpc2.HandlerWithError(refuseCalls), quietly)
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(counted, boundedCodec{}), jsonrpc2.HandlerWithError(refuseCalls), quietly)
 	if err := c.prove(ctx, rpc, t); err != nil {
 		_ = rpc.Close()
 		return nil, err
 	}
-	return rpc, nil
+	return &link{Conn: rpc, bytes: counted}, nil
 }
 
 // dial opens the connection below.
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	if c.config.Dial != nil {
+		return c.config.Dial(ctx, address)
+	}
 	if c.config.TLS != nil {
 		return (&tls.Dialer{Config: c.config.TLS}).DialContext(ctx, "tcp", address)
 	}
--- a/entry/peer/errors.go
+++ b/entry/peer/errors.go
@@ -1,6 +1,9 @@
 package peer
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // SizeError says that a message is over the bound.
 type SizeError struct{ Bytes int }
@@ -31,3 +34,9 @@
 
 // Unwrap gives the cause.
 func (e *UnreachableError) Unwrap() error { return e.Err }
+
+// SilenceError says that no byte of a reply came in for a time.
+type SilenceError struct{ For time.Duration }
+
+// Error implements error.
+func (e *SilenceError) Error() string { return fmt.Sprintf("silent for %v", e.For) }
--- a/entry/peer/forward.go
+++ b/entry/peer/forward.go
@@ -233,7 +233,7 @@
 }
 
 // follow calls for a reply of a run, and ends the run if none comes.
-func (c *Client) follow(ctx context.Context, conn *jsonrpc2.Conn, t Target, method string, id uint64) (*peerapi.ForwardReply, error) {
+func (c *Client) follow(ctx context.Context, conn *link, t Target, method string, id uint64) (*peerapi.ForwardReply, error) {
 	var reply peerapi.ForwardReply
 	if err := conn.Call(ctx, method, peerapi.ForwardID{ID: id}, &reply); err != nil {
 		c.cancelForward(conn, id)
@@ -262,7 +262,7 @@
 
 // cancelForward tells a peer that nobody waits for a request any more. It does
 // not wait for the word to arrive; a connection that is lost says as much.
-func (c *Client) cancelForward(conn *jsonrpc2.Conn, id uint64) {
+func (c *Client) cancelForward(conn *link, id uint64) {
 	go func() {
 		_ = conn.Notify(context.Background(), peerapi.MethodCancel, peerapi.ForwardID{ID: id})
 	}()
--- /dev/null
+++ b/entry/peer/progress_test.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+)
+
+// pipes is a listener whose connections are pipes.
+type pipes struct{ accept chan net.Conn }
+
+func (p *pipes) Accept() (net.Conn, error) {
+	conn, open := <-p.accept
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+func (p *pipes) Close() error   { close(p.accept); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// narrowLink lets chunkSize bytes through each chunkEvery.
+type narrowLink struct{ net.Conn }
+
+const (
+	chunkSize  = 4 << 10
+	chunkEvery = 50 * time.Millisecond
+)
+
+func (l *narrowLink) Read(b []byte) (int, error) {
+	time.Sleep(chunkEvery)
+	return l.Conn.Read(b[:min(len(b), chunkSize)])
+}
+
+// syncHandler answers with a large configuration.
+type syncHandler struct{}
+
+func (syncHandler) Sync(string, peerapi.SyncRequest) *peerapi.SyncReply {
+	return &peerapi.SyncReply{Config: bytes.Repeat([]byte("x"), 16*chunkSize)}
+}
+
+// TestLargeReplyOverAFullLinkIsNotCutOff takes a reply of more than a second where a silence of a
+// quarter of one ends the call.
+func TestLargeReplyOverAFullLinkIsNotCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		listener := &pipes{accept: make(chan net.Conn)}
+		served := make(chan error, 1)
+		go func() {
+			served <- NewServer(ServerConfig{Instance: "server", Key: []byte("key"), Sync: syncHandler{}}).Serve(ctx, listener)
+		}()
+		c := NewClient(ClientConfig{Instance: "client", Key: []byte("key"), Silence: 250 * time.Millisecond, Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			listener.accept <- far
+			return &narrowLink{near}, nil
+		}})
+		reply, err := c.Sync(ctx, Target{Instance: "server"}, peerapi.SyncRequest{})
+		if err != nil || len(reply.Config) != 16*chunkSize {
+			t.Errorf("reply %v, error %v", reply != nil, err)
+		}
+		c.Close()
+		cancel()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+		time.Sleep(2 * chunkEvery) // the last read of the link
+	})
+}
+
+// TestSilentPeerEndsSync takes a peer that accepts and never answers.
+func TestSilentPeerEndsSync(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &link{bytes: &countedConn{}}
+		ctx, release := l.untilSilent(t.Context(), time.Second)
+		defer release()
+		begin := time.Now()
+		<-ctx.Done()
+		var silence *SilenceError
+		if took := time.Since(begin); took != time.Second || !errors.As(context.Cause(ctx), &silence) {
+			t.Errorf("ended after %v by %v", took, context.Cause(ctx))
+		}
+	})
+}
