Probe the store after a read that failed, and read once it serves again

Found by a property over the real control in virtual time, written after the incident: whom the store serves, and how it fails the others, changes at random, instances stop and start, and one that has run and been served for a bound must not be older than the bound.

Cause: a member tried again after one to three bounds, so that an outage stays cheap; it relied on others for that time, and those were still turned away. Same class: age that depends on others.

The tests' count has the probes by their price now, on top of all reads; its limit is unchanged.

--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -71,6 +71,10 @@
 func (s *fakeStore) Instances(context.Context) ([]fleet.Instance, []catalog.BadEntry, error) {
 	return nil, nil, nil
 }
+func (s *fakeStore) Probe(ctx context.Context) error {
+	_, err := s.read(ctx)
+	return err
+}
 func (s *fakeStore) Announce(context.Context, fleet.Instance, bool) (bool, error) {
 	return false, nil
 }
--- a/entry/hosted/freshness_test.go
+++ b/entry/hosted/freshness_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net/http/httptrace"
 	"slices"
 	"testing"
@@ -172,3 +174,69 @@
 	c.t.Fatalf("%s has version %d after %v, want %d", n.config.Instance, version(n), 20*bound, want)
 	return time.Time{}
 }
+
+// TestInstancesInTouchStayWithinTheBound changes at random, again and again, whom the store serves
+// and how it fails the others, stops and starts instances: one that has run and been served for a bound
+// is never older than the bound.
+func TestInstancesInTouchStayWithinTheBound(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playServing(t, rand.New(rand.NewPCG(seed, 30))) })
+		})
+	}
+}
+
+// playServing plays twenty changes of whom the store serves.
+func playServing(t *testing.T, random *rand.Rand) {
+	c := newCity(t, 6+random.IntN(30))
+	c.zones = 1 + random.IntN(4)
+	c.settle()
+	defer c.stopAll()
+	touch := make(map[string]time.Time) // since when each instance is in touch
+	for range 20 {
+		out := make(map[string]bool)
+		share := random.Float64()
+		for i := range c.size {
+			_, running := c.running[address(i)]
+			if stops := random.IntN(20) == 0; stops && running {
+				c.stop(address(i))
+			} else if !running {
+				c.start(i, false)
+			}
+			out[name(i)] = random.Float64() < share
+		}
+		for leader, role := range c.roles() {
+			out[leader] = out[leader] || role != fleet.RoleMember && random.IntN(2) == 0
+		}
+		silent := random.IntN(2) == 0
+		c.store.set(func(s *sharedStore) {
+			isOut := func(name string) bool { return out[name] }
+			if s.silent, s.refused = nil, isOut; silent {
+				s.silent, s.refused = isOut, nil
+			}
+		})
+		for range 5 + random.IntN(80) {
+			c.checkTouch(touch, out)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+// checkTouch notes since when each instance is in touch, and checks the age of those that are.
+func (c *city) checkTouch(touch map[string]time.Time, out map[string]bool) {
+	synctest.Wait()
+	now := time.Now()
+	for i := range c.size {
+		r, running := c.running[address(i)]
+		if !running || out[name(i)] {
+			delete(touch, name(i))
+			continue
+		}
+		if _, ok := touch[name(i)]; !ok {
+			touch[name(i)] = now
+		}
+		if age := r.node.control.age(); now.Sub(touch[name(i)]) > bound && age > bound {
+			c.t.Fatalf("%s is %v old and has been served for %v", name(i), age, now.Sub(touch[name(i)]))
+		}
+	}
+}
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -44,6 +44,9 @@
 	Leaves(ctx context.Context) (catalog.Listing, error)
 	// Instances reads the announcements of all instances; they may be seconds old.
 	Instances(ctx context.Context) ([]fleet.Instance, []catalog.BadEntry, error)
+	// Probe asks for a small object that may be old, which costs little. Without an error
+	// the store serves this instance.
+	Probe(ctx context.Context) error
 	// Announce writes this instance's announcement, and reports whether there was one;
 	// known says that there should be.
 	Announce(ctx context.Context, i fleet.Instance, known bool) (existed bool, err error)
--- a/entry/hosted/members_test.go
+++ b/entry/hosted/members_test.go
@@ -28,15 +28,16 @@
 	silent    func(instance string) bool // calls hang until their time is over
 	reads     int                        // of configuration and leaves
 	lists     int                        // of announcements
+	probes    int                        // at a tenth of the price of a read
 	writes    int
 }
 
-// count is the number of calls by kind since the last count.
+// count is the number of calls by kind since the last count, with probes by their price.
 func (s *sharedStore) count() (reads, lists, writes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	reads, lists, writes = s.reads, s.lists, s.writes
-	s.reads, s.lists, s.writes = 0, 0, 0
+	reads, lists, writes = s.reads+s.probes/10, s.lists, s.writes
+	s.reads, s.lists, s.writes, s.probes = 0, 0, 0, 0
 	return reads, lists, writes
 }
 
@@ -100,6 +101,10 @@
 	return out, nil, err
 }
 
+func (s storeOf) Probe(ctx context.Context) error {
+	return s.call(ctx, &s.probes, func() {})
+}
+
 func (s storeOf) Announce(ctx context.Context, i fleet.Instance, _ bool) (existed bool, err error) {
 	err = s.call(ctx, &s.writes, func() {
 		_, existed = s.announced[i.Name]
--- a/entry/hosted/storeread.go
+++ b/entry/hosted/storeread.go
@@ -25,10 +25,9 @@
 	readShare     = 0.25
 	leadTurnShare = 0.45
 	lastTurnShare = 0.7
-	// leadRetryShare is the time between two tries of the store by a lead: two fit into
-	// the bound. memberRetryShare is the mean time between those of a member.
-	leadRetryShare   = 0.4
-	memberRetryShare = 2.0
+	// retryShare is the mean time between two tries of the store by an instance that is not
+	// the reader: two fit into the bound.
+	retryShare = 0.4
 	// readTimeout bounds the wait for the first byte of an answer at first; a store that is
 	// merely slow takes up to 250 ms, and one that is silent is best asked again on a new
 	// connection. It doubles with each failure of the reader up to maxReadTimeout, for a store
@@ -54,7 +53,7 @@
 	// pause and timeout are a reader's after its last failure.
 	backoff        backoff.Backoff
 	pause, timeout time.Duration
-	// spread is a member's retry time over the mean one, 0.5 to 1.5.
+	// spread is the retry time of the others over the mean one, 0.75 to 1.25.
 	spread float64
 }
 
@@ -120,14 +119,10 @@
 
 // retryAfter is the time from a read that failed to the next one in a role.
 func (r *storeReader) retryAfter(role fleet.Role) time.Duration {
-	switch role {
-	case fleet.RoleReader:
+	if role == fleet.RoleReader {
 		return r.pause
-	case fleet.RoleMember:
-		return r.bound(memberRetryShare * r.spread)
-	default:
-		return r.bound(leadRetryShare)
 	}
+	return r.bound(retryShare * r.spread)
 }
 
 // read reads the store in a role.
@@ -140,7 +135,7 @@
 	r.observeRead(storeRead{role: role, began: began, age: age, err: err})
 	r.readFails.Store(err != nil)
 	if err != nil {
-		r.failedAt, r.pause, r.spread = time.Now(), r.backoff.Next(r.random), 0.5+r.random.Float64()
+		r.failedAt, r.pause, r.spread = time.Now(), r.backoff.Next(r.random), 0.75+r.random.Float64()/2
 		r.timeout = min(max(2*time.Since(began), readTimeout), maxReadTimeout)
 		return
 	}
@@ -153,11 +148,17 @@
 
 // readAs reads the store in a role. But for the reader this is a search for an instance that
 // the store serves: it costs one call where the store does not, and a call that gets no answer
-// is made once more, on a new connection.
+// is made once more, on a new connection. After a failure only a probe is made until the store
+// serves this instance again.
 func (r *storeReader) readAs(ctx context.Context, role fleet.Role) error {
 	if role == fleet.RoleReader {
 		return r.readStore(ctx, r.timeout)
 	}
+	if !r.failedAt.IsZero() {
+		if err := r.within(ctx, readTimeout, r.node.config.Source.Probe); err != nil {
+			return fmt.Errorf("probe: %w", err)
+		}
+	}
 	err := r.within(ctx, readTimeout, r.readConfig)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = r.within(ctx, 2*readTimeout, r.readConfig)
