--- a/standin/soak/client.go
+++ b/standin/soak/client.go
@@ -252,7 +252,8 @@
 		return
 	}
 	r.site.mu.Lock()
-	newest, changed, storeDisturbed := r.site.version, r.site.changed, r.site.storeDisturbed
+	due, written := r.site.due(o.sent)
+	storeDisturbed := r.site.storeDisturbed
 	r.site.mu.Unlock()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -266,7 +267,7 @@
 		n.seen, n.seenAt = version, o.end
 	}
 	calm := n.disturbed.Before(o.sent) && storeDisturbed.Before(o.sent)
-	if calm && version < newest && o.sent.After(changed.Add(bound+rollbackSlack)) {
-		r.violation(fmt.Sprintf("version %d is in force %v after version %d was written", version, o.sent.Sub(changed), newest), o.request, n.name)
+	if calm && version < due {
+		r.violation(fmt.Sprintf("version %d is in force %v after version %d was written", version, o.sent.Sub(written), due), o.request, n.name)
 	}
 }
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -72,11 +72,23 @@
 	shards  []string
 	sets    [][]string // all sets of shards that a configuration named
 	version uint64
-	changed time.Time // when the version was written
+	// changed holds when each version was written, the first one first.
+	changed []time.Time
 	// storeDisturbed is until when a fault of the store may show.
 	storeDisturbed time.Time
 }
 
+// due is the newest version that has been written for the bound at a moment, and when it was
+// written; 0 for none. The caller holds the lock.
+func (s *site) due(at time.Time) (version uint64, written time.Time) {
+	for i, w := range s.changed {
+		if at.After(w.Add(bound + rollbackSlack)) {
+			version, written = uint64(i+1), w
+		}
+	}
+	return version, written
+}
+
 // settleTime is for how long after the end of a fault its effects are allowed.
 const settleTime = 8 * time.Second
 
@@ -204,7 +216,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version = next
-	s.changed = time.Now()
+	s.changed = append(s.changed, time.Now())
 	route := hosted.Route{Timeout: clientTime, Objective: objective, Attempts: mostAttempts}
 	one, once, probe, search := route, route, route, route
 	one.Name, one.Prefix, one.Service = "one", "/one/", "alone"
