Share routes and services between views of one configuration

Each change of the leaves, and each drain mark, resolved all routes of the configuration again: services, the table of routes, their upstreams.

The catalog compiles a configuration once; a view takes over the routes and services of the view before where the document has the same ones and its upstreams have the same shards.

--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -230,7 +230,7 @@
 		return
 	}
 	c.sequence++
-	v := view.Build(c.catalog.Version(), "", c.catalog.Document(), c.catalog.Draining, c.connections)
+	v := view.BuildNext(c.node.View(), c.catalog.Version(), "", c.catalog.Document(), c.catalog.Draining, c.connections)
 	v.Sequence = c.sequence
 	c.node.publish(v, c.catalog.Limits())
 }
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -81,10 +81,9 @@
 		c.receiver.Forget()
 		c.receiverBase = base
 	}
-	reply, err := c.peers.Sync(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, peerapi.SyncRequest{
-		Version: c.version.Load(), Hash: c.receiver.Hash(), Fleet: c.node.fleet.hash(), AgeMS: c.ageMS(began),
-		Seen: c.node.slow.TakePending(began), Quarantine: c.node.executor.Quarantine(),
-	})
+	request := c.request()
+	request.AgeMS, request.Seen = c.ageMS(began), c.node.slow.TakePending(began)
+	reply, err := c.peers.Sync(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, *request)
 	if err != nil {
 		return err
 	}
@@ -108,6 +107,13 @@
 	return nil
 }
 
+// request names what this instance has, so that only what differs is sent.
+func (c *control) request() *peerapi.SyncRequest {
+	return &peerapi.SyncRequest{
+		Version: c.version.Load(), Hash: c.receiver.Hash(), Fleet: c.node.fleet.hash(), Quarantine: c.node.executor.Quarantine(),
+	}
+}
+
 // ageMS is the age of what this instance knows; -1 while it knows nothing.
 func (c *control) ageMS(now time.Time) int64 {
 	s := c.state.Load()
--- a/kernel/catalog/build.go
+++ b/kernel/catalog/build.go
@@ -83,10 +83,14 @@
 	}
 }
 
-// Document joins configuration and leaves. It needs Ready.
+// Document joins configuration and leaves. It needs Ready. Documents of one configuration share
+// their services and routes.
 func (c *Catalog) Document() *document.Document {
-	doc := &document.Document{Site: "platform"}
-	all := c.config.upstreams()
+	if c.compiled == nil || c.compiled.config != c.config {
+		c.compiled = compile(c.config)
+	}
+	doc := &document.Document{Site: "platform", Services: c.compiled.services, Routes: c.compiled.routes}
+	all := maps.Clone(c.compiled.upstreams)
 	for name, r := range c.retired {
 		all[name] = r.upstream
 	}
@@ -94,17 +98,31 @@
 	for _, name := range slices.Sorted(maps.Keys(all)) {
 		doc.Upstreams = append(doc.Upstreams, c.buildUpstream(all[name], leaves))
 	}
-	for i := range c.config.Routes {
-		r := &c.config.Routes[i]
+	return doc
+}
+
+// compiled is what a configuration says whatever the leaves are. It is immutable.
+type compiled struct {
+	config    *Config
+	upstreams map[string]upstream
+	services  []document.Service
+	routes    []document.Route
+}
+
+// compile resolves a configuration's routes.
+func compile(cfg *Config) *compiled {
+	out := &compiled{config: cfg, upstreams: cfg.upstreams()}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
 		route := document.Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix}
 		for _, t := range r.targets() {
 			service := r.service(t)
-			doc.Services = append(doc.Services, service)
+			out.services = append(out.services, service)
 			route.Targets = append(route.Targets, document.RouteTarget{Service: service.Name, Weight: t.weight})
 		}
-		doc.Routes = append(doc.Routes, route)
+		out.routes = append(out.routes, route)
 	}
-	return doc
+	return out
 }
 
 // buildUpstream makes shard i of n cover key i of n.
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -81,6 +81,7 @@
 type Catalog struct {
 	settings Settings
 	config   *Config
+	compiled *compiled // of the configuration that a document was last made of
 	// configAt is when the last read of the configuration began.
 	configAt time.Time
 	// listed are the leaves of the last list, held those that were missing in the
--- a/kernel/view/view.go
+++ b/kernel/view/view.go
@@ -4,6 +4,8 @@
 package view
 
 import (
+	"slices"
+
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/route"
@@ -79,22 +81,26 @@
 // Build resolves a validated document. The leaving function says which leaves
 // get no new work; connections gives this entry's connection share of a leaf.
 func Build(gen uint64, hash string, doc *document.Document, leaving func(leafID string) bool, connections func(u *document.Upstream, leafID string) int) *View {
+	return BuildNext(nil, gen, hash, doc, leaving, connections)
+}
+
+// BuildNext is Build after another view, which may be nil. It shares the routes and services of
+// that view where both documents have the same slices of them: a change of the leaves costs the
+// same among many routes.
+func BuildNext(before *View, gen uint64, hash string, doc *document.Document, leaving func(leafID string) bool, connections func(u *document.Upstream, leafID string) int) *View {
 	v := &View{
 		Generation: gen,
 		Hash:       hash,
 		Document:   doc,
-		Services:   make(map[string]*Service, len(doc.Services)),
 		Callers:    make(map[string]*document.Caller, len(doc.Callers)),
 	}
-	v.Routes = route.NewTable(doc.Routes)
 	v.upstreams = make(map[string]int, len(doc.Upstreams))
 	for i := range doc.Upstreams {
 		v.upstreams[doc.Upstreams[i].Name] = i
 		v.addUpstream(i, &doc.Upstreams[i], leaving, connections)
 	}
-	for i := range doc.Services {
-		v.addService(&doc.Services[i])
-	}
+	v.addRoutes(before)
+	v.addServices(before)
 	for i := range doc.Callers {
 		v.Callers[doc.Callers[i].TokenSHA256] = &doc.Callers[i]
 	}
@@ -136,6 +142,35 @@
 // NoUpstream is the index of an upstream that a view does not have.
 const NoUpstream = -1
 
+// addRoutes fills in the table of routes.
+func (v *View) addRoutes(before *View) {
+	if before != nil && sameSlice(before.Document.Routes, v.Document.Routes) {
+		v.Routes = before.Routes
+		return
+	}
+	v.Routes = route.NewTable(v.Document.Routes)
+}
+
+// addServices resolves the services' upstreams.
+func (v *View) addServices(before *View) {
+	if before != nil && sameSlice(before.Document.Services, v.Document.Services) && slices.EqualFunc(before.Upstreams, v.Upstreams, sameShape) {
+		v.Services = before.Services
+		return
+	}
+	v.Services = make(map[string]*Service, len(v.Document.Services))
+	for i := range v.Document.Services {
+		v.addService(&v.Document.Services[i])
+	}
+}
+
+// sameShape reports whether services that are resolved to one upstream hold for another.
+func sameShape(a, b Upstream) bool { return a.Name == b.Name && len(a.Shards) == len(b.Shards) }
+
+// sameSlice reports whether two slices are one.
+func sameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // addService resolves one service's upstreams.
 func (v *View) addService(s *document.Service) {
 	svc := &Service{Config: s}
