Count index versions once for all services that ask the same upstream

The tracker of index versions kept a sum for each service, which it made anew with each view and changed with each word of a leaf; a hosted instance has a service for each route, and nearly all of them ask one of a few upstreams.

Services that ask one upstream alone share its sum now.

The tests of the tracker, with services of one and of two upstreams, are unchanged.

--- a/kernel/snapshot/tracker.go
+++ b/kernel/snapshot/tracker.go
@@ -14,12 +14,15 @@
 // Tracker knows the versions of the leaves of one view. It is not safe for
 // concurrent use: the owner guards it.
 type Tracker struct {
-	view     *view.View
-	seen     [][]uint64 // versions by leaf index; nil when nothing is known
-	places   [][]place  // by leaf index: the shards that the leaf replicates
-	shards   [][]shard  // by upstream and shard
-	users    [][]user   // by upstream: the services that ask it
-	services map[string]*service
+	view   *view.View
+	seen   [][]uint64 // versions by leaf index; nil when nothing is known
+	places [][]place  // by leaf index: the shards that the leaf replicates
+	shards [][]shard  // by upstream and shard
+	users  [][]user   // by upstream: the services that ask it
+	// lone holds by upstream what all services have in common that ask it alone, and several
+	// by name the services that ask more than one.
+	lone    []*service
+	several map[string]*service
 }
 
 // place is a shard that a leaf replicates.
@@ -58,7 +61,8 @@
 	t.places = make([][]place, len(v.Leaves))
 	t.shards = make([][]shard, len(v.Upstreams))
 	t.users = make([][]user, len(v.Upstreams))
-	t.services = make(map[string]*service, len(v.Services))
+	t.lone = make([]*service, len(v.Upstreams))
+	t.several = make(map[string]*service)
 	for name, s := range v.Services {
 		t.addService(name, s)
 	}
@@ -81,14 +85,29 @@
 
 // addService links a service to the upstreams it asks.
 func (t *Tracker) addService(name string, s *view.Service) {
+	if len(s.Upstreams) == 1 && t.lone[s.Upstreams[0]] != nil {
+		return
+	}
 	svc := &service{weight: make(map[uint64]uint64)}
-	t.services[name] = svc
+	if len(s.Upstreams) == 1 {
+		t.lone[s.Upstreams[0]] = svc
+	} else {
+		t.several[name] = svc
+	}
 	for _, u := range s.Upstreams {
 		keys := float64(t.view.Upstreams[u].KeySpace) * float64(len(s.Upstreams))
 		t.users[u] = append(t.users[u], user{service: svc, unit: shareUnit / keys})
 	}
 }
 
+// service finds a service by its name; nil: the view does not have it.
+func (t *Tracker) service(name string) *service {
+	if s := t.view.Services[name]; s != nil && len(s.Upstreams) == 1 {
+		return t.lone[s.Upstreams[0]]
+	}
+	return t.several[name]
+}
+
 // addUpstream notes which leaf replicates which shard.
 func (t *Tracker) addUpstream(u int) {
 	up := &t.view.Upstreams[u]
@@ -114,7 +133,7 @@
 
 // Observe notes what a leaf (an index in the view) says that it serves now. An
 // unchanged word costs O(versions); a change, O(versions) for each shard that
-// the leaf replicates and service that asks it.
+// the leaf replicates and set of upstreams that services ask with it.
 func (t *Tracker) Observe(leaf int, versions []uint64) {
 	if leaf < 0 || leaf >= len(t.seen) {
 		return
@@ -194,7 +213,7 @@
 // the newest of equals; 0 when nothing is known. A call costs O(1), or
 // O(versions) after a change.
 func (t *Tracker) Pin(name string) uint64 {
-	s := t.services[name]
+	s := t.service(name)
 	if s == nil {
 		return 0
 	}
@@ -208,7 +227,7 @@
 // Next returns the best version other than after; 0 when there is none. It
 // costs O(versions), and is asked once per change of a query's version.
 func (t *Tracker) Next(name string, after uint64) uint64 {
-	s := t.services[name]
+	s := t.service(name)
 	if s == nil {
 		return 0
 	}
@@ -232,7 +251,7 @@
 // Share is the part in [0, 1] of the service whose shards were last seen to
 // serve the version.
 func (t *Tracker) Share(name string, version uint64) float64 {
-	s := t.services[name]
+	s := t.service(name)
 	if s == nil {
 		return 0
 	}
