Send other instances what has changed of the configuration, not all of it

A version in which one of 5,600 routes differs was packed by each instance as a whole (JSON and gzip), also where nobody asked, sent whole to each of 60 others, and decoded whole by each: 59 kB an instance, through links of 14 Mbit/s from one lead to 19 members at once.

Now a peer gets what leads from its version to the newest, with the hash of the result; the receiver applies it, shares with the version before what is equal, checks the hash, and asks for all with its next sync where it does not fit. The request says that it takes changes, so instances of both kinds go together during an upgrade. Changes and the whole are encoded when a peer first asks.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -92,6 +92,8 @@
 type SyncRequest struct {
 	// Version is the configuration in force, 0 for none.
 	Version uint64 `json:"version"`
+	// Changes says that the asking instance takes a change of that version.
+	Changes bool `json:"changes,omitempty"`
 	// Hash is that of the list of leaves received last, 0 for none.
 	Hash uint64 `json:"hash"`
 	// Fleet is that of the list of instances in force, 0 for none.
@@ -121,8 +123,12 @@
 	// showed this version to be the newest; -1 for never.
 	ConfigAgeMS int64 `json:"config_age_ms"`
 	// Config is the configuration as packed JSON, if its version is another than that
-	// asked with.
+	// asked with and Change is not set.
 	Config []byte `json:"config,omitempty"`
+	// Change is what leads to the version from the one asked with, as packed JSON, and
+	// ConfigHash the hash of the configuration that it leads to.
+	Change     []byte `json:"change,omitempty"`
+	ConfigHash uint64 `json:"config_hash,omitempty"`
 	// Revision is the store's at the last read of the leaves.
 	Revision uint64 `json:"revision"`
 	// LeavesAgeMS is how long ago that read began; -1 for never.
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -38,8 +38,6 @@
 	sequence uint64
 	// state is what this instance sends to others; nil before it knows anything.
 	state atomic.Pointer[statesync.State]
-	// version is that of the configuration in force.
-	version atomic.Uint64
 	// peers reaches other instances.
 	peers syncPeers
 	// receiver keeps what a peer sent last, on top of the store's lists up to receiverBase;
@@ -195,7 +193,6 @@
 	if changed {
 		pairs := []any{"version", cfg.Version, "before", before, "routes", len(cfg.Routes)}
 		c.log.Info("configuration in force", append(pairs, from.pairs(now)...)...)
-		c.version.Store(cfg.Version)
 	}
 	until := c.catalog.FreshUntil()
 	c.node.current.Store(&until)
--- a/entry/hosted/routes_bench_test.go
+++ b/entry/hosted/routes_bench_test.go
@@ -70,22 +70,24 @@
 			receiver.handle(list)
 			version, sent := uint64(0), 0
 			configs := []*catalog.Config{manyRoutes(0, routes), manyRoutes(1, routes)}
+			var received statesync.Receiver
 			b.ReportAllocs()
 			for b.Loop() {
 				version++
 				config := *configs[version%2]
 				config.Version = version
 				sender.handle(configRead{config: &config, began: time.Now()})
-				var receiver2 statesync.Receiver
-				reply := sender.state.Load().Reply(receiver.request(), time.Now())
-				sent += len(reply.Config)
-				update, err := receiver2.Take(reply, time.Now(), time.Now())
+				base := receiver.state.Load().Config()
+				request := received.Request(base)
+				reply := sender.state.Load().Reply(&request, time.Now())
+				sent += len(reply.Config) + len(reply.Change)
+				update, err := received.Take(reply, base, time.Now(), time.Now())
 				if err != nil {
 					b.Fatal(err)
 				}
 				receiver.handle(peerUpdate{update: update})
-				if receiver.version.Load() != version {
-					b.Fatalf("version %d in force, want %d", receiver.version.Load(), version)
+				if got := receiver.state.Load().Config().Version; got != version {
+					b.Fatalf("version %d in force, want %d", got, version)
 				}
 			}
 			b.ReportMetric(float64(sent)/float64(b.N), "bytes/op")
--- a/entry/hosted/statesync/receiver.go
+++ b/entry/hosted/statesync/receiver.go
@@ -1,7 +1,6 @@
 package statesync
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
@@ -37,23 +36,34 @@
 
 // Receiver keeps the list of leaves received last, to which peers send changes. It is
 // used by one goroutine.
-type Receiver struct{ leaves receivedLeaves }
+type Receiver struct {
+	leaves receivedLeaves
+	// whole says that a change of the configuration could not be taken.
+	whole bool
+}
 
-// Hash is that of the list received last; 0: there is none.
-func (r *Receiver) Hash() uint64 { return r.leaves.hash }
+// Request names what this instance has, so that only what differs is sent.
+func (r *Receiver) Request(base *catalog.Config) peerapi.SyncRequest {
+	out := peerapi.SyncRequest{Hash: r.leaves.hash, Changes: !r.whole}
+	if base != nil {
+		out.Version = base.Version
+	}
+	return out
+}
 
 // Forget makes the next request ask for the whole list.
 func (r *Receiver) Forget() { r.leaves.forget() }
 
-// Take decodes a reply to a request that was sent at the given time. Ages count from
-// there, so that what a peer sends is never taken for newer than it is.
-func (r *Receiver) Take(reply *peerapi.SyncReply, sent, now time.Time) (*Update, error) {
+// Take decodes a reply to a request for what differs from a configuration and from the list
+// received last. Ages count from when it was sent, so that what a peer sends is never taken for newer than it is.
+func (r *Receiver) Take(reply *peerapi.SyncReply, base *catalog.Config, sent, now time.Time) (*Update, error) {
 	out := &Update{
 		Version: reply.Version, FleetHash: reply.Fleet,
 		ConfigAt: since(reply.ConfigAgeMS, sent), LeavesAt: since(reply.LeavesAgeMS, sent), FleetAt: since(reply.FleetAgeMS, sent),
 	}
 	var err error
-	if out.Config, err = decodeConfig(reply); err != nil {
+	out.Config, err = decodeConfig(reply, base)
+	if r.whole = err != nil; r.whole {
 		return nil, err
 	}
 	if out.Instances, err = decodeInstances(reply); err != nil {
@@ -73,15 +83,3 @@
 	}
 	return now.Add(-time.Duration(ageMS) * time.Millisecond)
 }
-
-// decodeConfig reads a peer's configuration; nil: it is the one asked with.
-func decodeConfig(n *peerapi.SyncReply) (*catalog.Config, error) {
-	if n.Config == nil {
-		return nil, nil
-	}
-	out := &catalog.Config{}
-	if err := unpack(n.Config, out); err != nil {
-		return nil, fmt.Errorf("decode a peer's configuration: %w", err)
-	}
-	return out, nil
-}
--- a/entry/hosted/statesync/state.go
+++ b/entry/hosted/statesync/state.go
@@ -24,13 +24,20 @@
 // State is what this instance sends to others of configuration and leaves. It is immutable.
 type State struct {
 	// Known says how new it is.
-	Known   catalog.Known
-	version uint64
-	config  []byte // packed
-	hash    uint64
-	list    map[string]leafRecord // by ID
-	leaves  []byte                // list, packed
-	past    []pastList            // the latest last
+	Known  catalog.Known
+	config *configState // nil while there is no configuration
+	hash   uint64
+	list   map[string]leafRecord // by ID
+	leaves []byte                // list, packed
+	past   []pastList            // the latest last
+}
+
+// Config is the configuration, or nil. It must not be changed.
+func (s *State) Config() *catalog.Config {
+	if s == nil || s.config == nil {
+		return nil
+	}
+	return s.config.config
 }
 
 // Hash is that of the list of leaves; 0 before there is a state.
@@ -52,14 +59,12 @@
 
 // New encodes the catalog, from what was encoded before where it has not changed.
 func New(c *catalog.Catalog, before *State, now time.Time) (*State, error) {
-	next := &State{Known: c.Known(), version: c.Version()}
-	if before != nil && before.version == next.version {
+	next := &State{Known: c.Known()}
+	if before != nil {
 		next.config = before.config
-	} else if c.Config() != nil {
-		var err error
-		if next.config, err = pack(c.Config()); err != nil {
-			return nil, err
-		}
+	}
+	if next.Config() != c.Config() {
+		next.config = newConfigState(c.Config(), next.config)
 	}
 	list := c.List()
 	next.hash = catalog.HashOf(list)
@@ -106,12 +111,10 @@
 // Reply is what a peer that asks gets of configuration and leaves.
 func (s *State) Reply(r *peerapi.SyncRequest, now time.Time) *peerapi.SyncReply {
 	out := &peerapi.SyncReply{
-		Version: s.version, ConfigAgeMS: AgeMS(s.Known.ConfigAt, now),
-		Revision: s.Known.Revision, Hash: s.hash, LeavesAgeMS: AgeMS(s.Known.LeavesAt, now), FleetAgeMS: unknownMS,
-	}
-	if r.Version != s.version {
-		out.Config = s.config
+		ConfigAgeMS: AgeMS(s.Known.ConfigAt, now),
+		Revision:    s.Known.Revision, Hash: s.hash, LeavesAgeMS: AgeMS(s.Known.LeavesAt, now), FleetAgeMS: unknownMS,
 	}
+	s.config.write(r, out)
 	s.writeLeaves(r.Hash, out)
 	return out
 }
--- a/entry/hosted/statesync/state_test.go
+++ b/entry/hosted/statesync/state_test.go
@@ -59,8 +59,8 @@
 	if unknown.Base != 0 || len(unknown.Leaves) > 20_000 {
 		t.Errorf("the whole list takes %d bytes, base %x", len(unknown.Leaves), unknown.Base)
 	}
-	if len(after.config) > 8000 {
-		t.Errorf("a configuration of 400 like routes takes %d bytes", len(after.config))
+	if whole, err := after.config.whole(); err != nil || len(whole) > 8000 {
+		t.Errorf("a configuration of 400 like routes takes %d bytes, error %v", len(whole), err)
 	}
 }
 
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -81,14 +81,16 @@
 		c.receiver.Forget()
 		c.receiverBase = base
 	}
-	request := c.request()
-	request.AgeMS, request.Seen = c.ageMS(began), c.node.slow.TakePending(began)
-	reply, err := c.peers.Sync(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, *request)
+	config := c.state.Load().Config()
+	request := c.receiver.Request(config)
+	request.Fleet, request.AgeMS = c.node.fleet.hash(), c.ageMS(began)
+	request.Seen, request.Quarantine = c.node.slow.TakePending(began), c.node.executor.Quarantine()
+	reply, err := c.peers.Sync(ctx, peer.Target{Instance: from.Name, Address: from.Peer}, request)
 	if err != nil {
 		return err
 	}
 	c.node.executor.MergeQuarantine(reply.Quarantine)
-	update, err := c.receiver.Take(reply, began, time.Now())
+	update, err := c.receiver.Take(reply, config, began, time.Now())
 	if err != nil {
 		return err
 	}
@@ -107,13 +109,6 @@
 	return nil
 }
 
-// request names what this instance has, so that only what differs is sent.
-func (c *control) request() *peerapi.SyncRequest {
-	return &peerapi.SyncRequest{
-		Version: c.version.Load(), Hash: c.receiver.Hash(), Fleet: c.node.fleet.hash(), Quarantine: c.node.executor.Quarantine(),
-	}
-}
-
 // ageMS is the age of what this instance knows; -1 while it knows nothing.
 func (c *control) ageMS(now time.Time) int64 {
 	s := c.state.Load()
--- a/kernel/catalog/build.go
+++ b/kernel/catalog/build.go
@@ -111,7 +111,10 @@
 
 // compile resolves a configuration's routes.
 func compile(cfg *Config) *compiled {
-	out := &compiled{config: cfg, upstreams: cfg.upstreams()}
+	out := &compiled{
+		config: cfg, upstreams: cfg.upstreams(),
+		services: make([]document.Service, 0, len(cfg.Routes)), routes: make([]document.Route, 0, len(cfg.Routes)),
+	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		route := document.Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix}
--- /dev/null
+++ b/kernel/catalog/change_test.go
@@ -0,0 +1,92 @@
+package catalog
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+)
+
+// drawRoute draws a route of a name, of few values so that routes are often equal.
+func drawRoute(t *rapid.T, name string) Route {
+	r := Route{
+		Name: name, Host: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), Prefix: "/" + name + "/",
+		Idempotent: rapid.Bool().Draw(t, "idempotent"), Timeout: time.Duration(rapid.IntRange(1, 2).Draw(t, "timeout")) * time.Second,
+		Attempts: rapid.IntRange(1, 2).Draw(t, "attempts"),
+	}
+	if rapid.Bool().Draw(t, "sharded") {
+		r.Shards, r.TopK, r.LeastCoverage = []string{"s", rapid.SampledFrom([]string{"t", "u"}).Draw(t, "shard")}, 5, 0.5
+	} else {
+		r.Targets = []document.RouteTarget{{Service: "s", Weight: float64(rapid.IntRange(1, 2).Draw(t, "weight"))}}
+	}
+	return r
+}
+
+// drawVersion draws a version near another: some routes differ, some are gone, some are new, now and
+// then in another order.
+func drawVersion(t *rapid.T, before *Config) *Config {
+	out := &Config{Version: before.Version + 1, Services: make(map[string]Service), Limits: Limits{BodyBytes: int64(rapid.IntRange(0, 1).Draw(t, "limit"))}}
+	for _, r := range before.Routes {
+		switch rapid.IntRange(0, 9).Draw(t, "what") {
+		case 0:
+		case 1:
+			out.Routes = append(out.Routes, drawRoute(t, r.Name))
+		default:
+			out.Routes = append(out.Routes, r)
+		}
+	}
+	for i := range rapid.IntRange(0, 3).Draw(t, "new routes") {
+		out.Routes = append(out.Routes, drawRoute(t, fmt.Sprintf("r%d-%d", out.Version, i)))
+	}
+	if len(out.Routes) > 1 && rapid.IntRange(0, 9).Draw(t, "reorder") == 0 {
+		out.Routes[0], out.Routes[1] = out.Routes[1], out.Routes[0]
+	}
+	for _, name := range []string{"s", "t", "u"} {
+		if rapid.Bool().Draw(t, "service") {
+			out.Services[name] = Service{Name: name, ConnectionLimit: rapid.IntRange(1, 2).Draw(t, "limit")}
+		}
+	}
+	return out
+}
+
+// TestChangeLeadsToTheVersion applies changes between versions drawn at random: where a change is
+// offered it leads to the version, and versions that differ have other hashes.
+func TestChangeLeadsToTheVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := &Config{}
+		for range rapid.IntRange(1, 8).Draw(t, "versions") {
+			next := drawVersion(t, config)
+			change, ok := config.Change(next)
+			got := config.Apply(change)
+			if same := sameConfig(got, next); ok != same {
+				t.Fatalf("the change is offered: %v, it leads to the version: %v\n%+v\n%+v", ok, same, got, next)
+			}
+			config = next
+		}
+	})
+}
+
+// sameConfig compares two versions field by field; no routes are as good as an empty list.
+func sameConfig(a, b *Config) bool {
+	if len(a.Routes) == 0 && len(b.Routes) == 0 {
+		return a.Version == b.Version && a.Limits == b.Limits && reflect.DeepEqual(a.Services, b.Services)
+	}
+	return reflect.DeepEqual(a, b)
+}
+
+// TestChangeIsAsLongAsWhatDiffers changes one of many routes.
+func TestChangeIsAsLongAsWhatDiffers(t *testing.T) {
+	before := &Config{Version: 1, Services: map[string]Service{"s": {Name: "s"}, "t": {Name: "t"}}}
+	for i := range 500 {
+		before.Routes = append(before.Routes, Route{Name: fmt.Sprint(i), Prefix: fmt.Sprintf("/%d/", i)})
+	}
+	after := before.Apply(&ConfigChange{Version: 2, Routes: []Route{{Name: "7", Prefix: "/7/", Timeout: time.Second}}, GoneRoutes: []string{"9"}})
+	change, ok := before.Change(after)
+	if !ok || len(change.Routes) != 1 || len(change.GoneRoutes) != 1 || len(change.Services) != 0 || len(change.GoneServices) != 0 {
+		t.Errorf("ok %v, change %+v", ok, change)
+	}
+}
