Let the strongest instances read the store and lead their zones

With 5,600 routes a read of the store takes such a one longer than half of its interval, so the state of all was near the age at which an instance reads the store itself, and most did: 841 calls in place of some 160, each read 0.6 s of a weak instance's link and 0.2 s of its processor, in which its queries were late.

Instances of more power outrank others now; those of the same power are ordered as before, so nothing changes where all are alike.

TestStrongInstancesReadAndLead fails before.

--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -257,8 +257,18 @@
 	return slices.DeleteFunc(out, func(i Instance) bool { return i.Power*strongEnough <= strongest && strongest > 0 })
 }
 
-// rank orders the instances alike everywhere.
-func rank(i Instance) uint64 { return xxhash.Sum64String(i.Zone + "\x00" + i.Name) }
+// outranks orders the instances alike everywhere: those of more power first, as reading the store
+// and sending what it holds to a zone takes processor time and a link that grow with the
+// configuration and the list of leaves, and the others by a hash.
+func (i Instance) outranks(o Instance) bool {
+	if i.Power != o.Power {
+		return i.Power > o.Power
+	}
+	return i.hash() > o.hash()
+}
+
+// hash places instances of the same power.
+func (i Instance) hash() uint64 { return xxhash.Sum64String(i.Zone + "\x00" + i.Name) }
 
 // Outdated notes that an instance is well and knows nothing, or only what is old.
 func (f *Fleet) Outdated(i Instance, now time.Time) {
--- a/kernel/fleet/search.go
+++ b/kernel/fleet/search.go
@@ -17,9 +17,9 @@
 
 // zonePosition is the number of instances of the zone that rank higher than this one.
 func (f *Fleet) zonePosition() int {
-	own, position := rank(f.self), 0
+	position := 0
 	for _, m := range f.members {
-		if m.instance.Zone == f.self.Zone && rank(m.instance) > own {
+		if m.instance.Zone == f.self.Zone && m.instance.outranks(f.self) {
 			position++
 		}
 	}
--- a/kernel/fleet/sources.go
+++ b/kernel/fleet/sources.go
@@ -56,12 +56,12 @@
 		if i.Zone == f.self.Zone || now.Before(m.passTo) || now.Before(m.outdatedTo) {
 			continue
 		}
-		if lead, ok := leads[i.Zone]; !ok || rank(i) > rank(lead) {
+		if lead, ok := leads[i.Zone]; !ok || i.outranks(lead) {
 			leads[i.Zone] = i
 		}
 	}
 	return slices.SortedFunc(maps.Values(leads), func(a, b Instance) int {
-		if rank(a) > rank(b) {
+		if a.outranks(b) {
 			return -1
 		}
 		return 1
@@ -82,13 +82,13 @@
 // first is the instance of the highest rank, this one included, that is among
 // those meant and can be synchronized from.
 func (f *Fleet) first(now time.Time, among func(Instance) bool) Instance {
-	best, score := f.self, rank(f.self)
+	best := f.self
 	for _, m := range f.members {
 		if !among(m.instance) || now.Before(m.passTo) || now.Before(m.outdatedTo) {
 			continue
 		}
-		if r := rank(m.instance); r > score {
-			best, score = m.instance, r
+		if m.instance.outranks(best) {
+			best = m.instance
 		}
 	}
 	return best
--- a/kernel/fleet/sources_test.go
+++ b/kernel/fleet/sources_test.go
@@ -153,3 +153,18 @@
 		t.Errorf("%d instances of the zone, want 5", f.ZoneSize())
 	}
 }
+
+// TestStrongInstancesReadAndLead lets a zone have strong and weak instances: a strong one leads, and
+// reads for all.
+func TestStrongInstancesReadAndLead(t *testing.T) {
+	list := []Instance{powered("w1", "a", 0.2), powered("s1", "a", 0.8), powered("w2", "a", 0.2), powered("w3", "b", 0.2), powered("s2", "b", 0.8)}
+	for _, self := range list {
+		f := New(self, settings)
+		f.Listed(list, start)
+		from, role := f.Source(start)
+		strong := self.Power > 0.5
+		if strong == (role == RoleMember) || !strong && from.Power < 0.5 {
+			t.Errorf("%s is a %v and asks %s", self.Name, role, from.Name)
+		}
+	}
+}
