Open a new connection where the peer has closed the kept one

A kept connection that has ended is not used and not counted as open any more: the next call, or the look at connections each five seconds, opens another.

TestConnectionThatThePeerClosedIsNotUsedAgain: before, "connection is closed".

--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -146,6 +146,10 @@
 func (c *Client) conn(ctx context.Context, t Target) (*link, error) {
 	c.mu.Lock()
 	conn := c.conns[t]
+	if conn != nil && conn.ended() {
+		delete(c.conns, t)
+		conn = nil
+	}
 	if conn != nil {
 		c.touch(t)
 	}
@@ -159,7 +163,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other := c.conns[t]; other != nil {
+	if other := c.conns[t]; other != nil && !other.ended() {
 		_ = conn.Close() // another call was faster
 		return other, nil
 	}
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -203,3 +203,35 @@
 		t.Errorf("%d connections are open, want the %d latest", len(c.conns), maxOpen)
 	}
 }
+
+// TestConnectionThatThePeerClosedIsNotUsedAgain starts the peer again between two calls.
+func TestConnectionThatThePeerClosedIsNotUsedAgain(t *testing.T) {
+	address, end := serve(t, "key")
+	c := NewClient(ClientConfig{Instance: "client", Key: []byte("key")})
+	defer c.Close()
+	target := Target{Instance: "server", Address: address}
+	if _, err := c.Digest(t.Context(), target, &peerapi.Digest{Instance: "client"}); err != nil {
+		t.Fatal(err)
+	}
+	c.mu.Lock()
+	kept := c.conns[target]
+	c.mu.Unlock()
+	end()
+	<-kept.DisconnectNotify()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		done <- NewServer(ServerConfig{Instance: "server", Key: []byte("key"), Handler: echoHandler{}}).Serve(ctx, l)
+	}()
+	if _, err := c.Digest(t.Context(), target, &peerapi.Digest{Instance: "client"}); err != nil {
+		t.Errorf("the call after the peer has started again: %v", err)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/entry/peer/progress.go
+++ b/entry/peer/progress.go
@@ -15,6 +15,16 @@
 	bytes *countedConn
 }
 
+// ended reports whether either side has closed the connection.
+func (l *link) ended() bool {
+	select {
+	case <-l.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
 // countedConn counts the bytes that came in.
 type countedConn struct {
 	net.Conn
