Name back-offs, staleness and waits by the field's terms

hurry, urgent and rest are syncNow, wake and waitNext; PassOver, MostPassOver, PassOutdated and Outdated are PeerBackoff, MaxPeerBackoff, StalePeerBackoff and MarkStale; ListedWithin and knownWithin are ListPropagationBound and listWait; the seeds' patience is a hedge delay and a time-out.

--- a/entry/hosted/begin.go
+++ b/entry/hosted/begin.go
@@ -14,19 +14,19 @@
 
 // Times of the start of an instance.
 const (
-	// seedPatience is for how long an instance waits for a seed's first answer before it
+	// seedHedgeDelay is the wait for a seed's first answer before an instance
 	// reads the store beside asking seeds. One that is well takes a few milliseconds. Where
 	// the first seed that is asked knows nothing, all instances may be starting, and the
 	// store is read at once.
-	seedPatience = 50 * time.Millisecond
-	// firstPatience is for how long the seeds alone are asked at the first start of all
+	seedHedgeDelay = 50 * time.Millisecond
+	// firstSyncTimeout bounds the time in which the seeds alone are asked at the first start of all
 	// instances, long before any requests come.
-	firstPatience = time.Second
-	// seedAgain is the pause after a seed was asked in vain, doubled up to mostSeedAgain.
+	firstSyncTimeout = time.Second
+	// seedRetry is the pause after a seed was asked in vain, doubled up to maxSeedRetry.
 	// When all instances start at once each of them asks the same few seeds: asked more
 	// often, these spend their own start on the others' connections.
-	seedAgain     = 100 * time.Millisecond
-	mostSeedAgain = 400 * time.Millisecond
+	seedRetry    = 100 * time.Millisecond
+	maxSeedRetry = 400 * time.Millisecond
 )
 
 // begin gets the first state: from a seed, which has configuration, leaves and the fleet in
@@ -44,7 +44,7 @@
 
 // beginBySeeds asks the seeds in turn until one knows the state, and then ends the start.
 func (c *control) beginBySeeds(ctx context.Context, learned func(), alone chan<- struct{}) {
-	pause := backoff.Backoff{Min: seedAgain, Max: mostSeedAgain}
+	pause := backoff.Backoff{Min: seedRetry, Max: maxSeedRetry}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	seeds := c.node.fleet.seeds()
 	for i := 0; ctx.Err() == nil && len(seeds) > 0; i++ {
@@ -93,10 +93,10 @@
 		return
 	}
 	if c.node.config.FirstStart {
-		sleep(ctx, firstPatience)
+		sleep(ctx, firstSyncTimeout)
 		return
 	}
-	timer := time.NewTimer(seedPatience)
+	timer := time.NewTimer(seedHedgeDelay)
 	defer timer.Stop()
 	select {
 	case <-alone:
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -53,8 +53,8 @@
 	readFails atomic.Bool
 	// suggested is a peer that knows better than this instance; nil: none.
 	suggested atomic.Pointer[fleet.Instance]
-	// urgent wakes the synchronization early.
-	urgent chan struct{}
+	// wake ends the wait for the next synchronization.
+	wake chan struct{}
 	// badLeaves reports the entries of leaves that can't be used.
 	badLeaves *badEntries
 }
@@ -110,7 +110,7 @@
 func newControl(n *Node) *control {
 	return &control{
 		node: n, log: n.log.Part("control"), peers: n.peers, catalog: catalog.New(n.config.Tunables.Catalog),
-		inbox: make(chan any, inboxLength), urgent: make(chan struct{}, 1),
+		inbox: make(chan any, inboxLength), wake: make(chan struct{}, 1),
 		badLeaves: newBadEntries(n.log.Part("control"), n.metrics.Scope, "leaves"),
 	}
 }
--- a/entry/hosted/follow.go
+++ b/entry/hosted/follow.go
@@ -47,7 +47,7 @@
 		if ctx.Err() == nil {
 			c.observeAge(err)
 		}
-		c.rest(ctx, max(min(c.bound(askShare), maxAskInterval)-time.Since(began), 0))
+		c.waitNext(ctx, max(min(c.bound(askShare), maxAskInterval)-time.Since(began), 0))
 	}
 }
 
@@ -61,21 +61,21 @@
 	}
 }
 
-// rest waits for d, or less when an update is urgent.
-func (c *control) rest(ctx context.Context, d time.Duration) {
+// waitNext waits for d, or until syncNow.
+func (c *control) waitNext(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-c.urgent:
+	case <-c.wake:
 	case <-ctx.Done():
 	}
 }
 
-// hurry synchronizes at once: another instance knows something newer.
-func (c *control) hurry() {
+// syncNow synchronizes at once: another instance knows something newer.
+func (c *control) syncNow() {
 	select {
-	case c.urgent <- struct{}{}:
+	case c.wake <- struct{}{}:
 	default:
 	}
 }
@@ -136,7 +136,7 @@
 		if stale(err) && role == fleet.RoleMember {
 			return role, err
 		}
-		c.passOver(from, err)
+		c.backOff(from, err)
 		c.log.Info("peer passed over", "peer", from.Name, "address", from.Peer, "as", role, "err", err)
 		if role == fleet.RoleLead {
 			return role, err
@@ -145,10 +145,10 @@
 	return role, err
 }
 
-// passOver keeps this instance from asking another for a while.
-func (c *control) passOver(i fleet.Instance, err error) {
+// backOff keeps this instance from asking another for a while.
+func (c *control) backOff(i fleet.Instance, err error) {
 	if stale(err) || errors.Is(err, errUnknownState) {
-		c.node.fleet.Outdated(i, time.Now())
+		c.node.fleet.MarkStale(i, time.Now())
 		return
 	}
 	c.node.fleet.Failed(i, time.Now())
--- a/entry/hosted/forwarding/forwarding.go
+++ b/entry/hosted/forwarding/forwarding.go
@@ -53,8 +53,8 @@
 	// Power is the share of a core that this instance has; 0: not known.
 	Power float64
 	Log   *telemetry.Log
-	// Hurry is called when another instance has a newer configuration.
-	Hurry func()
+	// SyncNow is called when another instance has a newer configuration.
+	SyncNow func()
 }
 
 // Forwarder hands requests over and runs those that are handed to it. It implements
--- a/entry/hosted/forwarding/gather.go
+++ b/entry/hosted/forwarding/gather.go
@@ -190,7 +190,7 @@
 // of the configuration that has the same set will do, as while a version spreads.
 func (f *Forwarder) offerGather(v *view.View, r *peerapi.ForwardRequest) string {
 	if v.Generation < r.Version {
-		f.config.Hurry()
+		f.config.SyncNow()
 	}
 	if onlyOf(v, r.Gather) == nil {
 		return "no such shards"
--- a/entry/hosted/forwarding/relay.go
+++ b/entry/hosted/forwarding/relay.go
@@ -80,7 +80,7 @@
 // relayed is the answer that another instance gave to a request handed over at a time.
 func (f *Forwarder) relayed(r *executor.Request, reply *peerapi.ForwardReply, handed time.Time) *gateway.Reply {
 	if reply.Version > r.View.Generation {
-		f.config.Hurry()
+		f.config.SyncNow()
 	}
 	return &gateway.Reply{
 		Status: reply.Status, Header: reply.Header, Body: reply.Body,
@@ -167,7 +167,7 @@
 	case r.Gather != nil:
 		return f.offerGather(v, r)
 	case v.Generation < r.Version:
-		f.config.Hurry()
+		f.config.SyncNow()
 		return "older configuration"
 	case !gateway.Routed(v, r.Host, r.Target):
 		return "no route"
--- a/entry/hosted/forwarding/relay_test.go
+++ b/entry/hosted/forwarding/relay_test.go
@@ -73,7 +73,7 @@
 func (n *fixture) View() *view.View { return n.view }
 
 // fleetSettings are the times of the fleet in these tests.
-var fleetSettings = fleet.Settings{ForgetAfter: time.Minute, PassOver: 3 * time.Second, MostPassOver: time.Minute}
+var fleetSettings = fleet.Settings{ForgetAfter: time.Minute, PeerBackoff: 3 * time.Second, MaxPeerBackoff: time.Minute}
 
 // weak makes an instance that knows stronger ones of its zone: "strong", "strong-1" and so on.
 func weak(t *testing.T, known ...strong) *fixture {
@@ -86,7 +86,7 @@
 		fleet: fleet.New(fleet.Instance{Name: "weak", Zone: "z", Power: 0.2}, fleetSettings),
 		peers: peer.NewClient(peer.ClientConfig{Instance: "weak", Key: []byte("k")}),
 	}
-	n.Forwarder = New(Config{Zone: "z", Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Log: log, Hurry: func() {}})
+	n.Forwarder = New(Config{Zone: "z", Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Log: log, SyncNow: func() {}})
 	var list []fleet.Instance
 	var ends []func()
 	for i, s := range known {
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -166,7 +166,7 @@
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.leafGone)
 	n.forwarder = forwarding.New(forwarding.Config{
-		Zone: c.Zone, Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Power: c.Power, Log: log, Hurry: n.control.hurry,
+		Zone: c.Zone, Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Power: c.Power, Log: log, SyncNow: n.control.syncNow,
 	})
 	n.executor = executor.New(executor.Config{
 		Leaves: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: hostedPolicies,
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -20,7 +20,7 @@
 	// announceInterval is the time between two announcements. Each is a priced
 	// write; only an instance that ended for good is noticed by their end.
 	announceInterval = 3 * time.Minute
-	// announceRetry is the first pause after an announcement that failed. None is urgent.
+	// announceRetry is the first pause after an announcement that failed.
 	announceRetry = 500 * time.Millisecond
 	// forgetAfter is two announcements missed.
 	forgetAfter = 3 * announceInterval
@@ -33,21 +33,21 @@
 	// ownListAfter is the age of the list from which an instance that is not the reader
 	// reads it itself: those that it learns from can't.
 	ownListAfter = 3 * listInterval / 2
-	// listedWithin is the time within which every instance knows a new list: the longest
+	// listPropagationBound is the time within which every instance knows a new list: the longest
 	// age, the call, and what the way over a lead takes, with one that fails.
-	listedWithin = ownListAfter + callTimeout + 4*time.Second
-	// passOver is for how long an instance that failed is not asked, and mostPassOver for
-	// how long at most while it fails again and again. The first pause is short: one that
-	// starts again is back soon, and when all do there is nobody else to ask.
-	passOver     = 500 * time.Millisecond
-	mostPassOver = time.Minute
-	// passOutdated is for how long an instance whose state is old is not synchronized from.
-	passOutdated = 3 * time.Second
-	// callTimeout bounds one call about announcements; none of them is urgent.
+	listPropagationBound = ownListAfter + callTimeout + 4*time.Second
+	// peerBackoff is the initial delay before an instance that failed is asked again, doubled
+	// up to maxPeerBackoff. It is short: one that starts again is back soon, and when all do
+	// there is nobody else to ask.
+	peerBackoff    = 500 * time.Millisecond
+	maxPeerBackoff = time.Minute
+	// stalePeerBackoff is the delay before an instance whose state is stale is synchronized from again.
+	stalePeerBackoff = 3 * time.Second
+	// callTimeout bounds one call about announcements.
 	callTimeout = 2 * time.Second
-	// knownWithin is for how long an instance that starts again waits for a list that may
+	// listWait bounds the wait of an instance that starts again for a list that may
 	// have its announcement from before, which then needs no new one.
-	knownWithin = 2 * time.Second
+	listWait = 2 * time.Second
 )
 
 // members guards the kernel's fleet by a lock and keeps it up to date.
@@ -78,8 +78,8 @@
 		node: n, log: n.log.Part("fleet"), self: self, begun: time.Now(), known: make(chan struct{}),
 		bad: newBadEntries(n.log.Part("fleet"), n.metrics.Scope, "instances"),
 		fleet: fleet.New(self, fleet.Settings{
-			ForgetAfter: forgetAfter, PassOver: passOver, MostPassOver: mostPassOver, PassOutdated: passOutdated, ListedWithin: listedWithin,
-			Span: span, HoldParts: max(span, listedWithin),
+			ForgetAfter: forgetAfter, PeerBackoff: peerBackoff, MaxPeerBackoff: maxPeerBackoff, StalePeerBackoff: stalePeerBackoff, ListPropagationBound: listPropagationBound,
+			Span: span, HoldParts: max(span, listPropagationBound),
 		}),
 	}
 	seeds := append([]string(nil), n.config.Seeds...)
@@ -159,11 +159,11 @@
 	return m.fleet.Gatherers(zone, now)
 }
 
-// Outdated notes that an instance is well and knows nothing, or only what is old.
-func (m *members) Outdated(i fleet.Instance, now time.Time) {
+// MarkStale notes that an instance is well and its state missing or stale.
+func (m *members) MarkStale(i fleet.Instance, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.fleet.Outdated(i, now)
+	m.fleet.MarkStale(i, now)
 }
 
 // Failed notes that an instance did not answer.
@@ -341,7 +341,7 @@
 	if m.node.config.FirstStart {
 		return false
 	}
-	timer := time.NewTimer(knownWithin)
+	timer := time.NewTimer(listWait)
 	defer timer.Stop()
 	select {
 	case <-m.known:
--- a/entry/hosted/storeread.go
+++ b/entry/hosted/storeread.go
@@ -142,7 +142,7 @@
 	r.readAt, r.failedAt, r.timeout = began, time.Time{}, readTimeout
 	r.backoff.Reset()
 	if role != fleet.RoleReader {
-		r.hurry() // its lead and the others learn of it by being asked
+		r.syncNow() // its lead and the others learn of it by being asked
 	}
 }
 
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -145,7 +145,7 @@
 	if i, ok := c.node.fleet.find(from); ok {
 		c.log.Info("fresher state offered", "peer", from, "age", theirs, "own_age", ours)
 		c.suggested.Store(&i)
-		c.hurry()
+		c.syncNow()
 	}
 }
 
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -33,28 +33,28 @@
 	// ForgetAfter is the time without an announcement after which an instance
 	// counts as gone.
 	ForgetAfter time.Duration
-	// PassOver is for how long an instance that failed is not asked; it doubles with
-	// each failure in a row up to MostPassOver.
-	PassOver, MostPassOver time.Duration
-	// PassOutdated is for how long an instance that is well is not synchronized from when
+	// PeerBackoff is the initial delay before an instance that failed is asked again; it
+	// doubles with each failure in a row up to MaxPeerBackoff.
+	PeerBackoff, MaxPeerBackoff time.Duration
+	// StalePeerBackoff is the delay before an instance is synchronized from again when
 	// what it knows is old.
-	PassOutdated time.Duration
-	// ListedWithin is the time within which every instance knows a new list.
-	ListedWithin time.Duration
+	StalePeerBackoff time.Duration
+	// ListPropagationBound is the time within which every instance knows a new list.
+	ListPropagationBound time.Duration
 	// Span is the span of time that the limit on repeats holds for.
 	Span time.Duration
 	// HoldParts is for how long a smaller part of the fleet's repeats is kept; at least
-	// ListedWithin and Span.
+	// ListPropagationBound and Span.
 	HoldParts time.Duration
 }
 
 // member is what is known of an instance.
 type member struct {
-	instance    Instance
-	announcedAt time.Time // when its mark last changed
-	passTo      time.Time // until when it is passed over
-	failures    int       // in a row
-	outdatedTo  time.Time // until when it is not synchronized from
+	instance     Instance
+	announcedAt  time.Time // when its mark last changed
+	backoffUntil time.Time // until when it is passed over
+	failures     int       // in a row
+	staleUntil   time.Time // until when it is not synchronized from
 }
 
 // Fleet is the state. It is used by one goroutine at a time.
@@ -210,7 +210,7 @@
 	var out []Instance
 	for _, name := range slices.Sorted(maps.Keys(f.members)) {
 		m := f.members[name]
-		if m.instance.Zone != f.self.Zone || now.Before(m.passTo) {
+		if m.instance.Zone != f.self.Zone || now.Before(m.backoffUntil) {
 			continue
 		}
 		if m.instance.Power >= strongEnough*f.self.Power {
@@ -220,8 +220,8 @@
 	return out
 }
 
-// mostPartners bounds the instances to which connections are kept open ahead.
-const mostPartners = 16
+// maxPartners bounds the instances to which connections are kept open ahead.
+const maxPartners = 16
 
 // Partners lists the instances to which this one hands over much: the stronger ones of its
 // zone, or, where there is none, those of other zones that gather parts for it.
@@ -238,7 +238,7 @@
 			}
 		}
 	}
-	return out[:min(len(out), mostPartners)]
+	return out[:min(len(out), maxPartners)]
 }
 
 // Gatherers lists the instances of another zone that may gather parts for this one:
@@ -248,7 +248,7 @@
 	strongest := 0.0
 	for _, name := range slices.Sorted(maps.Keys(f.members)) {
 		m := f.members[name]
-		if m.instance.Zone != zone || now.Before(m.passTo) {
+		if m.instance.Zone != zone || now.Before(m.backoffUntil) {
 			continue
 		}
 		out = append(out, m.instance)
@@ -270,30 +270,30 @@
 // hash places instances of the same power.
 func (i Instance) hash() uint64 { return xxhash.Sum64String(i.Zone + "\x00" + i.Name) }
 
-// Outdated notes that an instance is well and knows nothing, or only what is old.
-func (f *Fleet) Outdated(i Instance, now time.Time) {
+// MarkStale notes that an instance is well and its state missing or stale.
+func (f *Fleet) MarkStale(i Instance, now time.Time) {
 	m := f.members[i.Name]
 	if m == nil {
-		f.seeds.failed(i.Peer, now, f.settings.PassOutdated)
+		f.seeds.failed(i.Peer, now, f.settings.StalePeerBackoff)
 		return
 	}
-	m.outdatedTo = now.Add(f.settings.PassOutdated)
+	m.staleUntil = now.Add(f.settings.StalePeerBackoff)
 }
 
 // Failed notes that an instance did not answer.
 func (f *Fleet) Failed(i Instance, now time.Time) {
 	m := f.members[i.Name]
 	if m == nil {
-		f.seeds.failed(i.Peer, now, f.settings.PassOver)
+		f.seeds.failed(i.Peer, now, f.settings.PeerBackoff)
 		return
 	}
-	pause := f.settings.PassOver << min(m.failures, mostDoublings)
-	m.passTo = now.Add(max(min(pause, f.settings.MostPassOver), f.settings.PassOver))
+	pause := f.settings.PeerBackoff << min(m.failures, maxDoublings)
+	m.backoffUntil = now.Add(max(min(pause, f.settings.MaxPeerBackoff), f.settings.PeerBackoff))
 	m.failures++
 }
 
-// mostDoublings bounds the doublings of a pause.
-const mostDoublings = 10
+// maxDoublings bounds the doublings of a pause.
+const maxDoublings = 10
 
 // Answered notes that an instance is well.
 func (f *Fleet) Answered(i Instance) {
--- a/kernel/fleet/fleet_test.go
+++ b/kernel/fleet/fleet_test.go
@@ -8,7 +8,7 @@
 
 var (
 	start    = time.Unix(1000, 0)
-	settings = Settings{ForgetAfter: 45 * time.Second, PassOver: 3 * time.Second, ListedWithin: 30 * time.Second, HoldParts: 30 * time.Second}
+	settings = Settings{ForgetAfter: 45 * time.Second, PeerBackoff: 3 * time.Second, ListPropagationBound: 30 * time.Second, HoldParts: 30 * time.Second}
 )
 
 // zone returns n instances of one zone.
--- a/kernel/fleet/slack.go
+++ b/kernel/fleet/slack.go
@@ -44,7 +44,7 @@
 	case StartAgain:
 		f.slack.from = now.Add(f.settings.Span)
 	case StartNew:
-		f.slack.from = now.Add(f.settings.ListedWithin)
+		f.slack.from = now.Add(f.settings.ListPropagationBound)
 	}
 }
 
--- a/kernel/fleet/slack_test.go
+++ b/kernel/fleet/slack_test.go
@@ -102,7 +102,7 @@
 		length = 150
 	)
 	rapid.Check(t, func(t *rapid.T) {
-		set := Settings{ForgetAfter: 180 * time.Second, ListedWithin: within * time.Second, Span: span * time.Second, HoldParts: within * time.Second}
+		set := Settings{ForgetAfter: 180 * time.Second, ListPropagationBound: within * time.Second, Span: span * time.Second, HoldParts: within * time.Second}
 		var all []*spender
 		store := map[string]Instance{} // announcements
 		list := func() (out []Instance) {
--- a/kernel/fleet/sources.go
+++ b/kernel/fleet/sources.go
@@ -53,7 +53,7 @@
 	leads := make(map[string]Instance)
 	for _, m := range f.members {
 		i := m.instance
-		if i.Zone == f.self.Zone || now.Before(m.passTo) || now.Before(m.outdatedTo) {
+		if i.Zone == f.self.Zone || now.Before(m.backoffUntil) || now.Before(m.staleUntil) {
 			continue
 		}
 		if lead, ok := leads[i.Zone]; !ok || i.outranks(lead) {
@@ -84,7 +84,7 @@
 func (f *Fleet) first(now time.Time, among func(Instance) bool) Instance {
 	best := f.self
 	for _, m := range f.members {
-		if !among(m.instance) || now.Before(m.passTo) || now.Before(m.outdatedTo) {
+		if !among(m.instance) || now.Before(m.backoffUntil) || now.Before(m.staleUntil) {
 			continue
 		}
 		if m.instance.outranks(best) {
@@ -96,15 +96,15 @@
 
 // seeds are the addresses of instances that the settings name. They may be old or down.
 type seeds struct {
-	list   []Instance // without names: the address stands for one
-	own    bool       // this instance is one of them
-	passTo map[string]time.Time
+	list         []Instance // without names: the address stands for one
+	own          bool       // this instance is one of them
+	backoffUntil map[string]time.Time
 }
 
 // SetSeeds sets the addresses at which an instance that knows no other finds some, in the
 // order in which they are asked.
 func (f *Fleet) SetSeeds(addresses []string) {
-	f.seeds = seeds{passTo: make(map[string]time.Time)}
+	f.seeds = seeds{backoffUntil: make(map[string]time.Time)}
 	for _, a := range addresses {
 		if a == f.self.Peer {
 			f.seeds.own = true
@@ -117,7 +117,7 @@
 // next is the first seed that is not passed over.
 func (s *seeds) next(now time.Time) (Instance, bool) {
 	for _, i := range s.list {
-		if !now.Before(s.passTo[i.Peer]) {
+		if !now.Before(s.backoffUntil[i.Peer]) {
 			return i, true
 		}
 	}
@@ -126,8 +126,8 @@
 
 // failed passes a seed over, by its address.
 func (s *seeds) failed(address string, now time.Time, pause time.Duration) {
-	if s.passTo != nil {
-		s.passTo[address] = now.Add(pause)
+	if s.backoffUntil != nil {
+		s.backoffUntil[address] = now.Add(pause)
 	}
 }
 
--- a/kernel/fleet/sources_test.go
+++ b/kernel/fleet/sources_test.go
@@ -26,9 +26,9 @@
 	f.Failed(want(0, "10.0.9.1:1", RoleNewcomer), start)
 	f.Failed(want(0, "10.0.9.2:1", RoleNewcomer), start)
 	want(0, "", RoleReader)
-	want(settings.PassOver, "10.0.9.1:1", RoleNewcomer)
+	want(settings.PeerBackoff, "10.0.9.1:1", RoleNewcomer)
 	f.Listed(list[1:], start)
-	if want(settings.PassOver, "10.0.9.1:1", RoleNewcomer); f.Announced() {
+	if want(settings.PeerBackoff, "10.0.9.1:1", RoleNewcomer); f.Announced() {
 		t.Error("is announced by a list without it")
 	}
 	f.Listed(list, start.Add(time.Second))
@@ -100,22 +100,22 @@
 // TestFailuresInARowPassOverForLonger lets an instance that is gone fail again and again.
 func TestFailuresInARowPassOverForLonger(t *testing.T) {
 	set := settings
-	set.MostPassOver = 10 * time.Second
+	set.MaxPeerBackoff = 10 * time.Second
 	list := zone("a", 2)
 	f := New(list[0], set)
 	f.Listed(list, start)
 	now := start
 	for _, pause := range []time.Duration{3, 6, 10, 10} {
 		f.Failed(list[1], now)
-		if got := f.members[list[1].Name].passTo.Sub(now); got != pause*time.Second {
+		if got := f.members[list[1].Name].backoffUntil.Sub(now); got != pause*time.Second {
 			t.Errorf("is passed over for %v, want %v", got, pause*time.Second)
 		}
 		now = now.Add(pause * time.Second)
 	}
 	f.Answered(list[1])
 	f.Failed(list[1], now)
-	if got := f.members[list[1].Name].passTo.Sub(now); got != set.PassOver {
-		t.Errorf("is passed over for %v after it has answered, want %v", got, set.PassOver)
+	if got := f.members[list[1].Name].backoffUntil.Sub(now); got != set.PeerBackoff {
+		t.Errorf("is passed over for %v after it has answered, want %v", got, set.PeerBackoff)
 	}
 }
 
@@ -123,11 +123,11 @@
 // are handed to it all the same.
 func TestOutdatedIsStillHandedTo(t *testing.T) {
 	set := settings
-	set.PassOutdated = 3 * time.Second
+	set.StalePeerBackoff = 3 * time.Second
 	list := []Instance{powered("weak", "a", 0.2), powered("strong", "a", 0.8)}
 	f := New(list[0], set)
 	f.Listed(list, start)
-	f.Outdated(list[1], start)
+	f.MarkStale(list[1], start)
 	if _, role := f.Source(start); role == RoleMember {
 		t.Error("an instance whose state is old is asked at once again")
 	}
