Let a configuration that can't be encoded confirm no older one

Found by reading the change once more.

The answer says that the configuration is not known now, and the peer asks elsewhere. TestVersionThatCannotBeSentConfirmsNoOther: before, the peer knew version 1 by it.

--- a/entry/hosted/statesync/config.go
+++ b/entry/hosted/statesync/config.go
@@ -82,7 +82,7 @@
 	}
 	var err error
 	if out.Config, err = s.whole(); err != nil {
-		out.Version = r.Version // a configuration that can't be encoded is not offered
+		out.Version, out.ConfigAgeMS = 0, unknownMS // the peer asks elsewhere
 	}
 }
 
--- a/entry/hosted/statesync/config_test.go
+++ b/entry/hosted/statesync/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -78,3 +79,18 @@
 		t.Error("changes are not asked for again")
 	}
 }
+
+// TestVersionThatCannotBeSentConfirmsNoOther lets a configuration not be encoded: a peer that has another
+// one must not take its own for the newest.
+func TestVersionThatCannotBeSentConfirmsNoOther(t *testing.T) {
+	config := versionOf(2)
+	config.Routes[0].LeastCoverage = math.NaN()
+	var receiver Receiver
+	request := receiver.Request(versionOf(1))
+	reply := peerapi.SyncReply{ConfigAgeMS: 1, LeavesAgeMS: 1, FleetAgeMS: unknownMS}
+	newConfigState(config, nil).write(&request, &reply)
+	update, err := receiver.Take(&reply, versionOf(1), listStart, listStart)
+	if err != nil || update.Knows() {
+		t.Errorf("the peer knows version %d by it, error %v", update.Version, err)
+	}
+}
