Test hand-overs between instances in virtual time

Cause: an instance that is offered a request has 15 ms to accept it, after which the one that offers runs it itself. That's the product's rule, and the tests of package forwarding met it on the wall clock over loopback: a process that stands still for 15 ms fails them without any fault of the product.

TestGather, which prints the error, shows a time-out on the way to the other instance (dial, challenge, proof or acceptance); the others run under the same limit and print none.

Change: entry/peer/peertest connects instances by pipes, and these tests run in bubbles of virtual time, where 15 ms are 15 ms for both sides. What they check is unchanged. The test of a large reply uses the same network in place of its own.

--- a/entry/hosted/forwarding/gather_test.go
+++ b/entry/hosted/forwarding/gather_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
@@ -35,7 +36,9 @@
 }
 
 // TestGather checks what becomes of a group, by what the other instance does.
-func TestGather(t *testing.T) {
+func TestGather(t *testing.T) { synctest.Test(t, gathers) }
+
+func gathers(t *testing.T) {
 	reply := func(going bool, ranges ...peerapi.Range) *peerapi.ForwardReply {
 		return &peerapi.ForwardReply{Version: 5, Gathered: &peerapi.Gathered{Index: 1, Ranges: ranges, Signatures: []string{"s"}, Going: going}}
 	}
@@ -81,7 +84,9 @@
 }
 
 // TestGatherByNobody has a group gathered in a zone without instances.
-func TestGatherByNobody(t *testing.T) {
+func TestGatherByNobody(t *testing.T) { synctest.Test(t, gathersByNobody) }
+
+func gathersByNobody(t *testing.T) {
 	n := weak(t, strong{})
 	r := large(t)
 	err := n.Gather(t.Context(), r, group(r), func() bool { t.Error("sent to nobody"); return false }, nil)
@@ -113,7 +118,9 @@
 }
 
 // TestPlanNamesWhatIsAway plans a request by the zones of the leaves that it would ask.
-func TestPlanNamesWhatIsAway(t *testing.T) {
+func TestPlanNamesWhatIsAway(t *testing.T) { synctest.Test(t, plansWhatIsAway) }
+
+func plansWhatIsAway(t *testing.T) {
 	n := elsewhere(t, strong{})
 	r := twoZones(t, 5)
 	var away []dispatch.Away
@@ -136,7 +143,9 @@
 
 // TestGatherIsOfOneSetOfShards offers groups of other configurations and shards: another
 // version with the same set of shards will do, another set or number of records won't.
-func TestGatherIsOfOneSetOfShards(t *testing.T) {
+func TestGatherIsOfOneSetOfShards(t *testing.T) { synctest.Test(t, offersSetsOfShards) }
+
+func offersSetsOfShards(t *testing.T) {
 	n := elsewhere(t, strong{})
 	r := twoZones(t, 5)
 	n.view = r.View
--- a/entry/hosted/forwarding/relay_test.go
+++ b/entry/hosted/forwarding/relay_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -17,6 +17,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer/peertest"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
@@ -41,12 +42,9 @@
 }
 
 // serve runs a stronger instance and returns its address and its end.
-func (s strong) serve(t *testing.T, name string) (address string, end func()) {
+func (s strong) serve(t *testing.T, network *peertest.Network, name string) (address string, end func()) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := network.Listen()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
@@ -76,15 +74,17 @@
 var fleetSettings = fleet.Settings{ForgetAfter: time.Minute, PeerBackoff: 3 * time.Second, MaxPeerBackoff: time.Minute}
 
 // weak makes an instance that knows stronger ones of its zone: "strong", "strong-1" and so on.
+// Whoever accepts late is passed over, so it is called in a bubble of virtual time.
 func weak(t *testing.T, known ...strong) *fixture {
 	t.Helper()
 	log, err := telemetry.NewLog(io.Discard, telemetry.Options{Level: "info"})
 	if err != nil {
 		t.Fatal(err)
 	}
+	network := &peertest.Network{}
 	n := &fixture{
 		fleet: fleet.New(fleet.Instance{Name: "weak", Zone: "z", Power: 0.2}, fleetSettings),
-		peers: peer.NewClient(peer.ClientConfig{Instance: "weak", Key: []byte("k")}),
+		peers: peer.NewClient(peer.ClientConfig{Instance: "weak", Key: []byte("k"), Dial: network.Dial}),
 	}
 	n.Forwarder = New(Config{Zone: "z", Fleet: n.fleet, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, Log: log, SyncNow: func() {}})
 	var list []fleet.Instance
@@ -94,7 +94,7 @@
 		if i > 0 {
 			name = fmt.Sprintf("strong-%d", i)
 		}
-		address, end := s.serve(t, name)
+		address, end := s.serve(t, network, name)
 		list = append(list, fleet.Instance{Name: name, Zone: "z", Power: 0.8, Peer: address})
 		ends = append(ends, end)
 	}
@@ -130,7 +130,9 @@
 }
 
 // TestRelay checks who answers a large query, and who is passed over for the next.
-func TestRelay(t *testing.T) {
+func TestRelay(t *testing.T) { synctest.Test(t, relays) }
+
+func relays(t *testing.T) {
 	answer := func(context.Context) *peerapi.ForwardReply {
 		return &peerapi.ForwardReply{Version: 5, Status: http.StatusOK, Body: []byte("x")}
 	}
@@ -170,7 +172,9 @@
 
 // TestRelayAsksAnother has one of two stronger instances decline, as one does that stops:
 // each request is taken over by the other.
-func TestRelayAsksAnother(t *testing.T) {
+func TestRelayAsksAnother(t *testing.T) { synctest.Test(t, asksAnother) }
+
+func asksAnother(t *testing.T) {
 	answer := func(context.Context) *peerapi.ForwardReply {
 		return &peerapi.ForwardReply{Version: 5, Status: http.StatusOK, Body: []byte("x")}
 	}
--- a/entry/peer/progress_test.go
+++ b/entry/peer/progress_test.go
@@ -10,21 +10,9 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/peer/peertest"
 )
 
-// pipes is a listener whose connections are pipes.
-type pipes struct{ accept chan net.Conn }
-
-func (p *pipes) Accept() (net.Conn, error) {
-	conn, open := <-p.accept
-	if !open {
-		return nil, net.ErrClosed
-	}
-	return conn, nil
-}
-func (p *pipes) Close() error   { close(p.accept); return nil }
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
 // narrowLink lets chunkSize bytes through each chunkEvery.
 type narrowLink struct{ net.Conn }
 
@@ -50,17 +38,17 @@
 func TestLargeReplyOverAFullLinkIsNotCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		listener := &pipes{accept: make(chan net.Conn)}
+		network := &peertest.Network{}
+		listener := network.Listen()
 		served := make(chan error, 1)
 		go func() {
 			served <- NewServer(ServerConfig{Instance: "server", Key: []byte("key"), Sync: syncHandler{}}).Serve(ctx, listener)
 		}()
-		c := NewClient(ClientConfig{Instance: "client", Key: []byte("key"), Silence: 250 * time.Millisecond, Dial: func(context.Context, string) (net.Conn, error) {
-			near, far := net.Pipe()
-			listener.accept <- far
-			return &narrowLink{near}, nil
+		c := NewClient(ClientConfig{Instance: "client", Key: []byte("key"), Silence: 250 * time.Millisecond, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := network.Dial(ctx, address)
+			return &narrowLink{conn}, err
 		}})
-		reply, err := c.Sync(ctx, Target{Instance: "server"}, peerapi.SyncRequest{})
+		reply, err := c.Sync(ctx, Target{Instance: "server", Address: listener.Addr().String()}, peerapi.SyncRequest{})
 		if err != nil || len(reply.Config) != 16*chunkSize {
 			t.Errorf("reply %v, error %v", reply != nil, err)
 		}
