Tell an instance that is silent from one that refuses a proof

Logs named the wrong cause: an instance that had no time to answer within the limit was logged with "refused this instance's proof", as if a key were wrong.

Cause: each error of the call that carries the proof was taken for a refusal. Only an error that the other side sent is one; the rest says that the peer wasn't reached. Nothing branches on the difference but what is logged.

TestSilenceDuringProofIsNoRefusal loses the proof on its way; before: "refused this instance's proof, want an UnreachableError".

--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -242,6 +242,10 @@
 	hello := peerapi.Hello{Instance: c.config.Instance, Nonce: own, MAC: proof(c.config.Key, roleClient, c.config.Instance, challenge.Nonce, own)}
 	var welcome peerapi.Welcome
 	if err := rpc.Call(ctx, peerapi.MethodHello, hello, &welcome); err != nil {
+		var answered *jsonrpc2.Error
+		if !errors.As(err, &answered) {
+			return &UnreachableError{Address: t.Address, Method: peerapi.MethodHello, Err: err}
+		}
 		return &AuthError{Address: t.Address, Reason: "refused this instance's proof"}
 	}
 	if t.Instance != "" && welcome.Instance != t.Instance {
--- a/entry/peer/progress_test.go
+++ b/entry/peer/progress_test.go
@@ -75,3 +75,43 @@
 		}
 	})
 }
+
+// lossyLink loses all that is written after the first message.
+type lossyLink struct {
+	net.Conn
+	written bool
+}
+
+func (l *lossyLink) Write(b []byte) (int, error) {
+	if l.written {
+		return len(b), nil
+	}
+	l.written = true
+	return l.Conn.Write(b)
+}
+
+// TestSilenceDuringProofIsNoRefusal loses the proof on its way: the peer has refused nothing.
+func TestSilenceDuringProofIsNoRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		network := &peertest.Network{}
+		listener := network.Listen()
+		served := make(chan error, 1)
+		go func() {
+			served <- NewServer(ServerConfig{Instance: "server", Key: []byte("key")}).Serve(ctx, listener)
+		}()
+		c := NewClient(ClientConfig{Instance: "client", Key: []byte("key"), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := network.Dial(ctx, address)
+			return &lossyLink{Conn: conn}, err
+		}})
+		err := c.Connect(ctx, Target{Instance: "server", Address: listener.Addr().String()})
+		var unreachable *UnreachableError
+		if !errors.As(err, &unreachable) || !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("%v, want an UnreachableError", err)
+		}
+		cancel()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+}
