Versions of a configuration share the routes in which they agree

Cause: each step went over all routes and made all of them anew: the sets of what routes ask (three times), services, the table of paths, the hash of a version (three times), the change to the version before.

Change: a version holds pointers to its routes and their hashes, and one that is read from the store takes over those that are equal. compile copies what it resolved before, and keeps the routes' slice where only services differ, so that the table of paths stays too. Routes are aligned by their order, by name only where the order differs. A null route on the wire is refused.

--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -58,7 +58,7 @@
 	if err != nil || version == 0 {
 		return nil, err
 	}
-	return &catalog.Config{Version: version, Routes: []catalog.Route{{
+	return &catalog.Config{Version: version, Routes: []*catalog.Route{{
 		Name: "r", Host: "a", Prefix: "/", Timeout: time.Second, Targets: []document.RouteTarget{{Service: "s", Weight: 1}},
 	}}}, nil
 }
--- a/entry/hosted/forwarding/relay_test.go
+++ b/entry/hosted/forwarding/relay_test.go
@@ -120,7 +120,7 @@
 		shards = append(shards, string(rune('A'+i)))
 	}
 	c := catalog.New(catalog.Settings{})
-	c.ConfigRead(&catalog.Config{Version: 5, Routes: []catalog.Route{{Name: "r", Host: "h", Prefix: "/", Idempotent: true, Timeout: time.Minute, Shards: shards, TopK: 1}}}, time.Now(), time.Now())
+	c.ConfigRead(&catalog.Config{Version: 5, Routes: []*catalog.Route{{Name: "r", Host: "h", Prefix: "/", Idempotent: true, Timeout: time.Minute, Shards: shards, TopK: 1}}}, time.Now(), time.Now())
 	c.LeavesRead(catalog.Listing{Revision: 1}, time.Now(), time.Now())
 	v := view.Build(5, "", c.Document(), c.Draining, func(*document.Upstream, string) int { return 1 })
 	return &executor.Request{
--- a/entry/hosted/routes_bench_test.go
+++ b/entry/hosted/routes_bench_test.go
@@ -16,7 +16,7 @@
 func manyRoutes(version uint64, n int) *catalog.Config {
 	c := &catalog.Config{Version: version, Services: map[string]catalog.Service{"s": {Name: "s", ConnectionLimit: 50}}}
 	for i := range n {
-		c.Routes = append(c.Routes, catalog.Route{
+		c.Routes = append(c.Routes, &catalog.Route{
 			Name: fmt.Sprintf("r-%07x", i*7919), Host: "puje50.example", Prefix: fmt.Sprintf("/%07x/", i*104729), Idempotent: true,
 			Timeout: time.Second, Objective: 100 * time.Millisecond, Attempts: 2, Targets: []document.RouteTarget{{Service: "s", Weight: 1}},
 		})
--- a/entry/hosted/statesync/config.go
+++ b/entry/hosted/statesync/config.go
@@ -89,6 +89,7 @@
 // Errors of a received change of the configuration.
 var (
 	errNoBase      = errors.New("a change of a configuration that is not known")
+	errNoRoute     = errors.New("a received configuration has a route that says nothing")
 	errOtherConfig = errors.New("the received configuration is not the one with its hash")
 )
 
@@ -103,7 +104,7 @@
 		if err := unpack(n.Config, out); err != nil {
 			return nil, fmt.Errorf("decode a peer's configuration: %w", err)
 		}
-		return out, nil
+		return out, checkRoutes(out.Routes)
 	default:
 		return nil, nil
 	}
@@ -118,9 +119,20 @@
 	if err := unpack(n.Change, &change); err != nil {
 		return nil, fmt.Errorf("decode a change of a peer's configuration: %w", err)
 	}
+	if err := checkRoutes(change.Routes); err != nil {
+		return nil, err
+	}
 	out := base.Apply(&change)
 	if out.Hash() != n.ConfigHash {
 		return nil, errOtherConfig
 	}
 	return out, nil
 }
+
+// checkRoutes refuses routes that are null on the wire.
+func checkRoutes(routes []*catalog.Route) error {
+	if slices.Contains(routes, nil) {
+		return errNoRoute
+	}
+	return nil
+}
--- a/entry/hosted/statesync/config_test.go
+++ b/entry/hosted/statesync/config_test.go
@@ -15,7 +15,7 @@
 func versionOf(version uint64) *catalog.Config {
 	c := &catalog.Config{Version: version, Services: map[string]catalog.Service{"s": {Name: "s"}}}
 	for i := range 300 {
-		c.Routes = append(c.Routes, catalog.Route{Name: fmt.Sprintf("r%d", i), Host: "h", Prefix: fmt.Sprintf("/%d/", i)})
+		c.Routes = append(c.Routes, &catalog.Route{Name: fmt.Sprintf("r%d", i), Host: "h", Prefix: fmt.Sprintf("/%d/", i)})
 	}
 	c.Routes[17].Timeout = time.Duration(version) * time.Second
 	return c
--- a/entry/hosted/statesync/state_test.go
+++ b/entry/hosted/statesync/state_test.go
@@ -26,7 +26,7 @@
 // catalogOf is a catalog that has read a list.
 func catalogOf(revision uint64, leaves ...catalog.Leaf) *catalog.Catalog {
 	c := catalog.New(catalog.Settings{})
-	c.ConfigRead(&catalog.Config{Version: 3, Routes: make([]catalog.Route, 400)}, listStart, listStart)
+	c.ConfigRead(&catalog.Config{Version: 3, Routes: slices.Repeat([]*catalog.Route{{}}, 400)}, listStart, listStart)
 	c.LeavesRead(catalog.Listing{Leaves: leaves, Revision: revision}, listStart, listStart)
 	return c
 }
--- a/kernel/catalog/build.go
+++ b/kernel/catalog/build.go
@@ -24,10 +24,9 @@
 // defaultConnections is the limit of a service that the configuration does not describe.
 const defaultConnections = 8
 
-// newUpstream names a set by its members, so that the same set has the same
-// name in each configuration that has it.
-func newUpstream(services []string, known map[string]Service) upstream {
-	u := upstream{services: services, name: setName(services)}
+// newUpstream makes an upstream of services that the configuration may describe.
+func newUpstream(name string, services []string, known map[string]Service) upstream {
+	u := upstream{services: services, name: name}
 	for _, s := range services {
 		limit := known[s].ConnectionLimit
 		if limit <= 0 {
@@ -40,7 +39,8 @@
 	return u
 }
 
-// setName is a lone service's own name, or a hash of the set's members.
+// setName is a lone service's own name, or a hash of the set's members: the same set has the
+// same name in each configuration that has it.
 func setName(services []string) string {
 	if len(services) == 1 {
 		return services[0]
@@ -48,37 +48,17 @@
 	return fmt.Sprintf("set-%d-%016x", len(services), xxhash.Sum64String(strings.Join(services, "\x00")))
 }
 
-// upstreams lists what the configuration's routes ask, each once.
-func (cfg *Config) upstreams() map[string]upstream {
-	out := make(map[string]upstream)
-	add := func(services []string) {
-		u := newUpstream(services, cfg.Services)
-		out[u.name] = u
-	}
-	for i := range cfg.Routes {
-		r := &cfg.Routes[i]
-		if len(r.Shards) > 0 {
-			add(r.Shards)
-		}
-		for _, t := range r.Targets {
-			add([]string{t.Service})
-		}
-	}
-	return out
-}
-
 // retire keeps the sets of the present configuration that the next one lacks.
-func (c *Catalog) retire(next *Config, now time.Time) {
-	if c.config == nil {
+func (c *Catalog) retire(next *compiled, now time.Time) {
+	if c.compiled == nil {
 		return
 	}
-	kept := next.upstreams()
-	for name, u := range c.config.upstreams() {
-		if _, ok := kept[name]; !ok {
+	for name, u := range c.compiled.upstreams {
+		if _, ok := next.upstreams[name]; !ok {
 			c.retired[name] = retiredSet{upstream: u, until: now.Add(c.settings.Retire)}
 		}
 	}
-	for name := range kept {
+	for name := range next.upstreams {
 		delete(c.retired, name)
 	}
 }
@@ -86,9 +66,6 @@
 // Document joins configuration and leaves. It needs Ready. Documents of one configuration share
 // their services and routes.
 func (c *Catalog) Document() *document.Document {
-	if c.compiled == nil || c.compiled.config != c.config {
-		c.compiled = compile(c.config)
-	}
 	doc := &document.Document{Site: "platform", Services: c.compiled.services, Routes: c.compiled.routes}
 	all := maps.Clone(c.compiled.upstreams)
 	for name, r := range c.retired {
@@ -103,31 +80,79 @@
 
 // compiled is what a configuration says whatever the leaves are. It is immutable.
 type compiled struct {
-	config    *Config
+	config *Config
+	// upstreams are what the routes ask, by name.
 	upstreams map[string]upstream
 	services  []document.Service
-	routes    []document.Route
+	// first is the index of each route's first service.
+	first  []int
+	routes []document.Route
 }
 
-// compile resolves a configuration's routes.
-func compile(cfg *Config) *compiled {
+// compile resolves a configuration's routes. Those that it shares with the one compiled before,
+// which may be nil, are taken from there.
+func compile(cfg *Config, before *compiled) *compiled {
+	if before == nil {
+		before = &compiled{config: &Config{}}
+	}
 	out := &compiled{
-		config: cfg, upstreams: cfg.upstreams(),
+		config: cfg, upstreams: make(map[string]upstream),
 		services: make([]document.Service, 0, len(cfg.Routes)), routes: make([]document.Route, 0, len(cfg.Routes)),
-	}
-	for i := range cfg.Routes {
-		r := &cfg.Routes[i]
-		route := document.Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix}
-		for _, t := range r.targets() {
-			service := r.service(t)
-			out.services = append(out.services, service)
-			route.Targets = append(route.Targets, document.RouteTarget{Service: service.Name, Weight: t.weight})
+		first: make([]int, 0, len(cfg.Routes)),
+	}
+	known := newAlignment(before.config.Routes)
+	for _, r := range cfg.Routes {
+		out.first = append(out.first, len(out.services))
+		if at := known.index(r); at >= 0 && before.config.Routes[at] == r {
+			out.routes = append(out.routes, before.routes[at])
+			out.services = append(out.services, before.servicesOf(at)...)
+		} else {
+			out.add(r)
 		}
-		out.routes = append(out.routes, route)
+		out.addUpstreams(r)
+	}
+	if slices.EqualFunc(out.routes, before.routes, sameRoute) {
+		out.routes = before.routes // whoever has a table of them keeps it
 	}
 	return out
 }
 
+// sameRoute reports whether two routes lead the same requests to the same services.
+func sameRoute(a, b document.Route) bool {
+	return a.Name == b.Name && a.Host == b.Host && a.Prefix == b.Prefix && slices.Equal(a.Targets, b.Targets)
+}
+
+// servicesOf are the services of a route by its index, one a target.
+func (c *compiled) servicesOf(at int) []document.Service {
+	return c.services[c.first[at]:][:len(c.routes[at].Targets)]
+}
+
+// add resolves a route.
+func (c *compiled) add(r *Route) {
+	route := document.Route{Name: r.Name, Host: r.Host, Prefix: r.Prefix}
+	for _, t := range r.targets() {
+		service := r.service(t)
+		c.services = append(c.services, service)
+		route.Targets = append(route.Targets, document.RouteTarget{Service: service.Name, Weight: t.weight})
+	}
+	c.routes = append(c.routes, route)
+}
+
+// addUpstreams adds the upstreams of the route that was added last.
+func (c *compiled) addUpstreams(r *Route) {
+	for i, service := range c.servicesOf(len(c.routes) - 1) {
+		name := service.Upstreams[0]
+		if _, ok := c.upstreams[name]; ok {
+			continue
+		}
+		asked := r.Shards
+		if len(asked) == 0 {
+			asked = []string{r.Targets[i].Service}
+		}
+		c.upstreams[name] = newUpstream(name, asked, c.config.Services)
+	}
+}
+
 // buildUpstream makes shard i of n cover key i of n.
 func (c *Catalog) buildUpstream(u upstream, leaves map[string][]document.Leaf) document.Upstream {
 	repeats := c.settings.Repeats
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -16,12 +16,16 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 )
 
-// Config is one version of the operator's configuration.
+// Config is one version of the operator's configuration. It is immutable: versions share the
+// routes in which they agree.
 type Config struct {
 	Version  uint64
-	Routes   []Route
+	Routes   []*Route
 	Services map[string]Service
 	Limits   Limits
+
+	// sums are hashes of Routes; nil in a version that was not derived from another.
+	sums []uint64
 }
 
 // Route leads requests of a host and path prefix to one set of shards, or to
@@ -81,7 +85,7 @@
 type Catalog struct {
 	settings Settings
 	config   *Config
-	compiled *compiled // of the configuration that a document was last made of
+	compiled *compiled // of the configuration
 	// configAt is when the last read of the configuration began.
 	configAt time.Time
 	// listed are the leaves of the last list, held those that were missing in the
@@ -148,8 +152,10 @@
 	if c.config != nil && cfg.Version <= c.config.Version {
 		return false
 	}
-	c.retire(cfg, now)
-	c.config = cfg
+	cfg = c.config.sharing(cfg)
+	next := compile(cfg, c.compiled)
+	c.retire(next, now)
+	c.config, c.compiled = cfg, next
 	return true
 }
 
--- a/kernel/catalog/catalog_test.go
+++ b/kernel/catalog/catalog_test.go
@@ -18,7 +18,7 @@
 
 // config returns a configuration whose one route asks the given shards.
 func config(version uint64, shards ...string) *Config {
-	return &Config{Version: version, Routes: []Route{{
+	return &Config{Version: version, Routes: []*Route{{
 		Name: "search", Host: "a", Prefix: "/s/", Idempotent: true, Timeout: time.Second, Shards: shards, TopK: 5, LeastCoverage: 0.5,
 	}}}
 }
@@ -153,7 +153,7 @@
 	c := New(testSettings)
 	cfg := config(3, "a", "b", "c")
 	cfg.Services = map[string]Service{"a": {ConnectionLimit: 26}, "b": {ConnectionLimit: 20}, "c": {ConnectionLimit: 26}}
-	cfg.Routes = append(cfg.Routes, Route{
+	cfg.Routes = append(cfg.Routes, &Route{
 		Name: "file", Host: "a", Prefix: "/f/", Timeout: time.Second,
 		Targets: []document.RouteTarget{{Service: "p", Weight: 3}, {Service: "q", Weight: 1}},
 	})
--- a/kernel/catalog/change.go
+++ b/kernel/catalog/change.go
@@ -17,7 +17,7 @@
 	Limits  Limits
 	// Routes are those that differ or are new, in their order, and GoneRoutes the names of
 	// those that are no more.
-	Routes     []Route  `json:",omitempty"`
+	Routes     []*Route `json:",omitempty"`
 	GoneRoutes []string `json:",omitempty"`
 	// Services are those that differ or are new, and GoneServices those that are no more.
 	Services     map[string]Service `json:",omitempty"`
@@ -28,18 +28,13 @@
 // others are found by their names; ok is false where that does not lead to the other version.
 func (c *Config) Change(to *Config) (change *ConfigChange, ok bool) {
 	out := &ConfigChange{Version: to.Version, Limits: to.Limits, Services: make(map[string]Service)}
-	before := make(map[string]*Route, len(c.Routes))
-	for i := range c.Routes {
-		before[c.Routes[i].Name] = &c.Routes[i]
-	}
-	for i := range to.Routes {
-		was, known := before[to.Routes[i].Name]
-		if !known || !was.equal(&to.Routes[i]) {
-			out.Routes = append(out.Routes, to.Routes[i])
+	before := newAlignment(c.Routes)
+	for _, r := range to.Routes {
+		if was := before.find(r); was == nil || !was.equal(r) {
+			out.Routes = append(out.Routes, r)
 		}
-		delete(before, to.Routes[i].Name)
 	}
-	out.GoneRoutes = slices.Sorted(maps.Keys(before))
+	out.GoneRoutes = before.gone()
 	for name, s := range to.Services {
 		if was, known := c.Services[name]; !known || was != s {
 			out.Services[name] = s
@@ -53,42 +48,143 @@
 	return out, c.Apply(out).Hash() == to.Hash()
 }
 
-// Apply returns the version that a change leads to. It shares with this one what is equal.
-func (c *Config) Apply(change *ConfigChange) *Config {
-	out := &Config{Version: change.Version, Limits: change.Limits, Services: maps.Clone(c.Services)}
-	if out.Services == nil {
-		out.Services = make(map[string]Service, len(change.Services))
+// alignment finds the routes of a version by the names of another's, which mostly come in the
+// same order.
+type alignment struct {
+	routes []*Route
+	next   int            // index after the route found last
+	found  []bool         // by index
+	byName map[string]int // to the index; nil until a route is out of order
+}
+
+// newAlignment makes an alignment to the routes of one version.
+func newAlignment(routes []*Route) *alignment {
+	return &alignment{routes: routes, found: make([]bool, len(routes))}
+}
+
+// index is that of the route with the name of another, or -1.
+func (a *alignment) index(r *Route) int {
+	at := a.next
+	if at >= len(a.routes) || a.routes[at].Name != r.Name {
+		if a.byName == nil {
+			a.byName = make(map[string]int, len(a.routes))
+			for i, known := range a.routes {
+				a.byName[known.Name] = i
+			}
+		}
+		var ok bool
+		if at, ok = a.byName[r.Name]; !ok {
+			return -1
+		}
 	}
-	maps.Copy(out.Services, change.Services)
-	for _, name := range change.GoneServices {
-		delete(out.Services, name)
+	a.next, a.found[at] = at+1, true
+	return at
+}
+
+// find is the route with the name of another, or nil.
+func (a *alignment) find(r *Route) *Route {
+	at := a.index(r)
+	if at < 0 {
+		return nil
+	}
+	return a.routes[at]
+}
+
+// gone lists the names of the routes that were not found.
+func (a *alignment) gone() []string {
+	var out []string
+	for i, found := range a.found {
+		if !found {
+			out = append(out, a.routes[i].Name)
+		}
 	}
-	changed := make(map[string]int, len(change.Routes)) // to the index in change.Routes
-	for i := range change.Routes {
-		changed[change.Routes[i].Name] = i
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// sharing returns a version that shares with this one the routes that are equal, where it was
+// read on its own.
+func (c *Config) sharing(next *Config) *Config {
+	if c == nil || next.sums != nil {
+		return next
+	}
+	if change, ok := c.Change(next); ok {
+		return c.Apply(change)
+	}
+	return next
+}
+
+// Apply returns the version that a change leads to. It shares with this one what is equal.
+func (c *Config) Apply(change *ConfigChange) *Config {
+	out := &Config{Version: change.Version, Limits: change.Limits, Services: c.applyServices(change)}
+	changed := make(map[string]*Route, len(change.Routes))
+	for _, r := range change.Routes {
+		changed[r.Name] = r
 	}
 	gone := make(map[string]bool, len(change.GoneRoutes))
 	for _, name := range change.GoneRoutes {
 		gone[name] = true
 	}
-	out.Routes = make([]Route, 0, len(c.Routes)+len(change.Routes))
-	for i := range c.Routes {
-		name := c.Routes[i].Name
-		if at, ok := changed[name]; ok {
-			out.Routes = append(out.Routes, change.Routes[at])
-			delete(changed, name)
-		} else if !gone[name] {
-			out.Routes = append(out.Routes, c.Routes[i])
+	sums := c.routeSums()
+	out.Routes = make([]*Route, 0, len(c.Routes)+len(change.Routes))
+	out.sums = make([]uint64, 0, cap(out.Routes))
+	for i, r := range c.Routes {
+		if next := changed[r.Name]; next != nil {
+			out.add(next, next.sum())
+			delete(changed, r.Name)
+		} else if !gone[r.Name] {
+			out.add(r, sums[i])
 		}
 	}
-	for i := range change.Routes {
-		if _, added := changed[change.Routes[i].Name]; added {
-			out.Routes = append(out.Routes, change.Routes[i])
+	for _, r := range change.Routes {
+		if _, added := changed[r.Name]; added {
+			out.add(r, r.sum())
 		}
 	}
 	return out
 }
 
+// add appends a route.
+func (c *Config) add(r *Route, sum uint64) {
+	c.Routes, c.sums = append(c.Routes, r), append(c.sums, sum)
+}
+
+// applyServices returns the services after a change.
+func (c *Config) applyServices(change *ConfigChange) map[string]Service {
+	if c.Services != nil && len(change.Services) == 0 && len(change.GoneServices) == 0 {
+		return c.Services
+	}
+	out := maps.Clone(c.Services)
+	if out == nil {
+		out = make(map[string]Service, len(change.Services))
+	}
+	maps.Copy(out, change.Services)
+	for _, name := range change.GoneServices {
+		delete(out, name)
+	}
+	return out
+}
+
+// routeSums are the hashes of the routes.
+func (c *Config) routeSums() []uint64 {
+	if c.sums != nil {
+		return c.sums
+	}
+	out := make([]uint64, len(c.Routes))
+	buf := make([]byte, 0, routeKeyLength)
+	for i, r := range c.Routes {
+		buf = r.appendKey(buf[:0])
+		out[i] = xxhash.Sum64(buf)
+	}
+	return out
+}
+
+// routeKeyLength is enough for most keys of routes, in bytes.
+const routeKeyLength = 256
+
+// sum is a hash of all that the route says.
+func (r *Route) sum() uint64 { return xxhash.Sum64(r.appendKey(make([]byte, 0, routeKeyLength))) }
+
 // Hash is a hash of all that the version says; it is not 0.
 func (c *Config) Hash() uint64 {
 	h := xxhash.New()
@@ -102,16 +198,15 @@
 		buf = binary.AppendVarint(buf, int64(c.Services[name].ConnectionLimit))
 		_, _ = h.Write(buf)
 	}
-	for i := range c.Routes {
-		buf = c.Routes[i].appendKey(buf[:0])
-		_, _ = h.Write(buf)
+	for _, sum := range c.routeSums() {
+		_, _ = h.Write(binary.LittleEndian.AppendUint64(buf[:0], sum))
 	}
 	return max(h.Sum64(), 1)
 }
 
 // equal reports whether two routes say the same.
 func (r *Route) equal(o *Route) bool {
-	return r.Name == o.Name && r.Host == o.Host && r.Prefix == o.Prefix && r.Idempotent == o.Idempotent &&
+	return r == o || r.Name == o.Name && r.Host == o.Host && r.Prefix == o.Prefix && r.Idempotent == o.Idempotent &&
 		r.Timeout == o.Timeout && r.Objective == o.Objective && r.Attempts == o.Attempts && r.Priority == o.Priority &&
 		r.TopK == o.TopK && r.LeastCoverage == o.LeastCoverage && slices.Equal(r.Shards, o.Shards) && slices.Equal(r.Targets, o.Targets)
 }
--- a/kernel/catalog/change_test.go
+++ b/kernel/catalog/change_test.go
@@ -12,8 +12,8 @@
 )
 
 // drawRoute draws a route of a name, of few values so that routes are often equal.
-func drawRoute(t *rapid.T, name string) Route {
-	r := Route{
+func drawRoute(t *rapid.T, name string) *Route {
+	r := &Route{
 		Name: name, Host: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "host"), Prefix: "/" + name + "/",
 		Idempotent: rapid.Bool().Draw(t, "idempotent"), Timeout: time.Duration(rapid.IntRange(1, 2).Draw(t, "timeout")) * time.Second,
 		Attempts: rapid.IntRange(1, 2).Draw(t, "attempts"),
@@ -75,16 +75,16 @@
 	if len(a.Routes) == 0 && len(b.Routes) == 0 {
 		return a.Version == b.Version && a.Limits == b.Limits && reflect.DeepEqual(a.Services, b.Services)
 	}
-	return reflect.DeepEqual(a, b)
+	return a.Version == b.Version && a.Limits == b.Limits && reflect.DeepEqual(a.Services, b.Services) && reflect.DeepEqual(a.Routes, b.Routes)
 }
 
 // TestChangeIsAsLongAsWhatDiffers changes one of many routes.
 func TestChangeIsAsLongAsWhatDiffers(t *testing.T) {
 	before := &Config{Version: 1, Services: map[string]Service{"s": {Name: "s"}, "t": {Name: "t"}}}
 	for i := range 500 {
-		before.Routes = append(before.Routes, Route{Name: fmt.Sprint(i), Prefix: fmt.Sprintf("/%d/", i)})
+		before.Routes = append(before.Routes, &Route{Name: fmt.Sprint(i), Prefix: fmt.Sprintf("/%d/", i)})
 	}
-	after := before.Apply(&ConfigChange{Version: 2, Routes: []Route{{Name: "7", Prefix: "/7/", Timeout: time.Second}}, GoneRoutes: []string{"9"}})
+	after := before.Apply(&ConfigChange{Version: 2, Routes: []*Route{{Name: "7", Prefix: "/7/", Timeout: time.Second}}, GoneRoutes: []string{"9"}})
 	change, ok := before.Change(after)
 	if !ok || len(change.Routes) != 1 || len(change.GoneRoutes) != 1 || len(change.Services) != 0 || len(change.GoneServices) != 0 {
 		t.Errorf("ok %v, change %+v", ok, change)
--- a/kernel/route/route.go
+++ b/kernel/route/route.go
@@ -18,13 +18,15 @@
 // host and prefix the later one counts.
 func NewTable(routes []document.Route) *Table {
 	t := &Table{hosts: make(map[string]map[string]*document.Route)}
+	counts := make(map[string]int)
 	for i := range routes {
-		r := &routes[i]
-		host := strings.ToLower(r.Host)
-		if t.hosts[host] == nil {
-			t.hosts[host] = make(map[string]*document.Route)
-		}
-		t.hosts[host][r.Prefix] = r
+		counts[strings.ToLower(routes[i].Host)]++
+	}
+	for host, n := range counts {
+		t.hosts[host] = make(map[string]*document.Route, n)
+	}
+	for i := range routes {
+		t.hosts[strings.ToLower(routes[i].Host)][routes[i].Prefix] = &routes[i]
 	}
 	return t
 }
--- a/kernel/view/view.go
+++ b/kernel/view/view.go
@@ -158,8 +158,18 @@
 		return
 	}
 	v.Services = make(map[string]*Service, len(v.Document.Services))
+	resolved := make([]Service, len(v.Document.Services))
+	indexes := make([]int, 0, len(v.Document.Services))
 	for i := range v.Document.Services {
-		v.addService(&v.Document.Services[i])
+		s := &v.Document.Services[i]
+		resolved[i].Config = s
+		for _, name := range s.Upstreams {
+			at := v.upstreams[name]
+			indexes = append(indexes, at)
+			resolved[i].Shards += len(v.Upstreams[at].Shards)
+		}
+		resolved[i].Upstreams = slices.Clip(indexes[len(indexes)-len(s.Upstreams):])
+		v.Services[s.Name] = &resolved[i]
 	}
 }
 
@@ -170,14 +180,3 @@
 func sameSlice[T any](a, b []T) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
-
-// addService resolves one service's upstreams.
-func (v *View) addService(s *document.Service) {
-	svc := &Service{Config: s}
-	for _, name := range s.Upstreams {
-		i := v.upstreams[name]
-		svc.Upstreams = append(svc.Upstreams, i)
-		svc.Shards += len(v.Upstreams[i].Shards)
-	}
-	v.Services[s.Name] = svc
-}
