--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -197,7 +197,7 @@
 }
 
 // Do makes the call, reads its JSON reply into a value, which may be nil, and
-// counts it. Errors are those of this package.
+// counts it. A *[]byte gets the reply as it came. Errors are those of this package.
 func (c *Client) Do(ctx context.Context, r Request, into any) error {
 	begin := time.Now()
 	err := c.call(ctx, r, into)
@@ -265,7 +265,7 @@
 
 // finish turns a reply into a value or an error.
 func finish(r Request, resp *http.Response, into any) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	body, err := readBody(resp)
 	if err != nil {
 		return lost(r, true, 0, err)
 	}
@@ -274,6 +274,10 @@
 	case resp.StatusCode == http.StatusNoContent:
 		return nil
 	case resp.StatusCode >= 200 && resp.StatusCode < 300:
+		if raw, ok := into.(*[]byte); ok {
+			*raw = body
+			return nil
+		}
 		if into == nil {
 			return nil
 		}
@@ -300,6 +304,16 @@
 	}
 }
 
+// readBody reads a reply's body, into memory of its length where the reply tells it.
+func readBody(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength <= 0 || resp.ContentLength > maxReply {
+		return io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	}
+	body := make([]byte, resp.ContentLength)
+	_, err := io.ReadFull(resp.Body, body)
+	return body, err
+}
+
 // detailLimit bounds how much of a refusal's body an error repeats.
 const detailLimit = 200
 
