Answers' log lines say what a query waited for; explain passes groups over

explain told the wrong end of a gathered query: the instance that gathers a part for another logs an answer of its own under the same request, often partial and at about the same time.

Change: that line has "group", and a request's end is a line without it. The line also says for how long an attempt was queued here, and which attempt took longest of those that brought a reply, with its shard and leaf: without them the logs can't tell a slow leaf from an instance without processor time. Missing parts are parted by semicolons, as names of parts and reasons may have spaces.

TestTell has a group's answer beside the whole one's; before: "partial after 20ms by front-4", the group's.

--- a/cmd/internal/story/story.go
+++ b/cmd/internal/story/story.go
@@ -37,6 +37,26 @@
 	return fmt.Sprint(v)
 }
 
+// FailedAttempt reports whether the line tells of an attempt that failed while it was needed.
+func (l *Line) FailedAttempt() bool {
+	return l.Message == "attempt failed" && !strings.Contains(l.Text("why"), "cancelled")
+}
+
+// IsStart reports whether a process begins with the line.
+func (l *Line) IsStart() bool { return l.Prefix == "node" && l.Message == startMessage }
+
+// Int returns a field as a whole number, 0 when there is none.
+func (l *Line) Int(key string) int {
+	n, _ := l.Fields[key].(float64)
+	return int(n)
+}
+
+// Duration returns a field as a duration, 0 when there is none.
+func (l *Line) Duration(key string) time.Duration {
+	d, _ := time.ParseDuration(l.Text(key))
+	return d
+}
+
 // Read reads a log. A line may have other text before its record, whose last word
 // names the instance; else the instance is the given one. Lines without a record
 // are passed over and counted.
@@ -136,7 +156,7 @@
 		if !beliefs[l.Prefix] || !involved[l.Instance] || l.At.After(start) {
 			continue
 		}
-		if l.Prefix == "node" && l.Message == startMessage {
+		if l.IsStart() {
 			out = slices.DeleteFunc(out, func(o Line) bool { return o.Instance == l.Instance })
 			clear(last) // what an earlier process believed is gone with it
 			for i, o := range out {
@@ -153,25 +173,40 @@
 	return slices.DeleteFunc(out, func(l Line) bool { return l.Message == "" })
 }
 
-// cause says in a sentence why the request ended as it did.
-func cause(lines []Line) string {
-	for _, l := range slices.Backward(lines) {
+// Ending is the line that ends a request; nil: none does. Lines are in their order. A group of
+// a query that another instance answers does not end it.
+func Ending(lines []Line) *Line {
+	for i := range slices.Backward(lines) {
+		l := &lines[i]
 		switch {
-		case l.Prefix == "gateway" && l.Message == "refuse":
-			return fmt.Sprintf("refused by %s with status %s, not run: %s", l.Instance, l.Text("status"), l.Text("why"))
-		case l.Prefix == "query" && l.Message == "refuse":
-			return fmt.Sprintf("refused by %s, not run: %s", l.Instance, l.Text("why"))
-		case l.Prefix == "query" && l.Message == "answer":
-			return answered(&l, lines)
+		case l.Prefix == "gateway" && l.Message == "refuse", l.Prefix == "query" && l.Message == "refuse":
+			return l
+		case l.Prefix == "query" && l.Message == "answer" && l.Text("group") == "":
+			return l
 		}
 	}
-	return ""
+	return nil
+}
+
+// cause says in a sentence why the request ended as it did.
+func cause(lines []Line) string {
+	l := Ending(lines)
+	switch {
+	case l == nil:
+		return ""
+	case l.Message == "answer":
+		return answered(l, lines)
+	case l.Prefix == "gateway":
+		return fmt.Sprintf("refused by %s with status %s, not run: %s", l.Instance, l.Text("status"), l.Text("why"))
+	default:
+		return fmt.Sprintf("refused by %s, not run: %s", l.Instance, l.Text("why"))
+	}
 }
 
 // unended explains a request without a line that ends it.
 func unended(last Line, lines []Line) string {
 	for _, l := range lines {
-		if l.Instance == last.Instance && l.At.After(last.At) && l.Prefix == "node" && l.Message == startMessage {
+		if l.Instance == last.Instance && l.At.After(last.At) && l.IsStart() {
 			return fmt.Sprintf("the process of %s ended before it answered: the next one began %v later", last.Instance, l.At.Sub(last.At).Round(time.Millisecond))
 		}
 	}
@@ -185,7 +220,7 @@
 		text += "; missing " + missing
 	}
 	for _, other := range lines {
-		if other.Message == "attempt failed" && !strings.Contains(other.Text("why"), "cancelled") {
+		if other.FailedAttempt() {
 			text += fmt.Sprintf("; leaf %s of %s: %s after %s", other.Text("leaf"), other.Text("shard"), other.Text("why"), other.Text("took"))
 		}
 	}
--- a/cmd/internal/story/story_test.go
+++ b/cmd/internal/story/story_test.go
@@ -16,6 +16,7 @@
 {"time":"2026-06-08T18:20:55.010000Z","level":"info","prefix":"dispatch","msg":"attempt failed","request":"late","shard":"s3","leaf":"i-1","why":"broken deadline","took":"90ms"}
    2.0 front-1 {"time":"2026-06-08T18:20:55.000000Z","level":"info","prefix":"relay","msg":"handed over","request":"late","to":"front-3"}
    2.1 front-3 {"time":"2026-06-08T18:20:55.100000Z","level":"info","prefix":"query","msg":"answer","request":"late","why":"partial","took":"99ms","config":6,"config_age":"1.2s","missing":"s3:settled"}
+   2.1 front-4 {"time":"2026-06-08T18:20:55.110000Z","level":"info","prefix":"query","msg":"answer","request":"late","why":"partial","took":"20ms","group":true,"missing":"s4:no_shard"}
    2.2 front-2 {"time":"2026-06-08T18:20:55.200000Z","level":"info","prefix":"gateway","msg":"refuse","request":"refused","why":"the configuration here may be old","status":503,"config":4}
    2.3 front-2 {"time":"2026-06-08T18:20:55.300000Z","level":"info","prefix":"dispatch","msg":"dispatch","request":"cut","leaf":"i-2"}
 `
@@ -23,7 +24,7 @@
 // TestTell finds the cause of each kind of failed request.
 func TestTell(t *testing.T) {
 	lines, passedOver, err := Read(strings.NewReader(logs), "front-9")
-	if err != nil || passedOver != 1 || len(lines) != 10 {
+	if err != nil || passedOver != 1 || len(lines) != 11 {
 		t.Fatalf("%d lines, %d passed over, %v", len(lines), passedOver, err)
 	}
 	for _, tc := range []struct {
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -45,6 +45,7 @@
 		return
 	}
 	a.run.sawRun()
+	a.run.sawReply(a, time.Since(a.started))
 	e.Learn(s.leaf.ID, reply.Said)
 	a.run.service.metrics.Attempt(telemetry.AttemptReply, s.action.Queued)
 	p.finish(a, dispatch.OutcomeReply, reply.Service)
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -40,6 +40,8 @@
 	due time.Time
 	// waited is the longest time that an attempt waited in a queue here, in nanoseconds.
 	waited atomic.Int64
+	// slowest is the attempt that took longest of those that brought a reply; nil: none did.
+	slowest atomic.Pointer[slowReply]
 	ctx    context.Context // ends with the caller
 	work   context.Context // of the exchanges: ends with the deadline or the answer, too
 
--- a/entry/executor/story.go
+++ b/entry/executor/story.go
@@ -35,6 +35,25 @@
 	return up.Name + " " + p.Range.String()
 }
 
+// slowReply is an attempt that brought a reply.
+type slowReply struct {
+	attempt *attempt
+	took    time.Duration
+}
+
+// sawReply notes how long an attempt took that brought a reply.
+func (r *run) sawReply(a *attempt, took time.Duration) {
+	if !r.executor.config.Log.DecisionsOn() {
+		return
+	}
+	for {
+		slowest := r.slowest.Load()
+		if slowest != nil && took <= slowest.took || r.slowest.CompareAndSwap(slowest, &slowReply{a, took}) {
+			return
+		}
+	}
+}
+
 // logAnswer writes the line that ends a query's story: what came of it, what it
 // cost, what is missing and why, and how old the beliefs were that it acted on.
 func (r *run) logAnswer(a *query.Answer) {
@@ -56,6 +75,15 @@
 		configAge, leavesAge := r.executor.config.Ages()
 		more = append(more, "config_age", configAge, "leaves_age", leavesAge)
 	}
+	if r.request.Only != nil {
+		more = append(more, "group", true) // of a query that another instance answers
+	}
+	if queued := time.Duration(r.waited.Load()); queued > 0 {
+		more = append(more, "queued", queued)
+	}
+	if s := r.slowest.Load(); s != nil {
+		more = append(more, "slowest", s.took, "slowest_shard", s.attempt.shardName(), "slowest_leaf", s.attempt.leafID)
+	}
 	if a.Reason != "" {
 		more = append(more, "reason", a.Reason)
 	}
@@ -68,16 +96,16 @@
 	})
 }
 
-// missingParts lists parts with the reason of each, as "name:reason".
+// missingParts lists parts with the reason of each, as "name:reason; name:reason".
 func (r *run) missingParts(a *query.Answer) string {
 	var b strings.Builder
 	for i, m := range a.Missing {
 		if i == mostMissing {
-			b.WriteString(" ...")
+			b.WriteString("; ...")
 			break
 		}
 		if i > 0 {
-			b.WriteByte(' ')
+			b.WriteString("; ")
 		}
 		b.WriteString(partName(r.request.View, m.Part) + ":" + missing(m))
 	}
