fuchsiactl loss: where requests of a run were lost, from the instances' logs

It reads the logs as explain does and counts the requests that were refused, failed, late, partial or ended by nobody: by reason, with the number that would come back if that reason alone were gone, by shard and by second; as a table, as rows in CSV, and as a plot. The reason of a late answer is the part of its time (queue, leaf, failed attempt, hand-over, the instance's own) without which it would have been in time.

--- a/cmd/fuchsiactl/explain.go
+++ b/cmd/fuchsiactl/explain.go
@@ -24,13 +24,9 @@
 		Example: "  fuchsiactl explain 9c41d07be2a35f68 front-1.log front-2.log",
 		Args:    usageArgs(cobra.MinimumNArgs(2)),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var lines []story.Line
-			for _, path := range args[1:] {
-				more, err := readLog(path)
-				if err != nil {
-					return err
-				}
-				lines = append(lines, more...)
+			lines, err := readLogs(args[1:])
+			if err != nil {
+				return err
 			}
 			s, ok := story.Tell(args[0], lines)
 			if !ok {
@@ -41,6 +37,19 @@
 	}
 }
 
+// readLogs reads files.
+func readLogs(paths []string) ([]story.Line, error) {
+	var lines []story.Line
+	for _, path := range paths {
+		more, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
 // readLog reads one file.
 func readLog(path string) ([]story.Line, error) {
 	f, err := os.Open(path)
--- a/cmd/fuchsiactl/root.go
+++ b/cmd/fuchsiactl/root.go
@@ -81,6 +81,7 @@
 		newServices(o),
 		newQuarantine(o),
 		newExplain(),
+		newLoss(),
 		newMetrics(o),
 		newLoad(o),
 		newDemo(o),
