--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -42,8 +42,8 @@
 	waited atomic.Int64
 	// slowest is the attempt that took longest of those that brought a reply; nil: none did.
 	slowest atomic.Pointer[slowReply]
-	ctx    context.Context // ends with the caller
-	work   context.Context // of the exchanges: ends with the deadline or the answer, too
+	ctx     context.Context // ends with the caller
+	work    context.Context // of the exchanges: ends with the deadline or the answer, too
 
 	// mu guards what follows. The query's goroutine holds it for each event,
 	// and an exchange while it asks for leave to send.
