A stall of an instance is not taken for the silence of the one it asks

Callers saw answers late by 100 to 600 ms for half a second after each version of the configuration came into force on an instance.

Cause: an instance offers a request to a stronger one and runs it itself when that one has not accepted within 15 ms. The time ran on the wall clock: an instance with a fifth of a core that puts a version in force, or collects garbage, stands still for longer, and then took its own stall for the other's silence, did not ask that one again for half a second, and asked 90 leaves itself, which took its processor from the requests that followed. Class: a time-out that measures the one who waits.

Change: the wait is counted in three parts. One that ends late counts like any other, and what came in meanwhile is read before the next one ends. The next instance is asked unless one was silent; before, unless 15 ms had passed.

--- a/entry/hosted/forwarding/gather.go
+++ b/entry/hosted/forwarding/gather.go
@@ -76,12 +76,12 @@
 	began := time.Now()
 	err := errNobody
 	for _, to := range candidates(f.config.Fleet.Gatherers(g.Zone, began)) {
-		if time.Since(began) >= takeWithin {
-			break
-		}
 		if err = f.gatherBy(ctx, r, g, to, sent, got); err == nil || took(err) {
 			return err
 		}
+		if silent(err) {
+			break // the time that hand-overs may cost is spent
+		}
 	}
 	return &executor.NotGatheredError{Err: err}
 }
--- a/entry/hosted/forwarding/relay.go
+++ b/entry/hosted/forwarding/relay.go
@@ -47,9 +47,6 @@
 	began := time.Now()
 	for _, to := range candidates(f.config.Fleet.Stronger(began)) {
 		now := time.Now()
-		if now.Sub(began) >= acceptWithin {
-			break
-		}
 		reply, err := f.handOver(ctx, to, r, now)
 		f.logRelay(ctx, r, to, err, time.Since(now))
 		if err == nil {
@@ -62,6 +59,9 @@
 		if took(err) {
 			return lostReply(r.Deadline)
 		}
+		if silent(err) {
+			break // the time that hand-overs may cost is spent
+		}
 	}
 	return nil
 }
@@ -113,6 +113,9 @@
 	return !errors.As(err, &notAccepted)
 }
 
+// silent reports whether the other instance did not answer in time.
+func silent(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
+
 // blames reports whether an error shows that the other instance is not well. One
 // that declines is.
 func blames(err error) bool {
--- a/entry/peer/forward.go
+++ b/entry/peer/forward.go
@@ -195,7 +195,7 @@
 
 // Acceptance is how a peer takes a request over.
 type Acceptance struct {
-	// Within is the time that it may take to accept.
+	// Within is the time that it may take to accept, counted while this instance runs.
 	Within time.Duration
 	// Accepted is called when it has, before the word to run goes out, which does
 	// not if it returns false; nil: it always goes out.
@@ -242,16 +242,19 @@
 	return &reply, nil
 }
 
-// offer makes the first call.
+// offer makes the first call, and ends it after a time with context.DeadlineExceeded.
 func (c *Client) offer(ctx context.Context, t Target, r *peerapi.ForwardRequest, within time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
+	ctx, release := patient(ctx, within)
+	defer release()
+	var reply peerapi.OfferReply
 	conn, err := c.conn(ctx, t)
-	if err != nil {
-		return err
+	if err == nil {
+		err = conn.Call(ctx, peerapi.MethodOffer, r, &reply)
 	}
-	var reply peerapi.OfferReply
-	if err := conn.Call(ctx, peerapi.MethodOffer, r, &reply); err != nil {
+	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return context.DeadlineExceeded
+	}
+	if err != nil {
 		return err
 	}
 	if reply.Declined != "" {
