--- a/cmd/internal/loss/late.go
+++ b/cmd/internal/loss/late.go
@@ -13,11 +13,15 @@
 	return end.Duration("took") + end.Duration("way") + handedBack(end, lines)
 }
 
+// lineDelay is how much later than the answer itself the line of the instance that had handed a
+// request over may be. Answers are often settled a millisecond before their objective.
+const lineDelay = 1500 * time.Microsecond
+
 // handedBack is the time from an answer to the line of the instance that had handed the request
-// over; 0 where none had.
+// over, less what that line may be late; 0 where none had.
 func handedBack(end *story.Line, lines []story.Line) time.Duration {
 	if l := handOver(lines); l != nil {
-		return max(l.At.Sub(end.At), 0)
+		return max(l.At.Sub(end.At)-lineDelay, 0)
 	}
 	return 0
 }
