A route that is new among others is sent as a change

Instances with a fifth of a core stood still for 150 to 300 ms to decode each version, and their requests were late.

Cause: a change named its new routes and these were put after the others. The operators' routes are in the order of their names, so that a new one belongs among them; the hash then differed, and the version was sent whole. The tests changed routes in place or added them at the end. Class: a fallback that works hides that the fast way never does; nothing told which was taken.

Change: a new route is sent with its index. Routes are looked for among the next 32 by name before a table of all is made. The line "configuration in force" says how many routes changed and whether a peer sent only these.

TestNewRouteAmongOthersIsAChange inserts and removes routes; the property of changes inserts at random places.

--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -87,6 +87,8 @@
 type origin struct {
 	peer  string    // empty: this instance's own read of the store
 	began time.Time // when the read of the store began
+	// byChange says that the peer has sent what leads to it from the version before.
+	byChange bool
 }
 
 // pairs names the origin and its age in a log line.
@@ -191,7 +193,7 @@
 	before := c.catalog.Version()
 	changed := c.catalog.ConfigRead(cfg, from.began, now)
 	if changed {
-		pairs := []any{"version", cfg.Version, "before", before, "routes", len(cfg.Routes)}
+		pairs := []any{"version", cfg.Version, "before", before, "routes", len(cfg.Routes), "changed", c.catalog.Changed(), "by_change", from.byChange}
 		c.log.Info("configuration in force", append(pairs, from.pairs(now)...)...)
 	}
 	until := c.catalog.FreshUntil()
--- a/entry/hosted/statesync/config.go
+++ b/entry/hosted/statesync/config.go
@@ -55,7 +55,7 @@
 // all of it, or does not lead there.
 func packChange(from, to *catalog.Config) []byte {
 	change, ok := from.Change(to)
-	if !ok || float64(len(change.Routes)+len(change.GoneRoutes)) > maxChangedShare*float64(len(to.Routes)) {
+	if !ok || float64(change.Size()) > maxChangedShare*float64(len(to.Routes)) {
 		return nil
 	}
 	packed, err := pack(change)
@@ -122,6 +122,11 @@
 	if err := checkRoutes(change.Routes); err != nil {
 		return nil, err
 	}
+	for _, n := range change.New {
+		if n.Route == nil {
+			return nil, errNoRoute
+		}
+	}
 	out := base.Apply(&change)
 	if out.Hash() != n.ConfigHash {
 		return nil, errOtherConfig
--- a/entry/hosted/statesync/receiver.go
+++ b/entry/hosted/statesync/receiver.go
@@ -14,6 +14,8 @@
 	Version uint64
 	// Config is that configuration; nil: it is the one asked with, or there is none.
 	Config *catalog.Config
+	// ByChange says that the peer has sent what leads to it from the one asked with.
+	ByChange bool
 	// ConfigAt, LeavesAt and FleetAt are when the reads of the store began from which
 	// the peer knows it, by this instance's clock; zero: the peer does not know.
 	ConfigAt, LeavesAt, FleetAt time.Time
@@ -58,7 +60,7 @@
 // received last. Ages count from when it was sent, so that what a peer sends is never taken for newer than it is.
 func (r *Receiver) Take(reply *peerapi.SyncReply, base *catalog.Config, sent, now time.Time) (*Update, error) {
 	out := &Update{
-		Version: reply.Version, FleetHash: reply.Fleet,
+		Version: reply.Version, ByChange: reply.Change != nil, FleetHash: reply.Fleet,
 		ConfigAt: since(reply.ConfigAgeMS, sent), LeavesAt: since(reply.LeavesAgeMS, sent), FleetAt: since(reply.FleetAgeMS, sent),
 	}
 	var err error
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -155,7 +155,7 @@
 // takeUpdate puts a peer's state into the catalog and reports whether anything changed.
 func (c *control) takeUpdate(m peerUpdate, now time.Time) bool {
 	u := m.update
-	configFrom, leavesFrom := origin{peer: m.peer, began: u.ConfigAt}, origin{peer: m.peer, began: u.LeavesAt}
+	configFrom, leavesFrom := origin{peer: m.peer, began: u.ConfigAt, byChange: u.ByChange}, origin{peer: m.peer, began: u.LeavesAt}
 	changed := false
 	if u.Config != nil {
 		changed = c.takeConfig(u.Config, configFrom, now)
--- a/kernel/catalog/build.go
+++ b/kernel/catalog/build.go
@@ -87,6 +87,8 @@
 	// first is the index of each route's first service.
 	first  []int
 	routes []document.Route
+	// resolved is the number of routes that were not taken from the one before.
+	resolved int
 }
 
 // compile resolves a configuration's routes. Those that it shares with the one compiled before,
@@ -103,11 +105,12 @@
 	known := newAlignment(before.config.Routes)
 	for _, r := range cfg.Routes {
 		out.first = append(out.first, len(out.services))
-		if at := known.index(r); at >= 0 && before.config.Routes[at] == r {
+		if at := known.near(r); at >= 0 && before.config.Routes[at] == r {
 			out.routes = append(out.routes, before.routes[at])
 			out.services = append(out.services, before.servicesOf(at)...)
 		} else {
 			out.add(r)
+			out.resolved++
 		}
 		out.addUpstreams(r)
 	}
--- a/kernel/catalog/change.go
+++ b/kernel/catalog/change.go
@@ -15,22 +15,34 @@
 type ConfigChange struct {
 	Version uint64
 	Limits  Limits
-	// Routes are those that differ or are new, in their order, and GoneRoutes the names of
-	// those that are no more.
-	Routes     []*Route `json:",omitempty"`
-	GoneRoutes []string `json:",omitempty"`
+	// Routes are those that differ, New those that are new, both in their order, and GoneRoutes
+	// the names of those that are no more.
+	Routes     []*Route   `json:",omitempty"`
+	New        []NewRoute `json:",omitempty"`
+	GoneRoutes []string   `json:",omitempty"`
 	// Services are those that differ or are new, and GoneServices those that are no more.
 	Services     map[string]Service `json:",omitempty"`
 	GoneServices []string           `json:",omitempty"`
 }
 
+// NewRoute is a route that the version before lacks, and its index in the new one.
+type NewRoute struct {
+	At    int
+	Route *Route
+}
+
+// Size is the number of routes that the change names.
+func (c *ConfigChange) Size() int { return len(c.Routes) + len(c.New) + len(c.GoneRoutes) }
+
 // Change finds what leads from this version to another. Routes that keep their place among the
 // others are found by their names; ok is false where that does not lead to the other version.
 func (c *Config) Change(to *Config) (change *ConfigChange, ok bool) {
 	out := &ConfigChange{Version: to.Version, Limits: to.Limits, Services: make(map[string]Service)}
 	before := newAlignment(c.Routes)
-	for _, r := range to.Routes {
-		if was := before.find(r); was == nil || !was.equal(r) {
+	for i, r := range to.Routes {
+		if at := before.index(r); at < 0 {
+			out.New = append(out.New, NewRoute{At: i, Route: r})
+		} else if !c.Routes[at].equal(r) {
 			out.Routes = append(out.Routes, r)
 		}
 	}
@@ -54,7 +66,7 @@
 	routes []*Route
 	next   int            // index after the route found last
 	found  []bool         // by index
-	byName map[string]int // to the index; nil until a route is out of order
+	byName map[string]int // to the index; nil until a route is not near
 }
 
 // newAlignment makes an alignment to the routes of one version.
@@ -62,32 +74,40 @@
 	return &alignment{routes: routes, found: make([]bool, len(routes))}
 }
 
+// nearRoutes is the number of routes after the last one among which a name is looked for first.
+const nearRoutes = 32
+
+// near is the index of the route with the name of another among those that follow, or -1.
+func (a *alignment) near(r *Route) int {
+	for at := a.next; at < min(a.next+nearRoutes, len(a.routes)); at++ {
+		if a.routes[at].Name == r.Name {
+			return a.take(at)
+		}
+	}
+	return -1
+}
+
 // index is that of the route with the name of another, or -1.
 func (a *alignment) index(r *Route) int {
-	at := a.next
-	if at >= len(a.routes) || a.routes[at].Name != r.Name {
-		if a.byName == nil {
-			a.byName = make(map[string]int, len(a.routes))
-			for i, known := range a.routes {
-				a.byName[known.Name] = i
-			}
-		}
-		var ok bool
-		if at, ok = a.byName[r.Name]; !ok {
-			return -1
+	if at := a.near(r); at >= 0 {
+		return at
+	}
+	if a.byName == nil {
+		a.byName = make(map[string]int, len(a.routes))
+		for i, known := range a.routes {
+			a.byName[known.Name] = i
 		}
 	}
-	a.next, a.found[at] = at+1, true
-	return at
+	if at, ok := a.byName[r.Name]; ok {
+		return a.take(at)
+	}
+	return -1
 }
 
-// find is the route with the name of another, or nil.
-func (a *alignment) find(r *Route) *Route {
-	at := a.index(r)
-	if at < 0 {
-		return nil
-	}
-	return a.routes[at]
+// take notes that a route was found.
+func (a *alignment) take(at int) int {
+	a.next, a.found[at] = at+1, true
+	return at
 }
 
 // gone lists the names of the routes that were not found.
@@ -126,20 +146,25 @@
 		gone[name] = true
 	}
 	sums := c.routeSums()
-	out.Routes = make([]*Route, 0, len(c.Routes)+len(change.Routes))
+	out.Routes = make([]*Route, 0, len(c.Routes)+len(change.New))
 	out.sums = make([]uint64, 0, cap(out.Routes))
+	added := change.New
 	for i, r := range c.Routes {
+		if gone[r.Name] {
+			continue
+		}
+		for len(added) > 0 && added[0].At == len(out.Routes) {
+			out.add(added[0].Route, added[0].Route.sum())
+			added = added[1:]
+		}
 		if next := changed[r.Name]; next != nil {
 			out.add(next, next.sum())
-			delete(changed, r.Name)
-		} else if !gone[r.Name] {
+		} else {
 			out.add(r, sums[i])
 		}
 	}
-	for _, r := range change.Routes {
-		if _, added := changed[r.Name]; added {
-			out.add(r, r.sum())
-		}
+	for _, n := range added {
+		out.add(n.Route, n.Route.sum())
 	}
 	return out
 }
--- a/kernel/catalog/change_test.go
+++ b/kernel/catalog/change_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,7 +41,8 @@
 		}
 	}
 	for i := range rapid.IntRange(0, 3).Draw(t, "new routes") {
-		out.Routes = append(out.Routes, drawRoute(t, fmt.Sprintf("r%d-%d", out.Version, i)))
+		at := rapid.IntRange(0, len(out.Routes)).Draw(t, "at")
+		out.Routes = slices.Insert(out.Routes, at, drawRoute(t, fmt.Sprintf("r%d-%d", out.Version, i)))
 	}
 	if len(out.Routes) > 1 && rapid.IntRange(0, 9).Draw(t, "reorder") == 0 {
 		out.Routes[0], out.Routes[1] = out.Routes[1], out.Routes[0]
@@ -78,6 +80,29 @@
 	return a.Version == b.Version && a.Limits == b.Limits && reflect.DeepEqual(a.Services, b.Services) && reflect.DeepEqual(a.Routes, b.Routes)
 }
 
+// TestNewRouteAmongOthersIsAChange puts routes between those of a version, as one sorted by names
+// has them, and takes others away.
+func TestNewRouteAmongOthersIsAChange(t *testing.T) {
+	services := map[string]Service{"s": {Name: "s"}}
+	before, after := &Config{Version: 1, Services: services}, &Config{Version: 2, Services: services}
+	for i := range 500 {
+		r := func() *Route { return &Route{Name: fmt.Sprintf("r%03d", i), Timeout: time.Second} }
+		if i%100 != 50 {
+			before.Routes = append(before.Routes, r())
+		}
+		if i/40 != 5 {
+			after.Routes = append(after.Routes, r())
+		}
+	}
+	change, ok := before.Change(after)
+	if !ok || len(change.New) != 5 || len(change.Routes) != 0 || len(change.GoneRoutes) != 40 {
+		t.Errorf("ok %v, %d new, %d differ, %d gone", ok, len(change.New), len(change.Routes), len(change.GoneRoutes))
+	}
+	if got := before.Apply(change); got.Hash() != after.Hash() || !sameConfig(got, after) {
+		t.Error("the change does not lead to the version")
+	}
+}
+
 // TestChangeIsAsLongAsWhatDiffers changes one of many routes.
 func TestChangeIsAsLongAsWhatDiffers(t *testing.T) {
 	before := &Config{Version: 1, Services: map[string]Service{"s": {Name: "s"}, "t": {Name: "t"}}}
