--- a/entry/hosted/statesync/config.go
+++ b/entry/hosted/statesync/config.go
@@ -100,9 +100,9 @@
 	case n.Change != nil:
 		return applyChange(n, base)
 	case n.Config != nil:
-		out := &catalog.Config{}
-		if err := unpack(n.Config, out); err != nil {
-			return nil, fmt.Errorf("decode a peer's configuration: %w", err)
+		out, err := unpackConfig(n.Config)
+		if err != nil {
+			return nil, fmt.Errorf("a peer's configuration: %w", err)
 		}
 		return out, checkRoutes(out.Routes)
 	default:
--- a/entry/hosted/statesync/pack.go
+++ b/entry/hosted/statesync/pack.go
@@ -52,9 +52,21 @@
 	if !bytes.HasPrefix(data, gzipMagic) {
 		return json.Unmarshal(data, into)
 	}
+	in, err := unpacked(data)
+	if err != nil {
+		return err
+	}
+	return json.NewDecoder(in).Decode(into)
+}
+
+// unpacked is the JSON that pack has written.
+func unpacked(data []byte) (io.Reader, error) {
+	if !bytes.HasPrefix(data, gzipMagic) {
+		return bytes.NewReader(data), nil
+	}
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
-		return fmt.Errorf("decompress state: %w", err)
+		return nil, fmt.Errorf("decompress state: %w", err)
 	}
-	return json.NewDecoder(io.LimitReader(r, mostUnpacked)).Decode(into)
+	return io.LimitReader(r, mostUnpacked), nil
 }
