The reader's waits after silence of the store end within half of the bound

Cause: a reader waits up to 2 s for the first byte of a silent store and then up to 1 s before the next try, whatever the bound is; both may have begun just before the store serves it again. For all others these times are shares of the bound already.

Change: the wait is bounded by 0.3 and the pause by 0.2 of the bound. The start of an instance keeps its times.

--- a/entry/hosted/city_test.go
+++ b/entry/hosted/city_test.go
@@ -114,10 +114,16 @@
 
 // city is a fleet of instances in virtual time.
 type city struct {
-	t       *testing.T
-	store   *sharedStore
-	size    int
-	zones   int
+	t     *testing.T
+	store *sharedStore
+	size  int
+	zones int
+	// far is the time of a call to another zone; 0: peerDelay.
+	far time.Duration
+	// cut says which calls to other instances get no answer; nil: none.
+	cut func(from, to string) bool
+	// slow is the time that every second instance takes longer to answer others.
+	slow    time.Duration
 	mu      sync.Mutex
 	running map[string]*resident // by address
 }
@@ -125,6 +131,7 @@
 // resident is one running instance of a city.
 type resident struct {
 	node *Node
+	slow bool
 	end  func()
 }
 
@@ -167,7 +174,7 @@
 	done.Go(func() { _ = n.fleet.announce(ctx) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running[address(i)] = &resident{node: n, end: func() {
+	c.running[address(i)] = &resident{node: n, slow: i%2 == 0, end: func() {
 		cancel()
 		done.Wait()
 		synctest.Wait()
@@ -214,16 +221,47 @@
 
 // Sync implements syncPeers.
 func (c peersOf) Sync(ctx context.Context, to peer.Target, r peerapi.SyncRequest) (*peerapi.SyncReply, error) {
-	time.Sleep(peerDelay)
 	c.mu.Lock()
-	other := c.running[to.Address]
+	other, own := c.running[to.Address], c.byName(c.instance)
+	cut, slow := c.cut, c.slow
 	c.mu.Unlock()
+	delay := peerDelay
+	if other != nil && own != nil && other.node.config.Zone != own.node.config.Zone {
+		delay = max(delay, c.far)
+	}
+	if other != nil && other.slow {
+		delay += slow
+	}
+	time.Sleep(delay)
 	if other == nil || ctx.Err() != nil {
 		return nil, errRefused
 	}
+	if cut != nil && cut(c.instance, other.node.config.Instance) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(syncTimeout):
+		}
+		return nil, context.DeadlineExceeded
+	}
 	return other.node.Sync(c.instance, r), nil
 }
 
+// set changes how instances reach each other.
+func (c *city) set(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+// byName is a running instance, or nil. The lock is held.
+func (c *city) byName(instance string) *resident {
+	var i int
+	if _, err := fmt.Sscanf(instance, "i-%d", &i); err != nil {
+		return nil
+	}
+	return c.running[address(i)]
+}
+
 // behind counts the running instances that don't have a version in force.
 func (c *city) behind(want uint64) int {
 	synctest.Wait()
--- a/entry/hosted/freshness_test.go
+++ b/entry/hosted/freshness_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 )
@@ -121,6 +122,30 @@
 	})
 }
 
+// TestReaderLearnsSoonAfterSilenceOfTheStore lets the store be silent to an instance that nobody
+// else can tell anything, until its waits are longest: served again, it is fresh within the bound,
+// whatever it waits for at that moment.
+func TestReaderLearnsSoonAfterSilenceOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := settled(t, 1)
+		defer c.stopAll()
+		n := c.byName(name(0)).node
+		worst := time.Duration(0)
+		for phase := range 40 {
+			c.store.set(func(s *sharedStore) { s.silent = func(string) bool { return true } })
+			time.Sleep(10*time.Second + time.Duration(phase)*90*time.Millisecond)
+			c.store.set(func(s *sharedStore) { s.silent = nil; s.version++ })
+			served := time.Now()
+			c.await(n, uint64(phase+2))
+			worst = max(worst, time.Since(served))
+		}
+		t.Logf("fresh after %v at most", worst)
+		if limit := bound * 8 / 10; worst >= limit {
+			t.Errorf("fresh %v after the store served it, want less than %v", worst, limit)
+		}
+	})
+}
+
 // slowLink is a store whose answers begin at once and whose configuration takes its time on the way.
 type slowLink struct {
 	fakeStore
@@ -240,3 +265,55 @@
 		}
 	}
 }
+
+// TestInstancesInTouchStayWithinTheBoundBehindCuts does the same while calls between instances get
+// no answer in one direction, instances answer others slowly, and leaders leave.
+func TestInstancesInTouchStayWithinTheBoundBehindCuts(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playCuts(t, rand.New(rand.NewPCG(seed, 31))) })
+		})
+	}
+}
+
+// playCuts plays fifteen changes of who reaches whom. The store serves most instances.
+func playCuts(t *testing.T, random *rand.Rand) {
+	c := newCity(t, 6+random.IntN(30))
+	c.zones = 1 + random.IntN(4)
+	c.settle()
+	defer c.stopAll()
+	touch := make(map[string]time.Time)
+	for range 15 {
+		for i := range c.size {
+			if _, running := c.running[address(i)]; !running {
+				c.start(i, false)
+			}
+		}
+		var leaving []string
+		out, deaf, mute := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+		share := random.Float64() / 2
+		for name, role := range c.roles() {
+			out[name] = random.Float64() < share
+			deaf[name], mute[name] = random.Float64() < share, random.Float64() < share
+			if role != fleet.RoleMember && random.IntN(4) == 0 {
+				r := c.byName(name)
+				r.node.lifecycle.Set(lifecycle.Leaving)
+				leaving = append(leaving, r.node.config.Peer)
+			}
+		}
+		c.store.set(func(s *sharedStore) { s.silent = func(name string) bool { return out[name] } })
+		c.set(func() {
+			c.cut = func(from, to string) bool { return mute[from] || deaf[to] }
+			c.slow = time.Duration(random.IntN(3)) * 100 * time.Millisecond
+		})
+		for tick := range 5 + random.IntN(80) {
+			if tick == 4 {
+				for _, address := range leaving {
+					c.stop(address)
+				}
+			}
+			c.checkTouch(touch, out)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
--- a/entry/hosted/storeread.go
+++ b/entry/hosted/storeread.go
@@ -30,15 +30,19 @@
 	retryShare = 0.4
 	// readTimeout bounds the wait for the first byte of an answer at first; a store that is
 	// merely slow takes up to 250 ms, and one that is silent is best asked again on a new
-	// connection. It doubles with each failure of the reader up to maxReadTimeout, for a store
-	// that is slower still.
-	readTimeout    = 300 * time.Millisecond
-	maxReadTimeout = 2 * time.Second
+	// connection. It doubles with each failure of the reader up to readTimeoutShare, for a store
+	// that is slower still; at the start of an instance up to maxReadTimeout.
+	readTimeout      = 300 * time.Millisecond
+	readTimeoutShare = 0.3
+	maxReadTimeout   = 2 * time.Second
 	// transferShare bounds a call whose answer has begun.
 	transferShare = 0.3
-	// firstRetry is the reader's first pause after a failed read, doubled up to maxRetryDelay.
-	firstRetry    = 50 * time.Millisecond
-	maxRetryDelay = time.Second
+	// firstRetry is the reader's first pause after a failed read, doubled up to retryDelayShare: a
+	// call and a pause that began before the store served it again are over within half of the
+	// bound. At the start of an instance it is doubled up to maxRetryDelay.
+	firstRetry      = 50 * time.Millisecond
+	retryDelayShare = 0.2
+	maxRetryDelay   = time.Second
 )
 
 // storeReader reads the store when it is this instance's turn. It is used by one goroutine.
@@ -135,8 +139,8 @@
 	r.observeRead(storeRead{role: role, began: began, age: age, err: err})
 	r.readFails.Store(err != nil)
 	if err != nil {
-		r.failedAt, r.pause, r.spread = time.Now(), r.backoff.Next(r.random), 0.75+r.random.Float64()/2
-		r.timeout = min(max(2*time.Since(began), readTimeout), maxReadTimeout)
+		r.failedAt, r.pause, r.spread = time.Now(), min(r.backoff.Next(r.random), r.bound(retryDelayShare)), 0.75+r.random.Float64()/2
+		r.timeout = max(min(2*time.Since(began), r.bound(readTimeoutShare)), readTimeout)
 		return
 	}
 	r.readAt, r.failedAt, r.timeout = began, time.Time{}, readTimeout
