Questions about the fleet need no method each; one job a file

members had twenty methods that took a lock and passed on. Ten are gone: a question is put to the fleet by look, with the kernel's own method. Those that package forwarding asks for by its interfaces stay.

--- a/entry/hosted/begin.go
+++ b/entry/hosted/begin.go
@@ -46,7 +46,7 @@
 func (c *control) beginBySeeds(ctx context.Context, learned func(), alone chan<- struct{}) {
 	pause := backoff.Backoff{Min: seedRetry, Max: maxSeedRetry}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	seeds := c.node.fleet.seeds()
+	seeds := look(c.node.fleet, (*fleet.Fleet).Seeds)
 	for i := 0; ctx.Err() == nil && len(seeds) > 0; i++ {
 		seed := seeds[i%len(seeds)]
 		err := c.ask(ctx, fleet.Instance{Peer: seed})
@@ -89,7 +89,7 @@
 
 // awaitSeeds waits until it is time to read the store: a seed has nobody to wait for.
 func (c *control) awaitSeeds(ctx context.Context, alone <-chan struct{}) {
-	if len(c.node.config.Seeds) == 0 || c.node.fleet.isSeed() {
+	if len(c.node.config.Seeds) == 0 || look(c.node.fleet, (*fleet.Fleet).IsSeed) {
 		return
 	}
 	if c.node.config.FirstStart {
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -147,7 +147,7 @@
 	repeatsLeft, limited := n.executor.RepeatsLeft(now)
 	stateMeter{n.metrics.Scope.SubScope("hosted")}.observe(state{
 		configAge: configAge.Seconds(), leavesAge: leavesAge.Seconds(), version: c.catalog.Version(),
-		leaves: c.catalog.Leaves(), slowLeaves: len(n.slow.Slow(now)), instances: n.fleet.size(),
+		leaves: c.catalog.Leaves(), slowLeaves: len(n.slow.Slow(now)), instances: look(n.fleet, (*fleet.Fleet).Size),
 		connections: open, dials: dials, running: n.executor.Running(), logDrops: n.log.Dropped(),
 		repeatsLeft: repeatsLeft, limitedShards: limited, forward: n.forwarder.ForwardDelay().Seconds(), gather: n.forwarder.GatherDelay().Seconds(),
 	})
@@ -236,7 +236,7 @@
 
 // connections is this instance's share of a leaf's limit, at least one.
 func (c *control) connections(u *document.Upstream, _ string) int {
-	return c.node.fleet.connections(u.ConnectionLimit, len(u.Shards))
+	return look(c.node.fleet, func(f *fleet.Fleet) int { return f.Connections(u.ConnectionLimit, len(u.Shards)) })
 }
 
 // post hands a message to the control goroutine.
--- a/entry/hosted/follow.go
+++ b/entry/hosted/follow.go
@@ -157,7 +157,7 @@
 // askOtherLeads asks the leads of other zones after this instance's own read of the store
 // has failed: the store may refuse some instances and serve others.
 func (c *control) askOtherLeads(ctx context.Context) {
-	leads := c.node.fleet.otherLeads(time.Now())
+	leads := look(c.node.fleet, func(f *fleet.Fleet) []fleet.Instance { return f.OtherLeads(time.Now()) })
 	for _, lead := range leads[:min(len(leads), maxPeersAsked)] {
 		if c.ask(ctx, lead) == nil && c.fresh() {
 			return
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -10,10 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
-	"net/http"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -28,7 +25,6 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
-	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
@@ -204,63 +200,6 @@
 	n.control.offer(retuned{t.Catalog})
 }
 
-// View implements gateway.Views.
-func (n *Node) View() *view.View { return n.view.Load() }
-
-// Current implements gateway.Views.
-func (n *Node) Current() bool {
-	until := n.current.Load()
-	return until != nil && time.Now().Before(*until)
-}
-
-// BodyLimit implements gateway.Views.
-func (n *Node) BodyLimit() int64 {
-	if l := n.limits.Load(); l != nil {
-		return l.BodyBytes
-	}
-	return 0
-}
-
-// publish puts a new view in force. The connections' shares are those of the
-// view, and the executor knows it, before any query does.
-func (n *Node) publish(v *view.View, l catalog.Limits) {
-	n.leaves.Apply(targets(v, n.fleet.transient))
-	n.executor.Follow(v)
-	n.limits.Store(&l)
-	n.view.Store(v)
-	n.lifecycle.Serve()
-}
-
-// targets lists the leaves of a view, each once. One that several upstreams ask has the
-// greatest of its shares.
-func targets(v *view.View, transient func(*document.Upstream) bool) []leafclient.Target {
-	out := make([]leafclient.Target, 0, len(v.Leaves))
-	index := make(map[string]int, len(v.Leaves))
-	for i := range v.Leaves {
-		l := &v.Leaves[i]
-		u := v.Upstreams[l.Upstream].Config
-		t := leafclient.Target{ID: l.ID, Name: l.Name, Address: l.Address, Connections: l.Connections, Transient: transient(u), DialCost: u.DialCost}
-		at, listed := index[l.ID]
-		if !listed {
-			index[l.ID] = len(out)
-			out = append(out, t)
-			continue
-		}
-		out[at].Connections = max(out[at].Connections, t.Connections)
-		out[at].Transient = out[at].Transient && t.Transient
-	}
-	return out
-}
-
-// Bounds of the clients' server that the configuration does not set.
-const (
-	// headerTimeout bounds the reading of a request's head.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than any client keeps an unused connection, so that
-	// no request crosses the close of one.
-	idleTimeout = 5 * time.Minute
-)
-
 // Run serves until stop is closed and the graceful end, or until the context ends.
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
 	defer n.close()
@@ -308,43 +247,6 @@
 	return err
 }
 
-// An address that is in use is tried again for listenFor, each listenAgain: whoever
-// has it, such as the process before this one, may just be going.
-const (
-	listenFor   = 3 * time.Second
-	listenAgain = 100 * time.Millisecond
-)
-
-// listen opens a socket.
-func (n *Node) listen(ctx context.Context, address string) (net.Listener, error) {
-	for begin := time.Now(); ; sleep(ctx, listenAgain) {
-		l, err := net.Listen("tcp", address)
-		if err == nil || ctx.Err() != nil || !errors.Is(err, syscall.EADDRINUSE) || time.Since(begin) >= listenFor {
-			return l, err
-		}
-		n.log.Part("node").Warn("address is in use", "address", address, "for", time.Since(begin))
-	}
-}
-
-// clientServer serves passed-on requests.
-func (n *Node) clientServer() *http.Server {
-	return &http.Server{
-		Handler: n.gateway, ConnContext: gateway.Connected,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
-}
-
-// serveUntil serves until the context ends. Connections are closed then: the
-// graceful stop has come before.
-func serveUntil(ctx context.Context, s *http.Server, l net.Listener) error {
-	defer context.AfterFunc(ctx, func() { _ = s.Close() })()
-	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return fmt.Errorf("serve: %w", err)
-}
-
 // close gives up what New opened.
 func (n *Node) close() {
 	n.leaves.Close()
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -10,7 +10,6 @@
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/hosted/statesync"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
-	"github.com/fuchsiaroad/fuchsiaroad/kernel/backoff"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 )
@@ -88,40 +87,27 @@
 	return m
 }
 
-// size is the number of instances.
-func (m *members) size() int {
+// look answers a question about the fleet.
+func look[T any](m *members, question func(*fleet.Fleet) T) T {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.fleet.Size()
-}
-
-// connections is this instance's share of the connections to a leaf.
-func (m *members) connections(limit, shards int) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.Connections(limit, shards)
+	return question(m.fleet)
 }
 
 // transient reports whether this instance's share of the connections to a leaf is less
 // than one.
 func (m *members) transient(u *document.Upstream) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.Transient(u.ConnectionLimit, len(u.Shards))
-}
-
-// Partners lists the instances to which this one hands over much.
-func (m *members) Partners(now time.Time) []fleet.Instance {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.Partners(now)
+	return look(m, func(f *fleet.Fleet) bool { return f.Transient(u.ConnectionLimit, len(u.Shards)) })
 }
 
 // repeatSlack is this instance's part of the repeats that the fleet may make.
 func (m *members) repeatSlack(shards int) float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.RepeatSlack(shards, time.Now())
+	return look(m, func(f *fleet.Fleet) float64 { return f.RepeatSlack(shards, time.Now()) })
+}
+
+// Partners lists the instances to which this one hands over much.
+func (m *members) Partners(now time.Time) []fleet.Instance {
+	return look(m, func(f *fleet.Fleet) []fleet.Instance { return f.Partners(now) })
 }
 
 // source is the instance to learn from, and as what this one does so.
@@ -131,32 +117,14 @@
 	return m.fleet.Source(now)
 }
 
-// otherLeads lists the leads of the other zones.
-func (m *members) otherLeads(now time.Time) []fleet.Instance {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.OtherLeads(now)
-}
-
-// searchTurn is this instance's turn among the members of its zone, from 0 to 1.
-func (m *members) searchTurn() float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.SearchTurn()
-}
-
 // Stronger lists the instances of the zone to which a large query may be handed.
 func (m *members) Stronger(now time.Time) []fleet.Instance {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.Stronger(now)
+	return look(m, func(f *fleet.Fleet) []fleet.Instance { return f.Stronger(now) })
 }
 
 // Gatherers lists the instances of a zone that may gather parts for this one.
 func (m *members) Gatherers(zone string, now time.Time) []fleet.Instance {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.Gatherers(zone, now)
+	return look(m, func(f *fleet.Fleet) []fleet.Instance { return f.Gatherers(zone, now) })
 }
 
 // MarkStale notes that an instance is well and its state missing or stale.
@@ -187,38 +155,10 @@
 	return m.fleet.Find(name)
 }
 
-// seeds lists the addresses of the seeds that are not this instance's own.
-func (m *members) seeds() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.Seeds()
-}
-
-// isSeed reports whether the settings name this instance as a seed.
-func (m *members) isSeed() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.IsSeed()
-}
-
-// announced reports whether the others know this instance by the list.
-func (m *members) announced() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.Announced()
-}
-
-// listedAt is when the read of the store began that shows the fleet.
-func (m *members) listedAt() time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.fleet.ListedAt()
-}
-
 // listDue reports whether this instance is to read the announcements itself.
 func (m *members) listDue(now time.Time) bool {
 	_, role := m.source(now)
-	age := now.Sub(m.listedAt())
+	age := now.Sub(look(m, (*fleet.Fleet).ListedAt))
 	if role != fleet.RoleReader {
 		return age >= ownListAfter && now.Sub(m.tried) >= listInterval
 	}
@@ -297,7 +237,7 @@
 
 // write fills in the list for a peer that asks.
 func (m *members) write(r *peerapi.SyncRequest, out *peerapi.SyncReply, now time.Time) {
-	at := m.listedAt()
+	at := look(m, (*fleet.Fleet).ListedAt)
 	s := m.sent.Load()
 	if s == nil || at.IsZero() {
 		return
@@ -305,62 +245,3 @@
 	out.FleetAgeMS = statesync.AgeMS(at, now)
 	s.Write(r.Fleet, out)
 }
-
-// announce writes the announcement again and again, until this instance leaves. One that
-// starts again and is on the list as it is writes nothing at first: that the others count
-// it is all that an announcement does.
-func (m *members) announce(ctx context.Context) error {
-	pause := backoff.Backoff{Min: announceRetry, Max: announceInterval}
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	doubt := false // an announcement that is there may be of a call that failed here
-	if m.startedAgain(ctx) {
-		m.joined(true)
-		sleep(ctx, announceInterval/2+rand.N(announceInterval/2))
-	}
-	for ctx.Err() == nil && !m.node.lifecycle.Leaving() {
-		m.self.Mark++
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		existed, err := m.node.config.Source.Announce(call, m.self, m.announced())
-		cancel()
-		wait := announceInterval
-		if err != nil {
-			doubt = true
-			wait = pause.Next(random)
-			m.log.Warn("announcement was not written", "err", err, "again_in", wait)
-		} else {
-			m.joined(existed && !doubt)
-			pause.Reset()
-		}
-		sleep(ctx, wait)
-	}
-	return ctx.Err()
-}
-
-// startedAgain waits for a list and reports whether it has this instance as it is.
-func (m *members) startedAgain(ctx context.Context) bool {
-	if m.node.config.FirstStart {
-		return false
-	}
-	timer := time.NewTimer(listWait)
-	defer timer.Stop()
-	select {
-	case <-m.known:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return m.announced()
-}
-
-// joined says that the others can know of this instance from now on.
-func (m *members) joined(existed bool) {
-	how := fleet.StartNew
-	switch {
-	case m.node.config.FirstStart:
-		how = fleet.StartFirst
-	case existed:
-		how = fleet.StartAgain
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.fleet.Joined(how, time.Now())
-}
--- a/entry/hosted/members_test.go
+++ b/entry/hosted/members_test.go
@@ -24,7 +24,7 @@
 				t.Errorf("%d instances have no configuration after 10 s", n)
 			}
 			for _, r := range c.running {
-				if got := r.node.fleet.size(); got != size {
+				if got := look(r.node.fleet, (*fleet.Fleet).Size); got != size {
 					t.Errorf("one instance knows %d of %d", got, size)
 				}
 			}
@@ -204,7 +204,7 @@
 		defer end()
 		time.Sleep(time.Millisecond)
 		synctest.Wait()
-		if got := n.fleet.size(); got != 3 {
+		if got := look(n.fleet, (*fleet.Fleet).Size); got != 3 {
 			t.Errorf("a fleet of %d a millisecond after the start, want 3", got)
 		}
 	})
--- a/entry/hosted/storeread.go
+++ b/entry/hosted/storeread.go
@@ -115,7 +115,7 @@
 	case fleet.RoleLead:
 		return r.bound(leadTurnShare)
 	case fleet.RoleMember:
-		return r.bound(staleShare + r.node.fleet.searchTurn()*(lastTurnShare-staleShare))
+		return r.bound(staleShare + look(r.node.fleet, (*fleet.Fleet).SearchTurn)*(lastTurnShare-staleShare))
 	default:
 		return r.bound(staleShare)
 	}
