An instance that leaves still takes requests over

Cause: from the word to stop an instance serves clients for 2.5 s and more, until the balancer has let go, yet declined what other instances handed to it. Both stronger ones of a zone were stopped at once, stood idle for 3.5 s, and the weak ones asked 90 leaves each themselves, on a fifth of a core, with connections that they had to open.

Change: it declines from when it refuses clients too. What it has taken is finished like any other request.

TestLeavingInstanceStillTakesRequestsOver fails before ("not serving").

--- a/entry/hosted/forwarding/forwarding.go
+++ b/entry/hosted/forwarding/forwarding.go
@@ -31,8 +31,8 @@
 // Views gives the view in force, nil before there is one.
 type Views interface{ View() *view.View }
 
-// Lifecycle says whether this instance leaves.
-type Lifecycle interface{ Leaving() bool }
+// Lifecycle says whether this instance refuses requests.
+type Lifecycle interface{ Refusing() bool }
 
 // Peers calls other instances.
 type Peers interface {
--- a/entry/hosted/forwarding/relay.go
+++ b/entry/hosted/forwarding/relay.go
@@ -160,12 +160,14 @@
 	return &gateway.Reply{Status: status, Header: make(http.Header), Body: []byte("the instance that ran the request was lost\n")}
 }
 
-// Offer implements peer.ForwardHandler. A request is declined while this instance
-// leaves, or knows only an older configuration than the one by which it came in.
+// Offer implements peer.ForwardHandler. A request is declined where this instance takes none
+// from clients any more, or knows only an older configuration than the one by which it came in.
+// One that leaves still takes requests: all stronger ones of a zone may leave at once, for as
+// long as the balancer takes to let go.
 func (f *Forwarder) Offer(_ string, r *peerapi.ForwardRequest) string {
 	v := f.config.Views.View()
 	switch {
-	case v == nil || f.config.Lifecycle.Leaving():
+	case v == nil || f.config.Lifecycle.Refusing():
 		return "not serving"
 	case r.Gather != nil:
 		return f.offerGather(v, r)
--- a/entry/hosted/forwarding/version_test.go
+++ b/entry/hosted/forwarding/version_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -11,6 +12,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/gateway"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 )
 
@@ -55,3 +57,18 @@
 		}
 	})
 }
+
+// TestLeavingInstanceStillTakesRequestsOver offers a request in each phase of an instance's life.
+func TestLeavingInstanceStillTakesRequestsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := weak(t)
+		n.view = twoZones(t, 5).View
+		offer := &peerapi.ForwardRequest{Version: 5, Target: "/x", Host: "h"}
+		for phase, want := range map[lifecycle.Phase]string{lifecycle.Serving: "", lifecycle.Leaving: "", lifecycle.Refusing: "not serving"} {
+			n.lifecycle.Set(phase)
+			if got := n.Offer("other", offer); got != want {
+				t.Errorf("phase %d: %q, want %q", phase, got, want)
+			}
+		}
+	})
+}
