The soak asks each instance for the newest route, and ends with a series of changes

The clients' probes go to instances at random, and versions were written only as drawn faults. Now one asker goes round all instances, 50 questions a second, and five versions are written in the calm end, 0.4 s apart, so that the last is due before its end; the same check of the bound and of steps back applies to its answers. Its requests are part of the check that what leaves ran was sent, and not of the share served in the calm end. The draws of a seed are as they were.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -157,7 +157,7 @@
 func (r *run) checkCalm(outcomes []outcome, end time.Time) {
 	all, served := 0, 0
 	for i := range outcomes {
-		if o := &outcomes[i]; o.sent.After(end.Add(-calmPart)) && o.sent.Before(end.Add(-clientTime)) {
+		if o := &outcomes[i]; !o.watch && o.sent.After(end.Add(-calmPart)) && o.sent.Before(end.Add(-clientTime)) {
 			all++
 			if o.status == http.StatusOK {
 				served++
--- a/standin/soak/client.go
+++ b/standin/soak/client.go
@@ -55,6 +55,8 @@
 	// planned says that the instance was stopping by plan, and nothing else was
 	// wrong there.
 	planned bool
+	// watch says that it is no client's, see watchVersions.
+	watch bool
 }
 
 // client sends requests until stop is closed.
@@ -101,8 +103,15 @@
 
 // ask sends one request and notes what came of it.
 func (r *run) ask(n *instance, conn net.Conn, reader *bufio.Reader, request string, k kind) outcome {
-	o := outcome{request: request, kind: k, sent: time.Now()}
 	incarnation := n.started()
+	o := r.exchange(n, conn, reader, request, k)
+	r.note(n, incarnation, o)
+	return o
+}
+
+// exchange sends one request and reads its answer.
+func (r *run) exchange(n *instance, conn net.Conn, reader *bufio.Reader, request string, k kind) outcome {
+	o := outcome{request: request, kind: k, sent: time.Now()}
 	_ = conn.SetDeadline(time.Now().Add(readTime))
 	_, err := fmt.Fprintf(conn, "GET /%s/x?%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", k, request,
 		hosted.Host, hosted.HeaderRequest, request, hosted.HeaderDeadlineMS, clientTime.Milliseconds())
@@ -112,7 +121,6 @@
 	o.end = time.Now()
 	o.cut = err != nil && !isTimeout(err)
 	o.planned = n.onlyStopping(o.sent)
-	r.note(n, incarnation, o)
 	return o
 }
 
@@ -244,6 +252,31 @@
 // be a step back: requests that cross are no step back.
 const rollbackSlack = 250 * time.Millisecond
 
+// watchPause is the time between two questions of the one that watches versions.
+const watchPause = 20 * time.Millisecond
+
+// watchVersions asks one instance after the other for the newest route until stop is closed.
+// Its requests don't count among those that are served.
+func (r *run) watchVersions(stop <-chan struct{}) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(watchPause):
+		}
+		n := r.site.instances[i%len(r.site.instances)]
+		conn, err := net.DialTimeout("tcp", n.clients.address(), time.Second)
+		if err != nil {
+			continue
+		}
+		incarnation := n.started()
+		o := r.exchange(n, conn, bufio.NewReader(conn), fmt.Sprintf("%d-watch-%d", r.options.Seed, i), kindProbe)
+		_ = conn.Close()
+		o.watch = true
+		r.note(n, incarnation, o)
+	}
+}
+
 // checkVersion checks that a configuration is in force in time and never goes back.
 func (r *run) checkVersion(n *instance, incarnation int, o *outcome, service string) {
 	version, err := strconv.ParseUint(strings.TrimPrefix(service, "p"), 10, 64)
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -62,6 +63,9 @@
 	calmTime = settleTime + 4*time.Second
 	// calmPart is that part.
 	calmPart = 3 * time.Second
+	// seriesLength is the number of versions that are written in the calm end, each seriesPause.
+	seriesLength = 5
+	seriesPause  = 400 * time.Millisecond
 	// calmShare is the least share of requests served in it.
 	calmShare = 0.95
 	// A fault begins every faultLeast to faultMost and lasts as long or longer.
@@ -86,8 +90,9 @@
 	for i := range o.Clients {
 		clients.Go(func() { r.client(i, rand.New(rand.NewPCG(o.Seed, uint64(i)+1)), stop) })
 	}
+	clients.Go(func() { r.watchVersions(stop) })
 	err = r.playFaults(rand.New(rand.NewPCG(o.Seed, 0)))
-	time.Sleep(calmTime)
+	err = errors.Join(err, r.calm())
 	calmEnd := time.Now()
 	close(stop)
 	clients.Wait()
@@ -95,6 +100,19 @@
 	return r.report(), err
 }
 
+// calm lets faults end and then writes a series of versions: the last one is due before its end.
+func (r *run) calm() error {
+	time.Sleep(calmTime - bound - (seriesLength+1)*seriesPause)
+	for range seriesLength {
+		if err := r.change(nil, 0); err != nil {
+			return fmt.Errorf("series of changes: %w", err)
+		}
+		time.Sleep(seriesPause)
+	}
+	time.Sleep(bound + seriesPause)
+	return nil
+}
+
 // playFaults plays faults one after the other, each beside those that last.
 func (r *run) playFaults(random *rand.Rand) error {
 	var playing sync.WaitGroup
@@ -139,8 +157,12 @@
 func (r *run) report() *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &Report{Requests: len(r.outcomes), Faults: r.faults, Violations: slices.Clone(r.violations)}
+	out := &Report{Faults: r.faults, Violations: slices.Clone(r.violations)}
 	for i := range r.outcomes {
+		if r.outcomes[i].watch {
+			continue
+		}
+		out.Requests++
 		switch {
 		case r.outcomes[i].status == 200:
 			out.Served++
