An instance that starts while the store is away probes it

When all instances start while the store is away, each tried to read it, and the list of instances, once a second until it was back: 2,786 reads and 1,393 lists of 60 instances in 15 s (the real control in virtual time). Calls are priced, refused ones too, and grew with the fleet.

Change: after a failed try a start probes first, at a tenth of a read's price, and reads when the probe is answered: 252 reads (probes by their price) and 60 lists. Served again, all instances serve within 1.5 s as before. TestStartOfAllInAnOutageCostsLittle fails before.

--- a/entry/hosted/begin.go
+++ b/entry/hosted/begin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -63,18 +64,16 @@
 }
 
 // beginByStore reads the store until that works, and then ends the start. At first it waits
-// for the seeds.
+// for the seeds. After a failure it only probes until the store serves this instance: when all
+// instances start while the store is away, their tries grow with the fleet.
 func (c *control) beginByStore(ctx context.Context, learned func(), alone <-chan struct{}) {
 	c.awaitSeeds(ctx, alone)
 	pause := backoff.Backoff{Min: firstRetry, Max: maxRetryDelay}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	timeout := readTimeout
-	for ctx.Err() == nil {
+	for failed := false; ctx.Err() == nil; failed = true {
 		began := time.Now()
-		var g errgroup.Group
-		g.Go(func() error { return c.readStore(ctx, timeout) })
-		g.Go(func() error { c.node.fleet.list(ctx); return nil })
-		err := g.Wait()
+		err := c.readAll(ctx, timeout, failed)
 		if err == nil {
 			learned()
 			return
@@ -87,6 +86,19 @@
 	}
 }
 
+// readAll reads the configuration, the leaves and the announcements, if a probe is answered first.
+func (c *control) readAll(ctx context.Context, timeout time.Duration, probe bool) error {
+	if probe {
+		if err := c.within(ctx, timeout, c.node.config.Source.Probe); err != nil {
+			return fmt.Errorf("probe: %w", err)
+		}
+	}
+	var g errgroup.Group
+	g.Go(func() error { return c.readStore(ctx, timeout) })
+	g.Go(func() error { c.node.fleet.list(ctx); return nil })
+	return g.Wait()
+}
+
 // awaitSeeds waits until it is time to read the store: a seed has nobody to wait for.
 func (c *control) awaitSeeds(ctx context.Context, alone <-chan struct{}) {
 	if len(c.node.config.Seeds) == 0 || look(c.node.fleet, (*fleet.Fleet).IsSeed) {
--- a/entry/hosted/members_test.go
+++ b/entry/hosted/members_test.go
@@ -103,6 +103,31 @@
 	})
 }
 
+// TestStartOfAllInAnOutageCostsLittle ends all instances and starts them while the store refuses
+// all: each reads it once, and again when it is back; its probes between cost a tenth of a read.
+func TestStartOfAllInAnOutageCostsLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 60
+		c := settled(t, size)
+		defer c.stopAll()
+		c.stopAll()
+		c.store.count()
+		c.store.set(func(s *sharedStore) { s.refused = func(string) bool { return true } })
+		c.startAll(false)
+		time.Sleep(15 * time.Second)
+		reads, lists, _ := c.store.count()
+		t.Logf("%d instances: %d reads, %d lists in an outage of 15 s", size, reads, lists)
+		if reads > 5*size || lists > 2*size {
+			t.Errorf("%d instances: %d reads, %d lists in an outage of 15 s", size, reads, lists)
+		}
+		c.store.set(func(s *sharedStore) { s.version, s.refused = 2, nil })
+		time.Sleep(1500 * time.Millisecond)
+		if n := c.behind(2); n != 0 {
+			t.Errorf("%d instances don't serve 1.5 s after the outage", n)
+		}
+	})
+}
+
 // TestOutageCostsTheSameInALargeFleet takes the store away for 20 s.
 func TestOutageCostsTheSameInALargeFleet(t *testing.T) {
 	for _, size := range []int{20, 80} {
