--- a/cmd/internal/loss/loss.go
+++ b/cmd/internal/loss/loss.go
@@ -101,7 +101,7 @@
 	case end == nil:
 		return unended(lines, starts)
 	case end.Message == "refuse":
-		if status := end.Int("status"); status > 0 && status < leastServerError {
+		if status := end.Int("status"); status > 0 && status < minServerError {
 			return Loss{}, false // it is the client's own mistake
 		}
 		return single(Refused, "", Cause{Reason: end.Text("why")}), true
@@ -123,8 +123,8 @@
 	return Loss{}, false
 }
 
-// leastServerError is the least status that says that the server is at fault.
-const leastServerError = 500
+// minServerError is the lowest status that says that the server is at fault.
+const minServerError = 500
 
 // single is a loss with one cause.
 func single(k Kind, service string, c Cause) Loss {
--- a/cmd/internal/loss/report.go
+++ b/cmd/internal/loss/report.go
@@ -12,8 +12,8 @@
 	"text/tabwriter"
 )
 
-// mostShards bounds the shards that a row of the table names.
-const mostShards = 3
+// maxShards bounds the shards that a row of the table names.
+const maxShards = 3
 
 // row is what the table says of a kind and a reason.
 type row struct {
@@ -65,10 +65,10 @@
 		return cmp.Or(cmp.Compare(r.shards[b], r.shards[a]), cmp.Compare(a, b))
 	})
 	var out []string
-	for _, name := range names[:min(len(names), mostShards)] {
+	for _, name := range names[:min(len(names), maxShards)] {
 		out = append(out, fmt.Sprintf("%s %d", name, r.shards[name]))
 	}
-	if more := len(names) - mostShards; more > 0 {
+	if more := len(names) - maxShards; more > 0 {
 		out = append(out, fmt.Sprintf("%d more", more))
 	}
 	return strings.Join(out, ", ")
--- a/entry/hosted/follow.go
+++ b/entry/hosted/follow.go
@@ -19,8 +19,8 @@
 	// the same for that of the reader, whose state is one step newer.
 	staleShare     = 0.55
 	oldReaderShare = 0.4
-	// tellShare is the age of this instance's own state from which it is told to be old.
-	tellShare = 0.5
+	// reportOldShare is the age of its own state from which this instance reports that it is old.
+	reportOldShare = 0.5
 	// maxPeersAsked is the number of peers that are asked one after the other.
 	maxPeersAsked = 3
 	// maxAskInterval bounds the time between two questions: observations of slow
@@ -103,7 +103,7 @@
 // observeAge logs when this instance's state passes half of the bound, and when it is back.
 func (c *control) observeAge(err error) {
 	age := c.age()
-	old := age > c.bound(tellShare)
+	old := age > c.bound(reportOldShare)
 	_, role := c.node.fleet.source(time.Now())
 	switch {
 	case old && c.oldSince.IsZero():
--- a/entry/peer/forward.go
+++ b/entry/peer/forward.go
@@ -244,7 +244,7 @@
 
 // offer makes the first call, and ends it after a time with context.DeadlineExceeded.
 func (c *Client) offer(ctx context.Context, t Target, r *peerapi.ForwardRequest, within time.Duration) error {
-	ctx, release := patient(ctx, within)
+	ctx, release := withRunningTime(ctx, within)
 	defer release()
 	var reply peerapi.OfferReply
 	conn, err := c.conn(ctx, t)
--- a/entry/peer/patience_test.go
+++ b/entry/peer/wait_test.go
@@ -14,14 +14,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		ends, again := make(chan time.Time), 0
 		ended := make(chan bool, 1)
-		go func() { ended <- passed(t.Context(), ends, func() { again++ }) }()
+		go func() { ended <- partsPassed(t.Context(), ends, func() { again++ }) }()
 		time.Sleep(time.Second)
 		ends <- time.Now()
 		synctest.Wait()
 		if len(ended) > 0 || again != 1 {
 			t.Errorf("the wait has ended: %v, after %d parts", len(ended) > 0, again)
 		}
-		for range patienceParts - 1 {
+		for range waitParts - 1 {
 			ends <- time.Now()
 		}
 		if !<-ended {
@@ -30,11 +30,11 @@
 	})
 }
 
-// TestPatienceEnds waits for a peer that is silent.
-func TestPatienceEnds(t *testing.T) {
+// TestWaitForSilentPeerEnds waits for a peer that is silent.
+func TestWaitForSilentPeerEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		begin := time.Now()
-		ctx, release := patient(t.Context(), 15*time.Millisecond)
+		ctx, release := withRunningTime(t.Context(), 15*time.Millisecond)
 		defer release()
 		<-ctx.Done()
 		if took := time.Since(begin); took != 15*time.Millisecond || !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -107,7 +107,7 @@
 	if c.config != nil && cfg.Version <= c.config.Version {
 		return false
 	}
-	cfg = c.config.sharing(cfg)
+	cfg = c.config.Sharing(cfg)
 	next := compile(cfg, c.compiled)
 	c.retire(next, now)
 	c.config, c.compiled = cfg, next
--- a/kernel/catalog/change.go
+++ b/kernel/catalog/change.go
@@ -122,10 +122,9 @@
 	return slices.Compact(out)
 }
 
-// sharing returns a version that shares with this one the routes that are equal, where it was
-// read on its own.
-func (c *Config) sharing(next *Config) *Config {
-	if c == nil || next.sums != nil {
+// Sharing returns a version that shares with this one, which may be nil, the routes that are equal.
+func (c *Config) Sharing(next *Config) *Config {
+	if c == nil || c.shares(next) {
 		return next
 	}
 	if change, ok := c.Change(next); ok {
@@ -134,6 +133,17 @@
 	return next
 }
 
+// shares reports whether another version has routes of this one. Those of a version that was
+// derived from this one mostly keep their index.
+func (c *Config) shares(o *Config) bool {
+	for i := range min(len(c.Routes), len(o.Routes)) {
+		if c.Routes[i] == o.Routes[i] {
+			return true
+		}
+	}
+	return false
+}
+
 // Apply returns the version that a change leads to. It shares with this one what is equal.
 func (c *Config) Apply(change *ConfigChange) *Config {
 	out := &Config{Version: change.Version, Limits: change.Limits, Services: c.applyServices(change)}
