--- a/entry/hosted/begin.go
+++ b/entry/hosted/begin.go
@@ -86,7 +86,8 @@
 	}
 }
 
-// readAll reads the configuration, the leaves and the announcements, if a probe is answered first.
+// readAll reads the configuration, the leaves and the announcements; with probe set, only if the
+// store answers a probe first.
 func (c *control) readAll(ctx context.Context, timeout time.Duration, probe bool) error {
 	if probe {
 		if err := c.within(ctx, timeout, c.node.config.Source.Probe); err != nil {
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -55,7 +55,7 @@
 	suggested atomic.Pointer[fleet.Instance]
 	// wake ends the wait for the next synchronization.
 	wake chan struct{}
-	// source is from where this instance last learnt newer state: a string, see sourceOf.
+	// source holds a string: the source of the last newer state, see sourceOf.
 	source atomic.Value
 	meters stateMeter
 	// badLeaves reports the entries of leaves that can't be used.
@@ -90,7 +90,7 @@
 type origin struct {
 	peer  string    // empty: this instance's own read of the store
 	began time.Time // when the read of the store began
-	// byChange says that the peer has sent what leads to it from the version before.
+	// byChange is set if the peer sent only the change from the previous version.
 	byChange bool
 }
 
@@ -198,14 +198,14 @@
 	}
 }
 
-// Sources of state.
+// Sources of newer state.
 const (
 	sourceStore = "store"
 	sourcePeer  = "peer"
 	sourceNone  = "none"
 )
 
-// sourceOf names the source of a message of state.
+// sourceOf returns the source of a state message.
 func sourceOf(message any) string {
 	if _, ok := message.(peerUpdate); ok {
 		return sourcePeer
@@ -213,7 +213,7 @@
 	return sourceStore
 }
 
-// stateSource is from where this instance last learnt newer state.
+// stateSource returns the source of the last newer state.
 func (c *control) stateSource() string {
 	if source, ok := c.source.Load().(string); ok {
 		return source
--- a/entry/hosted/follow.go
+++ b/entry/hosted/follow.go
@@ -19,7 +19,7 @@
 	// the same for that of the reader, whose state is one step newer.
 	staleShare     = 0.55
 	oldReaderShare = 0.4
-	// reportOldShare is the age of its own state from which this instance reports that it is old.
+	// reportOldShare is the age of this instance's state above which it logs that the state is old.
 	reportOldShare = 0.5
 	// maxPeersAsked is the number of peers that are asked one after the other.
 	maxPeersAsked = 3
--- a/entry/hosted/members.go
+++ b/entry/hosted/members.go
@@ -87,7 +87,7 @@
 	return m
 }
 
-// look answers a question about the fleet.
+// look calls a read-only function of the fleet under the lock.
 func look[T any](m *members, question func(*fleet.Fleet) T) T {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/hosted/meters.go
+++ b/entry/hosted/meters.go
@@ -6,14 +6,14 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// stateMeter tells what the instance believes and holds. It is used by one goroutine.
+// stateMeter reports the instance's state as gauges. Not safe for concurrent use.
 type stateMeter struct {
 	scope tally.Scope
-	// labels are those of the ages told last.
+	// labels are the last ones reported by observeAge.
 	labels map[string]string
 }
 
-// notNow is the value of a gauge whose labels don't hold any more.
+// notNow is the value of a gauge whose labels no longer apply.
 const notNow = -1
 
 // state is one look at the instance.
@@ -52,7 +52,8 @@
 	m.scope.Gauge("log_lines_dropped").Update(float64(s.logDrops))
 }
 
-// observeAge updates the age and version of the older part of the state, by source and role.
+// observeAge reports the age of the older of configuration and leaves, and the version, by source
+// and role.
 func (m *stateMeter) observeAge(s state) {
 	labels := map[string]string{"source": s.source, "role": s.role}
 	if m.labels != nil && !maps.Equal(labels, m.labels) {
--- a/entry/hosted/statesync/decode.go
+++ b/entry/hosted/statesync/decode.go
@@ -10,17 +10,17 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
 )
 
-// Decoding pauses after each pauseEvery routes for pauseTime: an instance with a small share of
-// a core would stand still for as long as all of a large configuration takes.
+// Decoding sleeps for pauseTime after each pauseEvery routes, so that queries run meanwhile on an
+// instance with a small share of a core.
 const (
 	pauseEvery = 64
 	pauseTime  = 200 * time.Microsecond
 )
 
-// errNoObject says that JSON is not what pack writes of a configuration.
+// errNoObject is returned for JSON that is no encoded configuration.
 var errNoObject = errors.New("no object with a list of routes")
 
-// unpackConfig reads what pack has written of a configuration, route by route.
+// unpackConfig decodes a packed configuration route by route.
 func unpackConfig(data []byte) (*catalog.Config, error) {
 	in, err := unpacked(data)
 	if err != nil {
@@ -43,7 +43,7 @@
 	return out, expect(d, json.Delim('}'))
 }
 
-// decodeField reads the value of a key. One that is not known is passed over.
+// decodeField decodes the value of a key; unknown keys are skipped.
 func decodeField(d *json.Decoder, key json.Token, out *catalog.Config) error {
 	switch key {
 	case "Version":
@@ -60,7 +60,7 @@
 	}
 }
 
-// decodeRoutes reads the list of routes; null is an empty one.
+// decodeRoutes decodes the list of routes; null is an empty list.
 func decodeRoutes(d *json.Decoder, out *catalog.Config) error {
 	begin, err := d.Token()
 	if err != nil || begin == nil {
@@ -82,7 +82,7 @@
 	return expect(d, json.Delim(']'))
 }
 
-// expect reads a delimiter.
+// expect consumes a delimiter.
 func expect(d *json.Decoder, want json.Delim) error {
 	got, err := d.Token()
 	if err == nil && got != want {
--- a/entry/peer/wait.go
+++ b/entry/peer/wait.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// waitParts is the number of parts in which a wait for another instance ends.
+// waitParts is the number of timer periods in a wait for a peer.
 const waitParts = 3
 
-// withRunningTime returns a context that ends with context.DeadlineExceeded as its cause after a time in
-// which this instance ran. Release it after the call.
+// withRunningTime returns a context that ends after d of time in which this instance ran, with the
+// cause context.DeadlineExceeded. Release it after the call.
 func withRunningTime(ctx context.Context, d time.Duration) (_ context.Context, release func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := time.NewTimer(d / waitParts)
@@ -22,9 +22,9 @@
 	return ctx, func() { cancel(nil) }
 }
 
-// partsPassed reports whether all parts of a wait have ended before its context did. One that ends
-// late, as this instance had no processor, counts like any other: what came in meanwhile is
-// read before the next one ends.
+// partsPassed reports whether all periods ended before the context. A late period, in which this
+// instance had no processor, counts once, and replies that arrived during it are read before the
+// next one ends.
 func partsPassed(ctx context.Context, ends <-chan time.Time, again func()) bool {
 	for range waitParts {
 		select {
--- a/kernel/catalog/build.go
+++ b/kernel/catalog/build.go
@@ -78,21 +78,21 @@
 	return doc
 }
 
-// compiled is what a configuration says whatever the leaves are. It is immutable.
+// compiled is the part of a document that does not depend on the leaves. It is immutable.
 type compiled struct {
 	config *Config
-	// upstreams are what the routes ask, by name.
+	// upstreams holds the routes' upstreams by name.
 	upstreams map[string]upstream
 	services  []document.Service
-	// first is the index of each route's first service.
+	// first holds the index in services of each route's first service.
 	first  []int
 	routes []document.Route
-	// resolved is the number of routes that were not taken from the one before.
+	// resolved counts the routes not reused from the previous configuration.
 	resolved int
 }
 
-// compile resolves a configuration's routes. Those that it shares with the one compiled before,
-// which may be nil, are taken from there.
+// compile resolves a configuration's routes and reuses those shared with the previous one, which
+// may be nil.
 func compile(cfg *Config, before *compiled) *compiled {
 	if before == nil {
 		before = &compiled{config: &Config{}}
@@ -115,17 +115,17 @@
 		out.addUpstreams(r)
 	}
 	if slices.EqualFunc(out.routes, before.routes, sameRoute) {
-		out.routes = before.routes // whoever has a table of them keeps it
+		out.routes = before.routes // lets the view keep its route table
 	}
 	return out
 }
 
-// sameRoute reports whether two routes lead the same requests to the same services.
+// sameRoute reports whether two routes send the same requests to the same services.
 func sameRoute(a, b document.Route) bool {
 	return a.Name == b.Name && a.Host == b.Host && a.Prefix == b.Prefix && slices.Equal(a.Targets, b.Targets)
 }
 
-// servicesOf are the services of a route by its index, one a target.
+// servicesOf returns the services of the route at an index, one per target.
 func (c *compiled) servicesOf(at int) []document.Service {
 	return c.services[c.first[at]:][:len(c.routes[at].Targets)]
 }
@@ -141,7 +141,7 @@
 	c.routes = append(c.routes, route)
 }
 
-// addUpstreams adds the upstreams of the route that was added last.
+// addUpstreams adds the upstreams of the last route.
 func (c *compiled) addUpstreams(r *Route) {
 	for i, service := range c.servicesOf(len(c.routes) - 1) {
 		name := service.Upstreams[0]
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -114,7 +114,7 @@
 	return true
 }
 
-// Changed is the number of routes in which the configuration in force differs from the one before.
+// Changed returns the number of routes that differ from the previous configuration.
 func (c *Catalog) Changed() int { return c.compiled.resolved }
 
 // ConfigMissing notes that there was no configuration at a read that began at the
--- a/kernel/catalog/change.go
+++ b/kernel/catalog/change.go
@@ -25,17 +25,17 @@
 	GoneServices []string           `json:",omitempty"`
 }
 
-// NewRoute is a route that the version before lacks, and its index in the new one.
+// NewRoute is a route missing in the base version, with its index in the new one.
 type NewRoute struct {
 	At    int
 	Route *Route
 }
 
-// Size is the number of routes that the change names.
+// Size returns the number of routes changed, added and removed.
 func (c *ConfigChange) Size() int { return len(c.Routes) + len(c.New) + len(c.GoneRoutes) }
 
-// Change finds what leads from this version to another. Routes that keep their place among the
-// others are found by their names; ok is false where that does not lead to the other version.
+// Change computes the change to another version; ok is false if Apply does not yield that version,
+// as after a change of the routes' order.
 func (c *Config) Change(to *Config) (change *ConfigChange, ok bool) {
 	out := &ConfigChange{Version: to.Version, Limits: to.Limits, Services: make(map[string]Service)}
 	before := newAlignment(c.Routes)
@@ -60,24 +60,23 @@
 	return out, c.Apply(out).Hash() == to.Hash()
 }
 
-// alignment finds the routes of a version by the names of another's, which mostly come in the
-// same order.
+// alignment matches routes of one version by name with those of another, mostly in the same order.
 type alignment struct {
 	routes []*Route
-	next   int            // index after the route found last
+	next   int            // index after the last match
 	found  []bool         // by index
-	byName map[string]int // to the index; nil until a route is not near
+	byName map[string]int // name to index; nil until a match is out of order
 }
 
-// newAlignment makes an alignment to the routes of one version.
+// newAlignment returns an alignment with the routes of one version.
 func newAlignment(routes []*Route) *alignment {
 	return &alignment{routes: routes, found: make([]bool, len(routes))}
 }
 
-// nearRoutes is the number of routes after the last one among which a name is looked for first.
+// nearRoutes bounds the search after the last match, before all names are indexed.
 const nearRoutes = 32
 
-// near is the index of the route with the name of another among those that follow, or -1.
+// near returns the index of the route with the same name among the next nearRoutes, or -1.
 func (a *alignment) near(r *Route) int {
 	for at := a.next; at < min(a.next+nearRoutes, len(a.routes)); at++ {
 		if a.routes[at].Name == r.Name {
@@ -87,7 +86,7 @@
 	return -1
 }
 
-// index is that of the route with the name of another, or -1.
+// index returns the index of the route with the same name, or -1.
 func (a *alignment) index(r *Route) int {
 	if at := a.near(r); at >= 0 {
 		return at
@@ -104,13 +103,13 @@
 	return -1
 }
 
-// take notes that a route was found.
+// take marks a route as found.
 func (a *alignment) take(at int) int {
 	a.next, a.found[at] = at+1, true
 	return at
 }
 
-// gone lists the names of the routes that were not found.
+// gone returns the sorted names of the routes not found.
 func (a *alignment) gone() []string {
 	var out []string
 	for i, found := range a.found {
@@ -122,7 +121,8 @@
 	return slices.Compact(out)
 }
 
-// Sharing returns a version that shares with this one, which may be nil, the routes that are equal.
+// Sharing returns the next version with the equal routes of this one, which may be nil, in place of
+// its own copies.
 func (c *Config) Sharing(next *Config) *Config {
 	if c == nil || c.shares(next) {
 		return next
@@ -133,8 +133,8 @@
 	return next
 }
 
-// shares reports whether another version has routes of this one. Those of a version that was
-// derived from this one mostly keep their index.
+// shares reports whether another version holds a route of this one at the same index, as a version
+// derived by Apply does.
 func (c *Config) shares(o *Config) bool {
 	for i := range min(len(c.Routes), len(o.Routes)) {
 		if c.Routes[i] == o.Routes[i] {
@@ -179,12 +179,12 @@
 	return out
 }
 
-// add appends a route.
+// add appends a route and its hash.
 func (c *Config) add(r *Route, sum uint64) {
 	c.Routes, c.sums = append(c.Routes, r), append(c.sums, sum)
 }
 
-// applyServices returns the services after a change.
+// applyServices returns the services of the changed version.
 func (c *Config) applyServices(change *ConfigChange) map[string]Service {
 	if c.Services != nil && len(change.Services) == 0 && len(change.GoneServices) == 0 {
 		return c.Services
@@ -200,7 +200,7 @@
 	return out
 }
 
-// routeSums are the hashes of the routes.
+// routeSums returns the hash of each route.
 func (c *Config) routeSums() []uint64 {
 	if c.sums != nil {
 		return c.sums
@@ -214,10 +214,10 @@
 	return out
 }
 
-// routeKeyLength is enough for most keys of routes, in bytes.
+// routeKeyLength is the initial capacity for a route's key, in bytes.
 const routeKeyLength = 256
 
-// sum is a hash of all that the route says.
+// sum returns a hash over all fields of the route.
 func (r *Route) sum() uint64 { return xxhash.Sum64(r.appendKey(make([]byte, 0, routeKeyLength))) }
 
 // Hash is a hash of all that the version says; it is not 0.
--- a/kernel/catalog/config.go
+++ b/kernel/catalog/config.go
@@ -14,7 +14,7 @@
 	Services map[string]Service
 	Limits   Limits
 
-	// sums are hashes of Routes; nil in a version that was not derived from another.
+	// sums holds the hashes of Routes; nil until the version is derived by Apply.
 	sums []uint64
 }
 
