A leaf that a query's view lacks does not hang the instance

Cause: a query keeps the leaves that its parts were tried at as indexes of its view. A leaf that a newer view lacks became -1, and a retry at a pool with yet another view looked up index -1. The handler's goroutine panicked with the pool's lock held; the HTTP server recovered it. From then on each query over that set of shards, the control goroutine (which moves the pool to a new view) and the goroutine that learns from others waited for the lock. The instance read the store each 3.3 s and never put anything in force. Class: a lock over a panic that is recovered elsewhere.

Change: a tried leaf that is gone is dropped when the view changes, and left out where indexes are translated; the pool's lock is released by defer.

--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -61,36 +61,35 @@
 	if v.Sequence <= p.sequence.Load() {
 		return
 	}
-	p.mu.Lock()
-	if v.Sequence <= p.view.Sequence {
-		p.mu.Unlock()
-		return
-	}
-	upstream := v.UpstreamByName(p.name)
-	if upstream == view.NoUpstream {
-		p.mu.Unlock()
-		return
-	}
-	p.view, p.upstream = v, upstream
-	p.sequence.Store(v.Sequence)
-	p.handleAndUnlock(dispatch.ViewChanged{View: v})
+	p.handle(func() dispatch.Event {
+		upstream := v.UpstreamByName(p.name)
+		if v.Sequence <= p.view.Sequence || upstream == view.NoUpstream {
+			return nil
+		}
+		p.view, p.upstream = v, upstream
+		p.sequence.Store(v.Sequence)
+		return dispatch.ViewChanged{View: v}
+	})
 }
 
 // offer queues an attempt.
 func (p *pool) offer(a *attempt) {
-	p.mu.Lock()
-	shard, ok := p.shard(a)
-	if !ok {
-		p.mu.Unlock()
+	known := true
+	p.handle(func() dispatch.Event {
+		var shard int
+		if shard, known = p.shard(a); !known {
+			return nil
+		}
+		p.attempts[a.ticket] = a
+		return dispatch.Offered{
+			Ticket: a.ticket, Shard: shard, Caller: a.run.request.Caller.Name, Priority: a.run.request.Service.Config.Priority,
+			Deadline: a.offer.Deadline, Due: a.run.due,
+			Avoid: p.translate(a.view, a.offer.Avoid), Hedge: a.offer.Hedge, Retry: a.offer.Retry, Solo: a.offer.Solo,
+		}
+	})
+	if !known {
 		a.run.mail.put(query.NotSent{Attempt: a.offer.Attempt, Reason: query.ReasonNoLeaf})
-		return
 	}
-	p.attempts[a.ticket] = a
-	p.handleAndUnlock(dispatch.Offered{
-		Ticket: a.ticket, Shard: shard, Caller: a.run.request.Caller.Name, Priority: a.run.request.Service.Config.Priority,
-		Deadline: a.offer.Deadline, Due: a.run.due,
-		Avoid: p.translate(a.view, a.offer.Avoid), Hedge: a.offer.Hedge, Retry: a.offer.Retry, Solo: a.offer.Solo,
-	})
 }
 
 // shard finds the pool's shard for the attempt's part; the query may speak by an older view.
@@ -106,13 +105,17 @@
 	return 0, false
 }
 
-// translate turns leaf indexes of another view into the pool's.
+// translate turns leaf indexes of another view into the pool's. A leaf that the query's view lacks,
+// as only the pool's newer view had it, is left out.
 func (p *pool) translate(from *view.View, leaves []int) []int {
 	if from == p.view || len(leaves) == 0 {
 		return leaves
 	}
 	var out []int
 	for _, leaf := range leaves {
+		if leaf == view.NoLeaf {
+			continue
+		}
 		i := p.view.Upstreams[p.upstream].Leaf(from.Leaves[leaf].ID)
 		if i != view.NoLeaf {
 			out = append(out, i)
@@ -123,36 +126,40 @@
 
 // withdraw takes a queued attempt back, or cancels a running one.
 func (p *pool) withdraw(t dispatch.Ticket) {
-	p.mu.Lock()
-	a, ok := p.attempts[t]
-	if !ok {
-		p.mu.Unlock()
-		return
-	}
-	if a.cancel != nil {
-		p.mu.Unlock()
-		a.cancel()
-		return
+	var cancel context.CancelFunc
+	p.handle(func() dispatch.Event {
+		a, ok := p.attempts[t]
+		if !ok {
+			return nil
+		}
+		if cancel = a.cancel; cancel != nil {
+			return nil
+		}
+		delete(p.attempts, t)
+		return dispatch.Withdrawn{Ticket: t}
+	})
+	if cancel != nil {
+		cancel()
 	}
-	delete(p.attempts, t)
-	p.handleAndUnlock(dispatch.Withdrawn{Ticket: t})
 }
 
 // finish reports the end of a running attempt.
 func (p *pool) finish(a *attempt, outcome dispatch.Outcome, service time.Duration) {
-	p.mu.Lock()
-	delete(p.attempts, a.ticket)
-	p.handleAndUnlock(dispatch.Finished{
-		Ticket: a.ticket, Leaf: p.view.Upstreams[p.upstream].Leaf(a.leafID),
-		Outcome: outcome, Latency: time.Since(a.started), Service: service,
+	p.handle(func() dispatch.Event {
+		delete(p.attempts, a.ticket)
+		return dispatch.Finished{
+			Ticket: a.ticket, Leaf: p.view.Upstreams[p.upstream].Leaf(a.leafID),
+			Outcome: outcome, Latency: time.Since(a.started), Service: service,
+		}
 	})
 }
 
 // tick lets the machine do time-driven work.
 func (p *pool) tick() {
-	p.mu.Lock()
-	p.wakeAt = time.Time{}
-	p.handleAndUnlock(dispatch.Tick{})
+	p.handle(func() dispatch.Event {
+		p.wakeAt = time.Time{}
+		return dispatch.Tick{}
+	})
 }
 
 // start is a dispatched attempt that runs once the lock is given back.
@@ -164,12 +171,28 @@
 	dialCost time.Duration
 }
 
-// handleAndUnlock gives the event to the machine, carries out its actions and
-// gives the lock back before it starts or tells anyone.
-func (p *pool) handleAndUnlock(ev dispatch.Event) {
+// handle gives the machine an event that is made under the lock, nil for none, and carries out
+// its actions.
+func (p *pool) handle(event func() dispatch.Event) {
+	starts, refused := p.step(event)
+	for _, s := range starts {
+		go p.executor.exchange(p, s)
+	}
+	for _, r := range refused {
+		r.tell(p)
+	}
+}
+
+// step does the part under the lock. The lock is released after a panic too: net/http recovers
+// those of its handlers.
+func (p *pool) step(event func() dispatch.Event) (starts []start, refused []refusedAttempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ev := event()
+	if ev == nil {
+		return nil, nil
+	}
 	now := time.Now()
-	var starts []start
-	var refused []refusedAttempt
 	for _, action := range p.machine.Handle(ev, now) {
 		switch action := action.(type) {
 		case dispatch.Dispatch:
@@ -185,13 +208,7 @@
 			p.wake(action.At, now)
 		}
 	}
-	p.mu.Unlock()
-	for _, s := range starts {
-		go p.executor.exchange(p, s)
-	}
-	for _, r := range refused {
-		r.tell(p)
-	}
+	return starts, refused
 }
 
 // prepare marks an attempt as running on the leaf.
--- a/entry/executor/sharing.go
+++ b/entry/executor/sharing.go
@@ -30,7 +30,6 @@
 // ReportSlow passes on what other instances saw.
 func (e *Executor) ReportSlow(list []slowness.Slow) {
 	for _, p := range e.allPools() {
-		p.mu.Lock()
-		p.handleAndUnlock(dispatch.SlowReported{Leaves: list})
+		p.handle(func() dispatch.Event { return dispatch.SlowReported{Leaves: list} })
 	}
 }
--- a/kernel/query/gate.go
+++ b/kernel/query/gate.go
@@ -72,7 +72,8 @@
 func (m *Machine) mayGoBack(a attempt) {
 	p := &m.parts[a.part]
 	if m.gate.proved && !m.hasOther(p) {
-		p.tried = []int{m.here(&a, a.leaf)}
+		p.tried = nil
+		m.noteTried(&a, a.leaf)
 	}
 }
 
--- a/kernel/query/replan.go
+++ b/kernel/query/replan.go
@@ -138,6 +138,7 @@
 		for t := range p.tried {
 			p.tried[t] = translate(old, v, m.spaces[p.space].now, p.tried[t])
 		}
+		p.tried = slices.DeleteFunc(p.tried, func(l int) bool { return l == noLeaf })
 		p.shard = noShard
 		if at := m.shardsOf(p.space, p.need); len(at) > 0 {
 			p.shard = at[0]
