The page's metrics are looked up in meters with state too

The test now knows both forms; what it compares is the same. Before: 15 gauges "on the page and not in the code"; a gauge that is only in the code or only on the page still fails it.

--- a/cmd/fuchsiaroad/pages_test.go
+++ b/cmd/fuchsiaroad/pages_test.go
@@ -84,9 +84,9 @@
 	}
 	// Each meter of the node has a scope of its own, named in node.go.
 	node := sources(t, "entry/node") + sources(t, "entry/platform") + sources(t, "entry/hosted")
-	for _, scope := range regexp.MustCompile(`(\w+Meter)\{(?:Scope: )?\w+\.metrics\.Scope\.SubScope\("([a-z_]+)"\)`).FindAllStringSubmatch(node, -1) {
+	for _, scope := range regexp.MustCompile(`(\w+Meter)\{(?:[Ss]cope: )?\w+\.metrics\.Scope\.SubScope\("([a-z_]+)"\)`).FindAllStringSubmatch(node, -1) {
 		for _, method := range strings.Split(node, "\nfunc ") {
-			if !strings.HasPrefix(method, "(m "+scope[1]+")") {
+			if !strings.HasPrefix(method, "(m "+scope[1]+")") && !strings.HasPrefix(method, "(m *"+scope[1]+")") {
 				continue
 			}
 			for _, name := range matches(instrument, method) {
