Log each instance's share of the repeat allowance and what it used

Cause: from logs and metrics, nobody could tell whether the instances charge too much, hold too much, or charge what leaves read at another time.

New lines: "joined the fleet" (as bootstrap, restart or new), "share of the repeat allowance" when it changes (with the number of instances and the age of the list), and once a window "repeats of the last window" of each shard at which an instance used more than half of its part. No decision changes; RecordJoin now reports whether the call counted.

--- a/entry/executor/repeat_limiters.go
+++ b/entry/executor/repeat_limiters.go
@@ -1,7 +1,9 @@
 package executor
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -67,6 +69,25 @@
 	return e.repeatLimiters.remainingRepeats(now)
 }
 
+// ShardRepeats is what this instance has used of its part of the repeat limit at a shard.
+type ShardRepeats struct {
+	Shard string // its name
+	kernelrepetition.RepeatUsage
+}
+
+// RepeatUsage returns what this instance has used at each shard that has a limiter, ordered
+// by name.
+func (e *Executor) RepeatUsage(now time.Time) []ShardRepeats {
+	l := e.repeatLimiters
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]ShardRepeats, 0, len(l.byShard))
+	for _, name := range slices.Sorted(maps.Keys(l.byShard)) {
+		out = append(out, ShardRepeats{Shard: name, RepeatUsage: l.byShard[name].Usage(now)})
+	}
+	return out
+}
+
 // limiter returns a shard's limiter, set to this instance's share of the limit. The lock
 // is held.
 func (l *repeatLimiters) limiter(up *view.Upstream, shard int) *kernelrepetition.RepeatLimiter {
--- a/entry/hosted/announcement.go
+++ b/entry/hosted/announcement.go
@@ -66,5 +66,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.fleet.RecordJoin(joinKind, time.Now())
+	if m.fleet.RecordJoin(joinKind, time.Now()) {
+		m.log.Info("joined the fleet", "as", joinModeNames[joinKind], "instances", m.fleet.Size())
+	}
 }
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -61,6 +61,7 @@
 	// lastSource holds a string: where the last newer state came from, as sourceOf names it.
 	lastSource atomic.Value
 	gauges     stateMeter
+	repeats    repeatReporter
 	// badLeaves reports the store's entries of leaves that can't be used.
 	badLeaves *badEntryReporter
 }
@@ -116,12 +117,14 @@
 
 // newControl makes a control that has read nothing yet.
 func newControl(n *Node) *control {
-	return &control{
+	c := &control{
 		node: n, log: n.log.Component("control"), peers: n.peers, catalog: catalog.New(n.config.Tunables.Catalog),
 		inbox: make(chan any, inboxLength), syncRequested: make(chan struct{}, 1),
 		gauges:    stateMeter{scope: n.metrics.Scope.SubScope("hosted")},
 		badLeaves: newBadEntryReporter(n.log.Component("control"), n.metrics.Scope, "leaves"),
 	}
+	c.repeats.control = c
+	return c
 }
 
 // run follows the store and publishes views until the context ends.
@@ -139,6 +142,8 @@
 			c.handleMessage(message)
 		case now := <-tick.C:
 			c.updateGauges(now)
+			c.repeats.report(now)
+			c.node.membership.reportAllowance(now)
 			if c.catalog.Expire(now) {
 				c.publish()
 			}
--- a/entry/hosted/membership.go
+++ b/entry/hosted/membership.go
@@ -69,6 +69,8 @@
 
 	mu    sync.Mutex
 	fleet *fleet.Fleet
+	// loggedAllowance is the share of the repeat allowance that was logged last.
+	loggedAllowance float64
 }
 
 // newMembership makes a fleet that has only this instance.
--- a/kernel/fleet/repeats.go
+++ b/kernel/fleet/repeats.go
@@ -39,10 +39,10 @@
 )
 
 // RecordJoin notes that the store holds this instance's announcement. Only the first call
-// counts.
-func (f *Fleet) RecordJoin(mode JoinMode, now time.Time) {
+// counts; RecordJoin reports whether this was it.
+func (f *Fleet) RecordJoin(mode JoinMode, now time.Time) bool {
 	if !f.allowance.countedFrom.IsZero() {
-		return
+		return false
 	}
 	switch mode {
 	case JoinAtBootstrap:
@@ -52,6 +52,7 @@
 	case JoinAsNew:
 		f.allowance.countedFrom = now.Add(f.settings.ListPropagationBound)
 	}
+	return true
 }
 
 // recordAllowanceShare adds the share computed from the list that was read at the given
--- a/kernel/repetition/repeat_limiter.go
+++ b/kernel/repetition/repeat_limiter.go
@@ -62,10 +62,24 @@
 
 // RemainingRepeats returns how many repeats the limit still allows.
 func (l *RepeatLimiter) RemainingRepeats(now time.Time) float64 {
+	u := l.Usage(now)
+	return max(0, u.Allowed-float64(u.Repeats))
+}
+
+// RepeatUsage is what one instance has used of its part of the limit at a shard in the
+// window that ends now.
+type RepeatUsage struct {
+	Requests, Repeats int
+	// Allowed is the number of repeats that the limit allows in the window.
+	Allowed float64
+}
+
+// Usage returns what has been used of the limit.
+func (l *RepeatLimiter) Usage(now time.Time) RepeatUsage {
 	step := l.stepAt(now)
 	l.requests.advance(step)
 	l.repeats.advance(step)
-	return max(0, l.allowed()-float64(l.repeats.total))
+	return RepeatUsage{Requests: l.requests.total, Repeats: l.repeats.total, Allowed: l.allowed()}
 }
 
 // allowed returns the number of repeats allowed in a window. The oldest step may be
