Charge a repeat until none of its request's attempts can arrive any more

Cause: a repeat was charged at the moment of the decision to send it, and forgotten a window later. The limit counts what a leaf reads, when it reads it. In between lie the instance's queue, a process that stands still, kernels' buffers and a leaf that stands still, also for attempts that were cancelled and for a first attempt that is read after its hedge. So repeats of more than a window arrived within one.

Change: a repeat counts from the decision until a window after none of the attempts of its request at the shard can arrive: they were not sent, or the leaf has responded to them or to a request that was sent to it after their end. Without such a response a repeat counts for a window before it is settled.

The tests of the limiter settle each repeat at once, which is what it assumed before.

--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -29,6 +29,7 @@
 	// The deadline is checked again right before sending: an instance that was
 	// paused since the decision must not start work past the deadline.
 	if s.ctx.Err() != nil {
+		e.repeatLimiters.endUnsent(a)
 		p.finishAttempt(a, dispatch.OutcomeCancelled, 0)
 		a.run.mail.put(query.NotSent{Attempt: a.offer.Attempt, Reason: query.ReasonDeadline})
 		return
@@ -39,6 +40,7 @@
 	target := leafclient.Target{ID: s.leaf.ID, Name: s.leaf.Name, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.dialCost}
 	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body, Forwarded: a.run.request.Forwarded}
 	reply, err := e.config.LeafClient.Run(s.ctx, target, request, func() bool { return a.run.confirmSend(a, leaf) })
+	e.repeatLimiters.endExchange(a, err)
 	if err != nil {
 		a.run.service.metrics.CountAttempt(attemptOutcome(s.ctx, err), s.action.QueueTime)
 		e.handleFailure(s.ctx, p, a, failedExchange{leaf: leaf, up: up, err: err})
--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -9,6 +9,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	kernelrepetition "github.com/fuchsiaroad/fuchsiaroad/kernel/repetition"
 )
 
 // Response is the answer to a request that ran or may have run.
@@ -126,7 +127,7 @@
 	r := &run{
 		executor: e, request: req, id: newToken(), tokenSecret: newToken(), stamp: e.nextStamp(req.Start),
 		fingerprint: fingerprint, mail: newMailbox(), ctx: ctx,
-		attempts: make(map[query.AttemptID]*attempt), offeredGroups: make(map[query.AttemptID]*offeredGroup),
+		attempts: make(map[query.AttemptID]*attempt), deliveries: make(map[string]*kernelrepetition.Delivery), offeredGroups: make(map[query.AttemptID]*offeredGroup),
 		view: req.View, pools: make(map[int]*pool),
 		versions: &versionSource{state: e.leafState, view: req.View},
 	}
--- a/entry/executor/pool.go
+++ b/entry/executor/pool.go
@@ -9,6 +9,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/dispatch"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	kernelrepetition "github.com/fuchsiaroad/fuchsiaroad/kernel/repetition"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
@@ -39,6 +40,9 @@
 	started time.Time
 	cancel  context.CancelFunc // nil while queued
 	leafID  string
+	// delivery limits the repeats of the request at the shard; nil: they have no limit.
+	delivery *kernelrepetition.Delivery
+	sentAt   time.Time // right before the bytes are written; zero while nothing is sent
 
 	withdrawn bool // guarded by the run's lock
 }
@@ -88,6 +92,7 @@
 		}
 	})
 	if !known {
+		p.executor.repeatLimiters.endUnsent(a)
 		a.run.mail.put(query.NotSent{Attempt: a.offer.Attempt, Reason: query.ReasonNoLeaf})
 	}
 }
@@ -138,6 +143,7 @@
 			return nil
 		}
 		delete(p.attempts, t)
+		p.executor.repeatLimiters.endUnsent(a)
 		return dispatch.Withdrawn{Ticket: t}
 	})
 	if cancel != nil {
@@ -235,6 +241,7 @@
 
 // report logs the refusal and passes it to the query.
 func (r refusedAttempt) report(p *pool) {
+	p.executor.repeatLimiters.endUnsent(r.attempt)
 	p.executor.logDecision(r.attempt, telemetry.Decision{Component: prefixDispatch, Event: "refuse", Reason: string(r.action.Reason)})
 	r.attempt.run.mail.put(query.NotSent{Attempt: r.attempt.offer.Attempt, Reason: r.action.Reason, RetryAfter: r.action.RetryAfter})
 }
--- a/entry/executor/repeat_limiters.go
+++ b/entry/executor/repeat_limiters.go
@@ -1,12 +1,14 @@
 package executor
 
 import (
+	"errors"
 	"maps"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	kernelrepetition "github.com/fuchsiaroad/fuchsiaroad/kernel/repetition"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
@@ -17,16 +19,24 @@
 type repeatLimiters struct {
 	slackShare func(shards int) float64 // Config.RepeatSlackShare
 
-	mu      sync.Mutex
-	byShard map[string]*kernelrepetition.RepeatLimiter // by shard name
+	mu         sync.Mutex
+	byShard    map[string]*kernelrepetition.RepeatLimiter // by shard name
+	unanswered *kernelrepetition.UnansweredAttempts
 }
 
+// maxArrivalDelay is the time after the end of an exchange without a response from which on
+// its request is taken for one that never arrives.
+const maxArrivalDelay = 10 * time.Second
+
 // newRepeatLimiters returns an empty set of limiters.
 func newRepeatLimiters(slack func(shards int) float64) *repeatLimiters {
 	if slack == nil {
 		slack = func(int) float64 { return 1 }
 	}
-	return &repeatLimiters{slackShare: slack, byShard: make(map[string]*kernelrepetition.RepeatLimiter)}
+	return &repeatLimiters{
+		slackShare: slack, byShard: make(map[string]*kernelrepetition.RepeatLimiter),
+		unanswered: kernelrepetition.NewUnansweredAttempts(maxArrivalDelay),
+	}
 }
 
 // countRequest counts a request at a shard. The instance that asks the shard's leaves
@@ -40,15 +50,70 @@
 	l.limiter(up, shard).CountRequest(now)
 }
 
-// takeRepeat takes one repeat of a shard's limit and reports whether it fit. Without a
-// limit it always does.
-func (l *repeatLimiters) takeRepeat(up *view.Upstream, shard int, now time.Time) bool {
+// delivery returns a new delivery of a request to a shard; nil if its repeats have no limit.
+func (l *repeatLimiters) delivery(up *view.Upstream, shard int) *kernelrepetition.Delivery {
 	if up.Config.RepeatLimit == nil || shard < 0 || shard >= len(up.Shards) {
-		return up.Config.RepeatLimit == nil
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return kernelrepetition.NewDelivery(l.limiter(up, shard))
+}
+
+// takeRepeat takes one repeat of a shard's limit for a delivery and reports whether it fit.
+func (l *repeatLimiters) takeRepeat(d *kernelrepetition.Delivery, up *view.Upstream, shard int, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limiter(up, shard) // sets this instance's present share
+	return d.TakeRepeat(now)
+}
+
+// beginAttempt notes an attempt of a delivery, which may be nil.
+func (l *repeatLimiters) beginAttempt(d *kernelrepetition.Delivery) {
+	if d == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d.BeginAttempt()
+}
+
+// endUnsent notes that an attempt has ended without being sent.
+func (l *repeatLimiters) endUnsent(a *attempt) {
+	if a.delivery == nil {
+		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.limiter(up, shard).TakeRepeat(now)
+	a.delivery.EndAttempt(time.Now())
+}
+
+// endExchange notes the end of an exchange. Only a response proves that the leaf has read
+// the request, and all that was sent to it before.
+func (l *repeatLimiters) endExchange(a *attempt, err error) {
+	if a.delivery == nil {
+		return
+	}
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case hasResponse(err):
+		l.unanswered.Responded(a.leafID, a.sentAt, now)
+		a.delivery.EndAttempt(now)
+	case a.sentAt.IsZero():
+		a.delivery.EndAttempt(now)
+	default:
+		l.unanswered.Add(a.leafID, a.delivery, now)
+	}
+}
+
+// hasResponse reports whether an exchange that ended with this error had a response from the
+// leaf that belongs to the request.
+func hasResponse(err error) bool {
+	var declined *leafclient.DeclinedError
+	var broken *leafclient.BrokenError
+	return err == nil || errors.As(err, &declined) || errors.As(err, &broken) && broken.Cause == leafclient.CauseStatus
 }
 
 // remainingRepeats returns the least number of repeats that fit at any shard, and the
@@ -111,9 +176,28 @@
 	if upstream < 0 || upstream >= len(r.view.Upstreams) {
 		return false
 	}
-	if r.executor.repeatLimiters.takeRepeat(&r.view.Upstreams[upstream], shard, now) {
+	up := &r.view.Upstreams[upstream]
+	if up.Config.RepeatLimit == nil {
+		return true
+	}
+	if d := r.delivery(up, shard); d != nil && r.executor.repeatLimiters.takeRepeat(d, up, shard, now) {
 		return true
 	}
 	r.service.metrics.RepeatsRefused.Inc(1)
 	return false
 }
+
+// delivery returns the query's delivery to a shard; nil if the shard is not known or its
+// repeats have no limit. The run's lock is held.
+func (r *run) delivery(up *view.Upstream, shard int) *kernelrepetition.Delivery {
+	if up.Config.RepeatLimit == nil || shard < 0 || shard >= len(up.Shards) {
+		return nil
+	}
+	name := up.Shards[shard].Name
+	d, ok := r.deliveries[name]
+	if !ok {
+		d = r.executor.repeatLimiters.delivery(up, shard)
+		r.deliveries[name] = d
+	}
+	return d
+}
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -14,6 +14,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/ledger"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
+	kernelrepetition "github.com/fuchsiaroad/fuchsiaroad/kernel/repetition"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
@@ -51,6 +52,8 @@
 	mu       sync.Mutex
 	machine  *query.Machine
 	attempts map[query.AttemptID]*attempt
+	// deliveries holds the limited deliveries to shards, by shard name.
+	deliveries map[string]*kernelrepetition.Delivery
 	// offeredGroups holds the groups that were offered to other instances.
 	offeredGroups map[query.AttemptID]*offeredGroup
 	// view is the newest view that the machine knows; pools is keyed by its indexes.
@@ -124,7 +127,11 @@
 		return false // an instance that was paused finds the deadline passed here
 	}
 	r.handleLocked(query.Sent{Attempt: a.offer.Attempt, Leaf: leaf})
-	return !a.withdrawn
+	if a.withdrawn {
+		return false
+	}
+	a.sentAt = time.Now()
+	return true
 }
 
 // handleLocked passes one event to the machine and performs its actions. The run's lock
@@ -189,7 +196,9 @@
 	a := &attempt{
 		ticket: dispatch.Ticket{Query: r.stamp, Attempt: o.Attempt},
 		run:    r, view: r.view, offer: o, token: r.attemptToken(o.Attempt),
+		delivery: r.delivery(&r.view.Upstreams[o.Part.Upstream], o.Shard),
 	}
+	r.executor.repeatLimiters.beginAttempt(a.delivery)
 	r.attempts[o.Attempt] = a
 	if o.Hedge {
 		r.executor.logDecision(a, telemetry.Decision{Component: prefixQuery, Event: "hedge", Class: telemetry.Routine})
--- a/entry/hosted/repeats.go
+++ b/entry/hosted/repeats.go
@@ -28,7 +28,7 @@
 	r.reportedAt = now
 	for _, u := range n.executor.RepeatUsage(now) {
 		if float64(u.Repeats) > repeatLogShare*u.Allowed {
-			r.control.log.Info("repeats of the last window", "shard", u.Shard, "repeats", u.Repeats, "allowed", u.Allowed, "requests", u.Requests)
+			r.control.log.Info("repeats of the last window", "shard", u.Shard, "repeats", u.Repeats, "unsettled", u.Unsettled, "allowed", u.Allowed, "requests", u.Requests)
 		}
 	}
 }
--- a/kernel/repetition/repeat_limiter.go
+++ b/kernel/repetition/repeat_limiter.go
@@ -1,21 +1,31 @@
 package repetition
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// RepeatLimiter limits the repeats that one instance sends to a shard within a
+// RepeatLimiter limits the repeats of one instance that arrive at a shard within a
 // sliding window: all sub-requests beyond the first of a request, whatever their
 // cause. The limit applies to the whole fleet, and each instance uses its own part:
 // the ratio times its own requests, plus an equal share of the slack. The parts of
 // all instances together stay within the limit in every window.
 //
+// When a repeat arrives is only known to lie between TakeRepeat and Settle, so it
+// counts from the first until a window after the second.
+//
 // Create it with NewRepeatLimiter. It is not safe for concurrent use.
 type RepeatLimiter struct {
-	limit    RepeatLimit
-	base     time.Time // start of step 0; times are compared by the monotonic clock
-	requests stepCounts
-	repeats  stepCounts
+	limit     RepeatLimit
+	base      time.Time // start of step 0; times are compared by the monotonic clock
+	requests  stepCounts
+	repeats   stepCounts // settled ones, by the time at which they were settled
+	unsettled []*Repeat  // in the order in which they were taken
 }
 
+// Repeat is a repeat that TakeRepeat granted.
+type Repeat struct{ takenAt time.Time }
+
 // RepeatLimit is one instance's part of the fleet's limit on repeats at a shard.
 type RepeatLimit struct {
 	// Ratio is the number of repeats allowed per request.
@@ -32,6 +42,10 @@
 // is strict: their window is effectively longer by up to one step.
 const stepsPerWindow = 20
 
+// unearnedSteps is the number of steps, the oldest of the window, whose requests earn nothing:
+// the oldest one may be partly outside the window.
+const unearnedSteps = 1
+
 // stepCounts counts events by time step in a ring buffer.
 type stepCounts struct {
 	counts [stepsPerWindow + 1]int
@@ -48,18 +62,40 @@
 // CountRequest counts one request to the shard.
 func (l *RepeatLimiter) CountRequest(now time.Time) { l.requests.add(l.stepAt(now)) }
 
-// TakeRepeat reports whether the limit allows one more repeat, and counts it if so.
-func (l *RepeatLimiter) TakeRepeat(now time.Time) bool {
+// TakeRepeat takes one more repeat, or returns nil if the limit does not allow it.
+func (l *RepeatLimiter) TakeRepeat(now time.Time) *Repeat {
+	l.advance(now)
+	if float64(l.used()+1) > l.allowed() {
+		return nil
+	}
+	r := &Repeat{takenAt: now}
+	l.unsettled = append(l.unsettled, r)
+	return r
+}
+
+// Settle notes that a repeat has arrived by now or never will. Only the first call for a
+// repeat counts.
+func (l *RepeatLimiter) Settle(r *Repeat, now time.Time) {
+	if i := slices.Index(l.unsettled, r); i >= 0 {
+		l.unsettled = slices.Delete(l.unsettled, i, i+1)
+		l.repeats.add(l.stepAt(now))
+	}
+}
+
+// advance moves the counts to a time. It settles the repeats that were taken a window
+// ago: a leaf that did not read them by then is taken for one that never will.
+func (l *RepeatLimiter) advance(now time.Time) {
 	step := l.stepAt(now)
 	l.requests.advance(step)
 	l.repeats.advance(step)
-	if float64(l.repeats.total+1) > l.allowed() {
-		return false
+	for len(l.unsettled) > 0 && now.Sub(l.unsettled[0].takenAt) >= l.limit.Window {
+		l.Settle(l.unsettled[0], now)
 	}
-	l.repeats.add(step)
-	return true
 }
 
+// used returns the number of repeats that count now.
+func (l *RepeatLimiter) used() int { return l.repeats.total + len(l.unsettled) }
+
 // RemainingRepeats returns how many repeats the limit still allows.
 func (l *RepeatLimiter) RemainingRepeats(now time.Time) float64 {
 	u := l.Usage(now)
@@ -70,22 +106,22 @@
 // window that ends now.
 type RepeatUsage struct {
 	Requests, Repeats int
+	// Unsettled is the number of Repeats that may still arrive.
+	Unsettled int
 	// Allowed is the number of repeats that the limit allows in the window.
 	Allowed float64
 }
 
 // Usage returns what has been used of the limit.
 func (l *RepeatLimiter) Usage(now time.Time) RepeatUsage {
-	step := l.stepAt(now)
-	l.requests.advance(step)
-	l.repeats.advance(step)
-	return RepeatUsage{Requests: l.requests.total, Repeats: l.repeats.total, Allowed: l.allowed()}
+	l.advance(now)
+	return RepeatUsage{Requests: l.requests.total, Repeats: l.used(), Unsettled: len(l.unsettled), Allowed: l.allowed()}
 }
 
-// allowed returns the number of repeats allowed in a window. The oldest step may be
-// partly outside the window, so its requests earn nothing.
+// allowed returns the number of repeats allowed in a window. The requests of the
+// unearnedSteps oldest steps earn nothing.
 func (l *RepeatLimiter) allowed() float64 {
-	return l.limit.Ratio*float64(l.requests.total-l.requests.oldestCount()) + l.limit.Slack
+	return l.limit.Ratio*float64(l.requests.total-l.requests.oldest(unearnedSteps)) + l.limit.Slack
 }
 
 // stepAt returns the number of the step that holds a time.
@@ -121,8 +157,13 @@
 	}
 }
 
-// oldestCount returns the count of the oldest step kept.
-func (s *stepCounts) oldestCount() int { return s.counts[ringIndex(s.step+1)] }
+// oldest returns the count of the n oldest steps kept.
+func (s *stepCounts) oldest(n int) (count int) {
+	for i := range n {
+		count += s.counts[ringIndex(s.step+1+int64(i))]
+	}
+	return count
+}
 
 // ringIndex returns the index of a step in the ring buffer.
 func ringIndex(step int64) int { return int(step % (stepsPerWindow + 1)) }
--- a/kernel/repetition/repeat_limiter_test.go
+++ b/kernel/repetition/repeat_limiter_test.go
@@ -16,16 +16,16 @@
 		limiter.CountRequest(now)
 	}
 	taken := 0
-	for limiter.TakeRepeat(now) {
+	for takeAndSettle(limiter, now) {
 		taken++
 	}
 	if taken != 13 {
 		t.Fatalf("%d repeats, want 0.2 x 50 + 3", taken)
 	}
-	if limiter.TakeRepeat(now.Add(9 * time.Second)) {
+	if takeAndSettle(limiter, now.Add(9*time.Second)) {
 		t.Error("a repeat was allowed within the window of the others")
 	}
-	if !limiter.TakeRepeat(now.Add(11 * time.Second)) {
+	if !takeAndSettle(limiter, now.Add(11*time.Second)) {
 		t.Error("no repeat was allowed after the window")
 	}
 }
@@ -45,7 +45,7 @@
 				requests = append(requests, now)
 				continue
 			}
-			if limiter.TakeRepeat(now) {
+			if takeAndSettle(limiter, now) {
 				repeats = append(repeats, now)
 			}
 		}
@@ -68,3 +68,13 @@
 	}
 	return n
 }
+
+// takeAndSettle takes a repeat that arrives at once, and reports whether it was allowed.
+func takeAndSettle(l *RepeatLimiter, now time.Time) bool {
+	r := l.TakeRepeat(now)
+	if r == nil {
+		return false
+	}
+	l.Settle(r, now)
+	return true
+}
