Let the requests of the oldest tenth of a window earn no repeats

Cause: a repeat is earned by the requests of the window that ends with the decision; the limit takes the requests of a window around the arrival, of the one before it or of the one half a window before it. With the limit used up to the last repeat, what differs between these windows by chance is the excess. A second fault, much smaller than the first; it needs no late arrival.

Change: two of the twenty steps of a window earn nothing, in place of one. That is 5 in 100 of the ratio's part less, for an instance that uses it up.

--- a/kernel/repetition/repeat_limiter.go
+++ b/kernel/repetition/repeat_limiter.go
@@ -43,8 +43,9 @@
 const stepsPerWindow = 20
 
 // unearnedSteps is the number of steps, the oldest of the window, whose requests earn nothing:
-// the oldest one may be partly outside the window.
-const unearnedSteps = 1
+// one may be partly outside the window, and the requests of one make up for the difference
+// between the window of the decision and that of the arrival.
+const unearnedSteps = 2
 
 // stepCounts counts events by time step in a ring buffer.
 type stepCounts struct {
