Let requests earn no repeats in the first window after a restart

Cause: an instance that starts again has forgotten what it sent. It waited a window for its share of the slack for that reason, but its requests earned repeats at once, while its earlier life may have spent what ten seconds of requests had earned. With all instances killed after a burst, up to twice the ratio's part.

Change: requests earn nothing in the first RepeatWindow after the process's start, but where the whole fleet starts for the first time.

--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -92,6 +92,9 @@
 	// slack: the repeats that all instances together may make regardless of the number
 	// of requests. It depends on the number of shards and may change; nil means 1.
 	RepeatSlackShare func(shards int) float64
+	// EarnsRepeats reports whether this instance's requests earn repeats now; nil means that
+	// they always do.
+	EarnsRepeats func() bool
 	// Ledger claims the keys of non-idempotent requests.
 	Ledger Ledger
 	// SuspectAfterLosses is how many different leaves must be lost under a request that no
@@ -133,7 +136,7 @@
 		pools:          make(map[string]*pool),
 		services:       make(map[string]*serviceState),
 		runs:           make(map[*run]struct{}),
-		repeatLimiters: newRepeatLimiters(c.RepeatSlackShare),
+		repeatLimiters: newRepeatLimiters(c.RepeatSlackShare, c.EarnsRepeats),
 	}
 }
 
--- a/entry/executor/repeat_limiters.go
+++ b/entry/executor/repeat_limiters.go
@@ -18,6 +18,7 @@
 // the kernel's limiters.
 type repeatLimiters struct {
 	slackShare func(shards int) float64 // Config.RepeatSlackShare
+	earns      func() bool              // Config.EarnsRepeats
 
 	mu         sync.Mutex
 	byShard    map[string]*kernelrepetition.RepeatLimiter // by shard name
@@ -29,12 +30,15 @@
 const maxArrivalDelay = 10 * time.Second
 
 // newRepeatLimiters returns an empty set of limiters.
-func newRepeatLimiters(slack func(shards int) float64) *repeatLimiters {
+func newRepeatLimiters(slack func(shards int) float64, earns func() bool) *repeatLimiters {
 	if slack == nil {
 		slack = func(int) float64 { return 1 }
 	}
+	if earns == nil {
+		earns = func() bool { return true }
+	}
 	return &repeatLimiters{
-		slackShare: slack, byShard: make(map[string]*kernelrepetition.RepeatLimiter),
+		slackShare: slack, earns: earns, byShard: make(map[string]*kernelrepetition.RepeatLimiter),
 		unanswered: kernelrepetition.NewUnansweredAttempts(maxArrivalDelay),
 	}
 }
@@ -160,6 +164,9 @@
 	share := kernelrepetition.RepeatLimit{
 		Ratio: limit.Ratio, Slack: limit.Slack * l.slackShare(len(up.Shards)), Window: limit.Window,
 	}
+	if !l.earns() {
+		share.Ratio = 0
+	}
 	name := up.Shards[shard].Name
 	limiter, ok := l.byShard[name]
 	if !ok {
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -168,7 +168,7 @@
 	n.executor = executor.New(executor.Config{
 		LeafClient: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: policies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		RepeatSlackShare: n.membership.repeatSlack, Gatherer: n.forwarder, Ages: n.ages, SuspectAfterLosses: lostToSuspect, QuarantineDuration: quarantineFor,
+		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, SuspectAfterLosses: lostToSuspect, QuarantineDuration: quarantineFor,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
--- a/entry/hosted/membership.go
+++ b/entry/hosted/membership.go
@@ -82,7 +82,7 @@
 		badInstances: newBadEntryReporter(n.log.Component("fleet"), n.metrics.Scope, "instances"),
 		fleet: fleet.New(self, fleet.Settings{
 			ForgetAfter: forgetInstanceAfter, PeerBackoff: peerBackoff, MaxPeerBackoff: maxPeerBackoff, StalePeerBackoff: stalePeerBackoff, ListPropagationBound: listPropagationBound,
-			RepeatWindow: repeatWindow, ShareHoldTime: max(repeatWindow, listPropagationBound),
+			StartedAt: time.Now(), RepeatWindow: repeatWindow, ShareHoldTime: max(repeatWindow, listPropagationBound),
 		}),
 	}
 	seeds := append([]string(nil), n.config.Seeds...)
@@ -109,6 +109,11 @@
 	return readFleet(m, func(f *fleet.Fleet) float64 { return f.RepeatAllowanceShare(shards, time.Now()) })
 }
 
+// earnsRepeats reports whether the requests of this instance earn repeats of subrequests.
+func (m *membership) earnsRepeats() bool {
+	return readFleet(m, func(f *fleet.Fleet) bool { return f.EarnsRepeats(time.Now()) })
+}
+
 // Partners lists the instances to which this one often hands over queries.
 func (m *membership) Partners(now time.Time) []fleet.Instance {
 	return readFleet(m, func(f *fleet.Fleet) []fleet.Instance { return f.Partners(now) })
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -42,6 +42,8 @@
 	StalePeerBackoff time.Duration
 	// ListPropagationBound is the time within which every instance has a new list.
 	ListPropagationBound time.Duration
+	// StartedAt is the start of this instance's process.
+	StartedAt time.Time
 	// RepeatWindow is the length of the window for which the fleet's limit on repeats
 	// (hedges and retries) holds.
 	RepeatWindow time.Duration
--- a/kernel/fleet/repeats.go
+++ b/kernel/fleet/repeats.go
@@ -11,6 +11,7 @@
 type allowanceShares struct {
 	history     []allowanceShare // in order of time, the latest last
 	countedFrom time.Time        // from when the others count this instance; zero: not yet
+	atBootstrap bool             // this instance joined as JoinAtBootstrap
 }
 
 // allowanceShare is the share computed from one list: for upstreams whose queries are
@@ -46,7 +47,7 @@
 	}
 	switch mode {
 	case JoinAtBootstrap:
-		f.allowance.countedFrom = now
+		f.allowance.countedFrom, f.allowance.atBootstrap = now, true
 	case JoinAfterRestart:
 		f.allowance.countedFrom = now.Add(f.settings.RepeatWindow)
 	case JoinAsNew:
@@ -55,6 +56,13 @@
 	return true
 }
 
+// EarnsRepeats reports whether the requests of this instance earn repeats. In its first
+// RepeatWindow they do not, unless the whole fleet started with it: an instance that
+// restarted does not know which repeats it sent before.
+func (f *Fleet) EarnsRepeats(now time.Time) bool {
+	return f.allowance.atBootstrap || now.Sub(f.settings.StartedAt) >= f.settings.RepeatWindow
+}
+
 // recordAllowanceShare adds the share computed from the list that was read at the given
 // time, and drops the entries that ended before the hold time.
 func (f *Fleet) recordAllowanceShare(at time.Time) {
