Treat an instance whose announcement exists as restarted whatever its settings say

Cause, by reading: settings that still say that the whole fleet starts for the first time made an instance that starts again use its share of the repeats, and what its requests earn, at once, without knowing what it had spent.

Change: an announcement that was there before says restart. The first share at a bootstrap comes after 10 s, within which a fleet of 80 knows itself (TestBootstrapReadsStoreOnlyFromSeeds), not 5 s.

Evidence: TestRestartWithBootstrapSettingsSpendsNoRepeats failed before ("may send repeats within a window"), passes now. It finds that shares and earnings are back after a window.

--- a/entry/hosted/announcement.go
+++ b/entry/hosted/announcement.go
@@ -59,10 +59,10 @@
 func (m *membership) recordJoin(existed bool) {
 	joinKind := fleet.JoinAsNew
 	switch {
-	case m.node.config.Bootstrap:
-		joinKind = fleet.JoinAtBootstrap
 	case existed:
 		joinKind = fleet.JoinAfterRestart
+	case m.node.config.Bootstrap:
+		joinKind = fleet.JoinAtBootstrap
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/hosted/fleet_test.go
+++ b/entry/hosted/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/fleet"
 )
 
@@ -161,6 +162,9 @@
 	return &testFleet{t: t, size: size, zones: defaultZones, store: &sharedStore{version: 1, announcements: make(map[string]fleet.Instance)}, running: make(map[string]*testInstance)}
 }
 
+// testRepeatWindow is the window of the limit on repeats.
+const testRepeatWindow = 10 * time.Second
+
 // peerAddress is the address at which peers reach instance i.
 func peerAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i/200, 1+i%200) }
 
@@ -176,7 +180,7 @@
 	n, err := New(Config{
 		Instance: instanceName(i), Zone: fmt.Sprintf("z%d", i%f.zones), PeerAddress: peerAddress(i), Seeds: seeds, Bootstrap: bootstrap, CPUs: 1,
 		Source: storeClient{f.store, instanceName(i)}, PeerKey: []byte("k"), NewLeaves: func(func(string)) Leaves { return noLeaves{} },
-		Tunables: Tunables{FreshnessBound: testBound, GracePeriod: time.Second, Catalog: catalog.Settings{ConfigFreshFor: testBound, EntryTTL: testBound, ReregisterWithin: time.Second, DroppedSetRetention: time.Second}},
+		Tunables: Tunables{FreshnessBound: testBound, GracePeriod: time.Second, Catalog: catalog.Settings{ConfigFreshFor: testBound, EntryTTL: testBound, ReregisterWithin: time.Second, DroppedSetRetention: time.Second, RepeatLimit: document.RepeatLimit{Ratio: 0.2, Slack: 56, Window: testRepeatWindow}}},
 		Log:      telemetry.Options{Level: "error", Format: "json"}, LogSink: io.Discard,
 	})
 	if err != nil {
--- a/entry/hosted/membership_test.go
+++ b/entry/hosted/membership_test.go
@@ -284,3 +284,34 @@
 		})
 	}
 }
+
+// TestRestartWithBootstrapSettingsSpendsNoRepeats starts an instance again while its settings
+// still say that the whole fleet starts.
+func TestRestartWithBootstrapSettingsSpendsNoRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		defer f.stopAll()
+		f.startAll(true)
+		time.Sleep(2 * testRepeatWindow)
+		address := peerAddress(2)
+		spends := func() bool {
+			m := f.running[address].node.membership
+			return m.repeatSlack(1) > 0 || m.earnsRepeats()
+		}
+		if !spends() {
+			t.Error("an instance of a fleet that has started has no share of the repeats")
+		}
+		f.running[address].stop()
+		f.start(2, true)
+		for range 9 {
+			time.Sleep(time.Second)
+			if spends() {
+				t.Fatal("an instance that restarted may send repeats within a window")
+			}
+		}
+		time.Sleep(5 * time.Second)
+		if !spends() {
+			t.Error("an instance that restarted has no share of the repeats after a window")
+		}
+	})
+}
--- a/kernel/fleet/repeats.go
+++ b/kernel/fleet/repeats.go
@@ -42,7 +42,7 @@
 
 // bootstrapSettleTime is the time from an announcement at the first start of the whole fleet
 // until each instance has a list of all.
-const bootstrapSettleTime = 5 * time.Second
+const bootstrapSettleTime = 10 * time.Second
 
 // RecordJoin notes that the store holds this instance's announcement. Only the first call
 // counts; RecordJoin reports whether this was it.
