Keep the store silent until TestSyncReply has its first reply

Cause: the test wants a reply "no state" before the first read, and the fake store could answer the first read sooner. The test's order was at fault, not the reply.

As strict: the same replies are wanted, the first one now certainly before a read has ended.

--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -197,12 +197,13 @@
 // one that is leaving, answers that it has none.
 func TestSyncReply(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{}
+		store := &fakeStore{silent: true} // the first read must not end before the first reply
 		n, end := startNode(t, store)
 		defer end()
 		if reply := n.Sync("other", peerapi.SyncRequest{}); reply.ConfigAgeMS != -1 {
 			t.Errorf("reply before the first read: %+v", reply)
 		}
+		store.update(func(s *fakeStore) { s.silent = false })
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
 		if reply := n.Sync("other", peerapi.SyncRequest{}); reply.ConfigAgeMS < 0 || reply.Version != 0 || reply.Config != nil {
