Answer each request that a stopping instance has read before it ends

Asked to stop at 39.149, the instance took a request at 41.928, ended at 42.950, before its grace time was over, and cut off the attempt at a slow leaf after 1.022 s.

Cause: requests are accepted until 0.7 of the grace time, with deadlines beyond its end. Nothing bounded a deadline by the end of the process, so the connection was closed without an answer.

Change: from the start of the stop on, a request's deadline is at most the end of the instance, less 0.1 s for the answer, also for those that another instance handed over. What can't be done in that time is refused as not run by the usual estimate; what a leaf may have run is answered 504.

Requests in flight when the stop begins keep their deadlines: a site whose deadlines are longer than its grace time can still cut them.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -31,6 +31,8 @@
 
 // Lifecycle tells how far the instance's shutdown has progressed.
 type Lifecycle interface {
+	// BoundDeadline returns a deadline, or when this instance must have answered if that is earlier.
+	BoundDeadline(deadline time.Time) time.Time
 	// Arrived counts one query.
 	Arrived()
 	// Leaving reports whether callers are to give up their connections.
@@ -137,7 +139,7 @@
 		return refused.toReply()
 	}
 	req := &executor.Request{
-		View: v, Service: service, Caller: forwardedCaller, Start: relayed.Start, Deadline: relayed.Deadline, NetworkDelay: relayed.NetworkDelay, Forwarded: relayed.Forwarded,
+		View: v, Service: service, Caller: forwardedCaller, Start: relayed.Start, Deadline: g.config.Lifecycle.BoundDeadline(relayed.Deadline), NetworkDelay: relayed.NetworkDelay, Forwarded: relayed.Forwarded,
 	}
 	answer, err := g.config.Executor.Forward(ctx, req)
 	reply := g.buildReply(req, answer, err)
@@ -191,7 +193,7 @@
 		return nil, refused
 	}
 	return &executor.Request{
-		View: v, Service: service, Caller: forwardedCaller, Start: start, Deadline: deadline, NetworkDelay: networkDelay(r.Context(), start),
+		View: v, Service: service, Caller: forwardedCaller, Start: start, Deadline: g.config.Lifecycle.BoundDeadline(deadline), NetworkDelay: networkDelay(r.Context(), start),
 		Forwarded: &leafclient.ForwardedRequest{
 			ID: r.Header.Get(g.config.Headers.RequestID), Method: r.Method, Target: target, Host: r.Host,
 			Header: endToEndHeaders(r.Header), Body: body,
--- a/entry/gateway/gather.go
+++ b/entry/gateway/gather.go
@@ -57,7 +57,7 @@
 	s := &GatherStream{gateway: g, request: request, wake: make(chan struct{}, 1), returned: make(map[keyrange.Range]bool)}
 	go func() {
 		answer, err := g.config.Executor.Forward(ctx, &executor.Request{
-			View: v, Service: request.Service, Caller: forwardedCaller, Start: request.Start, Deadline: request.Deadline,
+			View: v, Service: request.Service, Caller: forwardedCaller, Start: request.Start, Deadline: g.config.Lifecycle.BoundDeadline(request.Deadline),
 			NetworkDelay: request.NetworkDelay, Forwarded: request.Forwarded, OnlyShards: request.ShardGroups, OnInterim: func(a *query.Answer) { s.setAnswer(a, nil, false) },
 		})
 		s.setAnswer(answer, err, true)
--- a/entry/hosted/stop.go
+++ b/entry/hosted/stop.go
@@ -27,22 +27,27 @@
 	log := n.log.Component("node")
 	startedAt := time.Now()
 	grace := n.tunables.Load().GracePeriod
-	n.lifecycle.Set(lifecycle.Leaving)
+	end := startedAt.Add(time.Duration(endShare * float64(grace)))
+	n.lifecycle.Leave(end.Add(-answerTime))
 	log.Info("leaving: still serving until the balancer has let go", "queries", n.executor.QueriesInFlight())
 	maxAcceptTime := time.Duration(acceptShare * float64(grace))
 	sleep(ctx, min(minAcceptTime, maxAcceptTime))
 	n.lifecycle.WaitNoArrivals(ctx, maxAcceptTime-time.Since(startedAt))
 	n.lifecycle.Set(lifecycle.Refusing)
 	log.Info("finishing what is in flight", "queries", n.executor.QueriesInFlight(), "after", time.Since(startedAt))
-	finishCtx, cancel := context.WithTimeout(ctx, time.Duration(endShare*float64(grace))-time.Since(startedAt))
+	finishCtx, cancel := context.WithTimeout(ctx, time.Until(end))
 	defer cancel()
 	if err := n.executor.Wait(finishCtx); err != nil {
 		log.Error("requests were still in flight at the end", "queries", n.executor.QueriesInFlight())
 	}
-	sleep(ctx, min(flushDelay, time.Duration(endShare*float64(grace))-time.Since(startedAt)))
+	sleep(ctx, min(flushDelay, time.Until(end)))
 	log.Info("stopped", "after", time.Since(startedAt))
 }
 
+// answerTime is the time before the end of the instance at which the last queries must be
+// answered.
+const answerTime = 2 * flushDelay
+
 // flushDelay gives the last answers time to be sent before their connections are closed.
 const flushDelay = 50 * time.Millisecond
 
--- a/entry/lifecycle/lifecycle.go
+++ b/entry/lifecycle/lifecycle.go
@@ -25,11 +25,27 @@
 type Lifecycle struct {
 	phase    atomic.Int32
 	arrivals atomic.Int64
+	answerBy atomic.Pointer[time.Time]
 }
 
 // Set sets the phase.
 func (l *Lifecycle) Set(p Phase) { l.phase.Store(int32(p)) }
 
+// Leave sets the phase Leaving. All queries must be answered by the given time, at which the
+// instance ends.
+func (l *Lifecycle) Leave(answerBy time.Time) {
+	l.answerBy.Store(&answerBy)
+	l.Set(Leaving)
+}
+
+// BoundDeadline returns a query's deadline, or the end of this instance if that is earlier.
+func (l *Lifecycle) BoundDeadline(deadline time.Time) time.Time {
+	if by := l.answerBy.Load(); by != nil && by.Before(deadline) {
+		return *by
+	}
+	return deadline
+}
+
 // Get returns the current phase.
 func (l *Lifecycle) Get() Phase { return Phase(l.phase.Load()) }
 
