--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -24,26 +24,31 @@
 	return path
 }
 
-// seeds are played in CI: a short one, and each that ever failed, with its cause.
-var seeds = []struct {
-	seed  uint64
-	lasts time.Duration
-	cause string
+// soaks are played in CI: a short one, and each that ever failed, with its cause.
+var soaks = []struct {
+	options Options
+	cause   string
 }{
-	{1, 8 * time.Second, "none: a first short soak"},
-	{124, 8 * time.Second, "a process did not start again: an outgoing connection had its port"},
+	{Options{Seed: 1, For: 8 * time.Second, Instances: 3, Clients: 12}, "none: a first short soak"},
+	{Options{Seed: 124, For: 8 * time.Second, Instances: 3, Clients: 12}, "a process did not start again: an outgoing connection had its port"},
+	{
+		Options{Seed: 101, For: 20 * time.Second, Instances: 8, Clients: 64, Profile: "hedging", Faults: []string{"leaf stall"}},
+		"requests that leaves read late were more repeats than the limit allows",
+	},
 }
 
-// TestSoak plays the seeds.
+// TestSoak plays the soaks.
 func TestSoak(t *testing.T) {
 	binary := program(t)
-	for _, s := range seeds {
-		report, err := Run(Options{Seed: s.seed, For: s.lasts, Instances: 3, Clients: 12, Binary: binary, Dir: t.TempDir(), Say: t.Logf})
+	for _, s := range soaks {
+		o := s.options
+		o.Binary, o.Dir, o.Say = binary, t.TempDir(), t.Logf
+		report, err := Run(o)
 		if err != nil {
-			t.Fatalf("seed %d: %v", s.seed, err)
+			t.Fatalf("seed %d: %v", o.Seed, err)
 		}
 		if len(report.Violations) > 0 || report.Served == 0 {
-			t.Errorf("seed %d (%s):\n%s", s.seed, s.cause, report.Text())
+			t.Errorf("seed %d (%s):\n%s", o.Seed, s.cause, report.Text())
 		}
 	}
 }
