--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -31,14 +31,15 @@
 
 // Lifecycle tells how far the instance's shutdown has progressed.
 type Lifecycle interface {
-	// BoundDeadline returns a deadline, or when this instance must have answered if that is earlier.
-	BoundDeadline(deadline time.Time) time.Time
 	// Arrived counts one query.
 	Arrived()
 	// Leaving reports whether callers are to give up their connections.
 	Leaving() bool
 	// Refusing reports whether new queries are refused as not run.
 	Refusing() bool
+	// BoundDeadline returns the deadline, or the time by which a stopping instance must have
+	// answered if that is earlier.
+	BoundDeadline(deadline time.Time) time.Time
 }
 
 // Views provides the configuration in force.
--- a/entry/lifecycle/lifecycle.go
+++ b/entry/lifecycle/lifecycle.go
@@ -31,14 +31,15 @@
 // Set sets the phase.
 func (l *Lifecycle) Set(p Phase) { l.phase.Store(int32(p)) }
 
-// Leave sets the phase Leaving. All queries must be answered by the given time, at which the
-// instance ends.
+// Leave sets the phase Leaving. The instance ends after answerBy, by when all queries must be
+// answered.
 func (l *Lifecycle) Leave(answerBy time.Time) {
 	l.answerBy.Store(&answerBy)
 	l.Set(Leaving)
 }
 
-// BoundDeadline returns a query's deadline, or the end of this instance if that is earlier.
+// BoundDeadline returns a query's deadline, or the time by which a stopping instance must
+// have answered if that is earlier.
 func (l *Lifecycle) BoundDeadline(deadline time.Time) time.Time {
 	if by := l.answerBy.Load(); by != nil && by.Before(deadline) {
 		return *by
