--- a/standin/soak/storeproxy.go
+++ b/standin/soak/storeproxy.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/fuchsiaroad/fuchsiaroad/entry/platform"
+	"github.com/fuchsiaroad/fuchsiaroad/standin/platform"
 )
 
 // storeProxy is the store's address for all instances, with a link of its own to each: they
