--- a/standin/soak/profile.go
+++ b/standin/soak/profile.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Profile is the load of a soak and the site that it meets.
-type Profile struct {
+// loadProfile is the load of a soak and the site that it meets.
+type loadProfile struct {
 	// shards is the number of shards of the first set; later sets have minShards to maxShards.
 	shards, minShards, maxShards int
 	zones                        int // with instances
@@ -38,7 +38,7 @@
 const defaultProfile = "default"
 
 // profiles holds the profiles by name.
-var profiles = map[string]Profile{
+var profiles = map[string]loadProfile{
 	defaultProfile: {
 		shards: 6, minShards: 4, maxShards: 8, zones: 2, slack: 60, thinkTime: 40 * time.Millisecond,
 		kinds:     []kind{kindOne, kindOne, kindOnce, kindProbe, kindSearch, kindSearch},
@@ -65,7 +65,7 @@
 }
 
 // profile returns the profile that the options name.
-func (o *Options) profile() (*Profile, error) {
+func (o *Options) profile() (*loadProfile, error) {
 	name := o.Profile
 	if name == "" {
 		name = defaultProfile
@@ -81,15 +81,15 @@
 }
 
 // drawKind draws the kind of a request.
-func (p *Profile) drawKind(random *rand.Rand) kind { return p.kinds[random.IntN(len(p.kinds))] }
+func (p *loadProfile) drawKind(random *rand.Rand) kind { return p.kinds[random.IntN(len(p.kinds))] }
 
 // drawShards draws the number of shards of another set.
-func (p *Profile) drawShards(random *rand.Rand) int {
+func (p *loadProfile) drawShards(random *rand.Rand) int {
 	return p.minShards + random.IntN(p.maxShards-p.minShards+1)
 }
 
 // timeFor is how long clients wait for the answer to a request of a kind.
-func (p *Profile) timeFor(k kind) time.Duration {
+func (p *loadProfile) timeFor(k kind) time.Duration {
 	if k == kindSearch {
 		return p.clientTime
 	}
@@ -97,7 +97,7 @@
 }
 
 // selectFaults returns the faults of the profile.
-func (p *Profile) selectFaults() ([]fault, error) {
+func (p *loadProfile) selectFaults() ([]fault, error) {
 	if p.faults == nil {
 		return defaultFaults, nil
 	}
--- a/standin/soak/repeats_test.go
+++ b/standin/soak/repeats_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -59,3 +60,17 @@
 		}
 	}
 }
+
+// TestUnknownProfileAndFaultAreNamed gives names that do not exist.
+func TestUnknownProfileAndFaultAreNamed(t *testing.T) {
+	if _, err := (&Options{Profile: "calm"}).profile(); err == nil || !strings.Contains(err.Error(), `"calm"`) {
+		t.Errorf("profile: %v", err)
+	}
+	p, err := (&Options{Faults: []string{"leaf stall", "rain"}}).profile()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.selectFaults(); err == nil || !strings.Contains(err.Error(), `"rain"`) {
+		t.Errorf("faults: %v", err)
+	}
+}
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -60,7 +60,7 @@
 type site struct {
 	dir       string
 	seed      uint64
-	profile   *Profile
+	profile   *loadProfile
 	binary    string
 	server    *platform.Server
 	address   string // of the store
