--- a/kernel/fleet/repeats.go
+++ b/kernel/fleet/repeats.go
@@ -27,9 +27,8 @@
 
 // The join modes.
 const (
-	// JoinAtBootstrap is the first start of the whole fleet: no instance has sent a repeat.
-	// The first lists lack instances that have not announced themselves yet, so the share is
-	// available after bootstrapSettleTime.
+	// JoinAtBootstrap is the first start of the whole fleet: no instance has sent a repeat,
+	// so the share is available at once.
 	JoinAtBootstrap JoinMode = iota
 	// JoinAfterRestart is a start under a name that was announced before. The others count
 	// the instance already, but it does not know what it spent before it ended, so it waits
@@ -40,10 +39,6 @@
 	JoinAsNew
 )
 
-// bootstrapSettleTime is the time from an announcement at the first start of the whole fleet
-// until each instance has a list of all.
-const bootstrapSettleTime = 10 * time.Second
-
 // RecordJoin notes that the store holds this instance's announcement. Only the first call
 // counts; RecordJoin reports whether this was it.
 func (f *Fleet) RecordJoin(mode JoinMode, now time.Time) bool {
@@ -52,7 +47,7 @@
 	}
 	switch mode {
 	case JoinAtBootstrap:
-		f.allowance.countedFrom, f.allowance.atBootstrap = now.Add(bootstrapSettleTime), true
+		f.allowance.countedFrom, f.allowance.atBootstrap = now, true
 	case JoinAfterRestart:
 		f.allowance.countedFrom = now.Add(f.settings.RepeatWindow)
 	case JoinAsNew:
