Say in the soak's report why requests of the calm end were not served

It now has a line for each kind, status and detail, with times and instances, and a violation names a request and an instance only where it has them (the line of the calm end ended with "(request , )").

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -127,16 +127,18 @@
 
 // checkCalm looks whether the system is well again at the end.
 func (r *run) checkCalm(outcomes []outcome, end time.Time) {
-	all, served := 0, 0
+	var all []*outcome
+	served := 0
 	for i := range outcomes {
 		if o := &outcomes[i]; !o.watch && o.sent.After(end.Add(-calmPart)) && o.sent.Before(end.Add(-maxClientTime)) {
-			all++
+			all = append(all, o)
 			if o.status == http.StatusOK {
 				served++
 			}
 		}
 	}
-	if all == 0 || float64(served) < calmShare*float64(all) {
-		r.violation(fmt.Sprintf("%d of %d requests were served in the calm end", served, all), "", "")
+	r.unserved = summarizeUnserved(all)
+	if len(all) == 0 || float64(served) < calmShare*float64(len(all)) {
+		r.violation(fmt.Sprintf("%d of %d requests were served in the calm end", served, len(all)), "", "")
 	}
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -39,12 +39,29 @@
 	Instance string
 }
 
+// where names the request and the instance of a violation in parentheses, if it has them.
+func (v *Violation) where() string {
+	var known []string
+	if v.Request != "" {
+		known = append(known, "request "+v.Request)
+	}
+	if v.Instance != "" {
+		known = append(known, v.Instance)
+	}
+	if len(known) == 0 {
+		return ""
+	}
+	return " (" + strings.Join(known, ", ") + ")"
+}
+
 // Report is what a soak saw.
 type Report struct {
 	Requests, Served, Refused int
 	Faults                    map[string]int
 	// RepeatUse is the nearest approach to the limit on repeats; no service: there were none.
-	RepeatUse  RepeatUse
+	RepeatUse RepeatUse
+	// Unserved describes the requests of the calm end that were not served, a line a reason.
+	Unserved   []string
 	Violations []Violation
 }
 
@@ -61,6 +78,7 @@
 	violations []Violation
 	faults     map[string]int
 	repeatUse  RepeatUse
+	unserved   []string
 }
 
 // Times of a soak.
@@ -173,7 +191,7 @@
 func (r *run) report() *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &Report{Faults: r.faults, RepeatUse: r.repeatUse, Violations: slices.Clone(r.violations)}
+	out := &Report{Faults: r.faults, RepeatUse: r.repeatUse, Unserved: r.unserved, Violations: slices.Clone(r.violations)}
 	for i := range r.outcomes {
 		if r.outcomes[i].watch {
 			continue
@@ -203,8 +221,11 @@
 		fmt.Fprintf(&b, "repeats: at most %.1f of the slack in use, at service %s within %v from %s, %d repeats (%d after their answer) for %d requests\n",
 			u.Slack, u.Service, repeatWindow, u.From.Format("15:04:05.000"), u.Repeats, u.Late, u.Requests)
 	}
+	for _, line := range r.Unserved {
+		fmt.Fprintf(&b, "not served in the calm end: %s\n", line)
+	}
 	for _, v := range r.Violations {
-		fmt.Fprintf(&b, "BROKEN at %s: %s (request %s, %s)\n", v.At.Format("15:04:05.000"), v.What, v.Request, v.Instance)
+		fmt.Fprintf(&b, "BROKEN at %s: %s%s\n", v.At.Format("15:04:05.000"), v.What, v.where())
 	}
 	if len(r.Violations) == 0 {
 		b.WriteString("no promise broken\n")
