Let a new instance wait until what the others sent by their old shares is out of the window

What callers saw: nothing yet; a fleet could send up to (1 + 1/n) of the slack of repeats in a window after an instance was added.

Cause: a new instance waits until all others have read a list that has it, and may then spend its share at once. The others may have spent their shares, which were larger, up to that moment, and that counts for a window more: a belief about the present was applied to a window of the past.

TestNewInstanceWaitsForRepeatsOfOldShares failed before with a share of 0.5 while the other's repeats were in the window.

Fix: it waits for the propagation of the list and a window.

--- a/kernel/fleet/repeats.go
+++ b/kernel/fleet/repeats.go
@@ -35,7 +35,8 @@
 	// for one RepeatWindow.
 	JoinAfterRestart
 	// JoinAsNew is a start under a new name. The others divide the whole allowance among
-	// themselves until each has read the list again, which takes up to ListPropagationBound.
+	// themselves until each has read the list again, which takes up to ListPropagationBound,
+	// and what they sent until then counts for one RepeatWindow.
 	JoinAsNew
 )
 
@@ -51,7 +52,7 @@
 	case JoinAfterRestart:
 		f.allowance.countedFrom = now.Add(f.settings.RepeatWindow)
 	case JoinAsNew:
-		f.allowance.countedFrom = now.Add(f.settings.ListPropagationBound)
+		f.allowance.countedFrom = now.Add(f.settings.ListPropagationBound + f.settings.RepeatWindow)
 	}
 	return true
 }
--- a/kernel/fleet/repeats_test.go
+++ b/kernel/fleet/repeats_test.go
@@ -110,6 +110,25 @@
 	checkShareAt(80*time.Second, 0.2)
 }
 
+// TestNewInstanceWaitsForRepeatsOfOldShares has the only instance spend its whole share just
+// before it learns of a new one: the new one waits until that is out of the window.
+func TestNewInstanceWaitsForRepeatsOfOldShares(t *testing.T) {
+	const window = 10 * time.Second
+	list := zoneOf("a", 2)
+	newSettings := settings
+	newSettings.RepeatWindow = window
+	f := New(list[1], newSettings)
+	f.ApplyStoreList(list, start)
+	f.RecordJoin(JoinAsNew, start)
+	spentAt := start.Add(newSettings.ListPropagationBound) // by the share of a list without the new instance
+	if got := f.RepeatAllowanceShare(1, spentAt.Add(window-1)); got != 0 {
+		t.Errorf("share %v while the other's repeats are in the window, want 0", got)
+	}
+	if got := f.RepeatAllowanceShare(1, spentAt.Add(window)); got != 0.5 {
+		t.Errorf("share %v after it, want 0.5", got)
+	}
+}
+
 // simulatedInstance is an instance of TestRepeatsOfTheFleetStayWithinTheLimit.
 type simulatedInstance struct {
 	fleet    *Fleet
