Give instances of a first start shares of the repeats that add up to one at most

What callers saw: nothing is known; a fleet that starts for the first time could send 2.72 times the slack of repeats (152 of 56 with eight instances) if callers came in its first half second.

Cause: an instance divided the slack by the size of its first list, which has only those that were announced by then. A list was believed to be complete because it was there. Waiting for complete lists was tried before and left callers without a retry for 10 s.

Fix: until its list is known to be complete, an instance's share depends only on its place in the order of announcements (0.5, 0.35, 0.15/(k(k+1))). A list that has the instance has all that were announced before it, so places are distinct whatever lists are held and any number of such shares adds up to one at most. A list read 1.3 s after its own announcement is complete; the equal share follows when what was sent by provisional ones is out of the window. Announcements carry the store's revision for the order; the lists of the first 10 s are read as of now and after the own announcement.

--- a/entry/hosted/announcement.go
+++ b/entry/hosted/announcement.go
@@ -55,18 +55,30 @@
 	return readFleet(m, (*fleet.Fleet).IsAnnounced)
 }
 
+// awaitJoin waits until the store has this instance's announcement, but at most for d.
+func (m *membership) awaitJoin(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-m.joined:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // recordJoin records that other instances can know of this one.
 func (m *membership) recordJoin(existed bool) {
 	joinKind := fleet.JoinAsNew
 	switch {
 	case existed:
 		joinKind = fleet.JoinAfterRestart
-	case m.node.config.Bootstrap:
+	case m.node.config.Bootstrap && time.Since(m.startedAt) < fleet.BootstrapJoinTime:
 		joinKind = fleet.JoinAtBootstrap
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.fleet.RecordJoin(joinKind, time.Now()) {
+		close(m.joined)
 		m.log.Info("joined the fleet", "as", joinModeNames[joinKind], "instances", m.fleet.Size())
 	}
 }
--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -68,7 +68,7 @@
 	return catalog.Listing{Revision: version}, err
 }
 
-func (s *fakeStore) Instances(context.Context) ([]fleet.Instance, []catalog.BadEntry, error) {
+func (s *fakeStore) Instances(context.Context, bool) ([]fleet.Instance, []catalog.BadEntry, error) {
 	return nil, nil, nil
 }
 func (s *fakeStore) Probe(ctx context.Context) error {
--- a/entry/hosted/fleet_test.go
+++ b/entry/hosted/fleet_test.go
@@ -102,7 +102,7 @@
 	return out, err
 }
 
-func (s storeClient) Instances(ctx context.Context) (out []fleet.Instance, bad []catalog.BadEntry, err error) {
+func (s storeClient) Instances(ctx context.Context, _ bool) (out []fleet.Instance, bad []catalog.BadEntry, err error) {
 	err = s.call(ctx, &s.lists, func() {
 		for _, i := range s.announcements {
 			out = append(out, i)
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -31,15 +31,16 @@
 	_ "github.com/fuchsiaroad/fuchsiaroad/plugins" // registers the policies
 )
 
-// Source is the platform's store. Except for Instances and Probe, each read
+// Source is the platform's store. Except for Probe and stale Instances, each read
 // returns the contents as of the moment at which it was made, or later.
 type Source interface {
 	// Config reads the newest configuration; nil while there is none.
 	Config(ctx context.Context) (*catalog.Config, error)
 	// Leaves reads all registered leaves.
 	Leaves(ctx context.Context) (catalog.Listing, error)
-	// Instances reads the announcements of all instances; they may be seconds old.
-	Instances(ctx context.Context) ([]fleet.Instance, []catalog.BadEntry, error)
+	// Instances reads the announcements of all instances, which may be seconds old if
+	// mayBeStale is set.
+	Instances(ctx context.Context, mayBeStale bool) ([]fleet.Instance, []catalog.BadEntry, error)
 	// Probe reads a small object that may be stale, which is cheap. It returns nil if
 	// the store serves this instance.
 	Probe(ctx context.Context) error
--- a/entry/hosted/initialstate.go
+++ b/entry/hosted/initialstate.go
@@ -95,10 +95,19 @@
 	}
 	var g errgroup.Group
 	g.Go(func() error { return c.readStore(ctx, timeout) })
-	g.Go(func() error { c.node.membership.refreshList(ctx); return nil })
+	g.Go(func() error { c.readInstances(ctx); return nil })
 	return g.Wait()
 }
 
+// readInstances reads the announcements; at a bootstrap after this instance's own, as only a
+// list that has it gives it a share of the fleet's limits.
+func (c *control) readInstances(ctx context.Context) {
+	if c.node.config.Bootstrap {
+		c.node.membership.awaitJoin(ctx, ownAnnouncementWait)
+	}
+	c.node.membership.refreshList(ctx)
+}
+
 // awaitSeeds waits until it is time to read the store. An instance that is a seed itself, or
 // has no seeds, does not wait.
 func (c *control) awaitSeeds(ctx context.Context, firstSeedFailed <-chan struct{}) {
--- a/entry/hosted/membership.go
+++ b/entry/hosted/membership.go
@@ -44,6 +44,9 @@
 	stalePeerBackoff = 3 * time.Second
 	// instanceCallTimeout bounds one read or write of announcements.
 	instanceCallTimeout = 2 * time.Second
+	// bootstrapCurrentLists is the time since the start at a bootstrap in which the announcements
+	// are read as of now. Stale reads after it still have all that joined at the bootstrap.
+	bootstrapCurrentLists = 10 * time.Second
 	// ownAnnouncementWait bounds the wait of a restarting instance for a list that may have its
 	// earlier announcement, which it then need not write again.
 	ownAnnouncementWait = 2 * time.Second
@@ -61,6 +64,8 @@
 	// listKnown is closed once there is a list of instances.
 	listKnown     chan struct{}
 	listKnownOnce sync.Once
+	// joined is closed once this instance's announcement is in the store.
+	joined chan struct{}
 	// encodedList is the list as it is sent to other instances.
 	encodedList atomic.Pointer[statesync.InstanceList]
 	// listTriedAt is when this instance last tried to read the list. The initial load sets it, and
@@ -78,7 +83,7 @@
 	repeatWindow := n.config.Tunables.Catalog.RepeatLimit.Window
 	self := fleet.Instance{Name: n.config.Instance, Zone: n.config.Zone, PeerAddress: n.config.PeerAddress, CPUs: n.config.CPUs, AnnouncementID: rand.Uint64()}
 	m := &membership{
-		node: n, log: n.log.Component("fleet"), self: self, startedAt: time.Now(), listKnown: make(chan struct{}),
+		node: n, log: n.log.Component("fleet"), self: self, startedAt: time.Now(), listKnown: make(chan struct{}), joined: make(chan struct{}),
 		badInstances: newBadEntryReporter(n.log.Component("fleet"), n.metrics.Scope, "instances"),
 		fleet: fleet.New(self, fleet.Settings{
 			ForgetAfter: forgetInstanceAfter, PeerBackoff: peerBackoff, MaxPeerBackoff: maxPeerBackoff, StalePeerBackoff: stalePeerBackoff, ListPropagationBound: listPropagationBound,
@@ -182,7 +187,7 @@
 	defer cancel()
 	startedAt := time.Now()
 	m.listTriedAt = startedAt
-	list, bad, err := m.node.config.Source.Instances(ctx)
+	list, bad, err := m.node.config.Source.Instances(ctx, !m.needsCurrentList(startedAt))
 	if err != nil {
 		m.log.Warn("announcements were not read", "err", err)
 		return
@@ -191,6 +196,12 @@
 	m.updateFleet(func(f *fleet.Fleet) { f.ApplyStoreList(list, startedAt) })
 }
 
+// needsCurrentList reports whether the announcements must be read as of now: at a bootstrap
+// the first complete list decides how the limits are shared.
+func (m *membership) needsCurrentList(now time.Time) bool {
+	return m.node.config.Bootstrap && now.Sub(m.startedAt) < bootstrapCurrentLists
+}
+
 // applyPeerList applies the list of instances that a peer sent, or its confirmation that the list
 // of this instance is still the same.
 func (m *membership) applyPeerList(u *statesync.Update) {
--- a/entry/hosted/membership_test.go
+++ b/entry/hosted/membership_test.go
@@ -242,7 +242,7 @@
 	list []fleet.Instance
 }
 
-func (s *announcedStore) Instances(context.Context) ([]fleet.Instance, []catalog.BadEntry, error) {
+func (s *announcedStore) Instances(context.Context, bool) ([]fleet.Instance, []catalog.BadEntry, error) {
 	return s.list, nil, nil
 }
 
--- a/entry/hosted/statesync/instances.go
+++ b/entry/hosted/statesync/instances.go
@@ -14,6 +14,8 @@
 	Power            float64 `json:",omitempty"`
 	// Mark identifies the last announcement of the instance that the sender has seen.
 	Mark uint64
+	// Revision is the store's revision of that announcement.
+	Revision uint64 `json:",omitempty"`
 }
 
 // InstanceList is the encoded list of instances that this instance sends to others. It is
@@ -28,7 +30,7 @@
 func NewInstanceList(list []fleet.Instance) (*InstanceList, error) {
 	records := make([]instanceRecord, 0, len(list))
 	for _, i := range list {
-		records = append(records, instanceRecord{Name: i.Name, Zone: i.Zone, Peer: i.PeerAddress, Power: i.CPUs, Mark: i.AnnouncementID})
+		records = append(records, instanceRecord{Name: i.Name, Zone: i.Zone, Peer: i.PeerAddress, Power: i.CPUs, Mark: i.AnnouncementID, Revision: i.Revision})
 	}
 	packed, err := pack(records)
 	if err != nil {
@@ -59,7 +61,7 @@
 	out := make([]fleet.Instance, 0, len(records))
 	for _, r := range records {
 		if catalog.ValidName(r.Name) && catalog.ValidName(r.Zone) && catalog.ValidAddress(r.Peer) && r.Power >= 0 {
-			out = append(out, fleet.Instance{Name: r.Name, Zone: r.Zone, PeerAddress: r.Peer, CPUs: r.Power, AnnouncementID: r.Mark})
+			out = append(out, fleet.Instance{Name: r.Name, Zone: r.Zone, PeerAddress: r.Peer, CPUs: r.Power, AnnouncementID: r.Mark, Revision: r.Revision})
 		}
 	}
 	return out, nil
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -27,6 +27,8 @@
 	CPUs float64
 	// AnnouncementID changes with each announcement and shows that the instance is alive.
 	AnnouncementID uint64
+	// Revision is the store's revision of the announcement. Announcements are ordered by it.
+	Revision uint64
 }
 
 // Settings are the delays and lifetimes that a Fleet uses.
@@ -120,6 +122,7 @@
 	for _, m := range f.members {
 		m.announcedAt = at
 	}
+	f.allowance.bootstrap.observeList(f, at)
 }
 
 // replaceMembers makes the members those of the list. It calls update with each listed
@@ -165,14 +168,14 @@
 	return out
 }
 
-// sameExceptID reports whether two announcements differ at most in AnnouncementID.
+// sameExceptID reports whether two announcements differ at most in AnnouncementID and Revision.
 func (i Instance) sameExceptID(o Instance) bool {
-	i.AnnouncementID = o.AnnouncementID
+	i.AnnouncementID, i.Revision = o.AnnouncementID, o.Revision
 	return i == o
 }
 
 // HashInstances returns a hash of a list that is ordered by name; never 0. AnnouncementID
-// does not count.
+// and Revision do not count.
 func HashInstances(list []Instance) uint64 {
 	h := xxhash.New()
 	var buf []byte
--- a/kernel/fleet/repeats.go
+++ b/kernel/fleet/repeats.go
@@ -12,6 +12,7 @@
 	history     []allowanceShare // in order of time, the latest last
 	countedFrom time.Time        // from when the others count this instance; zero: not yet
 	atBootstrap bool             // this instance joined as JoinAtBootstrap
+	bootstrap   bootstrap
 }
 
 // allowanceShare is the share computed from one list: for upstreams whose queries are
@@ -28,7 +29,7 @@
 // The join modes.
 const (
 	// JoinAtBootstrap is the first start of the whole fleet: no instance has sent a repeat,
-	// so the share is available at once.
+	// so a share is available at once, a provisional one until the list is complete.
 	JoinAtBootstrap JoinMode = iota
 	// JoinAfterRestart is a start under a name that was announced before. The others count
 	// the instance already, but it does not know what it spent before it ended, so it waits
@@ -49,6 +50,7 @@
 	switch mode {
 	case JoinAtBootstrap:
 		f.allowance.countedFrom, f.allowance.atBootstrap = now, true
+		f.allowance.bootstrap.joinedAt = now
 	case JoinAfterRestart:
 		f.allowance.countedFrom = now.Add(f.settings.RepeatWindow)
 	case JoinAsNew:
@@ -72,6 +74,7 @@
 		h = h[1:] // the next entry has been in force for the whole hold time
 	}
 	f.allowance.history = h
+	f.allowance.bootstrap.observeList(f, at)
 }
 
 // RepeatAllowanceShare is this instance's share, in [0, 1], of the repeats that the fleet
@@ -91,6 +94,9 @@
 	if len(f.allowance.history) == 0 {
 		return 0
 	}
+	if f.allowance.atBootstrap {
+		return f.allowance.bootstrap.limitShare(least, shards, f.settings.RepeatWindow, now)
+	}
 	return least
 }
 
