Let an instance that restarts soon after it was new wait until all others count it

What callers saw: nothing is known; a fleet could send up to 1.5 times the slack of repeats in a window after an instance was added, ended and started again.

Cause: an announcement that exists was taken for one that all others have read, so the instance waited for a window only, where a new one waits until the list has reached all.

Fix: an announcement says from when on all others count the instance, by the clock of that instance. Before that time, or where it is not known, a restart waits like a new instance.

--- a/entry/hosted/announcement.go
+++ b/entry/hosted/announcement.go
@@ -16,7 +16,9 @@
 	retryDelay := backoff.Backoff{Min: minAnnounceRetryDelay, Max: announceInterval}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	unconfirmed := false // an existing announcement may come from a call that seemed to fail
-	if m.awaitOwnAnnouncement(ctx) {
+	isListed := m.awaitOwnAnnouncement(ctx)
+	m.setKnownFrom(time.Now())
+	if isListed {
 		m.recordJoin(true)
 		sleep(ctx, announceInterval/2+rand.N(announceInterval/2))
 	}
@@ -55,6 +57,29 @@
 	return readFleet(m, (*fleet.Fleet).IsAnnounced)
 }
 
+// knownFromMargin is added to the time from which all others count an instance, as the clock
+// by which it is kept may jump.
+const knownFromMargin = 5 * time.Second
+
+// setKnownFrom sets the time from which all others count this instance. One that restarts
+// takes it from its listed announcement.
+func (m *membership) setKnownFrom(now time.Time) {
+	listed := readFleet(m, (*fleet.Fleet).SelfListed)
+	bound := listPropagationBound
+	if m.joinsAtBootstrap() {
+		bound = fleet.BootstrapKnownAfter
+	}
+	m.self.KnownFrom = now.Add(bound + knownFromMargin).Round(0)
+	if !listed.KnownFrom.IsZero() {
+		m.self.KnownFrom, m.wasKnown = listed.KnownFrom, !now.Before(listed.KnownFrom)
+	}
+}
+
+// joinsAtBootstrap reports whether an announcement of now counts as made at the bootstrap.
+func (m *membership) joinsAtBootstrap() bool {
+	return m.node.config.Bootstrap && time.Since(m.startedAt) < fleet.BootstrapJoinTime
+}
+
 // awaitJoin waits until the store has this instance's announcement, but at most for d.
 func (m *membership) awaitJoin(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -70,9 +95,11 @@
 func (m *membership) recordJoin(existed bool) {
 	joinKind := fleet.JoinAsNew
 	switch {
+	case existed && m.wasKnown:
+		joinKind = fleet.JoinAsKnown
 	case existed:
 		joinKind = fleet.JoinAfterRestart
-	case m.node.config.Bootstrap && time.Since(m.startedAt) < fleet.BootstrapJoinTime:
+	case m.joinsAtBootstrap():
 		joinKind = fleet.JoinAtBootstrap
 	}
 	m.mu.Lock()
--- a/entry/hosted/membership.go
+++ b/entry/hosted/membership.go
@@ -64,6 +64,9 @@
 	// listKnown is closed once there is a list of instances.
 	listKnown     chan struct{}
 	listKnownOnce sync.Once
+	// wasKnown says that all others counted this instance before its start. Only the goroutine
+	// of keepAnnounced uses it.
+	wasKnown bool
 	// joined is closed once this instance's announcement is in the store.
 	joined chan struct{}
 	// encodedList is the list as it is sent to other instances.
--- a/entry/hosted/membership_test.go
+++ b/entry/hosted/membership_test.go
@@ -315,3 +315,30 @@
 		}
 	})
 }
+
+// TestRestartBeforeOthersKnowInstanceWaitsForTheirLists starts an instance again before and
+// after all others count it: only then may it use its share after one window.
+func TestRestartBeforeOthersKnowInstanceWaitsForTheirLists(t *testing.T) {
+	for _, tc := range []struct {
+		restartAfter time.Duration
+		uses         bool
+	}{{5 * time.Second, false}, {30 * time.Second, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, 3)
+			defer f.stopAll()
+			f.startAll(true)
+			time.Sleep(tc.restartAfter)
+			address := peerAddress(2)
+			f.running[address].stop()
+			f.start(2, false)
+			time.Sleep(testRepeatWindow + 3*time.Second)
+			if got := f.running[address].node.membership.repeatSlack(1); (got > 0) != tc.uses {
+				t.Errorf("restart after %v: share %v a window later, want any: %v", tc.restartAfter, got, tc.uses)
+			}
+			time.Sleep(listPropagationBound)
+			if got := f.running[address].node.membership.repeatSlack(1); got <= 0 {
+				t.Errorf("restart after %v: no share when all others count it", tc.restartAfter)
+			}
+		})
+	}
+}
--- a/entry/hosted/repeats.go
+++ b/entry/hosted/repeats.go
@@ -46,5 +46,5 @@
 
 // joinModeNames are the join modes in log lines.
 var joinModeNames = map[fleet.JoinMode]string{
-	fleet.JoinAtBootstrap: "bootstrap", fleet.JoinAfterRestart: "restart", fleet.JoinAsNew: "new",
+	fleet.JoinAtBootstrap: "bootstrap", fleet.JoinAsKnown: "restart", fleet.JoinAfterRestart: "early restart", fleet.JoinAsNew: "new",
 }
--- a/entry/hosted/statesync/instances.go
+++ b/entry/hosted/statesync/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
@@ -16,6 +17,26 @@
 	Mark uint64
 	// Revision is the store's revision of that announcement.
 	Revision uint64 `json:",omitempty"`
+	// KnownFromMS is fleet.Instance.KnownFrom in Unix milliseconds; 0: unknown.
+	KnownFromMS int64 `json:",omitempty"`
+}
+
+// newInstanceRecord encodes an instance.
+func newInstanceRecord(i fleet.Instance) instanceRecord {
+	r := instanceRecord{Name: i.Name, Zone: i.Zone, Peer: i.PeerAddress, Power: i.CPUs, Mark: i.AnnouncementID, Revision: i.Revision}
+	if !i.KnownFrom.IsZero() {
+		r.KnownFromMS = i.KnownFrom.UnixMilli()
+	}
+	return r
+}
+
+// instance decodes an instance.
+func (r instanceRecord) instance() fleet.Instance {
+	i := fleet.Instance{Name: r.Name, Zone: r.Zone, PeerAddress: r.Peer, CPUs: r.Power, AnnouncementID: r.Mark, Revision: r.Revision}
+	if r.KnownFromMS != 0 {
+		i.KnownFrom = time.UnixMilli(r.KnownFromMS)
+	}
+	return i
 }
 
 // InstanceList is the encoded list of instances that this instance sends to others. It is
@@ -30,7 +51,7 @@
 func NewInstanceList(list []fleet.Instance) (*InstanceList, error) {
 	records := make([]instanceRecord, 0, len(list))
 	for _, i := range list {
-		records = append(records, instanceRecord{Name: i.Name, Zone: i.Zone, Peer: i.PeerAddress, Power: i.CPUs, Mark: i.AnnouncementID, Revision: i.Revision})
+		records = append(records, newInstanceRecord(i))
 	}
 	packed, err := pack(records)
 	if err != nil {
@@ -61,7 +82,7 @@
 	out := make([]fleet.Instance, 0, len(records))
 	for _, r := range records {
 		if catalog.ValidName(r.Name) && catalog.ValidName(r.Zone) && catalog.ValidAddress(r.Peer) && r.Power >= 0 {
-			out = append(out, fleet.Instance{Name: r.Name, Zone: r.Zone, PeerAddress: r.Peer, CPUs: r.Power, AnnouncementID: r.Mark, Revision: r.Revision})
+			out = append(out, r.instance())
 		}
 	}
 	return out, nil
--- a/kernel/fleet/bootstrap.go
+++ b/kernel/fleet/bootstrap.go
@@ -24,6 +24,9 @@
 	provisionalTime = 6 * time.Second
 	// provisionalRest is the sum of all provisional shares but the first two.
 	provisionalRest = 0.15
+	// BootstrapKnownAfter is the time since the announcement of an instance that joins at the
+	// bootstrap after which all others that use the allowance count it.
+	BootstrapKnownAfter = bootstrapListDelay + provisionalTime
 	// forwardingFactor is applied to the provisional share of an instance that forwards most
 	// of its queries.
 	forwardingFactor = 0.1
@@ -76,7 +79,7 @@
 func (b *bootstrap) limitShare(listed float64, shards int, window time.Duration, now time.Time) float64 {
 	age := now.Sub(b.joinedAt)
 	switch {
-	case b.complete && age >= bootstrapListDelay+provisionalTime+window:
+	case b.complete && age >= BootstrapKnownAfter+window:
 		return listed // what any instance sent by its provisional share is out of the window
 	case b.complete:
 		return min(listed, b.provisionalShare(shards))
--- a/kernel/fleet/bootstrap_test.go
+++ b/kernel/fleet/bootstrap_test.go
@@ -137,7 +137,7 @@
 	for _, f := range fleets {
 		f.ApplyStoreList(list, start.Add(bootstrapListDelay))
 	}
-	settled := bootstrapListDelay + provisionalTime + testWindow
+	settled := BootstrapKnownAfter + testWindow
 	if sum := shareSum(settled - time.Millisecond); sum > 0.5 {
 		t.Errorf("the shares add up to %.3f while provisional ones may be in use", sum)
 	}
--- a/kernel/fleet/fleet.go
+++ b/kernel/fleet/fleet.go
@@ -29,6 +29,9 @@
 	AnnouncementID uint64
 	// Revision is the store's revision of the announcement. Announcements are ordered by it.
 	Revision uint64
+	// KnownFrom is the time from which all other instances count it, by its own clock, so that
+	// it knows after a restart whether they do; zero: unknown.
+	KnownFrom time.Time
 }
 
 // Settings are the delays and lifetimes that a Fleet uses.
@@ -154,6 +157,9 @@
 // CPUs.
 func (f *Fleet) IsAnnounced() bool { return f.selfListed.sameExceptID(f.self) }
 
+// SelfListed is this instance's entry on the last list; the zero value if it is not listed.
+func (f *Fleet) SelfListed() Instance { return f.selfListed }
+
 // Instances returns the instances of the last list, ordered by name. This instance is among
 // them only if that list has it.
 func (f *Fleet) Instances() []Instance {
@@ -168,14 +174,15 @@
 	return out
 }
 
-// sameExceptID reports whether two announcements differ at most in AnnouncementID and Revision.
+// sameExceptID reports whether two announcements are of an instance with the same data, apart
+// from what each announcement changes.
 func (i Instance) sameExceptID(o Instance) bool {
-	i.AnnouncementID, i.Revision = o.AnnouncementID, o.Revision
+	i.AnnouncementID, i.Revision, i.KnownFrom = o.AnnouncementID, o.Revision, o.KnownFrom
 	return i == o
 }
 
-// HashInstances returns a hash of a list that is ordered by name; never 0. AnnouncementID
-// and Revision do not count.
+// HashInstances returns a hash of a list that is ordered by name; never 0. AnnouncementID,
+// Revision and KnownFrom do not count.
 func HashInstances(list []Instance) uint64 {
 	h := xxhash.New()
 	var buf []byte
--- a/kernel/fleet/repeats.go
+++ b/kernel/fleet/repeats.go
@@ -31,10 +31,12 @@
 	// JoinAtBootstrap is the first start of the whole fleet: no instance has sent a repeat,
 	// so a share is available at once, a provisional one until the list is complete.
 	JoinAtBootstrap JoinMode = iota
-	// JoinAfterRestart is a start under a name that was announced before. The others count
-	// the instance already, but it does not know what it spent before it ended, so it waits
-	// for one RepeatWindow.
+	// JoinAfterRestart is a start under a name that was announced before, but perhaps too
+	// recently for all others to count it. It waits as long as for JoinAsNew.
 	JoinAfterRestart
+	// JoinAsKnown is a restart of an instance that all others count already. It does not know
+	// what it spent before it ended, so it waits for one RepeatWindow.
+	JoinAsKnown
 	// JoinAsNew is a start under a new name. The others divide the whole allowance among
 	// themselves until each has read the list again, which takes up to ListPropagationBound,
 	// and what they sent until then counts for one RepeatWindow.
@@ -51,9 +53,9 @@
 	case JoinAtBootstrap:
 		f.allowance.countedFrom, f.allowance.atBootstrap = now, true
 		f.allowance.bootstrap.joinedAt = now
-	case JoinAfterRestart:
+	case JoinAsKnown:
 		f.allowance.countedFrom = now.Add(f.settings.RepeatWindow)
-	case JoinAsNew:
+	case JoinAfterRestart, JoinAsNew:
 		f.allowance.countedFrom = now.Add(f.settings.ListPropagationBound + f.settings.RepeatWindow)
 	}
 	return true
