Serve answers that have just the least share of their shards

What callers saw: 502 "no leaf gave a whole answer: settled" in place of a partial answer, for queries whose parts came after the objective. With 20 shards and a least share of 0.5 each such query failed.

Cause: the share of an answer was a running sum of the shares of its replies (ten times 1/20 is less than 0.5). The query machine compared it with the least share with a tolerance, and settled on the answer as soon as the least share was there, as it must once the objective has passed; the gateway compared it without one, and failed it.

Fix: the share is computed from the numbers of covered keys, which is exact for shards of equal size, and all comparisons use one function.

--- a/entry/executor/admission.go
+++ b/entry/executor/admission.go
@@ -68,7 +68,7 @@
 	}
 	now := time.Now()
 	config := r.request.Service.Config
-	useful := answer.Share > 0 && answer.Share >= config.LeastCoverage
+	useful := answer.Share > 0 && query.MeetsCoverage(answer.Share, config.LeastCoverage)
 	late := !useful && missesForLackOfTime(answer)
 	if !r.fullValueUntil.IsZero() {
 		useful = useful && !now.After(r.request.Start.Add(config.Objective))
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -143,7 +143,7 @@
 // signatures in a header.
 func (g *Gateway) buildCombinedReply(req *executor.Request, answer *query.Answer) *Reply {
 	config := req.Service.Config
-	if len(answer.Results) == 0 || answer.Share < config.LeastCoverage {
+	if len(answer.Results) == 0 || !query.MeetsCoverage(answer.Share, config.LeastCoverage) {
 		return newFailure(answer).toReply()
 	}
 	parts := resultParts{bodies: make([][]byte, 0, len(answer.Results)), signatures: make([]string, 0, req.Service.Shards)}
--- a/kernel/coverage/coverage.go
+++ b/kernel/coverage/coverage.go
@@ -70,8 +70,7 @@
 // its index in the grids of NewMap.
 type Map struct {
 	spaces     []space
-	fullSpaces int     // number of spaces covered completely
-	share      float64 // running sum, subject to floating-point rounding
+	fullSpaces int // number of spaces covered completely
 }
 
 // space holds the covered keys of one upstream.
@@ -102,9 +101,7 @@
 	if s.coveredKeys == before {
 		return
 	}
-	size := s.grid.universe.Size()
-	m.share += float64(s.coveredKeys-before) / float64(size) / float64(len(m.spaces))
-	if s.coveredKeys == size {
+	if s.coveredKeys == s.grid.universe.Size() {
 		m.fullSpaces++
 	}
 }
@@ -208,15 +205,24 @@
 func (m *Map) Complete() bool { return m.fullSpaces == len(m.spaces) }
 
 // Empty reports whether no key is covered.
-func (m *Map) Empty() bool { return m.share == 0 }
+func (m *Map) Empty() bool {
+	return !slices.ContainsFunc(m.spaces, func(s space) bool { return s.coveredKeys > 0 })
+}
 
 // Share returns the covered share of all keys in [0, 1], with equal weight for each
-// space. It is 1 if and only if the map is complete.
+// space. It is 1 if and only if the map is complete. It is computed from the numbers of
+// keys, as a sum of the shares of single replies would differ from them by rounding.
 func (m *Map) Share() float64 {
 	if m.Complete() {
 		return 1
 	}
-	return min(m.share, math.Nextafter(1, 0))
+	share := 0.0
+	for i := range m.spaces {
+		if s := &m.spaces[i]; s.coveredKeys > 0 {
+			share += float64(s.coveredKeys) / float64(s.grid.universe.Size())
+		}
+	}
+	return min(share/float64(len(m.spaces)), math.Nextafter(1, 0))
 }
 
 // ShareOf returns the share that the keys of r in space i, covered or not, contribute
--- a/kernel/query/machine.go
+++ b/kernel/query/machine.go
@@ -221,8 +221,7 @@
 	if m.cfg.OnlyShards != nil {
 		return false // the instance that asked for these shards decides what is enough
 	}
-	least := m.cfg.Service.Config.LeastCoverage
-	return m.mayHaveRun == 0 && m.givenUpShare > 0 && 1-m.givenUpShare < least-shareTolerance
+	return m.mayHaveRun == 0 && m.givenUpShare > 0 && !MeetsCoverage(1-m.givenUpShare, m.cfg.Service.Config.LeastCoverage)
 }
 
 // requestWake emits a WakeAt for the next timer, unless the last one is still ahead
--- a/kernel/query/reply.go
+++ b/kernel/query/reply.go
@@ -148,7 +148,7 @@
 	if (c.Settle <= 0 && c.Objective <= 0) || !m.settleAt.IsZero() {
 		return
 	}
-	if m.coveredShare(m.bestVersion) >= c.LeastCoverage-shareTolerance {
+	if MeetsCoverage(m.coveredShare(m.bestVersion), c.LeastCoverage) {
 		m.settleAt = m.settleTime(now)
 	}
 }
--- a/kernel/query/version.go
+++ b/kernel/query/version.go
@@ -10,6 +10,10 @@
 // shareTolerance is the rounding error up to which two shares count as equal.
 const shareTolerance = 1e-9
 
+// MeetsCoverage reports whether a share of the key space is at least the least coverage of a
+// service, apart from rounding.
+func MeetsCoverage(share, least float64) bool { return share >= least-shareTolerance }
+
 // versionResults holds the accepted replies of one index version. Replies of different
 // versions are never combined in one answer.
 type versionResults struct {
