Receive signals from the initialization of the packages on

What callers saw: nothing; an instance that was asked to stop within some 8 ms of its start was ended by the signal in place of ending with 0, and a SIGHUP of that time ended it.

Cause: a Go program that has not asked for SIGTERM, SIGINT or SIGHUP is ended by them, and the commands asked for them after the packages of the whole program were initialized.

Fix: a package that imports nothing but the signals of the standard library asks for them when it is initialized, before those that take long.

--- a/cmd/fuchsiaroad/hosted.go
+++ b/cmd/fuchsiaroad/hosted.go
@@ -5,11 +5,10 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/earlysignal"
 	"github.com/fuchsiaroad/fuchsiaroad/platform"
 )
 
@@ -34,18 +33,11 @@
 
 // serveHosted serves until a signal, then stops gracefully; a second one ends it.
 func serveHosted(path string) error {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
-	// A channel of its own, of length 1: reloads that come in series are one.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	stop := make(chan struct{})
 	reload := make(chan struct{})
 	done := make(chan error, 1)
 	go func() {
-		for range hangups {
+		for range earlysignal.Hangups() {
 			reload <- struct{}{}
 		}
 	}()
@@ -55,13 +47,13 @@
 	select {
 	case err := <-done:
 		return err
-	case <-signals:
+	case <-earlysignal.Stops():
 		close(stop)
 	}
 	select {
 	case err := <-done:
 		return err
-	case sig := <-signals:
+	case sig := <-earlysignal.Stops():
 		return fmt.Errorf("ended by a second signal: %v", sig)
 	}
 }
--- a/cmd/fuchsiaroad/root.go
+++ b/cmd/fuchsiaroad/root.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/earlysignal"
 	"github.com/fuchsiaroad/fuchsiaroad/config/fault"
 )
 
@@ -55,7 +56,11 @@
 			return &usageError{errors.New("want a command: serve, hosted, check or version")}
 		},
 	}
+	for _, c := range []*cobra.Command{newCheck(), newVersion()} {
+		c.PreRunE = func(*cobra.Command, []string) error { return earlysignal.Restore() }
+		root.AddCommand(c)
+	}
+	root.AddCommand(newServe(), newHosted())
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
-	root.AddCommand(newServe(), newHosted(), newCheck(), newVersion())
 	return root
 }
--- a/cmd/fuchsiaroad/serve.go
+++ b/cmd/fuchsiaroad/serve.go
@@ -4,11 +4,10 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"github.com/fuchsiaroad/fuchsiaroad/cmd/internal/earlysignal"
 	"github.com/fuchsiaroad/fuchsiaroad/config/settings"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/node"
 )
@@ -43,9 +42,6 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan error, 1)
@@ -53,13 +49,13 @@
 	select {
 	case err := <-done:
 		return err
-	case <-signals:
+	case <-earlysignal.Stops():
 		n.Stop()
 	}
 	select {
 	case err := <-done:
 		return err
-	case sig := <-signals:
+	case sig := <-earlysignal.Stops():
 		return fmt.Errorf("ended by a second signal: %v", sig)
 	}
 }
