Leave room for retries when hedges use up the limit on repeats

What callers saw: 503 for requests that a full leaf had declined, although another leaf and most of their time were left.

Cause: hedges and retries share the fleet's limit, first come, first served. A hedge is wanted whenever a leaf is slow, so that beside slow leaves hedges used up the limit, and a declined request, which has no other chance, was not sent to another leaf.

Fix: hedges leave room for as many retries as a window usually asks for. Where nothing is retried nothing changes. TestHedgesLeaveRoomForRetries is new.

--- a/entry/executor/repeat_limiters.go
+++ b/entry/executor/repeat_limiters.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 	kernelrepetition "github.com/fuchsiaroad/fuchsiaroad/kernel/repetition"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
@@ -65,10 +66,13 @@
 }
 
 // takeRepeat takes one repeat of a shard's limit for a delivery and reports whether it fit.
-func (l *repeatLimiters) takeRepeat(d *kernelrepetition.Delivery, up *view.Upstream, shard int, now time.Time) bool {
+func (l *repeatLimiters) takeRepeat(d *kernelrepetition.Delivery, up *view.Upstream, shard int, kind query.RepeatKind, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.limiter(up, shard) // sets this instance's present share
+	if kind == query.RepeatHedge {
+		return d.TakeHedge(now)
+	}
 	return d.TakeRepeat(now)
 }
 
@@ -179,7 +183,7 @@
 
 // TakeRepeat implements query.ShardBudget. The indexes refer to the query's newest view.
 // The run's lock is held.
-func (r *run) TakeRepeat(upstream, shard int, now time.Time) bool {
+func (r *run) TakeRepeat(upstream, shard int, kind query.RepeatKind, now time.Time) bool {
 	if upstream < 0 || upstream >= len(r.view.Upstreams) {
 		return false
 	}
@@ -187,7 +191,7 @@
 	if up.Config.RepeatLimit == nil {
 		return true
 	}
-	if d := r.delivery(up, shard); d != nil && r.executor.repeatLimiters.takeRepeat(d, up, shard, now) {
+	if d := r.delivery(up, shard); d != nil && r.executor.repeatLimiters.takeRepeat(d, up, shard, kind, now) {
 		return true
 	}
 	r.service.metrics.RepeatsRefused.Inc(1)
--- a/kernel/query/config.go
+++ b/kernel/query/config.go
@@ -36,9 +36,18 @@
 // hedges and retries alike. Each call that returns true takes one token. upstream is
 // an index in the query's current view, shard one in the upstream's shards.
 type ShardBudget interface {
-	TakeRepeat(upstream, shard int, now time.Time) bool
+	TakeRepeat(upstream, shard int, kind RepeatKind, now time.Time) bool
 }
 
+// RepeatKind is the reason of an attempt beyond a request's first one at a shard.
+type RepeatKind uint8
+
+// The kinds of repeat.
+const (
+	RepeatRetry RepeatKind = iota // the earlier attempts have failed
+	RepeatHedge                   // an earlier attempt is slow
+)
+
 // Config holds the parameters of one query. The machine does not change it.
 type Config struct {
 	View     *view.View
--- a/kernel/query/hedge.go
+++ b/kernel/query/hedge.go
@@ -79,7 +79,7 @@
 	if !now.Before(m.cfg.Deadline) || !m.hasUntriedLeaf(p) || !m.mayRunAgain(p) {
 		return
 	}
-	if !m.cfg.Budget.TakeHedge(now) || !m.takeShardRepeat(p, now) {
+	if !m.cfg.Budget.TakeHedge(now) || !m.takeShardRepeat(p, RepeatHedge, now) {
 		return
 	}
 	p.hedged = true
--- a/kernel/query/retry.go
+++ b/kernel/query/retry.go
@@ -139,7 +139,7 @@
 	if !m.mayRunAgain(p) || (f.spendsRetry && !m.cfg.Budget.TakeRetry(now)) {
 		return false
 	}
-	return m.takeShardRepeat(p, now)
+	return m.takeShardRepeat(p, RepeatRetry, now)
 }
 
 // mayRunAgain reports whether the route's limit of attempts allows one more leaf of
@@ -152,11 +152,11 @@
 // takeShardRepeat takes a token of the shard's budget for one more attempt of a part
 // and reports whether there was one. The first attempt that reaches the shard needs
 // none, also after failed dials.
-func (m *Machine) takeShardRepeat(p *part, now time.Time) bool {
+func (m *Machine) takeShardRepeat(p *part, kind RepeatKind, now time.Time) bool {
 	if m.cfg.ShardBudget == nil || !p.reachedLeaf {
 		return true
 	}
-	return m.cfg.ShardBudget.TakeRepeat(m.spaces[p.space].currentUpstream, p.shard, now)
+	return m.cfg.ShardBudget.TakeRepeat(m.spaces[p.space].currentUpstream, p.shard, kind, now)
 }
 
 // askPart offers an attempt of a part, or lets the part wait while the gate is
--- a/kernel/repetition/delivery.go
+++ b/kernel/repetition/delivery.go
@@ -18,9 +18,14 @@
 // NewDelivery returns a Delivery that has no attempts.
 func NewDelivery(limiter *RepeatLimiter) *Delivery { return &Delivery{limiter: limiter} }
 
-// TakeRepeat takes a repeat for one more attempt and reports whether the limit allows it.
-func (d *Delivery) TakeRepeat(now time.Time) bool {
-	r := d.limiter.TakeRepeat(now)
+// TakeRepeat takes a repeat for a retry and reports whether the limit allows it.
+func (d *Delivery) TakeRepeat(now time.Time) bool { return d.keep(d.limiter.TakeRepeat(now)) }
+
+// TakeHedge takes a repeat for a hedge and reports whether the limit allows it.
+func (d *Delivery) TakeHedge(now time.Time) bool { return d.keep(d.limiter.TakeHedge(now)) }
+
+// keep keeps a repeat until it is settled and reports whether there is one.
+func (d *Delivery) keep(r *Repeat) bool {
 	if r == nil {
 		return false
 	}
--- a/kernel/repetition/repeat_limiter.go
+++ b/kernel/repetition/repeat_limiter.go
@@ -1,6 +1,7 @@
 package repetition
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -14,6 +15,9 @@
 // When a repeat arrives is only known to lie between TakeRepeat and Settle, so it
 // counts from the first until a window after the second.
 //
+// A retry saves a request that would fail, and a hedge makes one faster, so hedges leave
+// room for the retries that a window usually asks for.
+//
 // Create it with NewRepeatLimiter. It is not safe for concurrent use.
 type RepeatLimiter struct {
 	limit     RepeatLimit
@@ -21,10 +25,37 @@
 	requests  stepCounts
 	repeats   stepCounts // settled ones, by the time at which they were settled
 	unsettled []*Repeat  // in the order in which they were taken
+	retries   stepCounts // the settled repeats that are retries
+	// unsettledRetries is the number of retries among unsettled.
+	unsettledRetries int
+	retryDemand      retryDemand
+}
+
+// Repeat is a repeat that TakeRepeat or TakeHedge granted.
+type Repeat struct {
+	takenAt time.Time
+	isRetry bool
+}
+
+// retryDemand is the number of retries that a window usually asks for, granted or not: a
+// count that decays with the window as its time constant.
+type retryDemand struct {
+	count float64
+	at    time.Time
 }
 
-// Repeat is a repeat that TakeRepeat granted.
-type Repeat struct{ takenAt time.Time }
+// add counts one more retry.
+func (d *retryDemand) add(window time.Duration, now time.Time) {
+	d.count, d.at = d.of(window, now)+1, now
+}
+
+// of returns the count at a time.
+func (d *retryDemand) of(window time.Duration, now time.Time) float64 {
+	if d.at.IsZero() || window <= 0 {
+		return 0
+	}
+	return d.count * math.Exp(-float64(now.Sub(d.at))/float64(window))
+}
 
 // RepeatLimit is one instance's part of the fleet's limit on repeats at a shard.
 type RepeatLimit struct {
@@ -63,23 +94,57 @@
 // CountRequest counts one request to the shard.
 func (l *RepeatLimiter) CountRequest(now time.Time) { l.requests.add(l.stepAt(now)) }
 
-// TakeRepeat takes one more repeat, or returns nil if the limit does not allow it.
+// TakeRepeat takes one more repeat, a retry, or returns nil if the limit does not allow it.
 func (l *RepeatLimiter) TakeRepeat(now time.Time) *Repeat {
 	l.advance(now)
+	l.retryDemand.add(l.limit.Window, now)
 	if float64(l.used()+1) > l.allowed() {
 		return nil
 	}
-	r := &Repeat{takenAt: now}
+	l.unsettledRetries++
+	return l.take(&Repeat{takenAt: now, isRetry: true})
+}
+
+// TakeHedge takes one more repeat, a hedge, or returns nil if the limit does not allow it
+// beside the usual number of retries.
+func (l *RepeatLimiter) TakeHedge(now time.Time) *Repeat {
+	l.advance(now)
+	if float64(l.used()+1)+l.reservedForRetries(now) > l.allowed() {
+		return nil
+	}
+	return l.take(&Repeat{takenAt: now})
+}
+
+// take adds a granted repeat.
+func (l *RepeatLimiter) take(r *Repeat) *Repeat {
 	l.unsettled = append(l.unsettled, r)
 	return r
 }
 
+// retryMargin is added to the number of retries for which hedges leave room: the place of a
+// retry becomes free before the next one is wanted, and the limit varies by the counts of a step.
+const retryMargin = 2
+
+// reservedForRetries returns the number of retries that a window usually asks for, less those
+// that are in use; 0 if it asks for less than one.
+func (l *RepeatLimiter) reservedForRetries(now time.Time) float64 {
+	usual := l.retryDemand.of(l.limit.Window, now)
+	if usual < 1 {
+		return 0
+	}
+	return max(0, math.Ceil(usual)+retryMargin-float64(l.retries.total+l.unsettledRetries))
+}
+
 // Settle notes that a repeat has arrived by now or never will. Only the first call for a
 // repeat counts.
 func (l *RepeatLimiter) Settle(r *Repeat, now time.Time) {
 	if i := slices.Index(l.unsettled, r); i >= 0 {
 		l.unsettled = slices.Delete(l.unsettled, i, i+1)
 		l.repeats.add(l.stepAt(now))
+		if r.isRetry {
+			l.unsettledRetries--
+			l.retries.add(l.stepAt(now))
+		}
 	}
 }
 
@@ -89,6 +154,7 @@
 	step := l.stepAt(now)
 	l.requests.advance(step)
 	l.repeats.advance(step)
+	l.retries.advance(step)
 	for len(l.unsettled) > 0 && now.Sub(l.unsettled[0].takenAt) >= l.limit.Window {
 		l.Settle(l.unsettled[0], now)
 	}
--- a/kernel/repetition/repeat_limiter_test.go
+++ b/kernel/repetition/repeat_limiter_test.go
@@ -78,3 +78,47 @@
 	l.Settle(r, now)
 	return true
 }
+
+// TestHedgesLeaveRoomForRetries wants far more hedges than the limit allows, and one retry a
+// second, which it does: a request that has no other chance must not be given up for hedges.
+func TestHedgesLeaveRoomForRetries(t *testing.T) {
+	const seconds, warm, requests = 90, 30, 10
+	limiter := NewRepeatLimiter(RepeatLimit{Ratio: 0.2, Window: 10 * time.Second})
+	hedges, refused := 0, 0
+	for step := range seconds * requests {
+		now := limiterStart.Add(time.Duration(step) * time.Second / requests)
+		limiter.CountRequest(now)
+		if r := limiter.TakeHedge(now); r != nil {
+			limiter.Settle(r, now)
+			hedges++
+		}
+		if step%requests != requests/2 {
+			continue
+		}
+		r := limiter.TakeRepeat(now)
+		switch {
+		case r != nil:
+			limiter.Settle(r, now)
+		case step >= warm*requests:
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of %d retries refused although the limit allows them", refused, seconds-warm)
+	}
+	if hedges < seconds/2 {
+		t.Errorf("%d hedges in %d s, want the rest of the limit to be used", hedges, seconds)
+	}
+}
+
+// TestHedgesUseLimitThatNoRetryWants wants hedges only.
+func TestHedgesUseLimitThatNoRetryWants(t *testing.T) {
+	limiter := NewRepeatLimiter(RepeatLimit{Slack: 5, Window: 10 * time.Second})
+	for i := range 5 {
+		if limiter.TakeHedge(limiterStart) == nil {
+			t.Fatalf("hedge %d refused, want 5", i+1)
+		}
+	}
+}
+
+var limiterStart = time.Unix(1000, 0)
