Do not put full leaves out of use

What callers saw: 503 for requests that idle slots could have served.

Cause: a declined attempt counted as a failure of the leaf, and two in a row put the leaf out of use for a second, and longer each time. Of two leaves the other one then got all the load, declined as well, and admission took the incomplete answers for an overload. That a leaf has no free slot is true for the time of one request; it was believed for seconds.

Fix: declines of a leaf that has replied within 3 s put it out of use after eight in a row, and for 0.2 s at first. A leaf that serves nothing is put out of use after two, as before, as TestSheddingIsNotAmplified and TestSheddingLeafDoesNotAttractWork want. TestFullLeavesAreNotTakenForBroken failed before.

--- a/plugins/internal/health/health.go
+++ b/plugins/internal/health/health.go
@@ -25,12 +25,21 @@
 	ejectThreshold = 0.65
 	ejectMargin    = 0.25
 	maxProbeDelay  = 30 * time.Second
+	// servingTime is the time after a reply in which a leaf counts as serving. Attempts that a
+	// serving leaf declines show that it is full: it is ejected for them only after
+	// minServingDeclines in a row.
+	servingTime        = 3 * time.Second
+	minServingDeclines = 8
 )
 
 // FirstProbeDelay is the time between an ejection and the first probe. The delay doubles with
 // each failed probe, up to maxProbeDelay.
 const FirstProbeDelay = time.Second
 
+// FirstFullProbeDelay replaces FirstProbeDelay for a serving leaf that was ejected because it
+// declined attempts. It is short because a slot may be free soon.
+const FirstFullProbeDelay = 200 * time.Millisecond
+
 // Leaf is the health of one leaf. The zero value is a leaf without outcomes.
 type Leaf struct {
 	// FailureRate is the moving average of failures, in [0, 1].
@@ -39,6 +48,8 @@
 	nextProbeAt time.Time
 	probeDelay  time.Duration // doubles with each failed probe
 	probing     bool          // a probe is in flight
+	repliedAt   time.Time     // of the last reply
+	declines    int           // attempts declined since then
 }
 
 // Usable reports whether an attempt may go to the leaf: it is not ejected, or its next probe
@@ -62,19 +73,42 @@
 
 // RecordOutcome adds one outcome with its weight to the failure rate. peersRate is the mean
 // failure rate of the other leaves. It reports whether the outcome ends the leaf's ejection.
-func (h *Leaf) RecordOutcome(failed bool, weight, peersRate float64, now time.Time) bool {
+func (h *Leaf) RecordOutcome(r plugin.AttemptResult, weight, peersRate float64, now time.Time) bool {
+	failed := !r.OK
 	h.FailureRate += weight * (failureValue(failed) - h.FailureRate)
+	h.countDecline(r, now)
 	if h.ejected {
 		return h.endProbe(failed, now)
 	}
 	if failed && h.FailureRate > ejectThreshold && h.FailureRate > peersRate+ejectMargin {
-		h.ejected, h.probing = true, false
-		h.probeDelay = FirstProbeDelay
-		h.nextProbeAt = now.Add(h.probeDelay)
+		h.eject(r.Shed, now)
 	}
 	return false
 }
 
+// countDecline counts the attempts that were declined since the last reply.
+func (h *Leaf) countDecline(r plugin.AttemptResult, now time.Time) {
+	switch {
+	case r.OK:
+		h.repliedAt, h.declines = now, 0
+	case r.Shed:
+		h.declines++
+	}
+}
+
+// eject ejects the leaf, unless it is merely full.
+func (h *Leaf) eject(declined bool, now time.Time) {
+	h.probeDelay = FirstProbeDelay
+	if declined && now.Sub(h.repliedAt) < servingTime {
+		if h.declines < minServingDeclines {
+			return
+		}
+		h.probeDelay = FirstFullProbeDelay
+	}
+	h.ejected, h.probing = true, false
+	h.nextProbeAt = now.Add(h.probeDelay)
+}
+
 // endProbe ends a probe, and the ejection if it succeeded; it reports the latter. While no
 // probe is in flight, an outcome stems from an attempt that was dispatched before the
 // ejection, and counts for the failure rate only.
--- a/plugins/internal/health/peers.go
+++ b/plugins/internal/health/peers.go
@@ -1,6 +1,10 @@
 package health
 
-import "time"
+import (
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
+)
 
 // Peers holds the sum of the failure rates of all leaves of an upstream, to compare one leaf
 // with the mean of the others. The zero value is for no leaves.
@@ -9,14 +13,14 @@
 // RecordOutcome records one outcome at a leaf and reports whether it ends the leaf's ejection.
 // leaves is the number of all leaves. A weight of 0 stands for an outcome that says nothing
 // about the leaf.
-func (p *Peers) RecordOutcome(leaf *Leaf, leaves int, failed bool, weight float64, now time.Time) bool {
+func (p *Peers) RecordOutcome(leaf *Leaf, leaves int, r plugin.AttemptResult, weight float64, now time.Time) bool {
 	if weight == 0 {
 		leaf.EndInconclusiveProbe()
 		return false
 	}
 	before := leaf.FailureRate
 	peersRate := (p.rateSum - before) / float64(max(1, leaves-1))
-	readmitted := leaf.RecordOutcome(failed, weight, peersRate, now)
+	readmitted := leaf.RecordOutcome(r, weight, peersRate, now)
 	p.rateSum += leaf.FailureRate - before
 	return readmitted
 }
--- a/plugins/nearest/nearest.go
+++ b/plugins/nearest/nearest.go
@@ -183,7 +183,7 @@
 		p.recordUnanswered(l, r.Latency.Seconds(), now)
 	}
 	p.recordObservation(key, r, now)
-	if p.peers.RecordOutcome(&l.health, len(p.leaves), !r.OK, health.OutcomeWeight(r, p.delay), now) {
+	if p.peers.RecordOutcome(&l.health, len(p.leaves), r, health.OutcomeWeight(r, p.delay), now) {
 		l.readmittedAt = now
 	}
 }
--- a/plugins/twochoices/twochoices.go
+++ b/plugins/twochoices/twochoices.go
@@ -128,7 +128,7 @@
 	if r.Cancelled && weight > 0 {
 		health.UpdateMean(&l.mean, r.Latency.Seconds(), latencyWeight) // it would have taken at least that long
 	}
-	if p.peers.RecordOutcome(&l.health, len(p.leaves), !r.OK, weight, now) {
+	if p.peers.RecordOutcome(&l.health, len(p.leaves), r, weight, now) {
 		l.slowStartedAt = now
 	}
 }
