Do not refuse queries that would start at once because leaves are slow

What callers saw: 503 "too few parts would finish in time" at a low load, while leaves were too slow for the objective, with most of the deadline left.

Cause: admission refuses a query of which too few parts would end by the objective, by the median latency. Where all leaves are slow by themselves it makes nothing faster, and refused whatever met a shard that was not idle.

TestSlownessOfAllLeavesIsNoReasonToRefuse failed before. The line of a refusal says which wait was accepted (patience).

--- a/bench/burst/objective_test.go
+++ b/bench/burst/objective_test.go
@@ -131,3 +131,18 @@
 		}
 	}
 }
+
+// TestSlownessOfAllLeavesIsNoReasonToRefuse makes all leaves too slow for the objectives at a
+// load that fits: an answer that can only be late is better than none, and refusing some does
+// not make others earlier.
+func TestSlownessOfAllLeavesIsNoReasonToRefuse(t *testing.T) {
+	for _, load := range []float64{0.01, 0.02, 0.04} {
+		p := search(20, 2, load)
+		p.Slow, p.SlowFactor = 1, 12
+		for _, k := range mustRun(t, p).Kinds {
+			if k.Refused > 0.01 {
+				t.Errorf("load %.2f: %.3f of kind %s refused, want none", load, k.Refused, k.Name)
+			}
+		}
+	}
+}
--- a/entry/executor/admission.go
+++ b/entry/executor/admission.go
@@ -43,7 +43,7 @@
 	}
 	e.config.Log.LogDecision(telemetry.Decision{
 		Component: prefixQuery, Event: "refuse", Query: r.stamp, Request: r.request.callerRequestID(), Reason: "too few parts would finish in time",
-		Extra: []any{"service", r.request.Service.Config.Name, "fit", decision.ServableShare, "yields", decision.YieldedToUrgent, "left", left, "retry_after", decision.RetryAfter},
+		Extra: []any{"service", r.request.Service.Config.Name, "fit", decision.ServableShare, "yields", decision.YieldedToUrgent, "left", left, "patience", decision.Patience, "retry_after", decision.RetryAfter},
 	})
 	return refuse(RefusedOverloaded, decision.RetryAfter, "too few parts would finish in time")
 }
--- a/kernel/dispatch/admission.go
+++ b/kernel/dispatch/admission.go
@@ -26,6 +26,8 @@
 	RetryAfter time.Duration
 	// ServableShare is the share of shards that would answer in time, in [0, 1].
 	ServableShare float64
+	// Patience is the longest time in a queue of this instance that was accepted.
+	Patience time.Duration
 	// YieldedToUrgent says that the query was refused because more urgent ones are.
 	YieldedToUrgent bool
 }
@@ -97,7 +99,7 @@
 		s, t, w := u.CountServableShards(q.Caller, q.Priority, q.TimeLeft, patience)
 		servable, total, wait = servable+s, total+t, max(wait, w)
 	}
-	d := Decision{ServableShare: 1}
+	d := Decision{ServableShare: 1, Patience: patience}
 	if total > 0 {
 		d.ServableShare = float64(servable) / float64(total)
 	}
--- a/kernel/dispatch/estimate.go
+++ b/kernel/dispatch/estimate.go
@@ -118,8 +118,8 @@
 }
 
 // CountServableShards counts the shards on which a new attempt of the caller and
-// priority would be queued for at most patience and still end within the given time, and
-// all shards. wait is the longest queueing time of a shard.
+// priority would start at once, or be queued for at most patience and still end within the
+// given time, and all shards. wait is the longest queueing time of a shard.
 func (m *Machine) CountServableShards(caller string, priority int, within, patience time.Duration) (servable, total int, wait time.Duration) {
 	w := m.weight(caller)
 	for _, s := range m.shards {
@@ -129,13 +129,18 @@
 		}
 		d := m.callerWait(s, caller, priority, w)
 		wait = max(wait, d)
-		if d <= patience && d+m.latency.median <= within {
+		if m.startsAtOnce(s) || d <= patience && d+m.latency.median <= within {
 			servable++
 		}
 	}
 	return servable, len(m.shards), wait
 }
 
+// startsAtOnce reports whether a new attempt would be dispatched without waiting. Refusing it
+// would make no other attempt of this instance earlier; it may still end late if the leaves
+// are slow.
+func (m *Machine) startsAtOnce(s *shard) bool { return s.queue.length == 0 && m.anyLeafHasRoom(s) }
+
 // startsInTime reports whether the attempt would be dispatched early enough to end by
 // its deadline.
 func (m *Machine) startsInTime(a *attempt, now time.Time) bool {
