--- a/kernel/fleet/bootstrap.go
+++ b/kernel/fleet/bootstrap.go
@@ -74,9 +74,9 @@
 	return rank
 }
 
-// limitShare returns this instance's share of the repeats for an upstream of that many shards,
+// share returns this instance's share of the repeats for an upstream of that many shards,
 // where listed is the one by the lists of the hold time.
-func (b *bootstrap) limitShare(listed float64, shards int, window time.Duration, now time.Time) float64 {
+func (b *bootstrap) share(listed float64, shards int, window time.Duration, now time.Time) float64 {
 	age := now.Sub(b.joinedAt)
 	switch {
 	case b.complete && age >= BootstrapKnownAfter+window:
--- a/kernel/fleet/repeats.go
+++ b/kernel/fleet/repeats.go
@@ -97,7 +97,7 @@
 		return 0
 	}
 	if f.allowance.atBootstrap {
-		return f.allowance.bootstrap.limitShare(least, shards, f.settings.RepeatWindow, now)
+		return f.allowance.bootstrap.share(least, shards, f.settings.RepeatWindow, now)
 	}
 	return least
 }
--- a/kernel/repetition/repeat_limiter.go
+++ b/kernel/repetition/repeat_limiter.go
@@ -46,11 +46,11 @@
 
 // add counts one more retry.
 func (d *retryDemand) add(window time.Duration, now time.Time) {
-	d.count, d.at = d.of(window, now)+1, now
+	d.count, d.at = d.valueAt(window, now)+1, now
 }
 
-// of returns the count at a time.
-func (d *retryDemand) of(window time.Duration, now time.Time) float64 {
+// valueAt returns the count at a time.
+func (d *retryDemand) valueAt(window time.Duration, now time.Time) float64 {
 	if d.at.IsZero() || window <= 0 {
 		return 0
 	}
@@ -128,7 +128,7 @@
 // reservedForRetries returns the number of retries that a window usually asks for, less those
 // that are in use; 0 if it asks for less than one.
 func (l *RepeatLimiter) reservedForRetries(now time.Time) float64 {
-	usual := l.retryDemand.of(l.limit.Window, now)
+	usual := l.retryDemand.valueAt(l.limit.Window, now)
 	if usual < 1 {
 		return 0
 	}
--- a/plugins/internal/health/health.go
+++ b/plugins/internal/health/health.go
@@ -81,7 +81,7 @@
 		return h.endProbe(failed, now)
 	}
 	if failed && h.FailureRate > ejectThreshold && h.FailureRate > peersRate+ejectMargin {
-		h.eject(r.Shed, now)
+		h.ejectUnlessFull(r.Shed, now)
 	}
 	return false
 }
@@ -96,8 +96,8 @@
 	}
 }
 
-// eject ejects the leaf, unless it is merely full.
-func (h *Leaf) eject(declined bool, now time.Time) {
+// ejectUnlessFull ejects the leaf, unless a declined attempt shows that it is merely full.
+func (h *Leaf) ejectUnlessFull(declined bool, now time.Time) {
 	h.probeDelay = FirstProbeDelay
 	if declined && now.Sub(h.repliedAt) < servingTime {
 		if h.declines < minServingDeclines {
