Name the admitted share of time in a queue as such, and use the usual terms in comments

Cause: comments without tests had words of our own (told, news, heard), admission called the share of a query's time that may pass in a queue its patience, and a comment of kernel/margin had figures that docs/design/fleet.md has.

TestPatienceFollowsOutcomes is TestQueueShareFollowsOutcomes, with the same checks.

--- a/cmd/internal/loss/loss.go
+++ b/cmd/internal/loss/loss.go
@@ -27,12 +27,12 @@
 
 // Reasons of this package's own. Others are those of the log lines.
 const (
-	ReasonQueued   = "queued in the instance"
-	ReasonSlowLeaf = "slow leaf"
-	ReasonHandOver = "hand-over"
-	ReasonInstance = "instance short of processor time"
-	ReasonNotTold  = "not told"
-	ReasonEnded    = "instance ended"
+	ReasonQueued    = "queued in the instance"
+	ReasonSlowLeaf  = "slow leaf"
+	ReasonHandOver  = "hand-over"
+	ReasonInstance  = "instance short of processor time"
+	ReasonNotLogged = "no reason logged"
+	ReasonEnded     = "instance ended"
 )
 
 // Cause is a reason with the shard at which it was met, "" for none.
@@ -136,7 +136,7 @@
 	if reason := end.Text("reason"); reason != "" {
 		return reason
 	}
-	return ReasonNotTold
+	return ReasonNotLogged
 }
 
 // unended is a request without a line that ends it. One of which only a routine line was
--- a/entry/executor/admission.go
+++ b/entry/executor/admission.go
@@ -43,7 +43,7 @@
 	}
 	e.config.Log.LogDecision(telemetry.Decision{
 		Component: prefixQuery, Event: "refuse", Query: r.stamp, Request: r.request.callerRequestID(), Reason: "too few parts would finish in time",
-		Extra: []any{"service", r.request.Service.Config.Name, "fit", decision.ServableShare, "yields", decision.YieldedToUrgent, "left", left, "patience", decision.Patience, "retry_after", decision.RetryAfter},
+		Extra: []any{"service", r.request.Service.Config.Name, "fit", decision.ServableShare, "yields", decision.YieldedToUrgent, "left", left, "max_queue_time", decision.MaxQueueTime, "retry_after", decision.RetryAfter},
 	})
 	return refuse(RefusedOverloaded, decision.RetryAfter, "too few parts would finish in time")
 }
@@ -104,10 +104,10 @@
 }
 
 // CountServableShards implements dispatch.LoadEstimator.
-func (p *pool) CountServableShards(caller string, priority int, within, patience time.Duration) (fit, total int, wait time.Duration) {
+func (p *pool) CountServableShards(caller string, priority int, within, maxQueueTime time.Duration) (fit, total int, wait time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.machine.CountServableShards(caller, priority, within, patience)
+	return p.machine.CountServableShards(caller, priority, within, maxQueueTime)
 }
 
 // ShouldYield implements dispatch.LoadEstimator.
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -25,13 +25,13 @@
 	Run(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error)
 }
 
-// LeafObserver is told what replies show about leaves: that a leaf drains, and a start
+// LeafObserver is notified of what replies show about leaves: that a leaf drains, and a start
 // time that was not known. startMS is the leaf's start in Unix milliseconds by its own clock;
 // 0 is unknown. The methods must not block.
 type LeafObserver interface {
 	ObserveDraining(leafID string, startMS int64)
 	ObserveStart(leafID string, startMS int64)
-	// GossipNow asks for the quarantine's news to be sent to the peers at once.
+	// GossipNow asks for the quarantine's changes to be sent to the peers at once.
 	GossipNow()
 }
 
--- a/entry/gateway/gather.go
+++ b/entry/gateway/gather.go
@@ -38,7 +38,7 @@
 type GatherStream struct {
 	gateway *Gateway
 	request GatherRequest
-	wake    chan struct{} // holds one token while there may be news
+	wake    chan struct{} // holds one token while there may be new results
 
 	mu       sync.Mutex
 	answer   *query.Answer // the latest; nil before the first
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -100,7 +100,7 @@
 	Catalog catalog.Settings
 	// FreshnessBound is the time within which a change in the store must be in force.
 	FreshnessBound time.Duration
-	// GracePeriod is the time in which an instance that is told to stop must have ended.
+	// GracePeriod is the time in which an instance that is asked to stop must have ended.
 	GracePeriod time.Duration
 }
 
--- a/entry/hosted/membership.go
+++ b/entry/hosted/membership.go
@@ -220,7 +220,7 @@
 	})
 }
 
-// updateFleet changes the fleet. If its composition differs afterwards, the control goroutine is told,
+// updateFleet changes the fleet. If its composition differs afterwards, the control goroutine is notified,
 // because the shares of limits have changed.
 func (m *membership) updateFleet(update func(*fleet.Fleet)) {
 	m.mu.Lock()
--- a/entry/hosted/stop.go
+++ b/entry/hosted/stop.go
@@ -22,7 +22,7 @@
 
 // drain stops the instance without cutting off a request. Connections stay open
 // until the end, because a client may be about to use one. Each request gets an
-// answer; one that comes too late is told correctly that it was not run.
+// answer; one that comes too late is refused as not run.
 func (n *Node) drain(ctx context.Context) {
 	log := n.log.Component("node")
 	startedAt := time.Now()
--- a/entry/ledger/runtime.go
+++ b/entry/ledger/runtime.go
@@ -156,7 +156,7 @@
 	r.log.Debug("Claim answered.", "bucket", i, "claim", id, "answer", word)
 	w := r.waiters[id]
 	if w == nil {
-		return // abandoned by its caller; the state machine was told
+		return // abandoned by its caller; the state machine was notified
 	}
 	delete(r.waiters, id)
 	w.answer <- a
--- a/entry/lifecycle/lifecycle.go
+++ b/entry/lifecycle/lifecycle.go
@@ -103,7 +103,7 @@
 // Arrived counts one arriving query.
 func (l *Lifecycle) Arrived() { l.arrivals.Add(1) }
 
-// Leaving reports whether callers should be told to give up their connections, in
+// Leaving reports whether callers should be asked to give up their connections, in
 // phases Leaving and Refusing.
 func (l *Lifecycle) Leaving() bool { return l.Get() >= Leaving }
 
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -103,7 +103,7 @@
 func (n *Node) View() *view.View { return n.view.Load() }
 
 // publish makes v the current view. The connection limits are set and the executor
-// is told before queries can use the view.
+// is notified before queries can use the view.
 func (n *Node) publish(v *view.View) {
 	n.leafClient.Apply(probe.Targets(v))
 	n.executor.SetView(v)
--- a/kernel/dispatch/admission.go
+++ b/kernel/dispatch/admission.go
@@ -9,9 +9,9 @@
 // implements it.
 type LoadEstimator interface {
 	// CountServableShards returns the number of shards whose part of a query would be
-	// queued for at most patience and end within the given time, the number of all
+	// queued for at most maxQueueTime and end within the given time, the number of all
 	// shards, and the longest queueing time.
-	CountServableShards(caller string, priority int, within, patience time.Duration) (servable, total int, wait time.Duration)
+	CountServableShards(caller string, priority int, within, maxQueueTime time.Duration) (servable, total int, wait time.Duration)
 	// ShouldYield reports whether a query of this priority is to be refused because more
 	// urgent queries are refused.
 	ShouldYield(priority int, now time.Time) bool
@@ -26,22 +26,22 @@
 	RetryAfter time.Duration
 	// ServableShare is the share of shards that would answer in time, in [0, 1].
 	ServableShare float64
-	// Patience is the longest time in a queue of this instance that was accepted.
-	Patience time.Duration
+	// MaxQueueTime is the longest time in a queue of this instance that was accepted.
+	MaxQueueTime time.Duration
 	// YieldedToUrgent says that the query was refused because more urgent ones are.
 	YieldedToUrgent bool
 }
 
-// Patience is the share of a query's time that it may spend in a queue of this
-// instance. It falls by patienceDecrease with each answer that is incomplete for lack
-// of time, and rises by patienceIncrease with each useful one while queries are
+// The queue share is the share of a query's time that it may spend in a queue of this
+// instance. It falls by queueShareDecrease with each answer that is incomplete for lack
+// of time, and rises by queueShareIncrease with each useful one while queries are
 // refused. So it settles where one admitted query in a hundred is incomplete.
 const (
-	initialPatience  = 0.25
-	minPatience      = 0.05
-	maxPatience      = 0.9
-	patienceIncrease = 0.001
-	patienceDecrease = 0.1
+	initialQueueShare  = 0.25
+	minQueueShare      = 0.05
+	maxQueueShare      = 0.9
+	queueShareIncrease = 0.001
+	queueShareDecrease = 0.1
 )
 
 // Bounds of RetryAfter, and the time over which admissions are counted.
@@ -70,21 +70,21 @@
 // for concurrent use.
 type Admission struct {
 	rand *rand.Rand
-	// refused is the number of callers that were told to retry and have not been
+	// refused is the number of callers that were asked to retry and have not been
 	// admitted since.
 	refused float64
 	// admitted is a decaying count of admissions over rateWindow.
 	admitted  float64
 	decayedAt time.Time
-	// patience is a share in [minPatience, maxPatience].
-	patience    float64
+	// queueShare is in [minQueueShare, maxQueueShare].
+	queueShare  float64
 	lastRefusal time.Time
 	usage       usage
 }
 
 // NewAdmission returns an Admission whose jitter is seeded with seed.
 func NewAdmission(seed uint64) *Admission {
-	return &Admission{rand: rand.New(rand.NewPCG(seed, seed)), patience: initialPatience, usage: newUsage()}
+	return &Admission{rand: rand.New(rand.NewPCG(seed, seed)), queueShare: initialQueueShare, usage: newUsage()}
 }
 
 // Admit decides on a query over the given upstreams. At least one shard must be
@@ -92,14 +92,14 @@
 func (a *Admission) Admit(q QueryRequest, upstreams []LoadEstimator, now time.Time) Decision {
 	a.decay(now)
 	factor := a.usage.recordOffer(q.Caller, q.Share, now)
-	patience := time.Duration(min(maxPatience, a.patience*factor) * float64(q.TimeLeft))
+	maxQueueTime := time.Duration(min(maxQueueShare, a.queueShare*factor) * float64(q.TimeLeft))
 	servable, total := 0, 0
 	var wait time.Duration
 	for _, u := range upstreams {
-		s, t, w := u.CountServableShards(q.Caller, q.Priority, q.TimeLeft, patience)
+		s, t, w := u.CountServableShards(q.Caller, q.Priority, q.TimeLeft, maxQueueTime)
 		servable, total, wait = servable+s, total+t, max(wait, w)
 	}
-	d := Decision{ServableShare: 1, Patience: patience}
+	d := Decision{ServableShare: 1, MaxQueueTime: maxQueueTime}
 	if total > 0 {
 		d.ServableShare = float64(servable) / float64(total)
 	}
@@ -130,9 +130,9 @@
 func (a *Admission) RecordAnswer(useful, late bool, now time.Time) {
 	switch {
 	case late:
-		a.patience = max(minPatience, a.patience-patienceDecrease)
+		a.queueShare = max(minQueueShare, a.queueShare-queueShareDecrease)
 	case useful && !a.lastRefusal.IsZero() && now.Sub(a.lastRefusal) < rateWindow:
-		a.patience = min(maxPatience, a.patience+patienceIncrease)
+		a.queueShare = min(maxQueueShare, a.queueShare+queueShareIncrease)
 	}
 }
 
--- a/kernel/dispatch/admission_test.go
+++ b/kernel/dispatch/admission_test.go
@@ -9,9 +9,9 @@
 // fakeEstimator is an upstream with the given queueing time on each of its shards.
 type fakeEstimator []time.Duration
 
-func (f fakeEstimator) CountServableShards(_ string, _ int, within, patience time.Duration) (servable, total int, wait time.Duration) {
+func (f fakeEstimator) CountServableShards(_ string, _ int, within, maxQueueTime time.Duration) (servable, total int, wait time.Duration) {
 	for _, w := range f {
-		if w <= patience && w <= within {
+		if w <= maxQueueTime && w <= within {
 			servable++
 		}
 		wait = max(wait, w)
@@ -97,7 +97,7 @@
 	}
 }
 
-func TestPatienceFollowsOutcomes(t *testing.T) {
+func TestQueueShareFollowsOutcomes(t *testing.T) {
 	a := NewAdmission(1)
 	wait := []LoadEstimator{fakeEstimator{200 * time.Millisecond}}
 	if !a.Admit(request, wait, start).Admitted {
@@ -109,24 +109,24 @@
 	if a.Admit(request, wait, start).Admitted {
 		t.Fatal("still admitted after late answers")
 	}
-	for range 300 { // useful answers raise the patience after a recent refusal
+	for range 300 { // useful answers raise the queue share after a recent refusal
 		a.RecordAnswer(true, false, start)
 	}
 	if !a.Admit(request, wait, start).Admitted {
 		t.Fatal("still refused after many useful answers")
 	}
-	patience := a.patience
+	queueShare := a.queueShare
 	for range 50 {
 		a.RecordAnswer(false, false, start) // not useful for another reason
 	}
-	if a.patience != patience {
-		t.Fatalf("patience moved to %v by answers that were not late", a.patience)
+	if a.queueShare != queueShare {
+		t.Fatalf("the queue share moved to %v by answers that were not late", a.queueShare)
 	}
 	for range 1000 { // no recent refusal
 		a.RecordAnswer(true, false, start.Add(time.Minute))
 	}
-	if a.patience != patience {
-		t.Fatalf("patience rose to %v without refusals, so that the next burst waits too long", a.patience)
+	if a.queueShare != queueShare {
+		t.Fatalf("the queue share rose to %v without refusals, so that the next burst waits too long", a.queueShare)
 	}
 }
 
--- a/kernel/dispatch/estimate.go
+++ b/kernel/dispatch/estimate.go
@@ -118,9 +118,9 @@
 }
 
 // CountServableShards counts the shards on which a new attempt of the caller and
-// priority would start at once, or be queued for at most patience and still end within the
+// priority would start at once, or be queued for at most maxQueueTime and still end within the
 // given time, and all shards. wait is the longest queueing time of a shard.
-func (m *Machine) CountServableShards(caller string, priority int, within, patience time.Duration) (servable, total int, wait time.Duration) {
+func (m *Machine) CountServableShards(caller string, priority int, within, maxQueueTime time.Duration) (servable, total int, wait time.Duration) {
 	w := m.weight(caller)
 	for _, s := range m.shards {
 		if s.idle() {
@@ -129,7 +129,7 @@
 		}
 		d := m.callerWait(s, caller, priority, w)
 		wait = max(wait, d)
-		if m.startsAtOnce(s) || d <= patience && d+m.latency.median <= within {
+		if m.startsAtOnce(s) || d <= maxQueueTime && d+m.latency.median <= within {
 			servable++
 		}
 	}
--- a/kernel/dispatch/usage.go
+++ b/kernel/dispatch/usage.go
@@ -10,11 +10,11 @@
 const (
 	// usageWindow is the time constant with which the counts decay.
 	usageWindow = 2 * time.Second
-	// The factor on a caller's patience is (fair share / used share) to the power of
-	// patienceExponent, within the two bounds.
-	patienceExponent  = 2
-	minPatienceFactor = 0.25
-	maxPatienceFactor = 20.0
+	// The factor on a caller's queue share is (fair share / used share) to the power of
+	// queueShareExponent, within the two bounds.
+	queueShareExponent  = 2
+	minQueueShareFactor = 0.25
+	maxQueueShareFactor = 20.0
 	// forgetBelow is the count of offered queries below which a caller is forgotten.
 	forgetBelow = 0.01
 )
@@ -36,7 +36,7 @@
 
 func newUsage() usage { return usage{callers: make(map[string]*callerUsage)} }
 
-// recordOffer counts an offered query and returns the factor on its caller's patience:
+// recordOffer counts an offered query and returns the factor on its caller's queue share:
 // above 1 for a caller that was given less than its fair share of admissions, below 1
 // for one that was given more.
 func (u *usage) recordOffer(caller string, share int, now time.Time) float64 {
@@ -61,9 +61,9 @@
 	}
 	fair := c.share / shares * admitted
 	if c.offered <= fair {
-		return maxPatienceFactor // it asks for no more than its share: max-min fairness
+		return maxQueueShareFactor // it asks for no more than its share: max-min fairness
 	}
-	return min(max(math.Pow(fair/max(c.admitted, 1e-3), patienceExponent), minPatienceFactor), maxPatienceFactor)
+	return min(max(math.Pow(fair/max(c.admitted, 1e-3), queueShareExponent), minQueueShareFactor), maxQueueShareFactor)
 }
 
 // recordAdmission counts an admission. The caller must have been passed to recordOffer.
--- a/kernel/fleet/bootstrap.go
+++ b/kernel/fleet/bootstrap.go
@@ -20,7 +20,7 @@
 	// list has all that joined at the bootstrap.
 	bootstrapListDelay = BootstrapStartSpread + BootstrapJoinTime
 	// provisionalTime is the time since its announcement for which an instance may use its
-	// provisional share. Every instance is told a complete list within it.
+	// provisional share. Every instance has a complete list within it.
 	provisionalTime = 6 * time.Second
 	// provisionalRest is the sum of all provisional shares but the first two.
 	provisionalRest = 0.15
--- a/kernel/margin/margin.go
+++ b/kernel/margin/margin.go
@@ -15,9 +15,8 @@
 	// until an instance on a small share of a core accepts the connection.
 	DefaultNetworkDelay = 14 * time.Millisecond
 	// unmeasuredDelay covers the delays that an instance can't measure: until it is
-	// scheduled to read a request, and until the answer has left. Without it, 59 to
-	// 68 of 1106 queries missed the objective, and with it 4 (71 instances without
-	// overload, most of them on a fifth of a core).
+	// scheduled to read a request, and until the answer has left. Without it, queries
+	// just miss the objective on instances with a fraction of a core.
 	unmeasuredDelay = 4 * time.Millisecond
 	// meanGain and deviationGain are the weights of one delay in the moving averages,
 	// as in the estimate of TCP's retransmission timeout (RFC 6298). deviationFactor
--- a/kernel/membership/machine.go
+++ b/kernel/membership/machine.go
@@ -263,7 +263,7 @@
 }
 
 // computeEntries lists the entries that may hold connections to leaves, in order: this one,
-// those of the list, leaving ones included, and those heard of within PeerTTL.
+// those of the list, leaving ones included, and those seen within PeerTTL.
 func (m *Machine) computeEntries(now time.Time) []string {
 	set := map[string]bool{m.cfg.Instance: true}
 	for id, in := range m.list {
