Wait on a channel in one function, and count all reasons in the soak's report

Change: await, of which sleep is a case; a last line "N for M other reasons". Behaviour of the product is the same. Evidence: the tests of entry/hosted pass; TestRareReasonsAreCounted failed before.

--- a/entry/hosted/announcement.go
+++ b/entry/hosted/announcement.go
@@ -47,13 +47,7 @@
 	if m.node.config.Bootstrap {
 		return false
 	}
-	timer := time.NewTimer(ownAnnouncementWait)
-	defer timer.Stop()
-	select {
-	case <-m.listKnown:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	await(ctx, m.listKnown, ownAnnouncementWait)
 	return readFleet(m, (*fleet.Fleet).IsAnnounced)
 }
 
@@ -80,17 +74,6 @@
 	return m.node.config.Bootstrap && time.Since(m.startedAt) < fleet.BootstrapJoinTime
 }
 
-// awaitJoin waits until the store has this instance's announcement, but at most for d.
-func (m *membership) awaitJoin(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-m.joined:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // recordJoin records that other instances can know of this one.
 func (m *membership) recordJoin(existed bool) {
 	joinKind := fleet.JoinAsNew
--- a/entry/hosted/initialstate.go
+++ b/entry/hosted/initialstate.go
@@ -103,7 +103,7 @@
 // list that has it gives it a share of the fleet's limits.
 func (c *control) readInstances(ctx context.Context) {
 	if c.node.config.Bootstrap {
-		c.node.membership.awaitJoin(ctx, ownAnnouncementWait)
+		await(ctx, c.node.membership.joined, ownAnnouncementWait)
 	}
 	c.node.membership.refreshList(ctx)
 }
@@ -118,11 +118,5 @@
 		sleep(ctx, bootstrapSeedWait)
 		return
 	}
-	timer := time.NewTimer(seedHedgeDelay)
-	defer timer.Stop()
-	select {
-	case <-firstSeedFailed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	await(ctx, firstSeedFailed, seedHedgeDelay)
 }
--- a/entry/hosted/stop.go
+++ b/entry/hosted/stop.go
@@ -52,10 +52,15 @@
 const flushDelay = 50 * time.Millisecond
 
 // sleep waits for d, or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) { await(ctx, nil, d) }
+
+// await waits until something is received from the channel or it is closed, but at most for d
+// and until the context ends.
+func await(ctx context.Context, c <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
+	case <-c:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/entry/hosted/syncloops.go
+++ b/entry/hosted/syncloops.go
@@ -66,13 +66,7 @@
 
 // waitForNextSync waits for d, or until syncNow is called.
 func (c *control) waitForNextSync(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.syncRequested:
-	case <-ctx.Done():
-	}
+	await(ctx, c.syncRequested, d)
 }
 
 // syncNow requests a synchronization at once, without waiting for it.
--- a/standin/soak/unserved.go
+++ b/standin/soak/unserved.go
@@ -102,8 +102,8 @@
 	return fmt.Sprintf("%d instances, most %s", len(names), strings.Join(out, ", "))
 }
 
-// summarizeUnserved describes the requests that were not served, a line a reason, the most
-// frequent first.
+// summarizeUnserved describes the requests that were not served, a line for each of the
+// maxReasons most frequent reasons and one for the others.
 func summarizeUnserved(outcomes []*outcome) []string {
 	counts := make(map[unservedReason]*unservedCount)
 	for _, o := range outcomes {
@@ -129,5 +129,12 @@
 		out = append(out, fmt.Sprintf("%d %s: %s; sent %s to %s; %s", c.total, reason, c.times(),
 			c.first.Format("15:04:05.000"), c.last.Format("15:04:05.000"), c.instances()))
 	}
+	rest := 0
+	for _, reason := range reasons[len(out):] {
+		rest += counts[reason].total
+	}
+	if rest > 0 {
+		out = append(out, fmt.Sprintf("%d for %d other reasons", rest, len(reasons)-len(out)))
+	}
 	return out
 }
--- a/standin/soak/unserved_test.go
+++ b/standin/soak/unserved_test.go
@@ -28,3 +28,15 @@
 		t.Errorf("got\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
 	}
 }
+
+// TestRareReasonsAreCounted has more reasons than the summary names.
+func TestRareReasonsAreCounted(t *testing.T) {
+	var outcomes []*outcome
+	for i := range maxReasons + 2 {
+		outcomes = append(outcomes, &outcome{kind: kindOne, status: 500 + i})
+	}
+	got := summarizeUnserved(outcomes)
+	if want := "2 for 2 other reasons"; len(got) != maxReasons+1 || got[maxReasons] != want {
+		t.Errorf("got %d lines, the last one %q, want %d and %q", len(got), got[len(got)-1], maxReasons+1, want)
+	}
+}
