Log and count what becomes of requests that crash leaves

The record of the crashing requests can't tell why a request reached leaves again: no metric counted suspects, quarantines, refusals and runs alone, and what an instance learned from a peer was not logged. Each change of phase is now a line of the prefix quarantine with its source, each refusal and each run alone one with the request's ID, and the counter quarantine has both by event and source.

--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -114,8 +114,12 @@
 func (e *Executor) fanOut(ctx context.Context, req *Request) (*run, *query.Answer, error) {
 	fingerprint := e.quarantine.fingerprint(req)
 	decision := e.quarantine.admit(fingerprint, req, req.Start)
-	if decision.Mode == quarantine.ModeRefuse {
+	switch decision.Mode {
+	case quarantine.ModeRefuse:
+		e.reportSuspect(req, fingerprint, "refuse", decision.RetryAfter)
 		return nil, nil, refuse(RefusedQuarantined, decision.RetryAfter, "earlier runs of this request broke the leaves that ran them")
+	case quarantine.ModeSuspect:
+		e.reportSuspect(req, fingerprint, "run alone", 0)
 	}
 	r := e.newRun(ctx, req, fingerprint, decision.Mode)
 	answer, err := r.runToAnswer()
--- a/entry/executor/leaf_loss.go
+++ b/entry/executor/leaf_loss.go
@@ -34,6 +34,6 @@
 	}
 	r.suspected.Store(true)
 	e.logDecision(a, telemetry.Decision{Component: prefixQuery, Event: "suspect", Leaf: a.leafID, Reason: r.fingerprint, Extra: []any{"lost", threshold}})
-	e.applyQuarantineActions(actions)
+	e.applyQuarantineActions(actions, fromLeaf)
 	return true
 }
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 )
@@ -147,18 +148,48 @@
 	return s.handle(quarantine.Lifted{Fingerprint: fingerprint}, now)
 }
 
-// applyQuarantineActions notifies the peers and the running queries of changes.
-func (e *Executor) applyQuarantineActions(actions []quarantine.Action) {
+// changeSource is what a change of the quarantine was learned from.
+type changeSource string
+
+// The sources of changes.
+const (
+	fromLeaf     changeSource = "leaf" // this instance's own attempt
+	fromPeer     changeSource = "peer"
+	fromOperator changeSource = "operator"
+)
+
+// applyQuarantineActions logs and counts changes, and notifies the peers and the running queries.
+func (e *Executor) applyQuarantineActions(actions []quarantine.Action, source changeSource) {
 	for _, action := range actions {
 		switch action := action.(type) {
 		case quarantine.Announce:
 			e.config.LeafObserver.GossipNow()
 		case quarantine.PhaseChanged:
+			e.reportChange(action, source)
 			e.notifyRuns(action)
 		}
 	}
 }
 
+// prefixQuarantine is the prefix of log lines about requests that crash leaves.
+const prefixQuarantine = "quarantine"
+
+// reportChange logs and counts a change of a fingerprint's phase.
+func (e *Executor) reportChange(c quarantine.PhaseChanged, source changeSource) {
+	e.config.Metrics.CountQuarantine(c.Phase.String(), string(source))
+	e.config.Log.LogDecision(telemetry.Decision{
+		Component: prefixQuarantine, Event: c.Phase.String(), Reason: c.Fingerprint, Extra: []any{"from", source, "for", c.Remaining},
+	})
+}
+
+// reportSuspect logs and counts what becomes of a request that is not clear.
+func (e *Executor) reportSuspect(req *Request, fingerprint, event string, retryAfter time.Duration) {
+	e.config.Metrics.CountQuarantine(event, string(fromLeaf))
+	e.config.Log.LogDecision(telemetry.Decision{
+		Component: prefixQuarantine, Event: event, Request: req.callerRequestID(), Reason: fingerprint, Extra: []any{"retry_after", retryAfter},
+	})
+}
+
 // notifyRuns notifies the running queries of a fingerprint of its new phase.
 func (e *Executor) notifyRuns(c quarantine.PhaseChanged) {
 	var ev query.Event
@@ -185,10 +216,10 @@
 
 // MergeQuarantine merges a peer's list.
 func (e *Executor) MergeQuarantine(list []peerapi.QuarantineRecord) {
-	e.applyQuarantineActions(e.quarantine.merge(list, time.Now()))
+	e.applyQuarantineActions(e.quarantine.merge(list, time.Now()), fromPeer)
 }
 
 // LiftQuarantine ends the quarantine of a fingerprint.
 func (e *Executor) LiftQuarantine(fingerprint string) {
-	e.applyQuarantineActions(e.quarantine.lift(fingerprint, time.Now()))
+	e.applyQuarantineActions(e.quarantine.lift(fingerprint, time.Now()), fromOperator)
 }
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -247,7 +247,7 @@
 	if v.Crashed {
 		e.logDecision(a, telemetry.Decision{Component: prefixQuery, Event: "suspect", Leaf: a.leafIDAt(v.Leaf), Reason: r.fingerprint})
 	}
-	e.applyQuarantineActions(actions)
+	e.applyQuarantineActions(actions, fromLeaf)
 }
 
 // leafIDAt returns the ID of a leaf by its index in the attempt's view, "" if there is
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -150,6 +150,12 @@
 	m.Scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
 }
 
+// CountQuarantine counts an event of a request that is suspected of crashing leaves: a change
+// of its phase, a refusal or a run alone. Both arguments are label values, from small fixed sets.
+func (m *Metrics) CountQuarantine(event, source string) {
+	m.Scope.Tagged(map[string]string{"event": event, "source": source}).Counter("quarantine").Inc(1)
+}
+
 // ObserveQuery counts one answered query and records its latency. Reason says why
 // the answer is incomplete and is empty if it is complete; it is a label value, from
 // the kernel's small fixed set.
--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -43,6 +43,18 @@
 	phaseCount
 )
 
+// String returns the phase's name for logs and metrics.
+func (p Phase) String() string {
+	switch p {
+	case PhaseSuspect:
+		return "suspect"
+	case PhaseQuarantined:
+		return "quarantined"
+	default:
+		return "clear"
+	}
+}
+
 // Phase returns the phase of the record's level.
 func (r Record) Phase() Phase { return Phase(r.Level % int(phaseCount)) }
 
