--- a/entry/hosted/fleet_test.go
+++ b/entry/hosted/fleet_test.go
@@ -26,7 +26,8 @@
 	version uint64
 	// config returns the configuration of a version; nil: all configurations are empty.
 	config        func(version uint64) *catalog.Config
-	revision      uint64 // grows all the time, as heartbeats of leaves are written
+	leaves        func() []catalog.Leaf // nil: there are none
+	revision      uint64                // grows all the time, as heartbeats of leaves are written
 	announcements map[string]fleet.Instance
 	refuses       func(instance string) bool
 	isSilent      func(instance string) bool // calls hang until their context ends
@@ -98,6 +99,9 @@
 	err = s.call(ctx, &s.reads, func() {
 		s.revision++
 		out = catalog.Listing{Revision: s.revision}
+		if s.leaves != nil {
+			out.Leaves = s.leaves()
+		}
 	})
 	return out, err
 }
@@ -131,6 +135,8 @@
 	zones int
 	// crossZoneDelay is the time that a call to another zone takes; 0: peerDelay.
 	crossZoneDelay time.Duration
+	// newLeaves makes an instance's client of the leaves; nil: it reaches none.
+	newLeaves func() Leaves
 	// dropsReplies reports whether a call from one instance to another gets no answer; nil: all do.
 	dropsReplies func(from, to string) bool
 	// slowReplyDelay is added to the time that every second instance takes to answer others.
@@ -177,9 +183,13 @@
 	for s := range seedCount {
 		seeds = append(seeds, peerAddress(s))
 	}
+	newLeaves := f.newLeaves
+	if newLeaves == nil {
+		newLeaves = func() Leaves { return noLeaves{} }
+	}
 	n, err := New(Config{
 		Instance: instanceName(i), Zone: fmt.Sprintf("z%d", i%f.zones), PeerAddress: peerAddress(i), Seeds: seeds, Bootstrap: bootstrap, CPUs: 1,
-		Source: storeClient{f.store, instanceName(i)}, PeerKey: []byte("k"), NewLeaves: func(func(string)) Leaves { return noLeaves{} },
+		Source: storeClient{f.store, instanceName(i)}, PeerKey: []byte("k"), NewLeaves: func(func(string)) Leaves { return newLeaves() },
 		Tunables: Tunables{FreshnessBound: testBound, GracePeriod: time.Second, Catalog: catalog.Settings{ConfigFreshFor: testBound, EntryTTL: testBound, ReregisterWithin: time.Second, DroppedSetRetention: time.Second, RepeatLimit: document.RepeatLimit{Ratio: 0.2, Slack: 56, Window: testRepeatWindow}}},
 		Log:      telemetry.Options{Level: "error", Format: "json"}, LogSink: io.Discard,
 	})
