--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -43,6 +43,7 @@
 	}
 	r.checkDrains(arrivals)
 	r.checkRepeats(arrivals, outcomes)
+	r.checkCrashing(arrivals, outcomes)
 	r.checkCalm(outcomes, calmEnd)
 }
 
@@ -51,7 +52,7 @@
 	runs := make(map[string]int)
 	total := 0
 	for _, a := range arrivals {
-		if want := "/" + string(o.kind) + "/x?" + o.request; a.path != want {
+		if a.path != o.path() {
 			r.violation("a leaf got another target: "+a.path, o.request, a.leaf)
 		}
 		if !allowed(o.kind, a.service) {
@@ -130,7 +131,7 @@
 	var all []*outcome
 	served := 0
 	for i := range outcomes {
-		if o := &outcomes[i]; !o.watch && o.sent.After(end.Add(-calmPart)) && o.sent.Before(end.Add(-maxClientTime)) {
+		if o := &outcomes[i]; !o.watch && !isCrashing(o.target) && o.sent.After(end.Add(-calmPart)) && o.sent.Before(end.Add(-maxClientTime)) {
 			all = append(all, o)
 			if o.status == http.StatusOK {
 				served++
--- a/standin/soak/client.go
+++ b/standin/soak/client.go
@@ -27,6 +27,9 @@
 	kindSearch kind = "search" // over all shards
 )
 
+// target returns the target of a client's request of a kind.
+func (k kind) target(request string) string { return fmt.Sprintf("/%s/x?%s", k, request) }
+
 const (
 	// maxClientTime is how long a client waits, as it says in the request, but for those
 	// over shards, whose time is the profile's.
@@ -55,6 +58,10 @@
 	planned bool
 	// watch says that it is no client's, see watchVersions.
 	watch bool
+	// target is that of the request; empty: the usual one of its kind.
+	target string
+	// inTouch says that nothing had disturbed the instance and the store for contactTime.
+	inTouch bool
 }
 
 // client sends requests until stop is closed.
@@ -109,10 +116,15 @@
 
 // exchange sends one request and reads its answer.
 func (r *run) exchange(n *instance, conn net.Conn, reader *bufio.Reader, request string, k kind) outcome {
-	o := outcome{request: request, kind: k, instance: n.name, sent: time.Now()}
+	return r.exchangeTarget(n, conn, reader, outcome{request: request, kind: k, target: k.target(request)})
+}
+
+// exchangeTarget sends the request that an outcome describes and reads its answer.
+func (r *run) exchangeTarget(n *instance, conn net.Conn, reader *bufio.Reader, o outcome) outcome {
+	o.instance, o.sent, o.inTouch = n.name, time.Now(), r.inTouch(n)
 	_ = conn.SetDeadline(time.Now().Add(readTime))
-	_, err := fmt.Fprintf(conn, "GET /%s/x?%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", k, request,
-		hosted.Host, hosted.HeaderRequest, request, hosted.HeaderDeadlineMS, r.site.profile.timeFor(k).Milliseconds())
+	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", o.target,
+		hosted.Host, hosted.HeaderRequest, o.request, hosted.HeaderDeadlineMS, r.site.profile.timeFor(o.kind).Milliseconds())
 	if err == nil {
 		err = o.read(reader)
 	}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -28,7 +28,7 @@
 // namedFaults are played only where a profile or the options name them.
 var namedFaults = []fault{
 	{"stutter", (*run).stutter}, {"leaf stall", (*run).leafStall}, {"leaf declines", (*run).leafDeclines}, {"kill all", (*run).killAll},
-	{"kill all while leaves decline", (*run).killAllWhileLeavesDecline},
+	{"kill all while leaves decline", (*run).killAllWhileLeavesDecline}, {"crashing request", (*run).crashingRequest},
 }
 
 // between draws a time.
--- a/standin/soak/leaf.go
+++ b/standin/soak/leaf.go
@@ -32,10 +32,21 @@
 	ran     bool
 }
 
-// ledger holds all arrivals at all leaves.
+// ledger holds all arrivals at all leaves, and the crashes of leaves by path of the request.
 type ledger struct {
 	mu       sync.Mutex
 	arrivals []arrival
+	crashes  map[string][]time.Time
+}
+
+// addCrash records that a request crashed a leaf.
+func (l *ledger) addCrash(path string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.crashes == nil {
+		l.crashes = make(map[string][]time.Time)
+	}
+	l.crashes[path] = append(l.crashes[path], time.Now())
 }
 
 // add notes one arrival.
@@ -56,6 +67,8 @@
 	slots             chan struct{}
 	queued            atomic.Int64 // requests that wait for a slot
 	ledger            *ledger
+	// crash is called when a request crashes the leaf.
+	crash func(*fakeLeaf)
 
 	mu      sync.Mutex
 	work    time.Duration
@@ -198,6 +211,11 @@
 	f.ledger.add(a)
 	work, failing := f.workTime()
 	time.Sleep(work)
+	if isCrashing(r.Target) {
+		f.ledger.addCrash(r.Target)
+		f.crash(f)
+		return rawleaf.Reply{End: rawleaf.Reset}
+	}
 	if failing {
 		return rawleaf.Reply{End: rawleaf.Reset}
 	}
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -42,8 +42,9 @@
 	mu sync.Mutex
 	// cmd is the running process, nil between an end and the next start.
 	cmd *exec.Cmd
-	// incarnation counts starts.
+	// incarnation counts starts; startedAt is when the last one was.
 	incarnation int
+	startedAt   time.Time
 	// disturbed is until when a fault other than a planned stop may show.
 	disturbed time.Time
 	// stopping is when it was asked to stop, zero while it was not.
@@ -72,6 +73,7 @@
 
 	mu      sync.Mutex
 	leaves  map[string]*fakeLeaf
+	started int // leaves so far
 	shards  []string
 	sets    [][]string // all sets of shards that a configuration named
 	setOf   [][]string // the set of each version, the first one first
@@ -162,11 +164,13 @@
 func (s *site) addLeaf(service string, work time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id := fmt.Sprintf("%s-%d", service, len(s.leaves))
-	l, err := newLeaf(id, service, zoneName(len(s.leaves)%leafZones), work, s.profile.leaf, s.ledger)
+	id := fmt.Sprintf("%s-%d", service, s.started)
+	l, err := newLeaf(id, service, zoneName(s.started%leafZones), work, s.profile.leaf, s.ledger)
 	if err != nil {
 		return err
 	}
+	s.started++
+	l.crash = s.replaceCrashed
 	s.leaves[id] = l
 	s.register(l)
 	return nil
@@ -321,7 +325,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cmd, n.stopping, n.seen = cmd, time.Time{}, 0
+	n.cmd, n.stopping, n.seen, n.startedAt = cmd, time.Time{}, 0, time.Now()
 	n.incarnation++
 	return nil
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -193,7 +193,7 @@
 	defer r.mu.Unlock()
 	out := &Report{Faults: r.faults, RepeatUse: r.repeatUse, Unserved: r.unserved, Violations: slices.Clone(r.violations)}
 	for i := range r.outcomes {
-		if r.outcomes[i].watch {
+		if r.outcomes[i].watch || isCrashing(r.outcomes[i].target) {
 			continue
 		}
 		out.Requests++
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -48,6 +49,20 @@
 	}})
 }
 
+// TestSoakOfRequestsThatCrashLeaves sends requests that crash leaves to all instances.
+func TestSoakOfRequestsThatCrashLeaves(t *testing.T) {
+	playSoaks(t, []soakCase{
+		{
+			options: Options{Seed: 7, For: 20 * time.Second, Instances: 4, Clients: 8, Faults: []string{"crashing request"}},
+			cause:   "each instance ran a suspect alone by its own decision, again after each quarantine",
+		},
+		{
+			options: Options{Seed: 8, For: 15 * time.Second, Instances: 4, Clients: 8, Faults: []string{"crashing request", "leaf crash", "stop", "kill"}},
+			cause:   "an instance that started knew no suspects",
+		},
+	})
+}
+
 // playSoaks plays soaks, none of which may break a promise.
 func playSoaks(t *testing.T, soaks []soakCase) {
 	t.Helper()
@@ -106,6 +121,41 @@
 	}
 }
 
+// TestLateCrashingRequestsAreCounted feeds the check with sendings of a crashing request, late
+// and early ones, by instances that are in touch or not.
+func TestLateCrashingRequestsAreCounted(t *testing.T) {
+	now := time.Now()
+	for _, tc := range []struct {
+		name    string
+		late    int // sendings in touch
+		outside int // late ones by instances that are not in touch
+		want    int
+	}{{"early only", 0, 0, 0}, {"allowed", maxLateRetries, 0, 0}, {"too many", maxLateRetries + 1, 0, 1}, {"not in touch", maxLateRetries, 5, 0}} {
+		path := crashingTarget(kindOne)
+		r := &run{site: &site{ledger: &ledger{crashes: map[string][]time.Time{path: {now, now, now, now.Add(time.Minute)}}}}}
+		var arrivals []arrival
+		var outcomes []outcome
+		add := func(at time.Time, inTouch bool) {
+			request := fmt.Sprint(len(outcomes))
+			arrivals = append(arrivals, arrival{at: at, request: request, path: path}, arrival{at: at, request: request, path: path})
+			outcomes = append(outcomes, outcome{request: request, inTouch: inTouch})
+		}
+		for range 10 {
+			add(now.Add(lateAfter), true)
+		}
+		for range tc.late {
+			add(now.Add(lateAfter+time.Millisecond), true)
+		}
+		for range tc.outside {
+			add(now.Add(lateAfter+time.Millisecond), false)
+		}
+		r.checkCrashing(arrivals, outcomes)
+		if len(r.violations) != tc.want {
+			t.Errorf("%s: %d violations, want %d: %v", tc.name, len(r.violations), tc.want, r.violations)
+		}
+	}
+}
+
 // TestOldVersionIsSeenInASeriesOfChanges writes versions faster than the bound: one that is in
 // force for too long is seen although a newer one was just written.
 func TestOldVersionIsSeenInASeriesOfChanges(t *testing.T) {
