Claim each trial of a suspect in the store, and make trials rarer

Cause: two decisions without memory. Each instance decided for itself to run a suspect alone, and a quarantine that had passed left a suspect as if it had never been tried. While all leaves are down nobody can try; as they return everyone does.

Change: before an attempt alone is sent, the run claims the trial: it writes the record of the fingerprint (level, number of the trial, end of the quarantine) to the platform's store on the condition that it is still the one that showed a suspect. The record says "refused" from then on; only a run to completion clears it. No other attempt of a request that is not clear is sent: the check is made with the connection to the leaf at hand, so that no trial is spent on a dial that fails. Without the store a suspect is refused as not run, with the time to come back. A suspect that nobody claims within half a second is stored as such.

Cost: one write for each new suspect or trial, a second one if another instance had written before, one deletion for a request that is cleared; some 150 bytes each.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -66,7 +66,9 @@
 	Fingerprint string `json:"fp"`
 	// Level is the record's level as defined by kernel/quarantine: its remainder modulo 3
 	// is clear, suspect or in quarantine. Of two records the greater level applies.
-	Level       int   `json:"level"`
+	Level int `json:"level"`
+	// Trials counts the runs alone on a leaf since the request last ran to completion.
+	Trials      int   `json:"trials,omitempty"`
 	RemainingMS int64 `json:"left_ms"`
 }
 
--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -39,7 +39,7 @@
 	up := e.leafState.isUp(s.leaf.ID)
 	target := leafclient.Target{ID: s.leaf.ID, Name: s.leaf.Name, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.dialCost}
 	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body, Forwarded: a.run.request.Forwarded}
-	reply, err := e.config.LeafClient.Run(s.ctx, target, request, func() bool { return a.run.confirmSend(a, leaf) })
+	reply, err := e.config.LeafClient.Run(s.ctx, target, request, func() bool { return a.run.mayRunOn(s.ctx, a) && a.run.confirmSend(a, leaf) })
 	e.repeatLimiters.endExchange(a, err)
 	if err != nil {
 		a.run.service.metrics.CountAttempt(attemptOutcome(s.ctx, err), s.action.QueueTime)
@@ -95,7 +95,7 @@
 	switch {
 	case errors.As(err, &dial):
 		outcome := dispatch.OutcomeDialFailed
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, leafclient.ErrCancelledBeforeSend) {
 			outcome = dispatch.OutcomeCancelled
 		}
 		p.finishAttempt(a, outcome, 0)
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -102,9 +102,12 @@
 	// protocols whose connections end for many reasons; 0 means that a loss is never
 	// counted as a crash.
 	SuspectAfterLosses int
-	// QuarantineDuration is how long a request that crashes leaves is refused; 0 means
-	// ten minutes.
+	// QuarantineDuration is how long a request that crashes leaves is refused for the first
+	// time; 0 means ten minutes.
 	QuarantineDuration time.Duration
+	// Trials decides which instance of the fleet runs a suspect alone; nil: each one decides
+	// for itself.
+	Trials Trials
 }
 
 // Executor runs queries. It is safe for concurrent use.
--- a/entry/executor/leaf_loss.go
+++ b/entry/executor/leaf_loss.go
@@ -17,8 +17,8 @@
 // recordLeafLoss records that the connection to a leaf ended under an attempt, and reports
 // whether that counts as a crash of the leaf. It does once the request is suspected. A
 // fan-out is suspected when as many leaves were lost as half of the shards that this
-// instance queries, and none has replied: a request that crashes a leaf crashes each leaf
-// that runs it, and fewer losses have other causes.
+// instance queries, and none has replied: a request that crashes a leaf crashes each
+// leaf that runs it, and fewer losses have other causes.
 func (e *Executor) recordLeafLoss(a *attempt) bool {
 	r := a.run
 	switch {
@@ -35,5 +35,6 @@
 	r.suspected.Store(true)
 	e.logDecision(a, telemetry.Decision{Component: prefixQuery, Event: "suspect", Leaf: a.leafID, Reason: r.fingerprint, Extra: []any{"lost", threshold}})
 	e.applyQuarantineActions(actions, fromLeaf)
+	e.saveSuspect(r.fingerprint)
 	return true
 }
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -17,18 +17,25 @@
 )
 
 // quarantineState holds what the fleet knows of requests that crash leaves. A lock guards
-// the kernel's machine and the loss counter.
+// the kernel's machine, the loss counter and the trials.
 type quarantineState struct {
 	key     []byte
 	mu      sync.Mutex
 	machine *quarantine.Machine
 	losses  quarantine.LossCounter
+	// claiming holds the fingerprints whose trial is being claimed.
+	claiming map[string]bool
 }
 
+// crashMemory is how long a request that crashed leaves is remembered.
+const crashMemory = 24 * time.Hour
+
 // quarantineConfig holds the default times and limits of the quarantine.
 var quarantineConfig = quarantine.Config{
 	QuarantineDuration: defaultQuarantineDuration,
-	SuspectDuration:    2 * time.Minute,
+	LaterQuarantines:   []time.Duration{time.Hour, crashMemory},
+	SuspectDuration:    crashMemory,
+	ClearDuration:      2 * time.Minute,
 	MaxRecords:         4096,
 	MaxKnownGood:       65536,
 	MaxDigestRecords:   32,
@@ -52,7 +59,8 @@
 		config.QuarantineDuration = duration
 	}
 	return &quarantineState{
-		key: key, machine: quarantine.New(config), losses: quarantine.LossCounter{Window: lossWindow, MaxRequests: maxRequestsWithLosses},
+		key: key, machine: quarantine.New(config), claiming: make(map[string]bool),
+		losses: quarantine.LossCounter{Window: lossWindow, MaxRequests: maxRequestsWithLosses},
 	}
 }
 
@@ -124,11 +132,16 @@
 	defer s.mu.Unlock()
 	var out []peerapi.QuarantineRecord
 	for _, r := range s.machine.Digest(now) {
-		out = append(out, peerapi.QuarantineRecord{Fingerprint: r.Fingerprint, Level: r.Level, RemainingMS: r.ExpiresAt.Sub(now).Milliseconds()})
+		out = append(out, encodeRecord(r, now))
 	}
 	return out
 }
 
+// encodeRecord converts a record for peers.
+func encodeRecord(r quarantine.Record, now time.Time) peerapi.QuarantineRecord {
+	return peerapi.QuarantineRecord{Fingerprint: r.Fingerprint, Level: r.Level, Trials: r.Trials, RemainingMS: r.ExpiresAt.Sub(now).Milliseconds()}
+}
+
 // maxRemainingMS limits how long a record from a peer may still last, in milliseconds;
 // the kernel limits it further.
 const maxRemainingMS = int64(24 * time.Hour / time.Millisecond)
@@ -138,7 +151,7 @@
 	records := make([]quarantine.Record, 0, len(list))
 	for _, q := range list {
 		left := time.Duration(min(q.RemainingMS, maxRemainingMS)) * time.Millisecond
-		records = append(records, quarantine.Record{Fingerprint: q.Fingerprint, Level: q.Level, ExpiresAt: now.Add(left)})
+		records = append(records, quarantine.Record{Fingerprint: q.Fingerprint, Level: q.Level, Trials: q.Trials, ExpiresAt: now.Add(left)})
 	}
 	return s.handle(quarantine.RecordsReceived{Records: records}, now)
 }
@@ -155,6 +168,7 @@
 const (
 	fromLeaf     changeSource = "leaf" // this instance's own attempt
 	fromPeer     changeSource = "peer"
+	fromStore    changeSource = "store"
 	fromOperator changeSource = "operator"
 )
 
@@ -193,13 +207,13 @@
 // notifyRuns notifies the running queries of a fingerprint of its new phase.
 func (e *Executor) notifyRuns(c quarantine.PhaseChanged) {
 	var ev query.Event
-	switch c.Phase {
-	case quarantine.PhaseClear:
+	switch {
+	case c.Phase == quarantine.PhaseClear:
 		ev = query.Cleared{}
-	case quarantine.PhaseQuarantined:
+	case c.Phase == quarantine.PhaseQuarantined && e.config.Trials == nil:
 		ev = query.Quarantined{RetryAfter: c.Remaining}
 	default:
-		return
+		return // with Trials, mayRunOn holds back what was not sent yet
 	}
 	e.runsMu.Lock()
 	defer e.runsMu.Unlock()
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -248,6 +248,9 @@
 		e.logDecision(a, telemetry.Decision{Component: prefixQuery, Event: "suspect", Leaf: a.leafIDAt(v.Leaf), Reason: r.fingerprint})
 	}
 	e.applyQuarantineActions(actions, fromLeaf)
+	if !v.Crashed {
+		e.deleteCleared(actions)
+	}
 }
 
 // leafIDAt returns the ID of a leaf by its index in the attempt's view, "" if there is
--- /dev/null
+++ b/entry/executor/trials_test.go
@@ -0,0 +1,123 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/api/leafapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
+)
+
+// fakeTrials claims every trial, or none. It counts the calls.
+type fakeTrials struct {
+	refuses         bool
+	claims, deletes int
+}
+
+func (f *fakeTrials) Claim(_ context.Context, r quarantine.Record) (quarantine.Record, bool) {
+	f.claims++
+	if f.refuses {
+		return quarantine.Record{}, false
+	}
+	return r, true
+}
+func (f *fakeTrials) Save(quarantine.Record) {}
+func (f *fakeTrials) Delete(string)          { f.deletes++ }
+
+// newSuspectExecutor makes an executor for which the request of the service "ask" is a suspect,
+// with a behaviour of all leaves.
+func newSuspectExecutor(t *testing.T, trials *fakeTrials, b func(e *testExecutor) behaviour) *testExecutor {
+	e := newTestExecutor(t, 2)
+	e.executor.config.Trials = trials
+	for _, id := range []string{"l0-a", "l0-b", "l1-a", "l1-b"} {
+		e.leaves.behaviours[id] = b(e)
+	}
+	fingerprint := e.executor.quarantine.fingerprint(e.request("ask"))
+	e.executor.quarantine.handle(quarantine.AttemptEnded{Fingerprint: fingerprint, Crashed: true}, time.Now())
+	return e
+}
+
+// declines receives the request and declines it.
+func declines(e *testExecutor) behaviour {
+	return func(_ context.Context, t leafclient.Target, _ *leafclient.Request, sent func() bool) (*leafclient.Reply, error) {
+		if !sent() {
+			return nil, &leafclient.DialError{Leaf: t.ID, Err: leafclient.ErrCancelledBeforeSend}
+		}
+		e.leaves.count(t.ID)
+		return nil, &leafclient.DeclinedError{Leaf: t.ID, Reason: leafapi.DeclineOverloaded}
+	}
+}
+
+// TestSuspectReachesOneLeafInATrial has the leaves decline a suspect, break the connection, or
+// serve it: unless it is served it reaches one leaf, and then none while it is in quarantine.
+func TestSuspectReachesOneLeafInATrial(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		behaviour func(e *testExecutor) behaviour
+		served    bool
+	}{
+		{"declined", declines, false},
+		{"broken", func(e *testExecutor) behaviour { return e.leaves.breaks }, false},
+		{"served", func(e *testExecutor) behaviour { return e.leaves.serve(10*time.Millisecond, 1) }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				trials := &fakeTrials{}
+				e := newSuspectExecutor(t, trials, tc.behaviour)
+				defer e.close()
+				for range 3 {
+					_, err := e.execute(t.Context(), "ask")
+					if tc.served != (err == nil) && tc.name != "broken" {
+						t.Errorf("served is %v, want %v: %v", err == nil, tc.served, err)
+					}
+				}
+				want := 1
+				if tc.served {
+					want = 6
+				}
+				if n := e.leaves.executions(); n != want || trials.claims != 1 {
+					t.Errorf("%d arrivals after %d claims, want %d after 1", n, trials.claims, want)
+				}
+				if deleted := trials.deletes == 1; deleted != tc.served {
+					t.Errorf("%d deletions, served is %v", trials.deletes, tc.served)
+				}
+			})
+		})
+	}
+}
+
+// TestSuspectWithoutClaimIsRefusedAsNotRun has no trial claimed: nothing is sent, and the caller
+// is told when to come back.
+func TestSuspectWithoutClaimIsRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newSuspectExecutor(t, &fakeTrials{refuses: true}, declines)
+		defer e.close()
+		_, err := e.execute(t.Context(), "ask")
+		var refused *RefusedError
+		if !errors.As(err, &refused) || refused.Reason != RefusedQuarantined || refused.RetryAfter <= 0 {
+			t.Errorf("error %v, want a refusal with the time to come back", err)
+		}
+		if n := e.leaves.executions(); n != 0 {
+			t.Errorf("%d arrivals", n)
+		}
+	})
+}
+
+// TestTrialIsNotClaimedWhileNoLeafIsReached has all dials fail: no trial is spent on it.
+func TestTrialIsNotClaimedWhileNoLeafIsReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		trials := &fakeTrials{}
+		e := newSuspectExecutor(t, trials, func(*testExecutor) behaviour { return noConnection })
+		defer e.close()
+		if _, err := e.execute(t.Context(), "ask"); err == nil {
+			t.Error("served without a leaf")
+		}
+		if trials.claims != 0 {
+			t.Errorf("%d claims", trials.claims)
+		}
+	})
+}
--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -78,6 +78,11 @@
 func (s *fakeStore) Announce(context.Context, fleet.Instance, bool) (bool, error) {
 	return false, nil
 }
+func (s *fakeStore) QuarantineRecords(context.Context) ([]QuarantineRecord, error) { return nil, nil }
+func (s *fakeStore) WriteQuarantineRecord(context.Context, QuarantineRecord) (uint64, error) {
+	return 1, nil
+}
+func (s *fakeStore) DeleteQuarantineRecord(context.Context, string, uint64) error { return nil }
 
 // noLeaves is a leaf protocol client that reaches no leaf.
 type noLeaves struct{}
--- a/entry/hosted/fleet_test.go
+++ b/entry/hosted/fleet_test.go
@@ -29,12 +29,15 @@
 	leaves        func() []catalog.Leaf // nil: there are none
 	revision      uint64                // grows all the time, as heartbeats of leaves are written
 	announcements map[string]fleet.Instance
+	quarantine    map[string]QuarantineRecord // by fingerprint
 	refuses       func(instance string) bool
 	isSilent      func(instance string) bool // calls hang until their context ends
 	reads         int                        // of configuration and leaves
 	lists         int                        // reads of announcements
 	probes        int                        // each costs a tenth of a read
 	writes        int
+	// quarantineReads and quarantineWrites count the calls for records of requests that crash leaves.
+	quarantineReads, quarantineWrites int
 }
 
 // takeCounts returns the number of calls of each kind since the last call of takeCounts; ten probes
@@ -127,6 +130,40 @@
 	return existed, err
 }
 
+func (s storeClient) QuarantineRecords(ctx context.Context) (out []QuarantineRecord, err error) {
+	err = s.call(ctx, &s.quarantineReads, func() {
+		for _, r := range s.quarantine {
+			out = append(out, r)
+		}
+	})
+	return out, err
+}
+
+func (s storeClient) WriteQuarantineRecord(ctx context.Context, r QuarantineRecord) (revision uint64, err error) {
+	conflict := false
+	err = s.call(ctx, &s.quarantineWrites, func() {
+		if conflict = s.quarantine[r.Fingerprint].Revision != r.Revision; conflict {
+			r = s.quarantine[r.Fingerprint]
+			return
+		}
+		s.revision++
+		r.Revision = s.revision
+		s.quarantine[r.Fingerprint] = r
+	})
+	if err == nil && conflict {
+		err = &QuarantineConflictError{Stored: r}
+	}
+	return r.Revision, err
+}
+
+func (s storeClient) DeleteQuarantineRecord(ctx context.Context, fingerprint string, revision uint64) error {
+	return s.call(ctx, &s.quarantineWrites, func() {
+		if s.quarantine[fingerprint].Revision == revision {
+			delete(s.quarantine, fingerprint)
+		}
+	})
+}
+
 // testFleet is a fleet of instances that run in virtual time.
 type testFleet struct {
 	t     *testing.T
@@ -165,7 +202,7 @@
 
 // newTestFleet makes a fleet of which no instance runs yet.
 func newTestFleet(t *testing.T, size int) *testFleet {
-	return &testFleet{t: t, size: size, zones: defaultZones, store: &sharedStore{version: 1, announcements: make(map[string]fleet.Instance)}, running: make(map[string]*testInstance)}
+	return &testFleet{t: t, size: size, zones: defaultZones, store: &sharedStore{version: 1, announcements: make(map[string]fleet.Instance), quarantine: make(map[string]QuarantineRecord)}, running: make(map[string]*testInstance)}
 }
 
 // testRepeatWindow is the window of the limit on repeats.
@@ -201,6 +238,7 @@
 	var done sync.WaitGroup
 	done.Go(func() { _ = n.control.run(ctx) })
 	done.Go(func() { _ = n.membership.keepAnnounced(ctx) })
+	done.Go(func() { _ = n.trials.run(ctx) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.running[peerAddress(i)] = &testInstance{node: n, slowReplies: i%2 == 0, stop: func() {
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -47,6 +47,38 @@
 	// Announce writes this instance's announcement and reports whether one existed
 	// before; known says that the list in force has one.
 	Announce(ctx context.Context, i fleet.Instance, known bool) (existed bool, err error)
+	// QuarantineRecords reads the records of requests that crash leaves.
+	QuarantineRecords(ctx context.Context) ([]QuarantineRecord, error)
+	// WriteQuarantineRecord creates a record if its revision is 0, and else replaces the one of
+	// that revision. It returns the new revision. The error is a *QuarantineConflictError if the
+	// store has another revision.
+	WriteQuarantineRecord(ctx context.Context, r QuarantineRecord) (revision uint64, err error)
+	// DeleteQuarantineRecord deletes a record of a revision.
+	DeleteQuarantineRecord(ctx context.Context, fingerprint string, revision uint64) error
+}
+
+// QuarantineRecord is the stored record of a request that is suspected of crashing leaves.
+type QuarantineRecord struct {
+	// Fingerprint, Level and Trials are those of quarantine.Record.
+	Fingerprint   string
+	Level, Trials int
+	// ExpiresMillis is when the record expires, in Unix milliseconds by the clock of the
+	// instance that wrote it.
+	ExpiresMillis int64
+	// Revision is that of the stored object, 0 if it is not stored yet.
+	Revision uint64
+}
+
+// QuarantineConflictError means that the store has another revision of a record than the one
+// to be written.
+type QuarantineConflictError struct {
+	// Stored is the record in the store; without a fingerprint if it could not be decoded.
+	Stored QuarantineRecord
+}
+
+// Error implements error.
+func (e *QuarantineConflictError) Error() string {
+	return fmt.Sprintf("quarantine record is at revision %d", e.Stored.Revision)
 }
 
 // Leaves is the client of the leaf protocol, with its connections.
@@ -116,6 +148,7 @@
 	membership       *membership
 	peers            *peer.Client
 	slowLeaves       *slowleaves.Exchange
+	trials           *trialStore
 	forwarder        *forwarding.Forwarder
 	gateway          *gateway.Gateway
 	view             atomic.Pointer[view.View]
@@ -135,10 +168,9 @@
 	// the request is suspected of breaking leaves. One request can lose two by chance, when two
 	// leaves crash or reset connections at about the same time; three hardly ever do.
 	lostToSuspect = 3
-	// quarantineFor is how long a request that breaks leaves is refused before it is tried on
-	// one leaf again. It is short because the losses may have another cause that all leaves of
-	// the service share.
-	quarantineFor = 15 * time.Second
+	// firstQuarantine is how long a request is refused after its first trial on one leaf. It is
+	// short because the losses may have another cause that all leaves of the service share.
+	firstQuarantine = 15 * time.Second
 )
 
 // combinerName is the policy that combines the answers of the shards.
@@ -160,6 +192,7 @@
 	n.tunables.Store(&c.Tunables)
 	n.membership = newMembership(n)
 	n.slowLeaves = slowleaves.New()
+	n.trials = newTrialStore(n)
 	n.peers = peer.NewClient(peer.ClientConfig{Instance: c.Instance, Key: c.PeerKey, DialTimeout: peerSilenceTimeout, SyncIdleTimeout: peerSilenceTimeout})
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.reportLeafGone)
@@ -169,7 +202,7 @@
 	n.executor = executor.New(executor.Config{
 		LeafClient: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: policies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, SuspectAfterLosses: lostToSuspect, QuarantineDuration: quarantineFor,
+		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, SuspectAfterLosses: lostToSuspect, QuarantineDuration: firstQuarantine, Trials: n.trials,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
@@ -232,6 +265,7 @@
 	g.Go(func() error { return n.peerServer().Serve(ctx, peers) })
 	g.Go(func() error { return n.control.run(ctx) })
 	g.Go(func() error { return n.membership.keepAnnounced(ctx) })
+	g.Go(func() error { return n.trials.run(ctx) })
 	g.Go(func() error { return n.forwarder.KeepConnected(ctx, n.membership.listKnown) })
 	g.Go(func() error {
 		select {
--- /dev/null
+++ b/entry/hosted/trialstore.go
@@ -0,0 +1,217 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
+)
+
+// trialStore keeps the quarantine's records in the platform's store, one object a request. It
+// implements executor.Trials. A trial is claimed by a write on the condition that the object
+// is still the one that showed the request to be a suspect, so that of all instances one runs
+// it. Saving and deleting happen later, in the goroutine of run.
+type trialStore struct {
+	node *Node
+	log  *telemetry.ComponentLog
+	// pending has the saves and deletions to do.
+	pending chan pendingWrite
+
+	mu sync.Mutex
+	// known holds the stored records as this instance last saw them, by fingerprint.
+	known map[string]QuarantineRecord
+}
+
+// pendingWrite is a record to save, or, without a level, one to delete.
+type pendingWrite struct {
+	record quarantine.Record
+	due    time.Time
+	// retryDelay is the time after a failure until the next attempt.
+	retryDelay time.Duration
+}
+
+const (
+	// saveDelay is the time in which most new suspects are claimed or cleared, which makes
+	// their saving needless.
+	saveDelay = 500 * time.Millisecond
+	// maxPendingWrites bounds the saves and deletions to do; those beyond it are dropped.
+	maxPendingWrites = 256
+	// writeTimeout bounds one save or deletion. minWriteRetryDelay is the first time between
+	// two attempts to save a record, doubled up to maxWriteRetryDelay.
+	writeTimeout       = time.Second
+	minWriteRetryDelay = 2 * time.Second
+	maxWriteRetryDelay = time.Minute
+	// sweepInterval is the time between two searches for stored records that have expired.
+	sweepInterval = 10 * time.Minute
+)
+
+// newTrialStore returns a trialStore that knows no record yet.
+func newTrialStore(n *Node) *trialStore {
+	return &trialStore{node: n, log: n.log.Component("quarantine"), pending: make(chan pendingWrite, maxPendingWrites), known: make(map[string]QuarantineRecord)}
+}
+
+// lastSeen returns the stored record of a request as this instance last saw it; its revision is 0
+// if there was none.
+func (s *trialStore) lastSeen(fingerprint string) QuarantineRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known[fingerprint]
+}
+
+// saw records what the store has of a request; without a revision: nothing.
+func (s *trialStore) saw(fingerprint string, stored QuarantineRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stored.Revision == 0 {
+		delete(s.known, fingerprint)
+		return
+	}
+	s.known[fingerprint] = stored
+}
+
+// Claim implements executor.Trials.
+func (s *trialStore) Claim(ctx context.Context, r quarantine.Record) (stored quarantine.Record, claimed bool) {
+	if seen := s.lastSeen(r.Fingerprint); !isOlder(seen, r) {
+		return decodeStored(seen, time.Now()), false
+	}
+	err := s.write(ctx, r)
+	var conflict *QuarantineConflictError
+	if errors.As(err, &conflict) && isOlder(conflict.Stored, r) {
+		err = s.write(ctx, r)
+	}
+	switch {
+	case err == nil:
+		return r, true
+	case errors.As(err, &conflict):
+		return decodeStored(conflict.Stored, time.Now()), false
+	default:
+		s.saw(r.Fingerprint, QuarantineRecord{})
+		s.log.Warn("trial was not claimed", "fingerprint", r.Fingerprint, "err", err)
+		return quarantine.Record{}, false
+	}
+}
+
+// isOlder reports whether a stored record is one that a new record may replace.
+func isOlder(stored QuarantineRecord, r quarantine.Record) bool {
+	return stored.Fingerprint == "" || cmp.Or(cmp.Compare(stored.Level, r.Level), cmp.Compare(stored.Trials, r.Trials)) < 0
+}
+
+// write writes a record over the one that this instance last saw.
+func (s *trialStore) write(ctx context.Context, r quarantine.Record) error {
+	out := QuarantineRecord{
+		Fingerprint: r.Fingerprint, Level: r.Level, Trials: r.Trials, ExpiresMillis: time.Now().Add(time.Until(r.ExpiresAt)).UnixMilli(),
+		Revision: s.lastSeen(r.Fingerprint).Revision,
+	}
+	revision, err := s.node.config.Source.WriteQuarantineRecord(ctx, out)
+	var conflict *QuarantineConflictError
+	switch {
+	case err == nil:
+		out.Revision = revision
+		s.saw(r.Fingerprint, out)
+	case errors.As(err, &conflict):
+		s.saw(r.Fingerprint, conflict.Stored)
+	}
+	return err
+}
+
+// decodeStored converts a stored record.
+func decodeStored(r QuarantineRecord, now time.Time) quarantine.Record {
+	return quarantine.Record{
+		Fingerprint: r.Fingerprint, Level: r.Level, Trials: r.Trials,
+		ExpiresAt: now.Add(time.Duration(r.ExpiresMillis-now.UnixMilli()) * time.Millisecond),
+	}
+}
+
+// Save implements executor.Trials.
+func (s *trialStore) Save(r quarantine.Record) {
+	s.enqueue(pendingWrite{record: r, due: time.Now().Add(saveDelay), retryDelay: minWriteRetryDelay})
+}
+
+// Delete implements executor.Trials.
+func (s *trialStore) Delete(fingerprint string) {
+	s.enqueue(pendingWrite{record: quarantine.Record{Fingerprint: fingerprint}})
+}
+
+// enqueue adds a save or a deletion; one beyond the bound is dropped.
+func (s *trialStore) enqueue(w pendingWrite) {
+	select {
+	case s.pending <- w:
+	default:
+		s.log.Warn("write was dropped", "fingerprint", w.record.Fingerprint)
+	}
+}
+
+// run saves and deletes records until the context ends.
+func (s *trialStore) run(ctx context.Context) error {
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-sweep.C:
+			s.sweep()
+		case w := <-s.pending:
+			sleep(ctx, time.Until(w.due))
+			s.perform(ctx, w)
+		}
+	}
+}
+
+// perform saves or deletes a record. A record that could not be saved is tried again later.
+func (s *trialStore) perform(ctx context.Context, w pendingWrite) {
+	fingerprint := w.record.Fingerprint
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if w.record.Level == 0 {
+		s.remove(ctx, fingerprint)
+		return
+	}
+	current, ok := s.node.executor.QuarantineRecord(fingerprint)
+	if !ok || current.Level != w.record.Level || s.lastSeen(fingerprint).Revision != 0 {
+		return // cleared, claimed or stored meanwhile
+	}
+	err := s.write(ctx, w.record)
+	var conflict *QuarantineConflictError
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict):
+		s.node.executor.LoadQuarantine([]quarantine.Record{decodeStored(conflict.Stored, time.Now())})
+	case ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
+		w.due = time.Now().Add(w.retryDelay)
+		w.retryDelay = min(2*w.retryDelay, maxWriteRetryDelay)
+		s.enqueue(w)
+	}
+}
+
+// remove deletes the record of a request, if this instance knows its revision. Another
+// instance's newer record stays: its trial shows anew that the request crashes no leaf.
+func (s *trialStore) remove(ctx context.Context, fingerprint string) {
+	seen := s.lastSeen(fingerprint)
+	if seen.Revision == 0 {
+		return
+	}
+	s.saw(fingerprint, QuarantineRecord{})
+	if err := s.node.config.Source.DeleteQuarantineRecord(ctx, fingerprint, seen.Revision); err != nil {
+		s.log.Warn("record was not deleted", "fingerprint", fingerprint, "err", err)
+	}
+}
+
+// sweep deletes the stored records whose requests are no longer remembered.
+func (s *trialStore) sweep() {
+	s.mu.Lock()
+	var expired []string
+	for fingerprint := range s.known {
+		if _, ok := s.node.executor.QuarantineRecord(fingerprint); !ok {
+			expired = append(expired, fingerprint)
+		}
+	}
+	s.mu.Unlock()
+	for _, fingerprint := range expired {
+		s.Delete(fingerprint)
+	}
+}
--- /dev/null
+++ b/entry/hosted/trialstore_test.go
@@ -0,0 +1,110 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
+)
+
+// trial returns the record of a trial of the request f00d.
+func trial(number int) quarantine.Record {
+	return quarantine.Record{Fingerprint: "f00d", Level: 3*number - 1, Trials: number, ExpiresAt: time.Now().Add(time.Minute)}
+}
+
+// newClaimingNodes makes instances over one store, which do not run.
+func newClaimingNodes(t *testing.T, store *sharedStore, n int) []*Node {
+	var out []*Node
+	for i := range n {
+		node := newIdleNode(t)
+		node.config.Source = storeClient{store, instanceName(i)}
+		out = append(out, node)
+	}
+	return out
+}
+
+// TestOneInstanceClaimsEachTrial has several instances claim the same trials.
+func TestOneInstanceClaimsEachTrial(t *testing.T) {
+	store := &sharedStore{quarantine: make(map[string]QuarantineRecord)}
+	nodes := newClaimingNodes(t, store, 4)
+	for number := 1; number <= 3; number++ {
+		claims := 0
+		for _, n := range nodes {
+			stored, claimed := n.trials.Claim(context.Background(), trial(number))
+			if claimed {
+				claims++
+			} else if stored.Trials != number {
+				t.Errorf("trial %d: the refusal says %+v", number, stored)
+			}
+		}
+		if claims != 1 {
+			t.Errorf("trial %d was claimed by %d instances", number, claims)
+		}
+	}
+	if _, claimed := nodes[0].trials.Claim(context.Background(), trial(1)); claimed {
+		t.Error("an earlier trial was claimed after later ones")
+	}
+}
+
+// TestTrialIsNotClaimedWithoutStore has the store refuse the call.
+func TestTrialIsNotClaimedWithoutStore(t *testing.T) {
+	store := &sharedStore{quarantine: make(map[string]QuarantineRecord), refuses: func(string) bool { return true }}
+	n := newClaimingNodes(t, store, 1)[0]
+	if stored, claimed := n.trials.Claim(context.Background(), trial(1)); claimed || stored.Fingerprint != "" {
+		t.Errorf("claimed %v, stored %+v", claimed, stored)
+	}
+}
+
+// TestSuspectIsSavedOnceStoreAnswers saves a suspect while the store refuses its calls: the
+// record is there soon after it answers again, and it cost few calls.
+func TestSuspectIsSavedOnceStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &sharedStore{quarantine: make(map[string]QuarantineRecord), refuses: func(string) bool { return true }}
+		n := newClaimingNodes(t, store, 1)[0]
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.trials.run(ctx) }()
+		suspect := quarantine.Record{Fingerprint: "f00d", Level: 1, ExpiresAt: time.Now().Add(time.Hour)}
+		n.executor.LoadQuarantine([]quarantine.Record{suspect})
+		n.trials.Save(suspect)
+		time.Sleep(5 * time.Minute)
+		store.update(func(s *sharedStore) { s.refuses = nil })
+		time.Sleep(maxWriteRetryDelay + time.Second)
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+		if r, ok := store.quarantine["f00d"]; !ok || r.Level != 1 {
+			t.Errorf("stored %+v", store.quarantine)
+		}
+		if store.quarantineWrites > 12 {
+			t.Errorf("%d calls in six minutes", store.quarantineWrites)
+		}
+	})
+}
+
+// TestSuspectOfOutageIsRefusedUntilStoreAnswers takes the store away after a request has become a
+// suspect: it reaches no leaf meanwhile, and is served again once the store answers.
+func TestSuspectOfOutageIsRefusedUntilStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, farm := newCrashingFleet(t, 3, 20, 2, 3*time.Second)
+		defer f.stopAll()
+		go f.ask(0, wideRoute, harmlessTarget)
+		time.Sleep(leafWork / 2)
+		farm.crashAll()
+		time.Sleep(5 * time.Second) // the new leaves are known
+		f.store.update(func(s *sharedStore) { s.refuses = func(string) bool { return true } })
+		time.Sleep(time.Second)
+		if f.ask(0, wideRoute, harmlessTarget) {
+			t.Error("a suspect was served without a claim")
+		}
+		f.store.update(func(s *sharedStore) { s.refuses = nil })
+		time.Sleep(time.Second)
+		if !f.ask(0, wideRoute, harmlessTarget) {
+			t.Error("a suspect was not served after the store's return")
+		}
+	})
+}
--- a/entry/platform/errors.go
+++ b/entry/platform/errors.go
@@ -12,6 +12,8 @@
 	Kind, Name string
 	// Version is the object's version in the store; 0 means absent.
 	Version uint64
+	// Body is the reply, which holds the object in some stores.
+	Body []byte
 }
 
 // Error implements error.
--- a/entry/platform/exchange.go
+++ b/entry/platform/exchange.go
@@ -72,7 +72,7 @@
 		if err := json.Unmarshal(body, &conflict); err != nil {
 			return unusableReplyError(r, true, 0, err)
 		}
-		return &ConflictError{Kind: r.Kind, Name: r.Name, Version: conflict.Version}
+		return &ConflictError{Kind: r.Kind, Name: r.Name, Version: conflict.Version, Body: body}
 	case resp.StatusCode == http.StatusNotFound && r.Name != "":
 		return &NotFoundError{Kind: r.Kind, Name: r.Name}
 	case resp.StatusCode == http.StatusGone && r.Call == CallWatch:
--- a/kernel/quarantine/machine.go
+++ b/kernel/quarantine/machine.go
@@ -30,7 +30,7 @@
 	r, ok := m.live(fingerprint, now)
 	switch {
 	case ok && r.Phase() == PhaseQuarantined:
-		return Decision{Mode: ModeRefuse, RetryAfter: r.ExpiresAt.Sub(now)}
+		return Decision{Mode: ModeRefuse, RetryAfter: m.retryAfter(r, now)}
 	case ok && r.Phase() == PhaseSuspect:
 		return Decision{Mode: ModeSuspect}
 	case ok || m.good.has(fingerprint) || canaryAbove <= 0 || shards <= canaryAbove:
@@ -51,9 +51,16 @@
 		for _, r := range ev.Records {
 			m.merge(r, now)
 		}
+	case RecordsLoaded:
+		for _, r := range ev.Records {
+			m.merge(m.endQuarantine(r, now), now)
+		}
+	case TrialStarted:
+		m.put(ev.Record)
+		m.actions = append(m.actions, Announce(ev))
 	case Lifted:
 		if r, ok := m.live(ev.Fingerprint, now); ok && r.Phase() != PhaseClear {
-			m.setPhase(r, PhaseClear, m.cfg.SuspectDuration, now)
+			m.setPhase(r, PhaseClear, m.clearDuration(), now)
 		}
 	case Tick:
 		for fingerprint := range m.records {
@@ -71,15 +78,24 @@
 		return r, ok
 	}
 	if r.Phase() == PhaseQuarantined {
-		r.Level = r.nextLevel(PhaseSuspect)
-		r.ExpiresAt = r.ExpiresAt.Add(m.cfg.SuspectDuration)
-		m.records[fingerprint] = r
+		m.records[fingerprint] = m.endQuarantine(r, now)
 		return m.live(fingerprint, now)
 	}
-	delete(m.records, fingerprint)
+	m.remove(fingerprint)
 	return Record{}, false
 }
 
+// endQuarantine returns a record whose quarantine has passed as that of a suspect, and any
+// other one as it is.
+func (m *Machine) endQuarantine(r Record, now time.Time) Record {
+	if r.Phase() != PhaseQuarantined || now.Before(r.ExpiresAt) {
+		return r
+	}
+	r.Level = r.nextLevel(PhaseSuspect)
+	r.ExpiresAt = r.ExpiresAt.Add(m.cfg.SuspectDuration)
+	return r
+}
+
 // recordEnd updates the record of a fingerprint after the end of an attempt.
 func (m *Machine) recordEnd(ev AttemptEnded, now time.Time) {
 	r, ok := m.live(ev.Fingerprint, now)
@@ -87,7 +103,7 @@
 	if !ev.Crashed {
 		m.good.add(ev.Fingerprint)
 		if ok && r.Phase() != PhaseClear {
-			m.setPhase(r, PhaseClear, m.cfg.SuspectDuration, now)
+			m.setPhase(r, PhaseClear, m.clearDuration(), now)
 		}
 		return
 	}
@@ -96,14 +112,74 @@
 	case r.Phase() == PhaseClear:
 		m.setPhase(r, PhaseSuspect, m.cfg.SuspectDuration, now)
 	case r.Phase() == PhaseSuspect && ev.Solo:
-		m.setPhase(r, PhaseQuarantined, m.cfg.QuarantineDuration, now)
+		r.Trials++
+		m.setPhase(r, PhaseQuarantined, m.quarantineDuration(r.Trials), now)
+	}
+}
+
+// quarantineDuration returns how long a fingerprint is refused after a number of trials.
+func (m *Machine) quarantineDuration(trials int) time.Duration {
+	later := m.cfg.LaterQuarantines
+	if trials <= 1 || len(later) == 0 {
+		return m.cfg.QuarantineDuration
+	}
+	return later[min(trials-2, len(later)-1)]
+}
+
+// clearDuration returns how long the clearing of a suspect is remembered.
+func (m *Machine) clearDuration() time.Duration {
+	return cmp.Or(m.cfg.ClearDuration, m.cfg.SuspectDuration)
+}
+
+// Times of a trial.
+const (
+	// trialTime is the time in which most trials end.
+	trialTime = time.Second
+	// trialRetryAfter is when a request may come back that is refused during a trial.
+	trialRetryAfter = 250 * time.Millisecond
+)
+
+// retryAfter returns when a quarantined request may come back. A trial that has just
+// started may clear it.
+func (m *Machine) retryAfter(r Record, now time.Time) time.Duration {
+	left := r.ExpiresAt.Sub(now)
+	if r.Trials > 0 && m.quarantineDuration(r.Trials)-left < trialTime {
+		return min(left, trialRetryAfter)
+	}
+	return left
+}
+
+// Phase returns the phase of a fingerprint.
+func (m *Machine) Phase(fingerprint string, now time.Time) Phase {
+	r, _ := m.live(fingerprint, now)
+	return r.Phase()
+}
+
+// Record returns the record of a fingerprint, and whether there is one.
+func (m *Machine) Record(fingerprint string, now time.Time) (Record, bool) {
+	return m.live(fingerprint, now)
+}
+
+// NextTrial returns the record of a suspect whose next trial starts now; false if the
+// fingerprint is no suspect.
+func (m *Machine) NextTrial(fingerprint string, now time.Time) (Record, bool) {
+	r, ok := m.live(fingerprint, now)
+	if !ok || r.Phase() != PhaseSuspect {
+		return Record{}, false
 	}
+	r.Level = r.nextLevel(PhaseQuarantined)
+	r.Trials++
+	r.ExpiresAt = now.Add(m.quarantineDuration(r.Trials))
+	return r, true
 }
 
 // setPhase moves a record to another phase and announces it.
 func (m *Machine) setPhase(r Record, p Phase, lifetime time.Duration, now time.Time) {
 	r.Level = r.nextLevel(p)
 	r.ExpiresAt = now.Add(lifetime)
+	if p == PhaseClear {
+		r.Trials = 0
+	}
 	m.put(r)
 	m.actions = append(m.actions, Announce{Record: r}, PhaseChanged{Fingerprint: r.Fingerprint, Phase: p, Remaining: lifetime})
 }
@@ -115,9 +191,10 @@
 		return
 	}
 	// A peer can't make a record outlive one of this instance's own.
-	r.ExpiresAt = earlierOf(r.ExpiresAt, now.Add(max(m.cfg.QuarantineDuration, m.cfg.SuspectDuration)))
+	r.ExpiresAt = earlierOf(r.ExpiresAt, now.Add(m.maxLifetime()))
+	r.Trials = min(max(r.Trials, 0), maxTrials)
 	old, _ := m.live(r.Fingerprint, now)
-	if r.Level < old.Level || (r.Level == old.Level && !r.ExpiresAt.After(old.ExpiresAt)) {
+	if compareRecords(r, old) <= 0 {
 		return
 	}
 	m.put(r)
@@ -133,6 +210,27 @@
 // with each event, so that a correct peer never comes near it.
 const maxLevel = 1 << 20
 
+// maxTrials bounds the trials accepted from a peer.
+const maxTrials = 1 << 10
+
+// maxLifetime returns the longest time that a record may last.
+func (m *Machine) maxLifetime() time.Duration {
+	longest := max(m.cfg.QuarantineDuration, m.cfg.SuspectDuration)
+	for _, d := range m.cfg.LaterQuarantines {
+		longest = max(longest, d)
+	}
+	return longest
+}
+
+// compareRecords orders two records of a fingerprint; a merge keeps the greater one.
+func compareRecords(a, b Record) int {
+	return cmp.Or(
+		cmp.Compare(a.Level, b.Level),
+		cmp.Compare(a.Trials, b.Trials),
+		a.ExpiresAt.Compare(b.ExpiresAt),
+	)
+}
+
 func earlierOf(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -152,7 +250,12 @@
 			least = other
 		}
 	}
-	delete(m.records, least.Fingerprint)
+	m.remove(least.Fingerprint)
+}
+
+// remove deletes a record.
+func (m *Machine) remove(fingerprint string) {
+	delete(m.records, fingerprint)
 }
 
 // byImportance orders records by phase, quarantined first and clear last, and within
--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -8,11 +8,18 @@
 
 // Config sets the durations and bounds of a Machine.
 type Config struct {
-	// QuarantineDuration is how long a fingerprint with two crashes is refused. After
+	// QuarantineDuration is how long a fingerprint is refused after its first trial. After
 	// that it is a suspect again, so that a resend crashes one leaf at most.
 	QuarantineDuration time.Duration
-	// SuspectDuration is how long one crash, or the clearing of a suspect, is remembered.
+	// LaterQuarantines are how long it is refused after its second and each later trial
+	// since it last ran to completion. The last one applies to all further trials; empty
+	// means QuarantineDuration.
+	LaterQuarantines []time.Duration
+	// SuspectDuration is how long a suspect is remembered.
 	SuspectDuration time.Duration
+	// ClearDuration is how long the clearing of a suspect is remembered; 0 means
+	// SuspectDuration.
+	ClearDuration time.Duration
 	// MaxRecords bounds the records kept, of all phases.
 	MaxRecords int
 	// MaxKnownGood bounds the fingerprints kept that ran to completion.
@@ -22,13 +29,15 @@
 }
 
 // Record is the state of a fingerprint. Of two records the one with the greater Level
-// wins and, of equal levels, the one with the later ExpiresAt: the merge is
-// commutative, associative and idempotent.
+// wins, of equal levels the one with more Trials and then the one with the later
+// ExpiresAt: the merge is commutative, associative and idempotent.
 type Record struct {
 	Fingerprint string
 	// Level is a counter that each change of phase increases; Level modulo 3 is the
 	// Phase.
-	Level     int
+	Level int
+	// Trials counts the runs alone on a leaf since the request last ran to completion.
+	Trials    int
 	ExpiresAt time.Time
 }
 
@@ -39,7 +48,7 @@
 const (
 	PhaseClear       Phase = iota // it ran to completion or was released by an operator
 	PhaseSuspect                  // it was on a leaf that crashed
-	PhaseQuarantined              // it crashed a second leaf while it ran there alone
+	PhaseQuarantined              // it runs alone on a leaf, or has crashed a leaf so
 	phaseCount
 )
 
@@ -79,6 +88,14 @@
 // RecordsReceived carries records from a peer.
 type RecordsReceived struct{ Records []Record }
 
+// RecordsLoaded carries records from a store, which may have been written long ago: a
+// quarantine that has passed since leaves a suspect.
+type RecordsLoaded struct{ Records []Record }
+
+// TrialStarted reports that a suspect is about to run alone on a leaf. It stays in
+// quarantine unless it runs to completion. Record is the result of NextTrial.
+type TrialStarted struct{ Record Record }
+
 // Lifted reports that an operator allows a fingerprint to run again.
 type Lifted struct{ Fingerprint string }
 
@@ -87,6 +104,8 @@
 
 func (AttemptEnded) isEvent()    {}
 func (RecordsReceived) isEvent() {}
+func (RecordsLoaded) isEvent()   {}
+func (TrialStarted) isEvent()    {}
 func (Lifted) isEvent()          {}
 func (Tick) isEvent()            {}
 
