--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -72,6 +72,25 @@
 	RemainingMS int64 `json:"left_ms"`
 }
 
+// RequestLosses are the leaves that were lost under a request which has not run to
+// completion since.
+type RequestLosses struct {
+	Fingerprint string `json:"fp"`
+	// Threshold is the number of losses from which the request is suspected.
+	Threshold int        `json:"threshold,omitempty"`
+	Lost      []LostLeaf `json:"lost,omitempty"`
+	// ClearedAgeMS is the time since the request last ran to completion or was last
+	// suspected; -1 if neither is known.
+	ClearedAgeMS int64 `json:"cleared_ms"`
+}
+
+// LostLeaf is the loss of a leaf. Number tells several losses of a leaf ID apart.
+type LostLeaf struct {
+	Leaf   string `json:"leaf"`
+	Number int    `json:"number,omitempty"`
+	AgeMS  int64  `json:"age_ms"`
+}
+
 // InstanceGeneration is another instance's configuration generation, relayed by gossip.
 type InstanceGeneration struct {
 	Instance   string `json:"instance"`
@@ -108,8 +127,10 @@
 	// Observations are those of the requesting instance and of the instances that sent it
 	// requests.
 	Observations []LeafObservation `json:"seen,omitempty"`
-	// Quarantine lists the records of quarantined and suspected fingerprints.
+	// Quarantine lists the records of quarantined and suspected fingerprints, and Losses the
+	// losses of requests that changed of late.
 	Quarantine []QuarantineRecord `json:"quarantine,omitempty"`
+	Losses     []RequestLosses    `json:"losses,omitempty"`
 }
 
 // LeafObservation is the duration of one request at a leaf, or the report that a leaf is slow.
@@ -158,8 +179,9 @@
 	Instances []byte `json:"instances,omitempty"`
 	// SlowLeaves lists the leaves that the replying instance treats as slow.
 	SlowLeaves []LeafObservation `json:"slow,omitempty"`
-	// Quarantine lists the records of quarantined and suspected fingerprints.
+	// Quarantine and Losses are as in the request.
 	Quarantine []QuarantineRecord `json:"quarantine,omitempty"`
+	Losses     []RequestLosses    `json:"losses,omitempty"`
 }
 
 // ForwardID names a forwarded request on its connection.
--- a/entry/executor/leaf_loss.go
+++ b/entry/executor/leaf_loss.go
@@ -16,8 +16,8 @@
 
 // recordLeafLoss records that the connection to a leaf ended under an attempt, and reports
 // whether that counts as a crash of the leaf. It does once the request is suspected. A
-// fan-out is suspected when as many leaves were lost as half of the shards that this
-// instance queries, and none has replied: a request that crashes a leaf crashes each
+// fan-out is suspected when as many leaves were lost as half of the shards to which this
+// instance has sent it, and none has replied: a request that crashes a leaf crashes each
 // leaf that runs it, and fewer losses have other causes.
 func (e *Executor) recordLeafLoss(a *attempt) bool {
 	r := a.run
@@ -27,7 +27,7 @@
 	case r.suspected.Load():
 		return true
 	}
-	threshold := max(e.config.SuspectAfterLosses, int(r.directShards.Load())/2)
+	threshold := max(e.config.SuspectAfterLosses, int(r.sentShards.Load())/2)
 	suspect, actions := e.quarantine.recordLoss(r.fingerprint, e.leafState.incarnation(a.leafID), threshold, time.Now())
 	if !suspect {
 		return false
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -45,10 +45,12 @@
 	// defaultQuarantineDuration is how long a request is refused that crashed two leaves,
 	// one of them while it was the only request there.
 	defaultQuarantineDuration = 10 * time.Minute
-	// lossWindow is how long after the last loss a request's lost leaves count.
-	lossWindow = time.Minute
+	// lossShareTime is how long a change is sent to peers: several synchronizations.
+	lossShareTime = 10 * time.Second
 	// maxRequestsWithLosses is the maximum of requests whose losses are tracked.
 	maxRequestsWithLosses = 4096
+	// maxSharedLosses bounds the losses in one message to a peer.
+	maxSharedLosses = 256
 )
 
 // newQuarantineState returns an empty state. All instances must have the same key, so that
@@ -60,7 +62,7 @@
 	}
 	return &quarantineState{
 		key: key, machine: quarantine.New(config), claiming: make(map[string]bool),
-		losses: quarantine.LossCounter{Window: lossWindow, MaxRequests: maxRequestsWithLosses},
+		losses: quarantine.LossCounter{Window: crashMemory, MaxRequests: maxRequestsWithLosses, ShareFor: lossShareTime},
 	}
 }
 
@@ -81,7 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.losses.Empty() {
-		s.losses.RecordSuccess(fingerprint)
+		s.losses.RecordSuccess(fingerprint, time.Now())
 	}
 }
 
@@ -180,6 +182,9 @@
 			e.config.LeafObserver.GossipNow()
 		case quarantine.PhaseChanged:
 			e.reportChange(action, source)
+			if action.Phase == quarantine.PhaseClear {
+				e.quarantine.recordSuccess(action.Fingerprint)
+			}
 			e.notifyRuns(action)
 		}
 	}
@@ -237,3 +242,72 @@
 func (e *Executor) LiftQuarantine(fingerprint string) {
 	e.applyQuarantineActions(e.quarantine.lift(fingerprint, time.Now()), fromOperator)
 }
+
+// Losses returns the losses to send to a peer: those that changed of late.
+func (e *Executor) Losses() []peerapi.RequestLosses { return e.quarantine.lossChanges(time.Now()) }
+
+// MergeQuarantineChanges merges the records and losses of a peer. A request that is suspected
+// by the losses of all instances together is stored.
+func (e *Executor) MergeQuarantineChanges(records []peerapi.QuarantineRecord, losses []peerapi.RequestLosses) {
+	e.MergeQuarantine(records)
+	suspects, actions := e.quarantine.mergeLosses(losses, time.Now())
+	e.applyQuarantineActions(actions, fromPeer)
+	for _, fingerprint := range suspects {
+		e.saveSuspect(fingerprint)
+	}
+}
+
+// lossChanges returns the losses that changed of late.
+func (s *quarantineState) lossChanges(now time.Time) (losses []peerapi.RequestLosses) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.losses.Changes(false, maxSharedLosses, now) {
+		losses = append(losses, encodeLosses(l, now))
+	}
+	return losses
+}
+
+// encodeLosses converts the losses of a request for peers.
+func encodeLosses(l quarantine.Losses, now time.Time) peerapi.RequestLosses {
+	out := peerapi.RequestLosses{Fingerprint: l.Fingerprint, Threshold: l.Threshold, ClearedAgeMS: -1}
+	if !l.ClearedAt.IsZero() {
+		out.ClearedAgeMS = now.Sub(l.ClearedAt).Milliseconds()
+	}
+	for _, lost := range l.Lost {
+		out.Lost = append(out.Lost, peerapi.LostLeaf{Leaf: lost.Leaf, Number: lost.Number, AgeMS: now.Sub(lost.At).Milliseconds()})
+	}
+	return out
+}
+
+// decodeLosses converts the losses that a peer has sent.
+func decodeLosses(l *peerapi.RequestLosses, now time.Time) quarantine.Losses {
+	ago := func(ms int64) time.Time {
+		return now.Add(-time.Duration(min(max(ms, 0), maxRemainingMS)) * time.Millisecond)
+	}
+	out := quarantine.Losses{Fingerprint: l.Fingerprint, Threshold: l.Threshold}
+	if l.ClearedAgeMS >= 0 {
+		out.ClearedAt = ago(l.ClearedAgeMS)
+	}
+	for _, lost := range l.Lost {
+		out.Lost = append(out.Lost, quarantine.Loss{Incarnation: quarantine.Incarnation{Leaf: lost.Leaf, Number: lost.Number}, At: ago(lost.AgeMS)})
+	}
+	return out
+}
+
+// mergeLosses merges a peer's losses and returns the requests that are new suspects.
+func (s *quarantineState) mergeLosses(list []peerapi.RequestLosses, now time.Time) (suspects []string, actions []quarantine.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	decoded := make([]quarantine.Losses, 0, len(list))
+	for i := range list {
+		decoded = append(decoded, decodeLosses(&list[i], now))
+	}
+	for _, fingerprint := range s.losses.Merge(decoded, now) {
+		if s.machine.Phase(fingerprint, now) != quarantine.PhaseClear {
+			continue
+		}
+		suspects = append(suspects, fingerprint)
+		actions = append(actions, s.machine.Handle(quarantine.AttemptEnded{Fingerprint: fingerprint, Crashed: true}, now)...)
+	}
+	return suspects, actions
+}
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -33,8 +33,8 @@
 	// completed is set once a leaf ran the request to completion, suspected once the
 	// request is suspected of crashing leaves.
 	completed, suspected atomic.Bool
-	// directShards counts the shards that this instance queries itself.
-	directShards atomic.Int64
+	// sentShards counts the shards to which this instance has sent the request.
+	sentShards atomic.Int64
 	// groups are the groups of parts that other instances may gather.
 	groups []Group
 	// fullValueUntil is when the answer must be settled to have its full value; zero: there
@@ -131,6 +131,9 @@
 		return false
 	}
 	a.sentAt = time.Now()
+	if !a.offer.Hedge && !a.offer.Retry {
+		r.sentShards.Add(1)
+	}
 	return true
 }
 
@@ -207,7 +210,6 @@
 		r.executor.logDecision(a, telemetry.Decision{Component: prefixQuery, Event: "retry", Class: telemetry.Outcome})
 	}
 	if !o.Hedge && !o.Retry {
-		r.directShards.Add(1)
 		r.executor.repeatLimiters.countRequest(&r.view.Upstreams[o.Part.Upstream], o.Shard, time.Now())
 	}
 	a.pool = r.pool(o.Part.Upstream)
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -40,8 +40,8 @@
 	n.membership.writeList(&r, out, now)
 	n.slowLeaves.AddFromPeer(r.Observations, now)
 	out.SlowLeaves = n.slowLeaves.Report(now)
-	n.executor.MergeQuarantine(r.Quarantine)
-	out.Quarantine = n.executor.Quarantine()
+	n.executor.MergeQuarantineChanges(r.Quarantine, r.Losses)
+	out.Quarantine, out.Losses = n.executor.Quarantine(), n.executor.Losses()
 	n.control.recordFresherPeer(from, r.AgeMS, max(out.ConfigAgeMS, out.LeavesAgeMS))
 	return out
 }
@@ -85,12 +85,13 @@
 	config := c.state.Load().Config()
 	request := c.receiver.Request(config)
 	request.FleetHash, request.AgeMS = c.node.membership.listHash(), c.stateAgeMS(startedAt)
-	request.Observations, request.Quarantine = c.node.slowLeaves.TakePending(startedAt), c.node.executor.Quarantine()
+	request.Observations = c.node.slowLeaves.TakePending(startedAt)
+	request.Quarantine, request.Losses = c.node.executor.Quarantine(), c.node.executor.Losses()
 	reply, err := c.peers.Sync(ctx, peer.Target{Instance: source.Name, Address: source.PeerAddress}, request)
 	if err != nil {
 		return err
 	}
-	c.node.executor.MergeQuarantine(reply.Quarantine)
+	c.node.executor.MergeQuarantineChanges(reply.Quarantine, reply.Losses)
 	update, err := c.receiver.Apply(reply, config, startedAt, time.Now())
 	if err != nil {
 		return err
--- a/kernel/quarantine/losses_test.go
+++ b/kernel/quarantine/losses_test.go
@@ -32,7 +32,7 @@
 		c := quarantine.LossCounter{Window: window, MaxRequests: 8}
 		for i, st := range tc.steps {
 			if st.leaf == "" {
-				c.RecordSuccess(fp)
+				c.RecordSuccess(fp, epoch.Add(st.at))
 				continue
 			}
 			if got := c.RecordLoss(fp, quarantine.Incarnation{Leaf: st.leaf, Number: st.incarnation}, threshold, epoch.Add(st.at)); got != st.want {
@@ -55,3 +55,69 @@
 		t.Error("an early request is still remembered beyond the bound")
 	}
 }
+
+// TestLossesOfSeveralInstancesAddUp counts the losses that several instances saw, each fewer than
+// the threshold.
+func TestLossesOfSeveralInstancesAddUp(t *testing.T) {
+	const threshold = 3
+	counters := make([]quarantine.LossCounter, 3)
+	for i := range counters {
+		counters[i] = quarantine.LossCounter{Window: time.Hour, MaxRequests: 8, ShareFor: 10 * time.Second}
+		leaf := quarantine.Incarnation{Leaf: fmt.Sprint("leaf-", i)}
+		if counters[i].RecordLoss(fp, leaf, threshold, epoch.Add(time.Duration(i)*time.Second)) {
+			t.Fatal("suspected after one loss")
+		}
+	}
+	now := epoch.Add(3 * time.Second)
+	first, second := counters[0].Changes(false, 10, now), counters[1].Changes(false, 10, now)
+	if got := counters[2].Merge(first, now); len(got) != 0 {
+		t.Fatalf("suspects %v after two losses", got)
+	}
+	if got := counters[2].Merge(first, now); len(got) != 0 {
+		t.Fatalf("suspects %v as a loss is told twice", got)
+	}
+	if got := counters[2].Merge(second, now); len(got) != 1 || got[0] != fp {
+		t.Fatalf("suspects %v after three losses", got)
+	}
+}
+
+// TestSuccessClearsLossesAtPeers clears losses that were sent to another instance, which sends
+// them back.
+func TestSuccessClearsLossesAtPeers(t *testing.T) {
+	newCounter := func() quarantine.LossCounter {
+		return quarantine.LossCounter{Window: time.Hour, MaxRequests: 8, ShareFor: 10 * time.Second}
+	}
+	a, b := newCounter(), newCounter()
+	a.RecordLoss(fp, quarantine.Incarnation{Leaf: "a"}, 3, epoch)
+	a.RecordLoss(fp, quarantine.Incarnation{Leaf: "b"}, 3, epoch)
+	b.Merge(a.Changes(false, 10, epoch), epoch)
+	now := epoch.Add(time.Second)
+	a.RecordSuccess(fp, now)
+	a.Merge(b.Changes(false, 10, now), now)
+	b.Merge(a.Changes(false, 10, now), now)
+	now = now.Add(time.Second)
+	for name, c := range map[string]*quarantine.LossCounter{"a": &a, "b": &b} {
+		if c.RecordLoss(fp, quarantine.Incarnation{Leaf: "c"}, 3, now) || c.RecordLoss(fp, quarantine.Incarnation{Leaf: "d"}, 3, now) {
+			t.Errorf("%s: losses before a success count", name)
+		}
+	}
+}
+
+// TestChangesOfLossesAreBounded sends losses only for a while after a change, and at most as many
+// as asked for, those of the requests with most losses first.
+func TestChangesOfLossesAreBounded(t *testing.T) {
+	c := quarantine.LossCounter{Window: time.Hour, MaxRequests: 8, ShareFor: 10 * time.Second}
+	c.RecordLoss("once", quarantine.Incarnation{Leaf: "a"}, 3, epoch)
+	c.RecordLoss("twice", quarantine.Incarnation{Leaf: "a"}, 3, epoch)
+	c.RecordLoss("twice", quarantine.Incarnation{Leaf: "b"}, 3, epoch)
+	if got := c.Changes(false, 1, epoch); len(got) != 1 || got[0].Fingerprint != "twice" || len(got[0].Lost) != 2 {
+		t.Errorf("changes %v", got)
+	}
+	late := epoch.Add(10 * time.Second)
+	if got := c.Changes(false, 10, late); len(got) != 0 {
+		t.Errorf("changes %v after the time to send them", got)
+	}
+	if got := c.Changes(true, 10, late); len(got) != 2 {
+		t.Errorf("all losses %v", got)
+	}
+}
