Send peers the suspects that changed, at once, and all of them at first

Cause: a message held the 32 most important records, quarantined ones first and then the suspects that last the longest. Requests that were in flight beside a crashing one are suspects as well; from 33 on they pushed out earlier ones, and an instance that started never heard of those. Changes waited for the next synchronization on each hop: 2.4 s by arithmetic.

Change: a message holds the records that changed within 10 s, at most 1,024; after 4 s without a synchronization, and at the first one, all are exchanged. A change makes its instance synchronize at once, and so does each one that learns it: two of the four hops no longer wait (1.2 s).

Evidence: TestAllSuspectsReachInstanceThatStarts does not build before this commit; with the messages of before 32 of the 100 suspects arrive by reading.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -127,10 +127,13 @@
 	// Observations are those of the requesting instance and of the instances that sent it
 	// requests.
 	Observations []LeafObservation `json:"seen,omitempty"`
-	// Quarantine lists the records of quarantined and suspected fingerprints, and Losses the
-	// losses of requests that changed of late.
+	// Quarantine lists the records of fingerprints that changed of late, and Losses the
+	// losses of requests that did.
 	Quarantine []QuarantineRecord `json:"quarantine,omitempty"`
 	Losses     []RequestLosses    `json:"losses,omitempty"`
+	// WholeQuarantine asks for all records and losses, not only for those that changed of
+	// late.
+	WholeQuarantine bool `json:"whole_quarantine,omitempty"`
 }
 
 // LeafObservation is the duration of one request at a leaf, or the report that a leaf is slow.
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -49,8 +49,9 @@
 	lossShareTime = 10 * time.Second
 	// maxRequestsWithLosses is the maximum of requests whose losses are tracked.
 	maxRequestsWithLosses = 4096
-	// maxSharedLosses bounds the losses in one message to a peer.
-	maxSharedLosses = 256
+	// maxSharedRecords and maxSharedLosses bound what one message to a peer says.
+	maxSharedRecords = 1024
+	maxSharedLosses  = 256
 )
 
 // newQuarantineState returns an empty state. All instances must have the same key, so that
@@ -243,8 +244,11 @@
 	e.applyQuarantineActions(e.quarantine.lift(fingerprint, time.Now()), fromOperator)
 }
 
-// Losses returns the losses to send to a peer: those that changed of late.
-func (e *Executor) Losses() []peerapi.RequestLosses { return e.quarantine.lossChanges(time.Now()) }
+// QuarantineChanges returns the records and losses to send to a peer: those that changed of
+// late, or all.
+func (e *Executor) QuarantineChanges(all bool) ([]peerapi.QuarantineRecord, []peerapi.RequestLosses) {
+	return e.quarantine.changes(all, time.Now())
+}
 
 // MergeQuarantineChanges merges the records and losses of a peer. A request that is suspected
 // by the losses of all instances together is stored.
@@ -257,14 +261,21 @@
 	}
 }
 
-// lossChanges returns the losses that changed of late.
-func (s *quarantineState) lossChanges(now time.Time) (losses []peerapi.RequestLosses) {
+// changes returns the records and losses that changed of late, or all.
+func (s *quarantineState) changes(all bool, now time.Time) (records []peerapi.QuarantineRecord, losses []peerapi.RequestLosses) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, l := range s.losses.Changes(false, maxSharedLosses, now) {
+	after := now.Add(-lossShareTime)
+	if all {
+		after = time.Time{}
+	}
+	for _, r := range s.machine.Changes(after, maxSharedRecords, now) {
+		records = append(records, encodeRecord(r, now))
+	}
+	for _, l := range s.losses.Changes(all, maxSharedLosses, now) {
 		losses = append(losses, encodeLosses(l, now))
 	}
-	return losses
+	return records, losses
 }
 
 // encodeLosses converts the losses of a request for peers.
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -46,6 +46,9 @@
 	// goroutine that synchronizes from peers uses these two and staleSince.
 	receiver            statesync.Receiver
 	receiverListChanges uint64
+	// syncedAt is when this instance last synchronized from a peer, zero for never. Only the
+	// goroutine that synchronizes uses it.
+	syncedAt time.Time
 	// staleSince is when this instance's state became stale; zero if it is fresh.
 	staleSince time.Time
 	// storeListChanges counts the lists of leaves from the store that differed from the one in
@@ -315,6 +318,6 @@
 // found in the store.
 func (c *control) ObserveStart(string, int64) {}
 
-// GossipNow implements executor.LeafObserver. It does nothing: quarantined requests travel with
-// the periodic synchronization.
-func (c *control) GossipNow() {}
+// GossipNow implements executor.LeafObserver. Changes of the quarantine travel with the
+// synchronization, which is due at once.
+func (c *control) GossipNow() { c.syncNow() }
--- a/entry/hosted/quarantinesync_test.go
+++ b/entry/hosted/quarantinesync_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -85,3 +86,32 @@
 		t.Error("an instance that asked later does not know of the request")
 	}
 }
+
+// TestAllSuspectsReachInstanceThatStarts has the reader know many suspects: an instance gets all
+// of them with its first synchronization, and afterwards only those that change.
+func TestAllSuspectsReachInstanceThatStarts(t *testing.T) {
+	const suspects = 100
+	reader, address := newSyncableNode(t)
+	var records []peerapi.QuarantineRecord
+	for i := range suspects {
+		records = append(records, peerapi.QuarantineRecord{Fingerprint: fmt.Sprintf("%04d", i), Level: 1, RemainingMS: 100_000 + int64(i)})
+	}
+	reader.executor.MergeQuarantine(records)
+	n := newIdleNode(t)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := n.control.syncFrom(ctx, fleet.Instance{PeerAddress: address}); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range records {
+		if _, ok := n.executor.QuarantineRecord(r.Fingerprint); !ok {
+			t.Fatalf("suspect %s is not known", r.Fingerprint)
+		}
+	}
+	for after, want := range map[time.Duration]bool{2 * time.Second: false, time.Minute: true} {
+		var request peerapi.SyncRequest
+		if n.control.addQuarantine(&request, time.Now().Add(after)); request.WholeQuarantine != want {
+			t.Errorf("asks for all suspects %v after a synchronization: %v, want %v", after, request.WholeQuarantine, want)
+		}
+	}
+}
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -19,6 +19,9 @@
 	// that keeps arriving, as a large one does on a saturated link.
 	peerSilenceTimeout = 250 * time.Millisecond
 	syncTimeoutShare   = 0.3
+	// wholeQuarantineAfter is the time without a synchronization after which all of the
+	// quarantine is exchanged, and not only what changed of late.
+	wholeQuarantineAfter = 4 * time.Second
 	// minFreshnessGain is by how much fresher a peer's state must be for this instance to ask for it.
 	minFreshnessGain = time.Second
 )
@@ -41,7 +44,7 @@
 	n.slowLeaves.AddFromPeer(r.Observations, now)
 	out.SlowLeaves = n.slowLeaves.Report(now)
 	n.executor.MergeQuarantineChanges(r.Quarantine, r.Losses)
-	out.Quarantine, out.Losses = n.executor.Quarantine(), n.executor.Losses()
+	out.Quarantine, out.Losses = n.executor.QuarantineChanges(r.WholeQuarantine)
 	n.control.recordFresherPeer(from, r.AgeMS, max(out.ConfigAgeMS, out.LeavesAgeMS))
 	return out
 }
@@ -86,7 +89,7 @@
 	request := c.receiver.Request(config)
 	request.FleetHash, request.AgeMS = c.node.membership.listHash(), c.stateAgeMS(startedAt)
 	request.Observations = c.node.slowLeaves.TakePending(startedAt)
-	request.Quarantine, request.Losses = c.node.executor.Quarantine(), c.node.executor.Losses()
+	c.addQuarantine(&request, startedAt)
 	reply, err := c.peers.Sync(ctx, peer.Target{Instance: source.Name, Address: source.PeerAddress}, request)
 	if err != nil {
 		return err
@@ -99,6 +102,7 @@
 	if !update.HasConfigAndLeaves() {
 		return errUnknownState
 	}
+	c.syncedAt = startedAt
 	c.node.slowLeaves.SetPeerReport(reply.SlowLeaves, startedAt)
 	c.node.membership.applyPeerList(update)
 	if err := c.send(ctx, peerUpdate{update: update, peer: cmp.Or(source.Name, source.PeerAddress), storeListChanges: listChanges}); err != nil {
@@ -111,6 +115,13 @@
 	return nil
 }
 
+// addQuarantine adds what this instance knows of the quarantine to a request, and asks for what
+// the peer knows: for all of it if the last synchronization was long ago.
+func (c *control) addQuarantine(r *peerapi.SyncRequest, now time.Time) {
+	r.WholeQuarantine = now.Sub(c.syncedAt) > wholeQuarantineAfter
+	r.Quarantine, r.Losses = c.node.executor.QuarantineChanges(r.WholeQuarantine)
+}
+
 // stateAgeMS returns the age of this instance's state in milliseconds; -1 while it has none.
 func (c *control) stateAgeMS(now time.Time) int64 {
 	s := c.state.Load()
--- a/kernel/quarantine/machine.go
+++ b/kernel/quarantine/machine.go
@@ -11,13 +11,15 @@
 type Machine struct {
 	cfg     Config
 	records map[string]Record
-	good    goodSet  // ran to completion
-	actions []Action // of the event in hand
+	// changedAt is when each record was last changed by an event.
+	changedAt map[string]time.Time
+	good      goodSet  // ran to completion
+	actions   []Action // of the event in hand
 }
 
 // New returns a Machine without records.
 func New(cfg Config) *Machine {
-	return &Machine{cfg: cfg, records: make(map[string]Record), good: goodSet{limit: max(cfg.MaxKnownGood, 1)}}
+	return &Machine{cfg: cfg, records: make(map[string]Record), changedAt: make(map[string]time.Time), good: goodSet{limit: max(cfg.MaxKnownGood, 1)}}
 }
 
 // Admit decides how a request that queries the given number of shards may run.
@@ -56,7 +58,7 @@
 			m.merge(m.endQuarantine(r, now), now)
 		}
 	case TrialStarted:
-		m.put(ev.Record)
+		m.put(ev.Record, now)
 		m.actions = append(m.actions, Announce(ev))
 	case Lifted:
 		if r, ok := m.live(ev.Fingerprint, now); ok && r.Phase() != PhaseClear {
@@ -180,7 +182,7 @@
 	if p == PhaseClear {
 		r.Trials = 0
 	}
-	m.put(r)
+	m.put(r, now)
 	m.actions = append(m.actions, Announce{Record: r}, PhaseChanged{Fingerprint: r.Fingerprint, Phase: p, Remaining: lifetime})
 }
 
@@ -197,7 +199,7 @@
 	if compareRecords(r, old) <= 0 {
 		return
 	}
-	m.put(r)
+	m.put(r, now)
 	if r.Level > old.Level {
 		// Each instance forwards a record at once, and once per level, so that the
 		// record reaches all instances in a number of hops that is logarithmic in the
@@ -239,8 +241,9 @@
 }
 
 // put stores a record and, above MaxRecords, deletes the least important one.
-func (m *Machine) put(r Record) {
+func (m *Machine) put(r Record, now time.Time) {
 	m.records[r.Fingerprint] = r
+	m.changedAt[r.Fingerprint] = now
 	if len(m.records) <= m.cfg.MaxRecords {
 		return
 	}
@@ -256,6 +259,7 @@
 // remove deletes a record.
 func (m *Machine) remove(fingerprint string) {
 	delete(m.records, fingerprint)
+	delete(m.changedAt, fingerprint)
 }
 
 // byImportance orders records by phase, quarantined first and clear last, and within
@@ -274,6 +278,13 @@
 	return out[:min(len(out), m.cfg.MaxDigestRecords)]
 }
 
+// Changes returns the records that changed after a time, at most limit; the most important
+// first.
+func (m *Machine) Changes(after time.Time, limit int, now time.Time) []Record {
+	out := slices.DeleteFunc(m.Records(now), func(r Record) bool { return !m.changedAt[r.Fingerprint].After(after) })
+	return out[:min(len(out), limit)]
+}
+
 // Records returns all unexpired records, the most important first.
 func (m *Machine) Records(now time.Time) []Record {
 	var out []Record
