Read the stored suspects before an instance serves

Callers saw (in the test): after a restart of all instances a request that crashes leaves went to all shards again, 681 late retries in two minutes.

Cause: an instance that starts knew nothing, and what all had learned was gone with them.

An instance that searches the store because its peers give no fresh state reads them too. A first start of the fleet does not.

Cost: one read for each start that reads the store, one for each search.

--- a/entry/hosted/initialstate.go
+++ b/entry/hosted/initialstate.go
@@ -93,6 +93,13 @@
 			return fmt.Errorf("probe: %w", err)
 		}
 	}
+	if !c.node.config.Bootstrap {
+		// Before there is any state to serve by: the instance may not know of requests that
+		// crash leaves.
+		if err := c.callWithTimeout(ctx, timeout, c.node.trials.load); err != nil {
+			return fmt.Errorf("quarantine: %w", err)
+		}
+	}
 	var g errgroup.Group
 	g.Go(func() error { return c.readStore(ctx, timeout) })
 	g.Go(func() error { c.readInstances(ctx); return nil })
--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -175,7 +175,11 @@
 	if err != nil {
 		return err
 	}
-	return r.callWithTimeout(ctx, 2*minReadTimeout, r.readLeaves)
+	if err := r.callWithTimeout(ctx, 2*minReadTimeout, r.readLeaves); err != nil {
+		return err
+	}
+	// Peers that give no fresh state don't tell of the quarantine either.
+	return r.callWithTimeout(ctx, 2*minReadTimeout, r.node.trials.load)
 }
 
 // callWithTimeout makes a call and fails it with context.DeadlineExceeded if an HTTP answer does not
--- a/entry/hosted/trialstore.go
+++ b/entry/hosted/trialstore.go
@@ -215,3 +215,20 @@
 		s.Delete(fingerprint)
 	}
 }
+
+// load reads all stored records and merges them.
+func (s *trialStore) load(ctx context.Context) error {
+	stored, err := s.node.config.Source.QuarantineRecords(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	records := make([]quarantine.Record, 0, len(stored))
+	for _, r := range stored {
+		s.saw(r.Fingerprint, r)
+		records = append(records, decodeStored(r, now))
+	}
+	s.node.executor.LoadQuarantine(records)
+	s.log.Info("records read", "records", len(records))
+	return nil
+}
