Know a forwarded request by what it is, not by its route's service

Cause: the fingerprint had the name of the query service, which changes when a route is split or moved: the same request to the same leaves was then another one, and its crashes were counted anew.

Change: for a forwarded request the fingerprint is that of caller, method, host, target and body.

--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -88,17 +88,19 @@
 	}
 }
 
-// fingerprint returns a keyed hash of caller, service and body: it can be sent to
-// peers and logged without revealing anything of the request.
+// fingerprint returns a keyed hash of caller, service and body, or of caller and forwarded
+// request, whose service may change: it can be sent to peers and logged without revealing
+// anything of the request.
 func (s *quarantineState) fingerprint(r *Request) string {
 	mac := hmac.New(sha256.New, s.key)
 	mac.Write([]byte(r.Caller.Name))
 	mac.Write([]byte{0})
-	mac.Write([]byte(r.Service.Config.Name))
-	mac.Write([]byte{0})
-	mac.Write(r.Body)
 	if r.Forwarded != nil {
 		r.Forwarded.WriteIdentity(mac)
+	} else {
+		mac.Write([]byte(r.Service.Config.Name))
+		mac.Write([]byte{0})
+		mac.Write(r.Body)
 	}
 	return hex.EncodeToString(mac.Sum(nil)[:fingerprintBytes])
 }
