--- a/standin/soak/crashing.go
+++ b/standin/soak/crashing.go
@@ -76,14 +76,15 @@
 	r.note(n, incarnation, o)
 }
 
-// replaceCrashed ends a leaf that a request has crashed, and replaces it after a while.
-func (s *site) replaceCrashed(l *fakeLeaf) {
+// replaceCrashed ends a leaf that a request has crashed, and replaces it after a while. It
+// reports whether the leaf was still running.
+func (s *site) replaceCrashed(l *fakeLeaf) bool {
 	s.mu.Lock()
 	running := s.leaves[l.id] == l
 	delete(s.leaves, l.id)
 	s.mu.Unlock()
 	if !running {
-		return
+		return false
 	}
 	go l.close()
 	time.AfterFunc(leafRestartTime, func() {
@@ -92,6 +93,7 @@
 			_ = s.addLeaf(l.service, l.profile.work) // without a port the service has one leaf less
 		}
 	})
+	return true
 }
 
 // inTouch reports whether nothing has disturbed an instance and the store for contactTime.
--- a/standin/soak/leaf.go
+++ b/standin/soak/leaf.go
@@ -67,8 +67,8 @@
 	slots             chan struct{}
 	queued            atomic.Int64 // requests that wait for a slot
 	ledger            *ledger
-	// crash is called when a request crashes the leaf.
-	crash func(*fakeLeaf)
+	// crash ends the leaf because of a request and reports whether it was still running.
+	crash func(*fakeLeaf) bool
 
 	mu      sync.Mutex
 	work    time.Duration
@@ -81,13 +81,13 @@
 }
 
 // newLeaf starts a leaf.
-func newLeaf(id, service, zone string, work time.Duration, profile leafProfile, l *ledger) (*fakeLeaf, error) {
+func newLeaf(id, service, zone, ip string, work time.Duration, profile leafProfile, l *ledger) (*fakeLeaf, error) {
 	f := &fakeLeaf{id: id, service: service, zone: zone, work: work, profile: profile, ledger: l, slots: make(chan struct{}, profile.slots), closed: make(chan struct{})}
 	var err error
 	if f.raw, err = rawleaf.New(f.answer); err != nil {
 		return nil, err
 	}
-	if f.proxy, err = newProxy(f.raw.Address()); err != nil {
+	if f.proxy, err = newProxy(ip, f.raw.Address()); err != nil {
 		f.raw.Close()
 		return nil, err
 	}
@@ -212,8 +212,9 @@
 	work, failing := f.workTime()
 	time.Sleep(work)
 	if isCrashing(r.Target) {
-		f.ledger.addCrash(r.Target)
-		f.crash(f)
+		if f.crash(f) {
+			f.ledger.addCrash(r.Target)
+		}
 		return rawleaf.Reply{End: rawleaf.Reset}
 	}
 	if failing {
--- a/standin/soak/proxy.go
+++ b/standin/soak/proxy.go
@@ -29,9 +29,9 @@
 	conns map[net.Conn]struct{}
 }
 
-// newProxy starts a proxy before an address.
-func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newProxy starts a proxy before an address; it listens on an IP.
+func newProxy(ip, target string) (*proxy, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -165,7 +165,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := fmt.Sprintf("%s-%d", service, s.started)
-	l, err := newLeaf(id, service, zoneName(s.started%leafZones), work, s.profile.leaf, s.ledger)
+	l, err := newLeaf(id, service, zoneName(s.started%leafZones), s.leafIP(s.started), work, s.profile.leaf, s.ledger)
 	if err != nil {
 		return err
 	}
@@ -255,6 +255,14 @@
 // taken, between an end and the next start, by connections that go out.
 func (s *site) ip(i int) string { return fmt.Sprintf("127.3.%d.%d", s.seed%250, 1+i) }
 
+// loopback is the IP of what need not be told apart by its address.
+const loopback = "127.0.0.1"
+
+// leafIP is an address of a leaf's own, so that no leaf gets the address of one that has ended.
+func (s *site) leafIP(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+s.seed%128, i/250, 1+i%250)
+}
+
 // leafZones is the number of availability zones with leaves: one of a shard's two is in each.
 const leafZones = 2
 
@@ -272,7 +280,7 @@
 	}
 	name := fmt.Sprintf("front-%d", i)
 	n := &instance{name: name, settings: filepath.Join(s.dir, name+".json"), log: filepath.Join(s.dir, name+".log"), address: addresses[0]}
-	if n.clients, err = newProxy(n.address); err != nil {
+	if n.clients, err = newProxy(loopback, n.address); err != nil {
 		return nil, err
 	}
 	n.store = s.store.linkOf(name)
