Read the stored suspects while no peer answers

Cause: an instance that reads the store as the fleet's reader leaves the quarantine to its peers, which tell it with their calls. While instances don't reach each other, each is its own reader, and none hears of a suspect: each sends the request to all shards once.

Change: an instance that knows others and has exchanged state with none for 2 s reads the stored records with each of its reads of the store.

--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -45,6 +45,9 @@
 	minStoreRetryDelay       = 50 * time.Millisecond
 	maxReaderRetryDelayShare = 0.2
 	maxInitialRetryDelay     = time.Second
+	// isolationTime is the time without an exchange of state with a peer after which an instance
+	// reads the quarantine itself: several synchronizations.
+	isolationTime = 2 * time.Second
 )
 
 // storeReader reads the store when it is this instance's turn. It is not safe for concurrent use.
@@ -161,7 +164,7 @@
 // is made until the store serves this instance again.
 func (r *storeReader) readInRole(ctx context.Context, role fleet.Role) error {
 	if role == fleet.RoleReader {
-		return r.readStore(ctx, r.timeout)
+		return r.readAsReader(ctx)
 	}
 	if !r.failedAt.IsZero() {
 		if err := r.callWithTimeout(ctx, minReadTimeout, r.node.config.Source.Probe); err != nil {
@@ -182,6 +185,20 @@
 	return r.callWithTimeout(ctx, 2*minReadTimeout, r.node.trials.load)
 }
 
+// readAsReader reads the store, and the quarantine too while no peer tells of it.
+func (r *storeReader) readAsReader(ctx context.Context) error {
+	if err := r.readStore(ctx, r.timeout); err != nil || !r.isIsolated(time.Now()) {
+		return err
+	}
+	return r.callWithTimeout(ctx, r.timeout, r.node.trials.load)
+}
+
+// isIsolated reports whether this instance knows others and has exchanged state with none of
+// them for isolationTime.
+func (c *control) isIsolated(now time.Time) bool {
+	return now.Sub(time.Unix(0, c.peerContactAt.Load())) > isolationTime && readFleet(c.node.membership, (*fleet.Fleet).Size) > 1
+}
+
 // callWithTimeout makes a call and fails it with context.DeadlineExceeded if an HTTP answer does not
 // begin within the timeout. An answer that has begun may take longer, up to
 // transferTimeoutShare, as a large configuration does on a slow link.
