Store requests that have lost two leaves

Cause: losses below the threshold were in memory only.

Change: a request that has lost two leaves and was not cleared for half a second is stored as a suspect. The instances that are running go on counting; one that starts runs it only as a trial. A run to completion deletes the record.

Cost: one write for a request that has lost two leaves and is not served within half a second. A restart of all instances forgets one loss at most.

--- a/entry/executor/leaf_loss.go
+++ b/entry/executor/leaf_loss.go
@@ -10,7 +10,7 @@
 // isn't suspected of crashing leaves.
 func (r *run) recordCompletion() {
 	if !r.completed.Swap(true) {
-		r.executor.quarantine.recordSuccess(r.fingerprint)
+		r.executor.clearLosses(r.fingerprint)
 	}
 }
 
@@ -30,6 +30,7 @@
 	threshold := max(e.config.SuspectAfterLosses, int(r.sentShards.Load())/2)
 	suspect, actions := e.quarantine.recordLoss(r.fingerprint, e.leafState.incarnation(a.leafID), threshold, time.Now())
 	if !suspect {
+		e.saveLosses(r.fingerprint)
 		return false
 	}
 	r.suspected.Store(true)
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -261,6 +261,9 @@
 	for _, fingerprint := range suspects {
 		e.saveSuspect(fingerprint)
 	}
+	for i := range losses {
+		e.saveLosses(losses[i].Fingerprint)
+	}
 }
 
 // changes returns the records and losses that changed of late, or all.
--- a/entry/executor/trials.go
+++ b/entry/executor/trials.go
@@ -17,9 +17,14 @@
 	// trial must not start: stored is then the record that the fleet has, or has no
 	// fingerprint if none could be read.
 	Claim(ctx context.Context, r quarantine.Record) (stored quarantine.Record, claimed bool)
-	// Save stores the record of a suspect that no trial has claimed soon. It does not wait.
+	// Save stores the record of a suspect, unless a trial claims it soon. It does not wait.
 	Save(r quarantine.Record)
-	// Delete removes the record of a request that ran to completion. It does not wait.
+	// SaveLosses stores a request as a suspect that may become one, unless it is cleared or
+	// suspected soon: instances that start then do not have to count its losses again. It does
+	// not wait.
+	SaveLosses(fingerprint string)
+	// Delete removes the record, if any, of a request that ran to completion. It does not
+	// wait.
 	Delete(fingerprint string)
 }
 
@@ -117,6 +122,31 @@
 	}
 }
 
+// lossesToSave is the number of losses from which a request is stored.
+const lossesToSave = 2
+
+// saveLosses has a request stored that has lost several leaves, of which this instance saw one.
+func (e *Executor) saveLosses(fingerprint string) {
+	if e.config.Trials != nil && e.HasLosses(fingerprint) {
+		e.config.Trials.SaveLosses(fingerprint)
+	}
+}
+
+// HasLosses reports whether a request that is no suspect has lost enough leaves to be stored.
+func (e *Executor) HasLosses(fingerprint string) bool {
+	return e.quarantine.hasLosses(fingerprint, time.Now())
+}
+
+// clearLosses forgets the losses of a request that ran to completion, and has its record deleted
+// if it may have been stored.
+func (e *Executor) clearLosses(fingerprint string) {
+	stored := e.config.Trials != nil && e.HasLosses(fingerprint)
+	e.quarantine.recordSuccess(fingerprint)
+	if stored {
+		e.config.Trials.Delete(fingerprint)
+	}
+}
+
 // deleteCleared has the records of requests deleted that have just run to completion.
 func (e *Executor) deleteCleared(actions []quarantine.Action) {
 	for _, action := range actions {
@@ -148,6 +178,13 @@
 	return max(d.RetryAfter, minRetryAfter)
 }
 
+// hasLosses implements Executor.HasLosses.
+func (s *quarantineState) hasLosses(fingerprint string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.losses.OwnCount(fingerprint, now) >= lossesToSave && s.machine.Phase(fingerprint, now) == quarantine.PhaseClear
+}
+
 // beginClaim returns the record of a suspect's next trial. It returns false if the
 // fingerprint is no suspect or its trial is already being claimed; else endClaim must follow.
 func (s *quarantineState) beginClaim(fingerprint string, now time.Time) (quarantine.Record, bool) {
--- a/entry/executor/trials_test.go
+++ b/entry/executor/trials_test.go
@@ -26,6 +26,7 @@
 	return r, true
 }
 func (f *fakeTrials) Save(quarantine.Record) {}
+func (f *fakeTrials) SaveLosses(string)      {}
 func (f *fakeTrials) Delete(string)          { f.deletes++ }
 
 // newSuspectExecutor makes an executor for which the request of the service "ask" is a suspect,
--- a/entry/hosted/crashing_test.go
+++ b/entry/hosted/crashing_test.go
@@ -294,6 +294,7 @@
 		{name: "for hours", instances: 1, shards: 2, each: 2, restartTime: 3 * time.Second, route: wideRoute, duration: 3 * time.Hour, interval: 47 * time.Second},
 		{name: "instances restart in turn", instances: 8, shards: 20, each: 2, restartTime: 3300 * time.Millisecond, route: wideRoute, duration: 2 * time.Minute, interval: 200 * time.Millisecond, disturb: restartInTurn},
 		{name: "all instances restart", instances: 8, shards: 20, each: 2, restartTime: 3300 * time.Millisecond, route: wideRoute, duration: 2 * time.Minute, interval: 200 * time.Millisecond, disturb: restartAll},
+		{name: "all instances restart between two losses", instances: 8, shards: 1, each: 2, restartTime: 2 * time.Second, route: onceRoute, duration: 2 * time.Minute, interval: 3300 * time.Millisecond, firstGap: 3300 * time.Millisecond, inTurn: true, disturb: restartAllOften},
 		{name: "instances in turn that do not reach each other", instances: 8, shards: 20, each: 2, restartTime: 3 * time.Second, route: wideRoute, duration: time.Minute, interval: 1300 * time.Millisecond, inTurn: true, disturb: cutPeers},
 		{name: "leaves crash for other reasons", instances: 8, shards: 20, each: 2, restartTime: 3300 * time.Millisecond, route: wideRoute, duration: 2 * time.Minute, interval: 200 * time.Millisecond, disturb: crashLeaves},
 	} {
--- a/entry/hosted/trialstore.go
+++ b/entry/hosted/trialstore.go
@@ -29,6 +29,8 @@
 // pendingWrite is a record to save, or, without a level, one to delete.
 type pendingWrite struct {
 	record quarantine.Record
+	// losses is set if the request is no suspect yet.
+	losses bool
 	due    time.Time
 	// retryDelay is the time after a failure until the next attempt.
 	retryDelay time.Duration
@@ -38,6 +40,8 @@
 	// saveDelay is the time in which most new suspects are claimed or cleared, which makes
 	// their saving needless.
 	saveDelay = 500 * time.Millisecond
+	// lossesLifetime is how long a request is stored whose losses made it no suspect.
+	lossesLifetime = 24 * time.Hour
 	// maxPendingWrites bounds the saves and deletions to do; those beyond it are dropped.
 	maxPendingWrites = 256
 	// writeTimeout bounds one save or deletion. minWriteRetryDelay is the first time between
@@ -131,6 +135,16 @@
 	s.enqueue(pendingWrite{record: r, due: time.Now().Add(saveDelay), retryDelay: minWriteRetryDelay})
 }
 
+// SaveLosses implements executor.Trials.
+func (s *trialStore) SaveLosses(fingerprint string) {
+	if s.lastSeen(fingerprint).Revision != 0 {
+		return
+	}
+	now := time.Now()
+	suspect := quarantine.Record{Fingerprint: fingerprint, Level: int(quarantine.PhaseSuspect), ExpiresAt: now.Add(lossesLifetime)}
+	s.enqueue(pendingWrite{record: suspect, losses: true, due: now.Add(saveDelay), retryDelay: minWriteRetryDelay})
+}
+
 // Delete implements executor.Trials.
 func (s *trialStore) Delete(fingerprint string) {
 	s.enqueue(pendingWrite{record: quarantine.Record{Fingerprint: fingerprint}})
@@ -171,9 +185,8 @@
 		s.remove(ctx, fingerprint)
 		return
 	}
-	current, ok := s.node.executor.QuarantineRecord(fingerprint)
-	if !ok || current.Level != w.record.Level || s.lastSeen(fingerprint).Revision != 0 {
-		return // cleared, claimed or stored meanwhile
+	if !s.isStillDue(w) {
+		return
 	}
 	err := s.write(ctx, w.record)
 	var conflict *QuarantineConflictError
@@ -188,6 +201,20 @@
 	}
 }
 
+// isStillDue reports whether a record is still to be saved: the request was not cleared, claimed
+// or stored meanwhile.
+func (s *trialStore) isStillDue(w pendingWrite) bool {
+	fingerprint := w.record.Fingerprint
+	if s.lastSeen(fingerprint).Revision != 0 {
+		return false
+	}
+	if w.losses {
+		return s.node.executor.HasLosses(fingerprint)
+	}
+	current, ok := s.node.executor.QuarantineRecord(fingerprint)
+	return ok && current.Level == w.record.Level
+}
+
 // remove deletes the record of a request, if this instance knows its revision. Another
 // instance's newer record stays: its trial shows anew that the request crashes no leaf.
 func (s *trialStore) remove(ctx context.Context, fingerprint string) {
@@ -206,7 +233,7 @@
 	s.mu.Lock()
 	var expired []string
 	for fingerprint := range s.known {
-		if _, ok := s.node.executor.QuarantineRecord(fingerprint); !ok {
+		if _, ok := s.node.executor.QuarantineRecord(fingerprint); !ok && !s.node.executor.HasLosses(fingerprint) {
 			expired = append(expired, fingerprint)
 		}
 	}
--- a/kernel/quarantine/losses.go
+++ b/kernel/quarantine/losses.go
@@ -55,6 +55,7 @@
 	changedAt time.Time
 	expiresAt time.Time
 	shared    bool // it was among the Changes
+	own       bool // this instance saw one of the losses
 }
 
 // RecordLoss counts a leaf that was lost under a request. It reports whether the
@@ -67,6 +68,7 @@
 	}
 	r.threshold = max(r.threshold, threshold)
 	r.expiresAt = now.Add(c.Window)
+	r.own = true
 	if _, known := r.lost[leaf]; !known {
 		r.lost[leaf] = now
 		r.changedAt = now
@@ -85,7 +87,7 @@
 
 // clear drops the losses until a time.
 func (r *requestLosses) clear(at time.Time) {
-	r.clearedAt, r.changedAt, r.threshold = at, at, 0
+	r.clearedAt, r.changedAt, r.threshold, r.own = at, at, 0, false
 	clear(r.lost)
 }
 
@@ -105,6 +107,16 @@
 	}
 }
 
+// OwnCount returns the number of losses of a request, seen by any instance; 0 if this instance
+// saw none of them.
+func (c *LossCounter) OwnCount(fingerprint string, now time.Time) int {
+	r := c.live(fingerprint, now)
+	if r == nil || !r.own {
+		return 0
+	}
+	return len(r.lost)
+}
+
 // Empty reports whether no losses are tracked.
 func (c *LossCounter) Empty() bool { return len(c.byRequest) == 0 }
 
