Save suspects independently of each other, and end no query for a repeat

Found by reading and by a new test:

- The goroutine that saves waited for each save's time, up to a minute after failures, with all others behind it: TestSaveDoesNotWaitForOthers.
Each save has its own timer now, and a request one save at most.
- Of a request that was first saved for its losses and then suspected, nothing was saved.
The record is now made up when it is written.
- A hedge or a retry that may not be sent, as the request was suspected meanwhile, ended the query although its first attempt was still running.
It is only left out now.
- A leaf's 504 at the deadline cleared the losses of a request, although the leaf had stopped before its end: TestLeafThatStopsAtDeadlineShowsNothing.
- The stand-in of the store deleted an object whatever revision the call named.

--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/leafapi"
@@ -114,7 +115,7 @@
 		if closed || lost {
 			e.leafState.recordBreak(a.leafID, time.Now())
 		}
-		if broken.Failure != nil {
+		if ranToEnd(broken) {
 			a.run.recordCompletion()
 		}
 		p.finishAttempt(a, brokenOutcome(broken.Cause), 0)
@@ -126,6 +127,16 @@
 	}
 }
 
+// ranToEnd reports whether a leaf ran a request to its end although it states a failure. At the
+// deadline a leaf stops.
+func ranToEnd(broken *leafclient.BrokenError) bool {
+	forwarded, ok := broken.Failure.(*leafclient.ForwardedResponse)
+	if !ok {
+		return broken.Failure != nil
+	}
+	return forwarded.Status != http.StatusGatewayTimeout
+}
+
 // brokenOutcome returns the outcome of a broken exchange for the dispatch machine, which
 // distinguishes a broken connection from a timeout and a cancellation.
 func brokenOutcome(c leafclient.Cause) dispatch.Outcome {
--- a/entry/executor/trials.go
+++ b/entry/executor/trials.go
@@ -17,12 +17,10 @@
 	// trial must not start: stored is then the record that the fleet has, or has no
 	// fingerprint if none could be read.
 	Claim(ctx context.Context, r quarantine.Record) (stored quarantine.Record, claimed bool)
-	// Save stores the record of a suspect, unless a trial claims it soon. It does not wait.
-	Save(r quarantine.Record)
-	// SaveLosses stores a request as a suspect that may become one, unless it is cleared or
-	// suspected soon: instances that start then do not have to count its losses again. It does
-	// not wait.
-	SaveLosses(fingerprint string)
+	// Save stores a request as a suspect, unless it is cleared or claimed soon. The request is a
+	// suspect or HasLosses: instances that start do not count its losses again. It does not
+	// wait.
+	Save(fingerprint string)
 	// Delete removes the record, if any, of a request that ran to completion. It does not
 	// wait.
 	Delete(fingerprint string)
@@ -41,7 +39,8 @@
 
 // mayRunOn reports whether an attempt may be sent now that it has a connection to a leaf.
 // A request that may crash leaves is only sent alone, after its trial was claimed for the
-// whole fleet. The query of a request that may not be sent is ended.
+// whole fleet. It ends the query, unless the attempt repeats one that was sent before the
+// request was suspected.
 func (r *run) mayRunOn(ctx context.Context, a *attempt) bool {
 	e := r.executor
 	if e.config.Trials == nil {
@@ -61,7 +60,9 @@
 	default:
 		retryAfter = e.quarantine.retryAfter(r.fingerprint, time.Now())
 	}
-	r.mail.put(query.Quarantined{RetryAfter: retryAfter})
+	if a.offer.Solo || !a.offer.Hedge && !a.offer.Retry {
+		r.mail.put(query.Quarantined{RetryAfter: retryAfter})
+	}
 	return false
 }
 
@@ -114,11 +115,8 @@
 
 // saveSuspect has the record of a new suspect stored.
 func (e *Executor) saveSuspect(fingerprint string) {
-	if e.config.Trials == nil {
-		return
-	}
-	if record, ok := e.quarantine.record(fingerprint, time.Now()); ok {
-		e.config.Trials.Save(record)
+	if e.config.Trials != nil {
+		e.config.Trials.Save(fingerprint)
 	}
 }
 
@@ -128,7 +126,7 @@
 // saveLosses has a request stored that has lost several leaves, of which this instance saw one.
 func (e *Executor) saveLosses(fingerprint string) {
 	if e.config.Trials != nil && e.HasLosses(fingerprint) {
-		e.config.Trials.SaveLosses(fingerprint)
+		e.config.Trials.Save(fingerprint)
 	}
 }
 
--- a/entry/executor/trials_test.go
+++ b/entry/executor/trials_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,9 +26,8 @@
 	}
 	return r, true
 }
-func (f *fakeTrials) Save(quarantine.Record) {}
-func (f *fakeTrials) SaveLosses(string)      {}
-func (f *fakeTrials) Delete(string)          { f.deletes++ }
+func (f *fakeTrials) Save(string)   {}
+func (f *fakeTrials) Delete(string) { f.deletes++ }
 
 // newSuspectExecutor makes an executor for which the request of the service "ask" is a suspect,
 // with a behaviour of all leaves.
@@ -122,3 +122,17 @@
 		}
 	})
 }
+
+// TestLeafThatStopsAtDeadlineShowsNothing has a leaf state a failure: at the deadline it has not
+// run the request to its end, so that it may still crash leaves.
+func TestLeafThatStopsAtDeadlineShowsNothing(t *testing.T) {
+	for status, want := range map[int]bool{http.StatusGatewayTimeout: false, http.StatusInternalServerError: true} {
+		broken := &leafclient.BrokenError{Failure: &leafclient.ForwardedResponse{Status: status}}
+		if got := ranToEnd(broken); got != want {
+			t.Errorf("status %d: ran to its end is %v, want %v", status, got, want)
+		}
+	}
+	if ranToEnd(&leafclient.BrokenError{}) {
+		t.Error("a lost connection counts as a run to the end")
+	}
+}
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -53,7 +53,7 @@
 	// that revision. It returns the new revision. The error is a *QuarantineConflictError if the
 	// store has another revision.
 	WriteQuarantineRecord(ctx context.Context, r QuarantineRecord) (revision uint64, err error)
-	// DeleteQuarantineRecord deletes a record of a revision.
+	// DeleteQuarantineRecord deletes a record if it has the revision.
 	DeleteQuarantineRecord(ctx context.Context, fingerprint string, revision uint64) error
 }
 
--- a/entry/hosted/trialstore.go
+++ b/entry/hosted/trialstore.go
@@ -18,21 +18,21 @@
 type trialStore struct {
 	node *Node
 	log  *telemetry.ComponentLog
-	// pending has the saves and deletions to do.
+	// pending has the saves and deletions that are due.
 	pending chan pendingWrite
 
 	mu sync.Mutex
 	// known holds the stored records as this instance last saw them, by fingerprint.
 	known map[string]QuarantineRecord
+	// saving holds the fingerprints of the records to save, due or not.
+	saving map[string]bool
 }
 
-// pendingWrite is a record to save, or, without a level, one to delete.
+// pendingWrite is a request whose record is to be saved or deleted.
 type pendingWrite struct {
-	record quarantine.Record
-	// losses is set if the request is no suspect yet.
-	losses bool
-	due    time.Time
-	// retryDelay is the time after a failure until the next attempt.
+	fingerprint string
+	deletes     bool
+	// retryDelay is the time after a failure to save until the next attempt.
 	retryDelay time.Duration
 }
 
@@ -55,7 +55,7 @@
 
 // newTrialStore returns a trialStore that knows no record yet.
 func newTrialStore(n *Node) *trialStore {
-	return &trialStore{node: n, log: n.log.Component("quarantine"), pending: make(chan pendingWrite, maxPendingWrites), known: make(map[string]QuarantineRecord)}
+	return &trialStore{node: n, log: n.log.Component("quarantine"), pending: make(chan pendingWrite, maxPendingWrites), known: make(map[string]QuarantineRecord), saving: make(map[string]bool)}
 }
 
 // lastSeen returns the stored record of a request as this instance last saw it; its revision is 0
@@ -131,31 +131,37 @@
 }
 
 // Save implements executor.Trials.
-func (s *trialStore) Save(r quarantine.Record) {
-	s.enqueue(pendingWrite{record: r, due: time.Now().Add(saveDelay), retryDelay: minWriteRetryDelay})
-}
-
-// SaveLosses implements executor.Trials.
-func (s *trialStore) SaveLosses(fingerprint string) {
-	if s.lastSeen(fingerprint).Revision != 0 {
+func (s *trialStore) Save(fingerprint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.saving[fingerprint] || s.known[fingerprint].Revision != 0 || len(s.saving) >= maxPendingWrites {
 		return
 	}
-	now := time.Now()
-	suspect := quarantine.Record{Fingerprint: fingerprint, Level: int(quarantine.PhaseSuspect), ExpiresAt: now.Add(lossesLifetime)}
-	s.enqueue(pendingWrite{record: suspect, losses: true, due: now.Add(saveDelay), retryDelay: minWriteRetryDelay})
+	s.saving[fingerprint] = true
+	time.AfterFunc(saveDelay, func() { s.enqueue(pendingWrite{fingerprint: fingerprint, retryDelay: minWriteRetryDelay}) })
+}
+
+// endSaving ends what Save began.
+func (s *trialStore) endSaving(fingerprint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.saving, fingerprint)
 }
 
 // Delete implements executor.Trials.
 func (s *trialStore) Delete(fingerprint string) {
-	s.enqueue(pendingWrite{record: quarantine.Record{Fingerprint: fingerprint}})
+	s.enqueue(pendingWrite{fingerprint: fingerprint, deletes: true})
 }
 
-// enqueue adds a save or a deletion; one beyond the bound is dropped.
+// enqueue adds a save or a deletion that is due; one beyond the bound is dropped.
 func (s *trialStore) enqueue(w pendingWrite) {
 	select {
 	case s.pending <- w:
 	default:
-		s.log.Warn("write was dropped", "fingerprint", w.record.Fingerprint)
+		if !w.deletes {
+			s.endSaving(w.fingerprint)
+		}
+		s.log.Warn("write was dropped", "fingerprint", w.fingerprint)
 	}
 }
 
@@ -170,49 +176,55 @@
 		case <-sweep.C:
 			s.sweep()
 		case w := <-s.pending:
-			sleep(ctx, time.Until(w.due))
 			s.perform(ctx, w)
 		}
 	}
 }
 
-// perform saves or deletes a record. A record that could not be saved is tried again later.
+// perform saves or deletes a record.
 func (s *trialStore) perform(ctx context.Context, w pendingWrite) {
-	fingerprint := w.record.Fingerprint
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if w.record.Level == 0 {
-		s.remove(ctx, fingerprint)
+	if w.deletes {
+		s.remove(ctx, w.fingerprint)
 		return
 	}
-	if !s.isStillDue(w) {
+	s.save(ctx, w)
+}
+
+// save saves a record, and tries again later if the store does not answer.
+func (s *trialStore) save(ctx context.Context, w pendingWrite) {
+	record, ok := s.recordToSave(w.fingerprint)
+	if !ok {
+		s.endSaving(w.fingerprint)
 		return
 	}
-	err := s.write(ctx, w.record)
+	err := s.write(ctx, record)
 	var conflict *QuarantineConflictError
 	switch {
 	case err == nil:
+		s.endSaving(w.fingerprint)
 	case errors.As(err, &conflict):
+		s.endSaving(w.fingerprint)
 		s.node.executor.LoadQuarantine([]quarantine.Record{decodeStored(conflict.Stored, time.Now())})
-	case ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded):
-		w.due = time.Now().Add(w.retryDelay)
+	default:
+		delay := w.retryDelay
 		w.retryDelay = min(2*w.retryDelay, maxWriteRetryDelay)
-		s.enqueue(w)
+		time.AfterFunc(delay, func() { s.enqueue(w) })
 	}
 }
 
-// isStillDue reports whether a record is still to be saved: the request was not cleared, claimed
-// or stored meanwhile.
-func (s *trialStore) isStillDue(w pendingWrite) bool {
-	fingerprint := w.record.Fingerprint
+// recordToSave returns the record of a request that is a suspect or has losses; false if it was
+// cleared, claimed or stored meanwhile.
+func (s *trialStore) recordToSave(fingerprint string) (quarantine.Record, bool) {
 	if s.lastSeen(fingerprint).Revision != 0 {
-		return false
+		return quarantine.Record{}, false
 	}
-	if w.losses {
-		return s.node.executor.HasLosses(fingerprint)
+	if r, ok := s.node.executor.QuarantineRecord(fingerprint); ok && r.Phase() == quarantine.PhaseSuspect {
+		return r, true
 	}
-	current, ok := s.node.executor.QuarantineRecord(fingerprint)
-	return ok && current.Level == w.record.Level
+	suspect := quarantine.Record{Fingerprint: fingerprint, Level: int(quarantine.PhaseSuspect), ExpiresAt: time.Now().Add(lossesLifetime)}
+	return suspect, s.node.executor.HasLosses(fingerprint)
 }
 
 // remove deletes the record of a request, if this instance knows its revision. Another
--- a/entry/hosted/trialstore_test.go
+++ b/entry/hosted/trialstore_test.go
@@ -69,7 +69,7 @@
 		go func() { done <- n.trials.run(ctx) }()
 		suspect := quarantine.Record{Fingerprint: "f00d", Level: 1, ExpiresAt: time.Now().Add(time.Hour)}
 		n.executor.LoadQuarantine([]quarantine.Record{suspect})
-		n.trials.Save(suspect)
+		n.trials.Save(suspect.Fingerprint)
 		time.Sleep(5 * time.Minute)
 		store.update(func(s *sharedStore) { s.refuses = nil })
 		time.Sleep(maxWriteRetryDelay + time.Second)
@@ -108,3 +108,28 @@
 		}
 	})
 }
+
+// TestSaveDoesNotWaitForOthers saves a request while another one's save waits to be tried again.
+func TestSaveDoesNotWaitForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &sharedStore{quarantine: make(map[string]QuarantineRecord), refuses: func(string) bool { return true }}
+		n := newClaimingNodes(t, store, 1)[0]
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.trials.run(ctx) }()
+		for _, fingerprint := range []string{"first", "second"} {
+			n.executor.LoadQuarantine([]quarantine.Record{{Fingerprint: fingerprint, Level: 1, ExpiresAt: time.Now().Add(time.Hour)}})
+			n.trials.Save(fingerprint)
+			time.Sleep(30 * time.Second)
+			store.update(func(s *sharedStore) { s.refuses = nil })
+		}
+		time.Sleep(saveDelay + time.Second)
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+		if len(store.quarantine) != 2 {
+			t.Errorf("stored %+v", store.quarantine)
+		}
+	})
+}
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/labstack/echo/v4"
 
@@ -126,10 +127,20 @@
 	if !found {
 		return s.reply(c, http.StatusNotFound, struct{}{})
 	}
+	version := now.Version
+	if text := c.QueryParam("revision"); text != "" {
+		var err error
+		if version, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return control.BadRequest(c, &FieldError{Field: "revision", Reason: "is no number"})
+		}
+	}
 	s.mu.Lock()
-	_, removed := s.store.remove(c.Param("kind"), c.Param("name"), now.Version)
+	object, removed := s.store.remove(c.Param("kind"), c.Param("name"), version)
 	s.endWrite(removed)
 	s.mu.Unlock()
+	if !removed {
+		return s.reply(c, http.StatusConflict, hostedOf(object))
+	}
 	s.maybeLose()
 	return s.reply(c, http.StatusOK, struct{}{})
 }
