--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -46,8 +46,8 @@
 	// goroutine that synchronizes from peers uses these two and staleSince.
 	receiver            statesync.Receiver
 	receiverListChanges uint64
-	// peerContactAt is when this instance last exchanged state with a peer, in Unix nanoseconds.
-	peerContactAt atomic.Int64
+	// peerContactAt is when this instance last exchanged state with a peer; nil for never.
+	peerContactAt atomic.Pointer[time.Time]
 	// syncedAt is when this instance last synchronized from a peer, zero for never. Only the
 	// goroutine that synchronizes uses it.
 	syncedAt time.Time
--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -196,7 +196,9 @@
 // isIsolated reports whether this instance knows others and has exchanged state with none of
 // them for isolationTime.
 func (c *control) isIsolated(now time.Time) bool {
-	return now.Sub(time.Unix(0, c.peerContactAt.Load())) > isolationTime && readFleet(c.node.membership, (*fleet.Fleet).Size) > 1
+	contactAt := c.peerContactAt.Load()
+	silent := contactAt == nil || now.Sub(*contactAt) > isolationTime
+	return silent && readFleet(c.node.membership, (*fleet.Fleet).Size) > 1
 }
 
 // callWithTimeout makes a call and fails it with context.DeadlineExceeded if an HTTP answer does not
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -43,7 +43,7 @@
 	n.membership.writeList(&r, out, now)
 	n.slowLeaves.AddFromPeer(r.Observations, now)
 	out.SlowLeaves = n.slowLeaves.Report(now)
-	n.control.peerContactAt.Store(now.UnixNano())
+	n.control.peerContactAt.Store(&now)
 	n.executor.MergeQuarantineChanges(r.Quarantine, r.Losses)
 	out.Quarantine, out.Losses = n.executor.QuarantineChanges(r.WholeQuarantine)
 	n.control.recordFresherPeer(from, r.AgeMS, max(out.ConfigAgeMS, out.LeavesAgeMS))
@@ -104,7 +104,7 @@
 		return errUnknownState
 	}
 	c.syncedAt = startedAt
-	c.peerContactAt.Store(startedAt.UnixNano())
+	c.peerContactAt.Store(&startedAt)
 	c.node.slowLeaves.SetPeerReport(reply.SlowLeaves, startedAt)
 	c.node.membership.applyPeerList(update)
 	if err := c.send(ctx, peerUpdate{update: update, peer: cmp.Or(source.Name, source.PeerAddress), storeListChanges: listChanges}); err != nil {
