--- a/entry/executor/trials_test.go
+++ b/entry/executor/trials_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,3 +137,64 @@
 		t.Error("a lost connection counts as a run to the end")
 	}
 }
+
+// sharedTrials claims trials for several instances, as the platform's store does.
+type sharedTrials struct {
+	mu     sync.Mutex
+	stored map[string]quarantine.Record
+}
+
+func (s *sharedTrials) Claim(_ context.Context, r quarantine.Record) (quarantine.Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stored, ok := s.stored[r.Fingerprint]; ok && stored.Level >= r.Level {
+		return stored, false
+	}
+	s.stored[r.Fingerprint] = r
+	return r, true
+}
+func (s *sharedTrials) Save(string)   {}
+func (s *sharedTrials) Delete(string) {}
+
+// TestSuspectRunsThreeTimesADay sends a request that crashes leaves to eight instances, each five
+// minutes for a day; they hear of each other by the store alone.
+func TestSuspectRunsThreeTimesADay(t *testing.T) {
+	const instances, interval, maxTrials = 8, 5 * time.Minute, 3
+	synctest.Test(t, func(t *testing.T) {
+		trials := &sharedTrials{stored: make(map[string]quarantine.Record)}
+		var all []*testExecutor
+		for range instances {
+			e := newTestExecutor(t, 2)
+			defer e.close()
+			e.executor.config.Trials = trials
+			for _, id := range []string{"l0-a", "l0-b", "l1-a", "l1-b"} {
+				e.leaves.behaviours[id] = whenAllowed(e.leaves.breaks)
+			}
+			fingerprint := e.executor.quarantine.fingerprint(e.request("ask"))
+			e.executor.quarantine.handle(quarantine.AttemptEnded{Fingerprint: fingerprint, Crashed: true}, time.Now())
+			all = append(all, e)
+		}
+		for end := time.Now().Add(24 * time.Hour); time.Now().Before(end); time.Sleep(interval) {
+			for _, e := range all {
+				_, _ = e.execute(t.Context(), "ask") // it is refused or crashes a leaf
+			}
+		}
+		arrivals := 0
+		for _, e := range all {
+			arrivals += e.leaves.executions()
+		}
+		if arrivals != maxTrials {
+			t.Errorf("%d arrivals in a day, want %d", arrivals, maxTrials)
+		}
+	})
+}
+
+// whenAllowed returns a behaviour that first asks whether the attempt may be sent.
+func whenAllowed(b behaviour) behaviour {
+	return func(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error) {
+		if !sent() {
+			return nil, &leafclient.DialError{Leaf: t.ID, Err: leafclient.ErrCancelledBeforeSend}
+		}
+		return b(ctx, t, r, func() bool { return true })
+	}
+}
