Call the run of a suspect alone a probe, as the query does

One name now: Record.Probes, NextProbe, ProbeStarted, ProbeStore, probeStore; the log line 'query probe' with probes and stored_probes, the events 'probe claimed' and 'probe refused' of the counter quarantine, the field probes of peers and of stored records.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -67,8 +67,8 @@
 	// Level is the record's level as defined by kernel/quarantine: its remainder modulo 3
 	// is clear, suspect or in quarantine. Of two records the greater level applies.
 	Level int `json:"level"`
-	// Trials counts the runs alone on a leaf since the request last ran to completion.
-	Trials      int   `json:"trials,omitempty"`
+	// Probes counts the runs alone on a leaf since the request last ran to completion.
+	Probes      int   `json:"probes,omitempty"`
 	RemainingMS int64 `json:"left_ms"`
 }
 
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -105,9 +105,9 @@
 	// QuarantineDuration is how long a request that crashes leaves is refused for the first
 	// time; 0 means ten minutes.
 	QuarantineDuration time.Duration
-	// Trials decides which instance of the fleet runs a suspect alone; nil: each one decides
+	// ProbeStore decides which instance of the fleet runs a suspect alone; nil: each one decides
 	// for itself.
-	Trials Trials
+	ProbeStore ProbeStore
 }
 
 // Executor runs queries. It is safe for concurrent use.
--- a/entry/executor/trials.go
+++ b/entry/executor/probes.go
@@ -9,12 +9,12 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 )
 
-// Trials keeps the quarantine's records for the whole fleet, longer than any instance lives,
+// ProbeStore keeps the quarantine's records for the whole fleet, longer than any instance lives,
 // and lets one instance at a time run a suspect alone on a leaf. Its methods are safe for
 // concurrent use.
-type Trials interface {
-	// Claim stores the record of a trial that is about to start. If it returns false, the
-	// trial must not start: stored is then the record that the fleet has, or has no
+type ProbeStore interface {
+	// Claim stores the record of a probe that is about to start. If it returns false, the
+	// probe must not start: stored is then the record that the fleet has, or has no
 	// fingerprint if none could be read.
 	Claim(ctx context.Context, r quarantine.Record) (stored quarantine.Record, claimed bool)
 	// Save stores a request as a suspect, unless it is cleared or claimed soon. The request is a
@@ -30,20 +30,20 @@
 const (
 	// claimTimeout bounds the wait for the store while a leaf's connection is held.
 	claimTimeout = 300 * time.Millisecond
-	// unclaimedRetryAfter is when a suspect may come back whose trial could not be claimed
+	// unclaimedRetryAfter is when a suspect may come back whose probe could not be claimed
 	// because the store did not answer.
 	unclaimedRetryAfter = time.Second
-	// claimingRetryAfter is when a suspect may come back while its trial is being claimed.
+	// claimingRetryAfter is when a suspect may come back while its probe is being claimed.
 	claimingRetryAfter = 250 * time.Millisecond
 )
 
-// mayRunOn reports whether an attempt may be sent now that it has a connection to a leaf.
-// A request that may crash leaves is only sent alone, after its trial was claimed for the
+// maySend reports whether an attempt may be sent now that it has a connection to a leaf.
+// A request that may crash leaves is only sent alone, after its probe was claimed for the
 // whole fleet. It ends the query, unless the attempt repeats one that was sent before the
 // request was suspected.
-func (r *run) mayRunOn(ctx context.Context, a *attempt) bool {
+func (r *run) maySend(ctx context.Context, a *attempt) bool {
 	e := r.executor
-	if e.config.Trials == nil {
+	if e.config.ProbeStore == nil {
 		return true
 	}
 	var retryAfter time.Duration
@@ -52,7 +52,7 @@
 		return true
 	case phase == quarantine.PhaseSuspect && a.offer.Solo:
 		var claimed bool
-		if retryAfter, claimed = r.claimTrial(ctx, a); claimed {
+		if retryAfter, claimed = r.claimProbe(ctx, a); claimed {
 			return true
 		}
 	case phase == quarantine.PhaseSuspect:
@@ -66,9 +66,9 @@
 	return false
 }
 
-// claimTrial claims the trial of a suspect. If it can't be claimed, retryAfter is when the
+// claimProbe claims the probe of a suspect. If it can't be claimed, retryAfter is when the
 // request may come back.
-func (r *run) claimTrial(ctx context.Context, a *attempt) (retryAfter time.Duration, claimed bool) {
+func (r *run) claimProbe(ctx context.Context, a *attempt) (retryAfter time.Duration, claimed bool) {
 	e := r.executor
 	record, ok := e.quarantine.beginClaim(r.fingerprint, time.Now())
 	if !ok {
@@ -78,14 +78,14 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	start := time.Now()
-	stored, claimed := e.config.Trials.Claim(ctx, record)
+	stored, claimed := e.config.ProbeStore.Claim(ctx, record)
 	e.logDecision(a, telemetry.Decision{
-		Component: prefixQuery, Event: "trial", Leaf: a.leafID, Reason: r.fingerprint, Duration: time.Since(start),
-		Extra: []any{"claimed", claimed, "trials", record.Trials, "level", record.Level, "stored_trials", stored.Trials, "stored_level", stored.Level},
+		Component: prefixQuery, Event: "probe", Leaf: a.leafID, Reason: r.fingerprint, Duration: time.Since(start),
+		Extra: []any{"claimed", claimed, "probes", record.Probes, "level", record.Level, "stored_probes", stored.Probes, "stored_level", stored.Level},
 	})
-	e.config.Metrics.CountQuarantine(trialEvent(claimed), string(fromStore))
+	e.config.Metrics.CountQuarantine(probeEvent(claimed), string(fromStore))
 	if claimed {
-		e.applyQuarantineActions(e.quarantine.handle(quarantine.TrialStarted{Record: record}, time.Now()), fromLeaf)
+		e.applyQuarantineActions(e.quarantine.handle(quarantine.ProbeStarted{Record: record}, time.Now()), fromLeaf)
 		return 0, true
 	}
 	if stored.Fingerprint == "" {
@@ -95,7 +95,7 @@
 	return e.quarantine.retryAfter(r.fingerprint, time.Now()), false
 }
 
-// LoadQuarantine merges records that were read from the store of Trials.
+// LoadQuarantine merges records that were read from the ProbeStore.
 func (e *Executor) LoadQuarantine(records []quarantine.Record) {
 	e.applyQuarantineActions(e.quarantine.handle(quarantine.RecordsLoaded{Records: records}, time.Now()), fromStore)
 }
@@ -105,18 +105,18 @@
 	return e.quarantine.record(fingerprint, time.Now())
 }
 
-// trialEvent returns the name of a claim's result for the metrics.
-func trialEvent(claimed bool) string {
+// probeEvent returns the name of a claim's result for the metrics.
+func probeEvent(claimed bool) string {
 	if claimed {
-		return "trial claimed"
+		return "probe claimed"
 	}
-	return "trial refused"
+	return "probe refused"
 }
 
 // saveSuspect has the record of a new suspect stored.
 func (e *Executor) saveSuspect(fingerprint string) {
-	if e.config.Trials != nil {
-		e.config.Trials.Save(fingerprint)
+	if e.config.ProbeStore != nil {
+		e.config.ProbeStore.Save(fingerprint)
 	}
 }
 
@@ -125,8 +125,8 @@
 
 // saveLosses has a request stored that has lost several leaves, of which this instance saw one.
 func (e *Executor) saveLosses(fingerprint string) {
-	if e.config.Trials != nil && e.HasLosses(fingerprint) {
-		e.config.Trials.Save(fingerprint)
+	if e.config.ProbeStore != nil && e.HasLosses(fingerprint) {
+		e.config.ProbeStore.Save(fingerprint)
 	}
 }
 
@@ -138,18 +138,18 @@
 // clearLosses forgets the losses of a request that ran to completion, and has its record deleted
 // if it may have been stored.
 func (e *Executor) clearLosses(fingerprint string) {
-	stored := e.config.Trials != nil && e.HasLosses(fingerprint)
+	stored := e.config.ProbeStore != nil && e.HasLosses(fingerprint)
 	e.quarantine.recordSuccess(fingerprint)
 	if stored {
-		e.config.Trials.Delete(fingerprint)
+		e.config.ProbeStore.Delete(fingerprint)
 	}
 }
 
 // deleteCleared has the records of requests deleted that have just run to completion.
 func (e *Executor) deleteCleared(actions []quarantine.Action) {
 	for _, action := range actions {
-		if c, ok := action.(quarantine.PhaseChanged); ok && c.Phase == quarantine.PhaseClear && e.config.Trials != nil {
-			e.config.Trials.Delete(c.Fingerprint)
+		if c, ok := action.(quarantine.PhaseChanged); ok && c.Phase == quarantine.PhaseClear && e.config.ProbeStore != nil {
+			e.config.ProbeStore.Delete(c.Fingerprint)
 		}
 	}
 }
@@ -183,15 +183,15 @@
 	return s.losses.OwnCount(fingerprint, now) >= lossesToSave && s.machine.Phase(fingerprint, now) == quarantine.PhaseClear
 }
 
-// beginClaim returns the record of a suspect's next trial. It returns false if the
-// fingerprint is no suspect or its trial is already being claimed; else endClaim must follow.
+// beginClaim returns the record of a suspect's next probe. It returns false if the
+// fingerprint is no suspect or its probe is already being claimed; else endClaim must follow.
 func (s *quarantineState) beginClaim(fingerprint string, now time.Time) (quarantine.Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.claiming[fingerprint] {
 		return quarantine.Record{}, false
 	}
-	r, ok := s.machine.NextTrial(fingerprint, now)
+	r, ok := s.machine.NextProbe(fingerprint, now)
 	if ok {
 		s.claiming[fingerprint] = true
 	}
--- a/entry/executor/trials_test.go
+++ b/entry/executor/probes_test.go
@@ -14,27 +14,27 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 )
 
-// fakeTrials claims every trial, or none. It counts the calls.
-type fakeTrials struct {
+// fakeProbeStore claims every probe, or none. It counts the calls.
+type fakeProbeStore struct {
 	refuses         bool
 	claims, deletes int
 }
 
-func (f *fakeTrials) Claim(_ context.Context, r quarantine.Record) (quarantine.Record, bool) {
+func (f *fakeProbeStore) Claim(_ context.Context, r quarantine.Record) (quarantine.Record, bool) {
 	f.claims++
 	if f.refuses {
 		return quarantine.Record{}, false
 	}
 	return r, true
 }
-func (f *fakeTrials) Save(string)   {}
-func (f *fakeTrials) Delete(string) { f.deletes++ }
+func (f *fakeProbeStore) Save(string)   {}
+func (f *fakeProbeStore) Delete(string) { f.deletes++ }
 
 // newSuspectExecutor makes an executor for which the request of the service "ask" is a suspect,
 // with a behaviour of all leaves.
-func newSuspectExecutor(t *testing.T, trials *fakeTrials, b func(e *testExecutor) behaviour) *testExecutor {
+func newSuspectExecutor(t *testing.T, probes *fakeProbeStore, b func(e *testExecutor) behaviour) *testExecutor {
 	e := newTestExecutor(t, 2)
-	e.executor.config.Trials = trials
+	e.executor.config.ProbeStore = probes
 	for _, id := range []string{"l0-a", "l0-b", "l1-a", "l1-b"} {
 		e.leaves.behaviours[id] = b(e)
 	}
@@ -54,9 +54,9 @@
 	}
 }
 
-// TestSuspectReachesOneLeafInATrial has the leaves decline a suspect, break the connection, or
+// TestSuspectReachesOneLeafInAProbe has the leaves decline a suspect, break the connection, or
 // serve it: unless it is served it reaches one leaf, and then none while it is in quarantine.
-func TestSuspectReachesOneLeafInATrial(t *testing.T) {
+func TestSuspectReachesOneLeafInAProbe(t *testing.T) {
 	for _, tc := range []struct {
 		name      string
 		behaviour func(e *testExecutor) behaviour
@@ -68,8 +68,8 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				trials := &fakeTrials{}
-				e := newSuspectExecutor(t, trials, tc.behaviour)
+				probes := &fakeProbeStore{}
+				e := newSuspectExecutor(t, probes, tc.behaviour)
 				defer e.close()
 				for range 3 {
 					_, err := e.execute(t.Context(), "ask")
@@ -81,22 +81,22 @@
 				if tc.served {
 					want = 6
 				}
-				if n := e.leaves.executions(); n != want || trials.claims != 1 {
-					t.Errorf("%d arrivals after %d claims, want %d after 1", n, trials.claims, want)
+				if n := e.leaves.executions(); n != want || probes.claims != 1 {
+					t.Errorf("%d arrivals after %d claims, want %d after 1", n, probes.claims, want)
 				}
-				if deleted := trials.deletes == 1; deleted != tc.served {
-					t.Errorf("%d deletions, served is %v", trials.deletes, tc.served)
+				if deleted := probes.deletes == 1; deleted != tc.served {
+					t.Errorf("%d deletions, served is %v", probes.deletes, tc.served)
 				}
 			})
 		})
 	}
 }
 
-// TestSuspectWithoutClaimIsRefusedAsNotRun has no trial claimed: nothing is sent, and the caller
+// TestSuspectWithoutClaimIsRefusedAsNotRun has no probe claimed: nothing is sent, and the caller
 // is told when to come back.
 func TestSuspectWithoutClaimIsRefusedAsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := newSuspectExecutor(t, &fakeTrials{refuses: true}, declines)
+		e := newSuspectExecutor(t, &fakeProbeStore{refuses: true}, declines)
 		defer e.close()
 		_, err := e.execute(t.Context(), "ask")
 		var refused *RefusedError
@@ -109,17 +109,17 @@
 	})
 }
 
-// TestTrialIsNotClaimedWhileNoLeafIsReached has all dials fail: no trial is spent on it.
-func TestTrialIsNotClaimedWhileNoLeafIsReached(t *testing.T) {
+// TestProbeIsNotClaimedWhileNoLeafIsReached has all dials fail: no probe is spent on it.
+func TestProbeIsNotClaimedWhileNoLeafIsReached(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		trials := &fakeTrials{}
-		e := newSuspectExecutor(t, trials, func(*testExecutor) behaviour { return noConnection })
+		probes := &fakeProbeStore{}
+		e := newSuspectExecutor(t, probes, func(*testExecutor) behaviour { return noConnection })
 		defer e.close()
 		if _, err := e.execute(t.Context(), "ask"); err == nil {
 			t.Error("served without a leaf")
 		}
-		if trials.claims != 0 {
-			t.Errorf("%d claims", trials.claims)
+		if probes.claims != 0 {
+			t.Errorf("%d claims", probes.claims)
 		}
 	})
 }
@@ -138,13 +138,13 @@
 	}
 }
 
-// sharedTrials claims trials for several instances, as the platform's store does.
-type sharedTrials struct {
+// sharedProbeStore claims probes for several instances, as the platform's store does.
+type sharedProbeStore struct {
 	mu     sync.Mutex
 	stored map[string]quarantine.Record
 }
 
-func (s *sharedTrials) Claim(_ context.Context, r quarantine.Record) (quarantine.Record, bool) {
+func (s *sharedProbeStore) Claim(_ context.Context, r quarantine.Record) (quarantine.Record, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if stored, ok := s.stored[r.Fingerprint]; ok && stored.Level >= r.Level {
@@ -153,20 +153,20 @@
 	s.stored[r.Fingerprint] = r
 	return r, true
 }
-func (s *sharedTrials) Save(string)   {}
-func (s *sharedTrials) Delete(string) {}
+func (s *sharedProbeStore) Save(string)   {}
+func (s *sharedProbeStore) Delete(string) {}
 
 // TestSuspectRunsThreeTimesADay sends a request that crashes leaves to eight instances, each five
 // minutes for a day; they hear of each other by the store alone.
 func TestSuspectRunsThreeTimesADay(t *testing.T) {
-	const instances, interval, maxTrials = 8, 5 * time.Minute, 3
+	const instances, interval, maxProbes = 8, 5 * time.Minute, 3
 	synctest.Test(t, func(t *testing.T) {
-		trials := &sharedTrials{stored: make(map[string]quarantine.Record)}
+		probes := &sharedProbeStore{stored: make(map[string]quarantine.Record)}
 		var all []*testExecutor
 		for range instances {
 			e := newTestExecutor(t, 2)
 			defer e.close()
-			e.executor.config.Trials = trials
+			e.executor.config.ProbeStore = probes
 			for _, id := range []string{"l0-a", "l0-b", "l1-a", "l1-b"} {
 				e.leaves.behaviours[id] = whenAllowed(e.leaves.breaks)
 			}
@@ -183,8 +183,8 @@
 		for _, e := range all {
 			arrivals += e.leaves.executions()
 		}
-		if arrivals != maxTrials {
-			t.Errorf("%d arrivals in a day, want %d", arrivals, maxTrials)
+		if arrivals != maxProbes {
+			t.Errorf("%d arrivals in a day, want %d", arrivals, maxProbes)
 		}
 	})
 }
--- a/entry/executor/quarantine.go
+++ b/entry/executor/quarantine.go
@@ -17,13 +17,13 @@
 )
 
 // quarantineState holds what the fleet knows of requests that crash leaves. A lock guards
-// the kernel's machine, the loss counter and the trials.
+// the kernel's machine, the loss counter and the probes.
 type quarantineState struct {
 	key     []byte
 	mu      sync.Mutex
 	machine *quarantine.Machine
 	losses  quarantine.LossCounter
-	// claiming holds the fingerprints whose trial is being claimed.
+	// claiming holds the fingerprints whose probe is being claimed.
 	claiming map[string]bool
 }
 
@@ -144,7 +144,7 @@
 
 // encodeRecord converts a record for peers.
 func encodeRecord(r quarantine.Record, now time.Time) peerapi.QuarantineRecord {
-	return peerapi.QuarantineRecord{Fingerprint: r.Fingerprint, Level: r.Level, Trials: r.Trials, RemainingMS: r.ExpiresAt.Sub(now).Milliseconds()}
+	return peerapi.QuarantineRecord{Fingerprint: r.Fingerprint, Level: r.Level, Probes: r.Probes, RemainingMS: r.ExpiresAt.Sub(now).Milliseconds()}
 }
 
 // maxRemainingMS limits how long a record from a peer may still last, in milliseconds;
@@ -156,7 +156,7 @@
 	records := make([]quarantine.Record, 0, len(list))
 	for _, q := range list {
 		left := time.Duration(min(q.RemainingMS, maxRemainingMS)) * time.Millisecond
-		records = append(records, quarantine.Record{Fingerprint: q.Fingerprint, Level: q.Level, Trials: q.Trials, ExpiresAt: now.Add(left)})
+		records = append(records, quarantine.Record{Fingerprint: q.Fingerprint, Level: q.Level, Probes: q.Probes, ExpiresAt: now.Add(left)})
 	}
 	return s.handle(quarantine.RecordsReceived{Records: records}, now)
 }
@@ -218,10 +218,10 @@
 	switch {
 	case c.Phase == quarantine.PhaseClear:
 		ev = query.Cleared{}
-	case c.Phase == quarantine.PhaseQuarantined && e.config.Trials == nil:
+	case c.Phase == quarantine.PhaseQuarantined && e.config.ProbeStore == nil:
 		ev = query.Quarantined{RetryAfter: c.Remaining}
 	default:
-		return // with Trials, mayRunOn holds back what was not sent yet
+		return // with a ProbeStore, maySend holds back what was not sent yet
 	}
 	e.runsMu.Lock()
 	defer e.runsMu.Unlock()
--- a/entry/hosted/crashing_test.go
+++ b/entry/hosted/crashing_test.go
@@ -390,7 +390,7 @@
 // TestRequestsOfCrashedLeavesAreServedAgain has harmless requests in flight at all instances as
 // all leaves crash for another reason, once or twice: they are served again.
 func TestRequestsOfCrashedLeavesAreServedAgain(t *testing.T) {
-	const restartTime, requests, secondTrialAfter = 3 * time.Second, 8, 15 * time.Second
+	const restartTime, requests, secondProbeAfter = 3 * time.Second, 8, 15 * time.Second
 	for _, tc := range []struct {
 		name    string
 		route   string
@@ -399,8 +399,8 @@
 	}{
 		{"wide, one crash", wideRoute, 1, time.Second},
 		{"one leaf, one crash", oneRoute, 1, time.Second},
-		{"wide, a second crash", wideRoute, 2, secondTrialAfter},
-		{"one leaf, a second crash", oneRoute, 2, secondTrialAfter},
+		{"wide, a second crash", wideRoute, 2, secondProbeAfter},
+		{"one leaf, a second crash", oneRoute, 2, secondProbeAfter},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/entry/hosted/fleet_test.go
+++ b/entry/hosted/fleet_test.go
@@ -238,7 +238,7 @@
 	var done sync.WaitGroup
 	done.Go(func() { _ = n.control.run(ctx) })
 	done.Go(func() { _ = n.membership.keepAnnounced(ctx) })
-	done.Go(func() { _ = n.trials.run(ctx) })
+	done.Go(func() { _ = n.probeStore.run(ctx) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.running[peerAddress(i)] = &testInstance{node: n, slowReplies: i%2 == 0, stop: func() {
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -59,9 +59,9 @@
 
 // QuarantineRecord is the stored record of a request that is suspected of crashing leaves.
 type QuarantineRecord struct {
-	// Fingerprint, Level and Trials are those of quarantine.Record.
+	// Fingerprint, Level and Probes are those of quarantine.Record.
 	Fingerprint   string
-	Level, Trials int
+	Level, Probes int
 	// ExpiresMillis is when the record expires, in Unix milliseconds by the clock of the
 	// instance that wrote it.
 	ExpiresMillis int64
@@ -148,7 +148,7 @@
 	membership       *membership
 	peers            *peer.Client
 	slowLeaves       *slowleaves.Exchange
-	trials           *trialStore
+	probeStore       *probeStore
 	forwarder        *forwarding.Forwarder
 	gateway          *gateway.Gateway
 	view             atomic.Pointer[view.View]
@@ -168,7 +168,7 @@
 	// the request is suspected of breaking leaves. One request can lose two by chance, when two
 	// leaves crash or reset connections at about the same time; three hardly ever do.
 	lostToSuspect = 3
-	// firstQuarantine is how long a request is refused after its first trial on one leaf. It is
+	// firstQuarantine is how long a request is refused after its first probe on one leaf. It is
 	// short because the losses may have another cause that all leaves of the service share.
 	firstQuarantine = 15 * time.Second
 )
@@ -192,7 +192,7 @@
 	n.tunables.Store(&c.Tunables)
 	n.membership = newMembership(n)
 	n.slowLeaves = slowleaves.New()
-	n.trials = newTrialStore(n)
+	n.probeStore = newProbeStore(n)
 	n.peers = peer.NewClient(peer.ClientConfig{Instance: c.Instance, Key: c.PeerKey, DialTimeout: peerSilenceTimeout, SyncIdleTimeout: peerSilenceTimeout})
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.reportLeafGone)
@@ -202,7 +202,7 @@
 	n.executor = executor.New(executor.Config{
 		LeafClient: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: policies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, SuspectAfterLosses: lostToSuspect, QuarantineDuration: firstQuarantine, Trials: n.trials,
+		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, SuspectAfterLosses: lostToSuspect, QuarantineDuration: firstQuarantine, ProbeStore: n.probeStore,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
@@ -265,7 +265,7 @@
 	g.Go(func() error { return n.peerServer().Serve(ctx, peers) })
 	g.Go(func() error { return n.control.run(ctx) })
 	g.Go(func() error { return n.membership.keepAnnounced(ctx) })
-	g.Go(func() error { return n.trials.run(ctx) })
+	g.Go(func() error { return n.probeStore.run(ctx) })
 	g.Go(func() error { return n.forwarder.KeepConnected(ctx, n.membership.listKnown) })
 	g.Go(func() error {
 		select {
--- a/entry/hosted/initialstate.go
+++ b/entry/hosted/initialstate.go
@@ -96,7 +96,7 @@
 	if !c.node.config.Bootstrap {
 		// Before there is any state to serve by: the instance may not know of requests that
 		// crash leaves.
-		if err := c.callWithTimeout(ctx, timeout, c.node.trials.load); err != nil {
+		if err := c.callWithTimeout(ctx, timeout, c.node.probeStore.load); err != nil {
 			return fmt.Errorf("quarantine: %w", err)
 		}
 	}
--- a/entry/hosted/trialstore.go
+++ b/entry/hosted/probestore.go
@@ -11,11 +11,11 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 )
 
-// trialStore keeps the quarantine's records in the platform's store, one object a request. It
-// implements executor.Trials. A trial is claimed by a write on the condition that the object
+// probeStore keeps the quarantine's records in the platform's store, one object a request. It
+// implements executor.ProbeStore. A probe is claimed by a write on the condition that the object
 // is still the one that showed the request to be a suspect, so that of all instances one runs
 // it. Saving and deleting happen later, in the goroutine of run.
-type trialStore struct {
+type probeStore struct {
 	node *Node
 	log  *telemetry.ComponentLog
 	// pending has the saves and deletions that are due.
@@ -53,21 +53,21 @@
 	sweepInterval = 10 * time.Minute
 )
 
-// newTrialStore returns a trialStore that knows no record yet.
-func newTrialStore(n *Node) *trialStore {
-	return &trialStore{node: n, log: n.log.Component("quarantine"), pending: make(chan pendingWrite, maxPendingWrites), known: make(map[string]QuarantineRecord), saving: make(map[string]bool)}
+// newProbeStore returns a probeStore that knows no record yet.
+func newProbeStore(n *Node) *probeStore {
+	return &probeStore{node: n, log: n.log.Component("quarantine"), pending: make(chan pendingWrite, maxPendingWrites), known: make(map[string]QuarantineRecord), saving: make(map[string]bool)}
 }
 
 // lastSeen returns the stored record of a request as this instance last saw it; its revision is 0
 // if there was none.
-func (s *trialStore) lastSeen(fingerprint string) QuarantineRecord {
+func (s *probeStore) lastSeen(fingerprint string) QuarantineRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.known[fingerprint]
 }
 
-// saw records what the store has of a request; without a revision: nothing.
-func (s *trialStore) saw(fingerprint string, stored QuarantineRecord) {
+// setLastSeen records what the store has of a request; without a revision: nothing.
+func (s *probeStore) setLastSeen(fingerprint string, stored QuarantineRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if stored.Revision == 0 {
@@ -77,8 +77,8 @@
 	s.known[fingerprint] = stored
 }
 
-// Claim implements executor.Trials.
-func (s *trialStore) Claim(ctx context.Context, r quarantine.Record) (stored quarantine.Record, claimed bool) {
+// Claim implements executor.ProbeStore.
+func (s *probeStore) Claim(ctx context.Context, r quarantine.Record) (stored quarantine.Record, claimed bool) {
 	if seen := s.lastSeen(r.Fingerprint); !isOlder(seen, r) {
 		return decodeStored(seen, time.Now()), false
 	}
@@ -93,21 +93,21 @@
 	case errors.As(err, &conflict):
 		return decodeStored(conflict.Stored, time.Now()), false
 	default:
-		s.saw(r.Fingerprint, QuarantineRecord{})
-		s.log.Warn("trial was not claimed", "fingerprint", r.Fingerprint, "err", err)
+		s.setLastSeen(r.Fingerprint, QuarantineRecord{})
+		s.log.Warn("probe was not claimed", "fingerprint", r.Fingerprint, "err", err)
 		return quarantine.Record{}, false
 	}
 }
 
-// isOlder reports whether a stored record is one that a new record may replace.
+// isOlder reports whether a new record may replace a stored one.
 func isOlder(stored QuarantineRecord, r quarantine.Record) bool {
-	return stored.Fingerprint == "" || cmp.Or(cmp.Compare(stored.Level, r.Level), cmp.Compare(stored.Trials, r.Trials)) < 0
+	return stored.Fingerprint == "" || cmp.Or(cmp.Compare(stored.Level, r.Level), cmp.Compare(stored.Probes, r.Probes)) < 0
 }
 
 // write writes a record over the one that this instance last saw.
-func (s *trialStore) write(ctx context.Context, r quarantine.Record) error {
+func (s *probeStore) write(ctx context.Context, r quarantine.Record) error {
 	out := QuarantineRecord{
-		Fingerprint: r.Fingerprint, Level: r.Level, Trials: r.Trials, ExpiresMillis: time.Now().Add(time.Until(r.ExpiresAt)).UnixMilli(),
+		Fingerprint: r.Fingerprint, Level: r.Level, Probes: r.Probes, ExpiresMillis: time.Now().Add(time.Until(r.ExpiresAt)).UnixMilli(),
 		Revision: s.lastSeen(r.Fingerprint).Revision,
 	}
 	revision, err := s.node.config.Source.WriteQuarantineRecord(ctx, out)
@@ -115,9 +115,9 @@
 	switch {
 	case err == nil:
 		out.Revision = revision
-		s.saw(r.Fingerprint, out)
+		s.setLastSeen(r.Fingerprint, out)
 	case errors.As(err, &conflict):
-		s.saw(r.Fingerprint, conflict.Stored)
+		s.setLastSeen(r.Fingerprint, conflict.Stored)
 	}
 	return err
 }
@@ -125,13 +125,13 @@
 // decodeStored converts a stored record.
 func decodeStored(r QuarantineRecord, now time.Time) quarantine.Record {
 	return quarantine.Record{
-		Fingerprint: r.Fingerprint, Level: r.Level, Trials: r.Trials,
+		Fingerprint: r.Fingerprint, Level: r.Level, Probes: r.Probes,
 		ExpiresAt: now.Add(time.Duration(r.ExpiresMillis-now.UnixMilli()) * time.Millisecond),
 	}
 }
 
-// Save implements executor.Trials.
-func (s *trialStore) Save(fingerprint string) {
+// Save implements executor.ProbeStore.
+func (s *probeStore) Save(fingerprint string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.saving[fingerprint] || s.known[fingerprint].Revision != 0 || len(s.saving) >= maxPendingWrites {
@@ -142,19 +142,19 @@
 }
 
 // endSaving ends what Save began.
-func (s *trialStore) endSaving(fingerprint string) {
+func (s *probeStore) endSaving(fingerprint string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.saving, fingerprint)
 }
 
-// Delete implements executor.Trials.
-func (s *trialStore) Delete(fingerprint string) {
+// Delete implements executor.ProbeStore.
+func (s *probeStore) Delete(fingerprint string) {
 	s.enqueue(pendingWrite{fingerprint: fingerprint, deletes: true})
 }
 
 // enqueue adds a save or a deletion that is due; one beyond the bound is dropped.
-func (s *trialStore) enqueue(w pendingWrite) {
+func (s *probeStore) enqueue(w pendingWrite) {
 	select {
 	case s.pending <- w:
 	default:
@@ -166,7 +166,7 @@
 }
 
 // run saves and deletes records until the context ends.
-func (s *trialStore) run(ctx context.Context) error {
+func (s *probeStore) run(ctx context.Context) error {
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
 	for {
@@ -182,7 +182,7 @@
 }
 
 // perform saves or deletes a record.
-func (s *trialStore) perform(ctx context.Context, w pendingWrite) {
+func (s *probeStore) perform(ctx context.Context, w pendingWrite) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if w.deletes {
@@ -193,7 +193,7 @@
 }
 
 // save saves a record, and tries again later if the store does not answer.
-func (s *trialStore) save(ctx context.Context, w pendingWrite) {
+func (s *probeStore) save(ctx context.Context, w pendingWrite) {
 	record, ok := s.recordToSave(w.fingerprint)
 	if !ok {
 		s.endSaving(w.fingerprint)
@@ -216,7 +216,7 @@
 
 // recordToSave returns the record of a request that is a suspect or has losses; false if it was
 // cleared, claimed or stored meanwhile.
-func (s *trialStore) recordToSave(fingerprint string) (quarantine.Record, bool) {
+func (s *probeStore) recordToSave(fingerprint string) (quarantine.Record, bool) {
 	if s.lastSeen(fingerprint).Revision != 0 {
 		return quarantine.Record{}, false
 	}
@@ -228,20 +228,20 @@
 }
 
 // remove deletes the record of a request, if this instance knows its revision. Another
-// instance's newer record stays: its trial shows anew that the request crashes no leaf.
-func (s *trialStore) remove(ctx context.Context, fingerprint string) {
+// instance's newer record stays: its probe shows anew that the request crashes no leaf.
+func (s *probeStore) remove(ctx context.Context, fingerprint string) {
 	seen := s.lastSeen(fingerprint)
 	if seen.Revision == 0 {
 		return
 	}
-	s.saw(fingerprint, QuarantineRecord{})
+	s.setLastSeen(fingerprint, QuarantineRecord{})
 	if err := s.node.config.Source.DeleteQuarantineRecord(ctx, fingerprint, seen.Revision); err != nil {
 		s.log.Warn("record was not deleted", "fingerprint", fingerprint, "err", err)
 	}
 }
 
 // sweep deletes the stored records whose requests are no longer remembered.
-func (s *trialStore) sweep() {
+func (s *probeStore) sweep() {
 	s.mu.Lock()
 	var expired []string
 	for fingerprint := range s.known {
@@ -256,7 +256,7 @@
 }
 
 // load reads all stored records and merges them.
-func (s *trialStore) load(ctx context.Context) error {
+func (s *probeStore) load(ctx context.Context) error {
 	stored, err := s.node.config.Source.QuarantineRecords(ctx)
 	if err != nil {
 		return err
@@ -264,7 +264,7 @@
 	now := time.Now()
 	records := make([]quarantine.Record, 0, len(stored))
 	for _, r := range stored {
-		s.saw(r.Fingerprint, r)
+		s.setLastSeen(r.Fingerprint, r)
 		records = append(records, decodeStored(r, now))
 	}
 	s.node.executor.LoadQuarantine(records)
--- a/entry/hosted/trialstore_test.go
+++ b/entry/hosted/probestore_test.go
@@ -10,9 +10,9 @@
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 )
 
-// trial returns the record of a trial of the request f00d.
-func trial(number int) quarantine.Record {
-	return quarantine.Record{Fingerprint: "f00d", Level: 3*number - 1, Trials: number, ExpiresAt: time.Now().Add(time.Minute)}
+// probe returns the record of a probe of the request f00d.
+func probe(number int) quarantine.Record {
+	return quarantine.Record{Fingerprint: "f00d", Level: 3*number - 1, Probes: number, ExpiresAt: time.Now().Add(time.Minute)}
 }
 
 // newClaimingNodes makes instances over one store, which do not run.
@@ -26,34 +26,34 @@
 	return out
 }
 
-// TestOneInstanceClaimsEachTrial has several instances claim the same trials.
-func TestOneInstanceClaimsEachTrial(t *testing.T) {
+// TestOneInstanceClaimsEachProbe has several instances claim the same probes.
+func TestOneInstanceClaimsEachProbe(t *testing.T) {
 	store := &sharedStore{quarantine: make(map[string]QuarantineRecord)}
 	nodes := newClaimingNodes(t, store, 4)
 	for number := 1; number <= 3; number++ {
 		claims := 0
 		for _, n := range nodes {
-			stored, claimed := n.trials.Claim(context.Background(), trial(number))
+			stored, claimed := n.probeStore.Claim(context.Background(), probe(number))
 			if claimed {
 				claims++
-			} else if stored.Trials != number {
-				t.Errorf("trial %d: the refusal says %+v", number, stored)
+			} else if stored.Probes != number {
+				t.Errorf("probe %d: the refusal says %+v", number, stored)
 			}
 		}
 		if claims != 1 {
-			t.Errorf("trial %d was claimed by %d instances", number, claims)
+			t.Errorf("probe %d was claimed by %d instances", number, claims)
 		}
 	}
-	if _, claimed := nodes[0].trials.Claim(context.Background(), trial(1)); claimed {
-		t.Error("an earlier trial was claimed after later ones")
+	if _, claimed := nodes[0].probeStore.Claim(context.Background(), probe(1)); claimed {
+		t.Error("an earlier probe was claimed after later ones")
 	}
 }
 
-// TestTrialIsNotClaimedWithoutStore has the store refuse the call.
-func TestTrialIsNotClaimedWithoutStore(t *testing.T) {
+// TestProbeIsNotClaimedWithoutStore has the store refuse the call.
+func TestProbeIsNotClaimedWithoutStore(t *testing.T) {
 	store := &sharedStore{quarantine: make(map[string]QuarantineRecord), refuses: func(string) bool { return true }}
 	n := newClaimingNodes(t, store, 1)[0]
-	if stored, claimed := n.trials.Claim(context.Background(), trial(1)); claimed || stored.Fingerprint != "" {
+	if stored, claimed := n.probeStore.Claim(context.Background(), probe(1)); claimed || stored.Fingerprint != "" {
 		t.Errorf("claimed %v, stored %+v", claimed, stored)
 	}
 }
@@ -66,10 +66,10 @@
 		n := newClaimingNodes(t, store, 1)[0]
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
-		go func() { done <- n.trials.run(ctx) }()
+		go func() { done <- n.probeStore.run(ctx) }()
 		suspect := quarantine.Record{Fingerprint: "f00d", Level: 1, ExpiresAt: time.Now().Add(time.Hour)}
 		n.executor.LoadQuarantine([]quarantine.Record{suspect})
-		n.trials.Save(suspect.Fingerprint)
+		n.probeStore.Save(suspect.Fingerprint)
 		time.Sleep(5 * time.Minute)
 		store.update(func(s *sharedStore) { s.refuses = nil })
 		time.Sleep(maxWriteRetryDelay + time.Second)
@@ -116,10 +116,10 @@
 		n := newClaimingNodes(t, store, 1)[0]
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan error, 1)
-		go func() { done <- n.trials.run(ctx) }()
+		go func() { done <- n.probeStore.run(ctx) }()
 		for _, fingerprint := range []string{"first", "second"} {
 			n.executor.LoadQuarantine([]quarantine.Record{{Fingerprint: fingerprint, Level: 1, ExpiresAt: time.Now().Add(time.Hour)}})
-			n.trials.Save(fingerprint)
+			n.probeStore.Save(fingerprint)
 			time.Sleep(30 * time.Second)
 			store.update(func(s *sharedStore) { s.refuses = nil })
 		}
--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -182,7 +182,7 @@
 		return err
 	}
 	// Peers that give no fresh state don't tell of the quarantine either.
-	return r.callWithTimeout(ctx, 2*minReadTimeout, r.node.trials.load)
+	return r.callWithTimeout(ctx, 2*minReadTimeout, r.node.probeStore.load)
 }
 
 // readAsReader reads the store, and the quarantine too while no peer tells of it.
@@ -190,7 +190,7 @@
 	if err := r.readStore(ctx, r.timeout); err != nil || !r.isIsolated(time.Now()) {
 		return err
 	}
-	return r.callWithTimeout(ctx, r.timeout, r.node.trials.load)
+	return r.callWithTimeout(ctx, r.timeout, r.node.probeStore.load)
 }
 
 // isIsolated reports whether this instance knows others and has exchanged state with none of
--- a/kernel/quarantine/losses.go
+++ b/kernel/quarantine/losses.go
@@ -73,11 +73,12 @@
 		r.lost[leaf] = now
 		r.changedAt = now
 	}
-	return c.suspect(r, now)
+	return c.resetAtThreshold(r, now)
 }
 
-// suspect reports whether the losses of a request reach its threshold, and then clears them.
-func (c *LossCounter) suspect(r *requestLosses, now time.Time) bool {
+// resetAtThreshold reports whether the losses of a request reach its threshold, and then clears
+// them.
+func (c *LossCounter) resetAtThreshold(r *requestLosses, now time.Time) bool {
 	if len(r.lost) < r.threshold {
 		return false
 	}
@@ -190,7 +191,7 @@
 	}
 	r.changedAt = now
 	r.threshold = max(r.threshold, min(l.Threshold, maxLossesPerRequest))
-	return r.threshold > 0 && c.suspect(r, now)
+	return r.threshold > 0 && c.resetAtThreshold(r, now)
 }
 
 // maxLossesPerRequest bounds the losses of a request that are accepted from peers.
--- a/kernel/quarantine/machine.go
+++ b/kernel/quarantine/machine.go
@@ -57,7 +57,7 @@
 		for _, r := range ev.Records {
 			m.merge(m.endQuarantine(r, now), now)
 		}
-	case TrialStarted:
+	case ProbeStarted:
 		m.put(ev.Record, now)
 		m.actions = append(m.actions, Announce(ev))
 	case Lifted:
@@ -114,18 +114,18 @@
 	case r.Phase() == PhaseClear:
 		m.setPhase(r, PhaseSuspect, m.cfg.SuspectDuration, now)
 	case r.Phase() == PhaseSuspect && ev.Solo:
-		r.Trials++
-		m.setPhase(r, PhaseQuarantined, m.quarantineDuration(r.Trials), now)
+		r.Probes++
+		m.setPhase(r, PhaseQuarantined, m.quarantineDuration(r.Probes), now)
 	}
 }
 
-// quarantineDuration returns how long a fingerprint is refused after a number of trials.
-func (m *Machine) quarantineDuration(trials int) time.Duration {
+// quarantineDuration returns how long a fingerprint is refused after a number of probes.
+func (m *Machine) quarantineDuration(probes int) time.Duration {
 	later := m.cfg.LaterQuarantines
-	if trials <= 1 || len(later) == 0 {
+	if probes <= 1 || len(later) == 0 {
 		return m.cfg.QuarantineDuration
 	}
-	return later[min(trials-2, len(later)-1)]
+	return later[min(probes-2, len(later)-1)]
 }
 
 // clearDuration returns how long the clearing of a suspect is remembered.
@@ -133,20 +133,20 @@
 	return cmp.Or(m.cfg.ClearDuration, m.cfg.SuspectDuration)
 }
 
-// Times of a trial.
+// Times of a probe.
 const (
-	// trialTime is the time in which most trials end.
-	trialTime = time.Second
-	// trialRetryAfter is when a request may come back that is refused during a trial.
-	trialRetryAfter = 250 * time.Millisecond
+	// probeTime is the time in which most probes end.
+	probeTime = time.Second
+	// probeRetryAfter is when a request may come back that is refused during a probe.
+	probeRetryAfter = 250 * time.Millisecond
 )
 
-// retryAfter returns when a quarantined request may come back. A trial that has just
+// retryAfter returns when a quarantined request may come back. A probe that has just
 // started may clear it.
 func (m *Machine) retryAfter(r Record, now time.Time) time.Duration {
 	left := r.ExpiresAt.Sub(now)
-	if r.Trials > 0 && m.quarantineDuration(r.Trials)-left < trialTime {
-		return min(left, trialRetryAfter)
+	if r.Probes > 0 && m.quarantineDuration(r.Probes)-left < probeTime {
+		return min(left, probeRetryAfter)
 	}
 	return left
 }
@@ -162,16 +162,16 @@
 	return m.live(fingerprint, now)
 }
 
-// NextTrial returns the record of a suspect whose next trial starts now; false if the
+// NextProbe returns the record of a suspect whose next probe starts now; false if the
 // fingerprint is no suspect.
-func (m *Machine) NextTrial(fingerprint string, now time.Time) (Record, bool) {
+func (m *Machine) NextProbe(fingerprint string, now time.Time) (Record, bool) {
 	r, ok := m.live(fingerprint, now)
 	if !ok || r.Phase() != PhaseSuspect {
 		return Record{}, false
 	}
 	r.Level = r.nextLevel(PhaseQuarantined)
-	r.Trials++
-	r.ExpiresAt = now.Add(m.quarantineDuration(r.Trials))
+	r.Probes++
+	r.ExpiresAt = now.Add(m.quarantineDuration(r.Probes))
 	return r, true
 }
 
@@ -180,7 +180,7 @@
 	r.Level = r.nextLevel(p)
 	r.ExpiresAt = now.Add(lifetime)
 	if p == PhaseClear {
-		r.Trials = 0
+		r.Probes = 0
 	}
 	m.put(r, now)
 	m.actions = append(m.actions, Announce{Record: r}, PhaseChanged{Fingerprint: r.Fingerprint, Phase: p, Remaining: lifetime})
@@ -194,7 +194,7 @@
 	}
 	// A peer can't make a record outlive one of this instance's own.
 	r.ExpiresAt = earlierOf(r.ExpiresAt, now.Add(m.maxLifetime()))
-	r.Trials = min(max(r.Trials, 0), maxTrials)
+	r.Probes = min(max(r.Probes, 0), maxProbes)
 	old, _ := m.live(r.Fingerprint, now)
 	if compareRecords(r, old) <= 0 {
 		return
@@ -212,8 +212,8 @@
 // with each event, so that a correct peer never comes near it.
 const maxLevel = 1 << 20
 
-// maxTrials bounds the trials accepted from a peer.
-const maxTrials = 1 << 10
+// maxProbes bounds the probes accepted from a peer.
+const maxProbes = 1 << 10
 
 // maxLifetime returns the longest time that a record may last.
 func (m *Machine) maxLifetime() time.Duration {
@@ -228,7 +228,7 @@
 func compareRecords(a, b Record) int {
 	return cmp.Or(
 		cmp.Compare(a.Level, b.Level),
-		cmp.Compare(a.Trials, b.Trials),
+		cmp.Compare(a.Probes, b.Probes),
 		a.ExpiresAt.Compare(b.ExpiresAt),
 	)
 }
--- a/kernel/quarantine/machine_test.go
+++ b/kernel/quarantine/machine_test.go
@@ -197,66 +197,66 @@
 	}
 }
 
-// TestTrialsGetRarer has a suspect crash a leaf in each trial: the quarantines get longer, up to
+// TestProbesGetRarer has a suspect crash a leaf in each probe: the quarantines get longer, up to
 // the last one, and a success starts anew.
-func TestTrialsGetRarer(t *testing.T) {
+func TestProbesGetRarer(t *testing.T) {
 	c := cfg
 	c.LaterQuarantines = []time.Duration{time.Hour, 24 * time.Hour}
 	c.SuspectDuration = 24 * time.Hour
 	m := quarantine.New(c)
 	m.Handle(crash(false), epoch)
 	now := epoch
-	trial := func() quarantine.Record {
+	probe := func() quarantine.Record {
 		t.Helper()
-		r, ok := m.NextTrial(fp, now)
+		r, ok := m.NextProbe(fp, now)
 		if !ok {
-			t.Fatal("no trial may start")
+			t.Fatal("no probe may start")
 		}
-		m.Handle(quarantine.TrialStarted{Record: r}, now)
-		if _, ok := m.NextTrial(fp, now); ok {
-			t.Fatal("a second trial may start beside the first one")
+		m.Handle(quarantine.ProbeStarted{Record: r}, now)
+		if _, ok := m.NextProbe(fp, now); ok {
+			t.Fatal("a second probe may start beside the first one")
 		}
 		return r
 	}
 	for i, want := range []time.Duration{time.Minute, time.Hour, 24 * time.Hour, 24 * time.Hour} {
-		r := trial()
+		r := probe()
 		m.Handle(crash(true), now.Add(time.Millisecond))
-		if got := r.ExpiresAt.Sub(now); got != want || r.Trials != i+1 {
-			t.Fatalf("trial %d: quarantine of %v after %d trials, want %v", i+1, got, r.Trials, want)
+		if got := r.ExpiresAt.Sub(now); got != want || r.Probes != i+1 {
+			t.Fatalf("probe %d: quarantine of %v after %d probes, want %v", i+1, got, r.Probes, want)
 		}
 		now = r.ExpiresAt.Add(-time.Millisecond)
 		wantMode(t, m, now, quarantine.ModeRefuse)
 		now = r.ExpiresAt
 		wantMode(t, m, now, quarantine.ModeSuspect)
 	}
-	trial()
+	probe()
 	m.Handle(success(), now)
 	wantMode(t, m, now, quarantine.ModeRun)
 	m.Handle(crash(false), now)
-	if r := trial(); r.Trials != 1 {
-		t.Errorf("trial %d after a success, want 1", r.Trials)
+	if r := probe(); r.Probes != 1 {
+		t.Errorf("probe %d after a success, want 1", r.Probes)
 	}
 }
 
-// TestRefusalDuringTrialAsksToReturnSoon refuses a request during a trial, which may clear it,
-// and after the trial's usual time.
-func TestRefusalDuringTrialAsksToReturnSoon(t *testing.T) {
+// TestRefusalDuringProbeAsksToReturnSoon refuses a request during a probe, which may clear it,
+// and after the probe's usual time.
+func TestRefusalDuringProbeAsksToReturnSoon(t *testing.T) {
 	m := quarantine.New(cfg)
 	m.Handle(crash(false), epoch)
-	r, _ := m.NextTrial(fp, epoch)
-	m.Handle(quarantine.TrialStarted{Record: r}, epoch)
+	r, _ := m.NextProbe(fp, epoch)
+	m.Handle(quarantine.ProbeStarted{Record: r}, epoch)
 	if d := wantMode(t, m, epoch.Add(100*time.Millisecond), quarantine.ModeRefuse); d.RetryAfter > time.Second {
-		t.Errorf("retry after %v during the trial", d.RetryAfter)
+		t.Errorf("retry after %v during the probe", d.RetryAfter)
 	}
 	if d := wantMode(t, m, epoch.Add(2*time.Second), quarantine.ModeRefuse); d.RetryAfter != 58*time.Second {
-		t.Errorf("retry after %v when the trial is over", d.RetryAfter)
+		t.Errorf("retry after %v when the probe is over", d.RetryAfter)
 	}
 }
 
 // TestLoadedQuarantineThatHasPassedLeavesSuspect loads a record from a store after its
 // quarantine has passed, and after it has expired altogether.
 func TestLoadedQuarantineThatHasPassedLeavesSuspect(t *testing.T) {
-	stored := quarantine.Record{Fingerprint: fp, Level: 2, Trials: 1, ExpiresAt: epoch}
+	stored := quarantine.Record{Fingerprint: fp, Level: 2, Probes: 1, ExpiresAt: epoch}
 	for _, tc := range []struct {
 		at   time.Duration
 		want quarantine.Mode
--- a/kernel/quarantine/quarantine.go
+++ b/kernel/quarantine/quarantine.go
@@ -8,11 +8,11 @@
 
 // Config sets the durations and bounds of a Machine.
 type Config struct {
-	// QuarantineDuration is how long a fingerprint is refused after its first trial. After
+	// QuarantineDuration is how long a fingerprint is refused after its first probe. After
 	// that it is a suspect again, so that a resend crashes one leaf at most.
 	QuarantineDuration time.Duration
-	// LaterQuarantines are how long it is refused after its second and each later trial
-	// since it last ran to completion. The last one applies to all further trials; empty
+	// LaterQuarantines are how long it is refused after its second and each later probe
+	// since it last ran to completion. The last one applies to all further probes; empty
 	// means QuarantineDuration.
 	LaterQuarantines []time.Duration
 	// SuspectDuration is how long a suspect is remembered.
@@ -29,15 +29,15 @@
 }
 
 // Record is the state of a fingerprint. Of two records the one with the greater Level
-// wins, of equal levels the one with more Trials and then the one with the later
+// wins, of equal levels the one with more Probes and then the one with the later
 // ExpiresAt: the merge is commutative, associative and idempotent.
 type Record struct {
 	Fingerprint string
 	// Level is a counter that each change of phase increases; Level modulo 3 is the
 	// Phase.
 	Level int
-	// Trials counts the runs alone on a leaf since the request last ran to completion.
-	Trials    int
+	// Probes counts the runs alone on a leaf since the request last ran to completion.
+	Probes    int
 	ExpiresAt time.Time
 }
 
@@ -92,9 +92,9 @@
 // quarantine that has passed since leaves a suspect.
 type RecordsLoaded struct{ Records []Record }
 
-// TrialStarted reports that a suspect is about to run alone on a leaf. It stays in
-// quarantine unless it runs to completion. Record is the result of NextTrial.
-type TrialStarted struct{ Record Record }
+// ProbeStarted reports that a suspect is about to run alone on a leaf. It stays in
+// quarantine unless it runs to completion. Record is the result of NextProbe.
+type ProbeStarted struct{ Record Record }
 
 // Lifted reports that an operator allows a fingerprint to run again.
 type Lifted struct{ Fingerprint string }
@@ -105,7 +105,7 @@
 func (AttemptEnded) isEvent()    {}
 func (RecordsReceived) isEvent() {}
 func (RecordsLoaded) isEvent()   {}
-func (TrialStarted) isEvent()    {}
+func (ProbeStarted) isEvent()    {}
 func (Lifted) isEvent()          {}
 func (Tick) isEvent()            {}
 
