Log and count leaves kept without an entry and sends to leaves that have left

What callers saw is in docs/incidents/requests-after-drain.md; nothing in the logs tells its three hypotheses apart. No decision changes.

Run: tests of entry/executor, entry/hosted, kernel/catalog, entry/telemetry pass.

--- a/entry/executor/leaf_state.go
+++ b/entry/executor/leaf_state.go
@@ -101,6 +101,14 @@
 	return !s.lastReply[leafID].Before(s.lastBreak[leafID])
 }
 
+// isLeaving reports whether the newest view lacks the leaf or says that it drains.
+func (s *leafState) isLeaving(leafID string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.indexByID[leafID]
+	return !ok || s.view.Leaves[i].Draining
+}
+
 // lastReplyTime returns when the leaf last replied; the zero time if a connection to it
 // has broken since.
 func (s *leafState) lastReplyTime(leafID string) time.Time {
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -166,7 +166,7 @@
 	c.gauges.update(gaugeValues{
 		source: c.stateSource(), role: role.String(),
 		configAge: configAge.Seconds(), leavesAge: leavesAge.Seconds(), version: c.catalog.Version(),
-		leaves: c.catalog.LeafCount(), slowLeaves: len(n.slowLeaves.SlowLeaves(now)), instances: readFleet(n.membership, (*fleet.Fleet).Size),
+		leaves: c.catalog.LeafCount(), lapsedLeaves: len(c.catalog.Lapsed().IDs), slowLeaves: len(n.slowLeaves.SlowLeaves(now)), instances: readFleet(n.membership, (*fleet.Fleet).Size),
 		connections: open, dials: dials, runningQueries: n.executor.QueriesInFlight(), logDrops: n.log.Dropped(),
 		repeatsLeft: repeatsLeft, limitedShards: limited, forwardDelay: n.forwarder.ForwardDelay().Seconds(), gatherDelay: n.forwarder.GatherDelay().Seconds(),
 	})
@@ -251,15 +251,29 @@
 // applyLeaves applies a list of leaves to the catalog and reports whether anything changed.
 func (c *control) applyLeaves(list catalog.Listing, from stateOrigin, now time.Time) bool {
 	c.badLeaves.report(list.Bad)
-	previousCount := c.catalog.LeafCount()
+	previousCount, previousReadAt := c.catalog.LeafCount(), c.catalog.LastReads().LeavesAt
 	changed := c.catalog.ApplyLeaves(list, from.readStartedAt, now)
 	if changed {
 		attrs := []any{"revision", list.Revision, "bad", len(list.Bad), "leaves", c.catalog.LeafCount(), "before", previousCount}
 		c.log.Info("leaves changed", append(attrs, from.logAttrs(now)...)...)
+		c.logLapsed(from.readStartedAt.Sub(previousReadAt), now)
 	}
 	return changed
 }
 
+// maxLoggedLeaves is the maximum of leaves that a log line names.
+const maxLoggedLeaves = 8
+
+// logLapsed logs which leaves are kept without an entry after a list that was read a gap after the
+// previous one.
+func (c *control) logLapsed(gap time.Duration, now time.Time) {
+	lapsed := c.catalog.Lapsed()
+	if len(lapsed.IDs) == 0 {
+		return
+	}
+	c.log.Info("leaves kept without an entry", "leaves", len(lapsed.IDs), "ids", lapsed.IDs[:min(len(lapsed.IDs), maxLoggedLeaves)], "gap", gap, "for", lapsed.Until.Sub(now))
+}
+
 // refreshPeerState renews the state that other instances are sent.
 func (c *control) refreshPeerState(now time.Time) {
 	state, err := statesync.New(c.catalog, c.state.Load(), now)
--- a/entry/hosted/meters.go
+++ b/entry/hosted/meters.go
@@ -22,6 +22,7 @@
 	configAge, leavesAge float64 // seconds
 	version              uint64
 	leaves, instances    int
+	lapsedLeaves         int // kept without an entry
 	connections          int
 	dials, logDrops      int64
 	runningQueries       int64
@@ -39,6 +40,7 @@
 	m.scope.Gauge("leaves_age_seconds").Update(s.leavesAge)
 	m.scope.Gauge("config_version").Update(float64(s.version))
 	m.scope.Gauge("leaves").Update(float64(s.leaves))
+	m.scope.Gauge("lapsed_leaves").Update(float64(s.lapsedLeaves))
 	m.scope.Gauge("slow_leaves").Update(float64(s.slowLeaves))
 	m.scope.Gauge("instances").Update(float64(s.instances))
 	m.scope.Gauge("leaf_connections").Update(float64(s.connections))
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -156,6 +156,12 @@
 	m.Scope.Tagged(map[string]string{"event": event, "source": source}).Counter("quarantine").Inc(1)
 }
 
+// CountLateSend counts an attempt that was sent to a leaf that had left or may have left. The
+// reason is a label value, from a small fixed set.
+func (m *Metrics) CountLateSend(reason string) {
+	m.Scope.Tagged(map[string]string{"reason": reason}).Counter("late_sends").Inc(1)
+}
+
 // ObserveQuery counts one answered query and records its latency. Reason says why
 // the answer is incomplete and is empty if it is complete; it is a label value, from
 // the kernel's small fixed set.
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -12,6 +12,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
@@ -195,6 +196,19 @@
 // LeafCount returns the number of active leaves: those listed and those lapsed.
 func (c *Catalog) LeafCount() int { return len(c.listed) + len(c.lapsed) }
 
+// Lapsed describes the leaves that are kept in use although the last list lacks them.
+type Lapsed struct {
+	// IDs are in order.
+	IDs []string
+	// Until is when they are dropped.
+	Until time.Time
+}
+
+// Lapsed returns the leaves that are kept without an entry.
+func (c *Catalog) Lapsed() Lapsed {
+	return Lapsed{IDs: slices.Sorted(maps.Keys(c.lapsed)), Until: c.lapsedUntil}
+}
+
 // leavesByService returns the active leaves of each service, ordered by ID.
 func (c *Catalog) leavesByService() map[string][]document.Leaf {
 	out := make(map[string][]document.Leaf)
