Soak: count what reaches leaves after they have left, also without a drain mark

The check on drains could not fail: it looked at leaves that were still there at the end, while a leaf that drains ends 5 s later, and only at drains after the last disturbance of any instance or the store in the whole run.

Now each departure is kept with its time. A request that reaches the leaf later than the bound counts if the instance that took it (for requests over shards: every instance) and the store were undisturbed from the contact time before the request until its arrival; the bound runs from the end of a disturbance of the store. New faults: a leaf's entry is removed without a drain mark, a part of the instances is cut off from the store, a leaf stands still around its drain.

--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -41,7 +41,7 @@
 	for request := range byRequest {
 		r.violation("a leaf got a request that no client sent", request, "")
 	}
-	r.checkDrains(arrivals)
+	r.checkDrains(arrivals, outcomes)
 	r.checkRepeats(arrivals, outcomes)
 	r.checkCrashing(arrivals, outcomes)
 	r.checkCalm(outcomes, calmEnd)
@@ -91,35 +91,6 @@
 	}
 }
 
-// checkDrains looks for requests that reached a leaf long after it had said that
-// it leaves. Faults of an instance or of the store may delay the word, so only
-// leaves that left in a calm time count.
-func (r *run) checkDrains(arrivals []arrival) {
-	r.site.mu.Lock()
-	drained := make(map[string]time.Time)
-	for _, l := range r.site.leaves {
-		if !l.draining.IsZero() {
-			drained[l.id] = l.draining
-		}
-	}
-	storeDisturbed := r.site.storeDisturbed
-	r.site.mu.Unlock()
-	calm := storeDisturbed
-	for _, n := range r.site.instances {
-		n.mu.Lock()
-		if n.disturbed.After(calm) {
-			calm = n.disturbed
-		}
-		n.mu.Unlock()
-	}
-	for _, a := range arrivals {
-		at, ok := drained[a.leaf]
-		if ok && at.After(calm) && a.at.After(at.Add(bound)) {
-			r.violation(fmt.Sprintf("a request reached leaf %s %v after its drain", a.leaf, a.at.Sub(at)), a.request, "")
-		}
-	}
-}
-
 // countBefore is the number of times before the end; they are sorted.
 func countBefore(times []time.Time, end time.Time) int {
 	i, _ := slices.BinarySearchFunc(times, end, time.Time.Compare)
--- /dev/null
+++ b/standin/soak/drains_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+// TestSoakOfLeavesThatAreRemoved removes leaves' entries without a drain mark while instances are
+// killed and cut off from the store: the others used them on after the bound.
+func TestSoakOfLeavesThatAreRemoved(t *testing.T) {
+	playSoaks(t, []soakCase{{
+		options: Options{Seed: 7001, For: 20 * time.Second, Instances: 12, Clients: 24, Profile: "leaving"},
+		cause:   "instances took any gap between two reads for an outage, in which entries lapse",
+	}})
+}
+
+// TestArrivalsAfterDepartureAreCounted feeds the check with arrivals at a leaf that has left.
+func TestArrivalsAfterDepartureAreCounted(t *testing.T) {
+	left := time.Now()
+	profile := profiles[defaultProfile]
+	after := func(d time.Duration) time.Time { return left.Add(d) }
+	late := profile.bound + time.Millisecond
+	for _, tc := range []struct {
+		name        string
+		kind        kind
+		leaf        string
+		at          time.Duration // of the arrival, after the departure
+		misdirected bool
+		store       []span
+		own, other  []span // disturbances of the instance that was asked, and of another one
+		want        int
+	}{
+		{name: "in time", kind: kindOne, leaf: "l", at: profile.bound},
+		{name: "late", kind: kindOne, leaf: "l", at: late, want: 1},
+		{name: "late at another leaf", kind: kindOne, leaf: "m", at: late},
+		{name: "rejected as another leaf's", kind: kindOne, leaf: "l", at: late, misdirected: true},
+		{name: "instance disturbed shortly before", kind: kindOne, leaf: "l", at: late, own: []span{{left, left}}},
+		{name: "instance disturbed long before", kind: kindOne, leaf: "l", at: late, own: []span{{after(-time.Minute), after(-contactTime)}}, want: 1},
+		{name: "another instance disturbed", kind: kindOne, leaf: "l", at: late, other: []span{{left, left}}, want: 1},
+		{name: "another instance disturbed, over shards", kind: kindSearch, leaf: "l", at: late, other: []span{{left, left}}},
+		{name: "store disturbed as it left", kind: kindOne, leaf: "l", at: late, store: []span{{after(-time.Second), after(-time.Millisecond)}}},
+		{name: "store disturbed as it left, late from then on", kind: kindOne, leaf: "l", at: late + contactTime, store: []span{{after(-time.Second), left}}, want: 1},
+		{name: "store disturbed later", kind: kindOne, leaf: "l", at: late, store: []span{{after(time.Second), after(2 * time.Second)}}},
+	} {
+		asked, other := &instance{name: "a", disturbances: tc.own}, &instance{name: "b", disturbances: tc.other}
+		r := &run{site: &site{
+			profile: &profile, instances: []*instance{asked, other}, storeDisturbances: tc.store,
+			departures: map[string]departure{"l": {at: left}},
+		}}
+		arrivals := []arrival{{at: after(tc.at), request: "q", leaf: tc.leaf, misdirected: tc.misdirected}}
+		r.checkDrains(arrivals, []outcome{{request: "q", kind: tc.kind, instance: "a", sent: after(tc.at)}})
+		if len(r.violations) != tc.want {
+			t.Errorf("%s: %d violations, want %d: %v", tc.name, len(r.violations), tc.want, r.violations)
+		}
+	}
+}
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -29,6 +29,7 @@
 var namedFaults = []fault{
 	{"stutter", (*run).stutter}, {"leaf stall", (*run).leafStall}, {"leaf declines", (*run).leafDeclines}, {"kill all", (*run).killAll},
 	{"kill all while leaves decline", (*run).killAllWhileLeavesDecline}, {"crashing request", (*run).crashingRequest},
+	{"leaf removal", (*run).leafRemoval}, {"leaf stall at drain", (*run).leafStallAtDrain}, {"store cuts", (*run).storeCuts},
 }
 
 // between draws a time.
@@ -81,6 +82,7 @@
 	}
 	n.mu.Lock()
 	n.stopping = time.Now()
+	n.disturbances = append(n.disturbances, span{n.stopping, n.stopping.Add(graceTime)})
 	n.mu.Unlock()
 	if err := n.signal(syscall.SIGTERM); err != nil {
 		return err
@@ -171,6 +173,7 @@
 	defer r.storeBusy.Unlock()
 	r.site.mu.Lock()
 	r.site.storeDisturbed = time.Now().Add(lasting + settleTime)
+	r.site.storeDisturbances = append(r.site.storeDisturbances, span{time.Now(), time.Now().Add(lasting)})
 	r.site.mu.Unlock()
 	f := []platform.Faults{{Outage: true}, {Hang: true}, {ReplyDelayMS: 400}, {LoseWriteShare: 0.5}}[random.IntN(4)]
 	if err := r.site.server.SetFaults(f); err != nil {
@@ -236,33 +239,6 @@
 	delete(s.leaves, l.id)
 }
 
-// leafDrain empties a leaf after another of its service has started.
-func (r *run) leafDrain(random *rand.Rand, lasting time.Duration) error {
-	l := r.leaf(random)
-	if l == nil {
-		return nil
-	}
-	if err := r.site.addLeaf(l.service, 10*time.Millisecond); err != nil {
-		return err
-	}
-	time.Sleep(lasting / 2)
-	r.site.drain(l)
-	return nil
-}
-
-// drain writes that a leaf leaves; it goes on serving for the bound and longer.
-func (s *site) drain(l *fakeLeaf) {
-	s.mu.Lock()
-	l.draining = time.Now()
-	s.register(l)
-	s.mu.Unlock()
-	time.AfterFunc(bound+2*time.Second, func() {
-		hosted.Unregister(s.server, l.id)
-		s.remove(l)
-		l.close()
-	})
-}
-
 // change writes another version of the configuration.
 func (r *run) change(*rand.Rand, time.Duration) error {
 	r.operator.Lock()
@@ -283,7 +259,7 @@
 	if err := r.site.configure(); err != nil {
 		return err
 	}
-	time.Sleep(bound)
+	time.Sleep(r.site.profile.bound)
 	r.site.mu.Lock()
 	var leaving []*fakeLeaf
 	for _, l := range r.site.leaves {
--- a/standin/soak/leaf.go
+++ b/standin/soak/leaf.go
@@ -30,6 +30,10 @@
 	service string
 	leaf    string
 	ran     bool
+	// misdirected says that it named another leaf.
+	misdirected bool
+	// held is how long the leaf had stood still before it read the request.
+	held time.Duration
 }
 
 // ledger holds all arrivals at all leaves, and the crashes of leaves by path of the request.
@@ -77,7 +81,7 @@
 	declined float64
 	// resumed is closed when a leaf that stands still goes on; nil: it does not stand still.
 	resumed  chan struct{}
-	draining time.Time // when its drain was written; zero: it was not
+	draining time.Time // when its drain was written or its entry removed; zero: it was not
 }
 
 // newLeaf starts a leaf.
@@ -194,10 +198,12 @@
 
 // answer runs one request.
 func (f *fakeLeaf) answer(r rawleaf.Seen) rawleaf.Reply {
+	read := time.Now()
 	f.awaitResume()
 	id := r.Header.Get(hosted.HeaderRequest)
-	a := arrival{at: time.Now(), request: id, path: r.Target, service: f.service, leaf: f.id}
+	a := arrival{at: time.Now(), request: id, path: r.Target, service: f.service, leaf: f.id, held: time.Since(read)}
 	if r.Header.Get(hosted.HeaderExpect) != f.id {
+		a.misdirected = true
 		f.ledger.add(a)
 		return rawleaf.Reply{Bytes: hosted.Misdirected(f.id)}
 	}
--- a/standin/soak/repeats.go
+++ b/standin/soak/repeats.go
@@ -116,7 +116,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.changed {
-		replaced := i+1 < len(s.changed) && o.sent.After(s.changed[i+1].Add(bound))
+		replaced := i+1 < len(s.changed) && o.sent.After(s.changed[i+1].Add(s.profile.bound))
 		if replaced || o.sent.Before(s.changed[i]) {
 			continue
 		}
--- a/standin/soak/repeats_test.go
+++ b/standin/soak/repeats_test.go
@@ -49,7 +49,8 @@
 // either may be in force.
 func TestRequestsOfOldConfigurationCount(t *testing.T) {
 	at := time.Unix(1000, 0)
-	s := &site{changed: []time.Time{at, at.Add(time.Minute)}, setOf: [][]string{{"s0x0"}, {"s1x0"}}}
+	profile := profiles[defaultProfile]
+	s := &site{profile: &profile, changed: []time.Time{at, at.Add(time.Minute)}, setOf: [][]string{{"s0x0"}, {"s1x0"}}}
 	for _, tc := range []struct {
 		after    time.Duration
 		old, new bool
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -20,7 +20,6 @@
 
 // Times of a site, as its settings state them.
 const (
-	bound     = 3 * time.Second // for a configuration, and for a drain
 	graceTime = 4 * time.Second
 	heartbeat = time.Second
 	// ratio is the number of repeats per request that a service may get in any window, beside
@@ -47,6 +46,9 @@
 	startedAt   time.Time
 	// disturbed is until when a fault other than a planned stop may show.
 	disturbed time.Time
+	// disturbances are the times in which something other than clients and leaves was wrong there,
+	// without those after which it may still show.
+	disturbances []span
 	// stopping is when it was asked to stop, zero while it was not.
 	stopping time.Time
 	// seen is the newest version seen in this incarnation, and when.
@@ -82,13 +84,17 @@
 	changed []time.Time
 	// storeDisturbed is until when a fault of the store may show.
 	storeDisturbed time.Time
+	// storeDisturbances are the faults of the store themselves.
+	storeDisturbances []span
+	// departures holds when leaves left, by ID.
+	departures map[string]departure
 }
 
 // due is the newest version that has been written for the bound at a moment, and when it was
 // written; 0 for none. The caller holds the lock.
 func (s *site) due(at time.Time) (version uint64, written time.Time) {
 	for i, w := range s.changed {
-		if at.After(w.Add(bound + rollbackSlack)) {
+		if at.After(w.Add(s.profile.bound + rollbackSlack)) {
 			version, written = uint64(i+1), w
 		}
 	}
@@ -111,7 +117,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &site{
 		dir: o.Dir, seed: o.Seed, profile: profile, binary: o.Binary, server: platform.New(platform.Settings{}), address: l.Addr().String(), end: cancel,
-		ledger: &ledger{}, leaves: make(map[string]*fakeLeaf),
+		ledger: &ledger{}, leaves: make(map[string]*fakeLeaf), departures: make(map[string]departure),
 	}
 	go func() { _ = s.server.Serve(ctx, l) }()
 	if s.store, err = newStoreProxy(s.address); err != nil {
@@ -290,7 +296,7 @@
 	n.content = hosted.Settings{
 		Name: name, Zone: zoneName(i % s.profile.zones), Clients: addresses[0], Ready: addresses[1], Peers: addresses[2], Store: s.store.address(),
 		Seeds: slices.Clone(s.seeds),
-		Grace: graceTime, Bound: bound, Ratio: ratio, Slack: s.profile.slack, Window: repeatWindow, Heartbeat: heartbeat,
+		Grace: graceTime, Bound: s.profile.bound, Ratio: ratio, Slack: s.profile.slack, Window: repeatWindow, Heartbeat: heartbeat,
 	}
 	return n, nil
 }
@@ -334,6 +340,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cmd, n.stopping, n.seen, n.startedAt = cmd, time.Time{}, 0, time.Now()
+	n.disturbances = append(n.disturbances, span{n.startedAt, n.startedAt})
 	n.incarnation++
 	return nil
 }
@@ -370,6 +377,7 @@
 func (n *instance) disturb(until time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.disturbances = append(n.disturbances, span{time.Now(), until})
 	if at := until.Add(settleTime); at.After(n.disturbed) {
 		n.disturbed = at
 	}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -60,6 +60,8 @@
 	Faults                    map[string]int
 	// RepeatUse is the nearest approach to the limit on repeats; no service: there were none.
 	RepeatUse RepeatUse
+	// DrainUse is what reached leaves after they had left.
+	DrainUse DrainUse
 	// Unserved describes the requests of the calm end that were not served, a line a reason.
 	Unserved   []string
 	Violations []Violation
@@ -71,6 +73,7 @@
 	site      *site
 	storeBusy sync.Mutex
 	allBusy   sync.Mutex // held by a fault that has all processes
+	cutsBusy  sync.Mutex // held by storeCuts
 	operator  sync.Mutex // one change of the configuration at a time
 
 	mu         sync.Mutex
@@ -78,6 +81,7 @@
 	violations []Violation
 	faults     map[string]int
 	repeatUse  RepeatUse
+	drainUse   DrainUse
 	unserved   []string
 }
 
@@ -132,14 +136,14 @@
 
 // calm lets faults end and then writes a series of versions: the last one is due before its end.
 func (r *run) calm() error {
-	time.Sleep(calmTime - bound - (seriesLength+1)*seriesPause)
+	time.Sleep(calmTime - r.site.profile.bound - (seriesLength+1)*seriesPause)
 	for range seriesLength {
 		if err := r.change(nil, 0); err != nil {
 			return fmt.Errorf("series of changes: %w", err)
 		}
 		time.Sleep(seriesPause)
 	}
-	time.Sleep(bound + seriesPause)
+	time.Sleep(r.site.profile.bound + seriesPause)
 	return nil
 }
 
@@ -191,7 +195,7 @@
 func (r *run) report() *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &Report{Faults: r.faults, RepeatUse: r.repeatUse, Unserved: r.unserved, Violations: slices.Clone(r.violations)}
+	out := &Report{Faults: r.faults, RepeatUse: r.repeatUse, DrainUse: r.drainUse, Unserved: r.unserved, Violations: slices.Clone(r.violations)}
 	for i := range r.outcomes {
 		if r.outcomes[i].watch || isCrashing(r.outcomes[i].target) {
 			continue
@@ -221,6 +225,10 @@
 		fmt.Fprintf(&b, "repeats: at most %.1f of the slack in use, at service %s within %v from %s, %d repeats (%d after their answer) for %d requests\n",
 			u.Slack, u.Service, repeatWindow, u.From.Format("15:04:05.000"), u.Repeats, u.Late, u.Requests)
 	}
+	if u := r.DrainUse; u.Departures > 0 {
+		fmt.Fprintf(&b, "drains: %d leaves left, %d of them without a drain mark; %d arrivals after that, the latest after %v\n",
+			u.Departures, u.Removed, u.Counted, u.Latest.Round(time.Millisecond))
+	}
 	for _, line := range r.Unserved {
 		fmt.Fprintf(&b, "not served in the calm end: %s\n", line)
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -161,11 +161,13 @@
 func TestOldVersionIsSeenInASeriesOfChanges(t *testing.T) {
 	now := time.Now()
 	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	profile := profiles[defaultProfile]
+	bound := profile.bound
 	for _, tc := range []struct {
 		service string
 		want    int
 	}{{"p1", 1}, {"p2", 0}, {"p3", 0}} {
-		r := &run{site: &site{version: 3, changed: []time.Time{ago(4 * bound), ago(2 * bound), ago(bound / 2)}}}
+		r := &run{site: &site{profile: &profile, version: 3, changed: []time.Time{ago(4 * bound), ago(2 * bound), ago(bound / 2)}}}
 		r.checkVersion(&instance{}, 0, &outcome{kind: kindProbe, sent: now, end: now}, tc.service)
 		if len(r.violations) != tc.want {
 			t.Errorf("%s: %d violations, want %d: %v", tc.service, len(r.violations), tc.want, r.violations)
