Take a gap between two reads for an outage only if a read of the store failed

Cause: a leaf that never drains leaves by the removal of its entry. Entries also lapse while the store is away, so leaves missing from the first list after a gap of two heartbeats (2.4 s) were used for 2.2 s more. The gap was measured between two lists of this instance, whatever it came from: a reader that was killed or cut off, a lead, while the store served and leaves left. With a bound of 5 or 6 s such gaps are within the freshness budget (a member reads the store itself at 3.5 s), with 3 s they hardly occur. A second gap kept the same leaf once more.

Fix: only a failed read of the instance's own shows an outage (then the store is unstable or the instance out of touch). Without one a missing leaf is out of use 0.8 of the bound after the last list that had it. The store's revision and the entries' sequences were looked at first: heartbeats advance neither.

Leaves whose entries lapse in an outage of 4.5 to 20 s stay in use until they register again (TestLeavesWhoseEntriesLapseStayInUse passes before and after, and fails without the retention). The tests of outages in kernel/catalog now record the failed read that an outage means; what they check is as before.

--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -57,6 +57,8 @@
 	// force. A peer's answer "unchanged" refers to the list that was in force when the peer was
 	// asked, so it counts only if this number is still the same.
 	storeListChanges atomic.Uint64
+	// storeReadFailedAt is when this instance's last read of the store that failed ended; nil: none has.
+	storeReadFailedAt atomic.Pointer[time.Time]
 	// storeReadFailing is set while this instance's last read of the store is one that failed.
 	storeReadFailing atomic.Bool
 	// fresherPeer is a peer that has fresher state than this instance; nil: none.
@@ -251,6 +253,9 @@
 // applyLeaves applies a list of leaves to the catalog and reports whether anything changed.
 func (c *control) applyLeaves(list catalog.Listing, from stateOrigin, now time.Time) bool {
 	c.badLeaves.report(list.Bad)
+	if failedAt := c.storeReadFailedAt.Load(); failedAt != nil {
+		c.catalog.RecordReadFailure(*failedAt)
+	}
 	previousCount, previousReadAt := c.catalog.LeafCount(), c.catalog.LastReads().LeavesAt
 	changed := c.catalog.ApplyLeaves(list, from.readStartedAt, now)
 	if changed {
--- a/entry/hosted/removal_test.go
+++ b/entry/hosted/removal_test.go
@@ -38,6 +38,7 @@
 	f := newTestFleet(t, instances)
 	f.zones = 3
 	f.tunables.FreshnessBound = bound
+	f.tunables.Catalog.FreshnessBound = bound
 	f.tunables.Catalog.EntryTTL, f.tunables.Catalog.ReregisterWithin = entryTTL, reregisterTime
 	l := &entryList{entries: make(map[string]catalog.Leaf)}
 	for i := range leaves {
@@ -118,6 +119,65 @@
 	}
 }
 
+// TestLeavesWhoseEntriesLapseStayInUse takes the store away from all instances and leaves, so that
+// half of the entries lapse. The leaves register again after its return and are in use all the while.
+func TestLeavesWhoseEntriesLapseStayInUse(t *testing.T) {
+	const leaves, lapsing, lapse = 40, 20, 3600 * time.Millisecond
+	for _, tc := range []struct {
+		name      string
+		instances int
+		bound     time.Duration
+		outage    time.Duration
+		silent    bool
+	}{
+		{"bound 3 s, 4.5 s refused", 8, 3 * time.Second, 4500 * time.Millisecond, false},
+		{"bound 3 s, 4.5 s silent", 8, 3 * time.Second, 4500 * time.Millisecond, true},
+		{"bound 5 s, 4.5 s refused", 24, 5 * time.Second, 4500 * time.Millisecond, false},
+		{"bound 5 s, 4.5 s silent", 24, 5 * time.Second, 4500 * time.Millisecond, true},
+		{"bound 5 s, 20 s silent", 24, 5 * time.Second, 20 * time.Second, true},
+		{"bound 6 s, 9 s refused", 24, 6 * time.Second, 9 * time.Second, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, list := newLeafFleet(t, tc.instances, tc.bound, leaves)
+				defer f.stopAll()
+				all := maps.Clone(list.entries)
+				down := func(string) bool { return true }
+				f.store.update(func(s *sharedStore) {
+					if tc.silent {
+						s.isSilent = down
+					} else {
+						s.refuses = down
+					}
+				})
+				time.Sleep(lapse)
+				f.store.update(func(*sharedStore) {
+					for i := range lapsing {
+						delete(list.entries, fmt.Sprintf("leaf-%02d", i))
+					}
+				})
+				time.Sleep(tc.outage - lapse)
+				f.store.update(func(s *sharedStore) { s.isSilent, s.refuses = nil, nil })
+				missing := 0
+				for range lapsing {
+					time.Sleep(100 * time.Millisecond)
+					synctest.Wait()
+					for _, r := range f.running {
+						missing = max(missing, leaves-len(usable(r.node)))
+					}
+					f.store.update(func(*sharedStore) {
+						id := fmt.Sprintf("leaf-%02d", len(list.entries)-leaves+lapsing)
+						list.entries[id] = all[id]
+					})
+				}
+				if missing > 0 {
+					t.Errorf("%d leaves were out of use at an instance before they could register again", missing)
+				}
+			})
+		})
+	}
+}
+
 // longestUse returns the longest time since the removal of a leaf that is still in use by an
 // instance that is not disturbed.
 func (f *testFleet) longestUse(removed map[string]time.Time, disturbed map[string]bool) (worst time.Duration) {
--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -147,7 +147,9 @@
 	r.reportRead(storeRead{role: role, startedAt: startedAt, age: age, err: err})
 	r.storeReadFailing.Store(err != nil)
 	if err != nil {
-		r.failedAt, r.readerRetryDelay, r.retryJitter = time.Now(), min(r.backoff.Next(r.random), r.boundShare(maxReaderRetryDelayShare)), 0.75+r.random.Float64()/2
+		failedAt := time.Now()
+		r.storeReadFailedAt.Store(&failedAt)
+		r.failedAt, r.readerRetryDelay, r.retryJitter = failedAt, min(r.backoff.Next(r.random), r.boundShare(maxReaderRetryDelayShare)), 0.75+r.random.Float64()/2
 		r.timeout = max(min(2*time.Since(startedAt), r.boundShare(maxReadTimeoutShare)), minReadTimeout)
 		return
 	}
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -12,7 +12,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
@@ -23,6 +22,8 @@
 	// EntryTTL is the time without a heartbeat after which the store may drop a leaf's
 	// entry. A shorter outage drops no entry of a running leaf.
 	EntryTTL time.Duration
+	// FreshnessBound is the time within which a change in the store must be in force.
+	FreshnessBound time.Duration
 	// ReregisterWithin is the time after an outage within which running leaves whose
 	// entries lapsed register again.
 	ReregisterWithin time.Duration
@@ -48,9 +49,11 @@
 	configAt time.Time
 	// listed holds the leaves of the last list, by ID, merged with earlier lists.
 	listed map[string]Leaf
-	// lapsed holds, by ID, the leaves that were missing from the first list after an
-	// outage and may still register again.
-	lapsed map[string]Leaf
+	// lapsed holds, by ID, the leaves that the last list lacks and that may still register
+	// again.
+	lapsed map[string]lapsedLeaf
+	// readFailedAt is when a read of the store by this instance failed last.
+	readFailedAt time.Time
 	// doubtful holds the entries of listed leaves whose start time went back, by ID.
 	doubtful map[string]doubtfulEntry
 	// unlisted holds the leaves that an earlier list had and the last one lacks, by ID.
@@ -61,9 +64,7 @@
 	revision  uint64
 	hasLeaves bool
 	// leavesAt is when the last successful read of the leaves began.
-	leavesAt time.Time
-	// lapsedUntil is when the lapsed leaves are dropped.
-	lapsedUntil time.Time
+	leavesAt    time.Time
 	droppedSets map[string]droppedSet // by upstream name
 }
 
@@ -77,7 +78,7 @@
 // New returns an empty catalog.
 func New(s Settings) *Catalog {
 	return &Catalog{
-		settings: s, listed: make(map[string]Leaf), lapsed: make(map[string]Leaf), droppedSets: make(map[string]droppedSet),
+		settings: s, listed: make(map[string]Leaf), lapsed: make(map[string]lapsedLeaf), droppedSets: make(map[string]droppedSet),
 		doubtful: make(map[string]doubtfulEntry), unlisted: make(map[string]unlistedLeaf), byIncarnation: make(map[string]string),
 	}
 }
@@ -176,8 +177,9 @@
 		return false
 	}
 	l.Draining = true
-	if _, ok := c.lapsed[id]; ok {
-		c.lapsed[id] = l
+	if kept, ok := c.lapsed[id]; ok {
+		kept.Leaf = l
+		c.lapsed[id] = kept
 	} else {
 		c.listed[id] = l
 	}
@@ -196,19 +198,6 @@
 // LeafCount returns the number of active leaves: those listed and those lapsed.
 func (c *Catalog) LeafCount() int { return len(c.listed) + len(c.lapsed) }
 
-// Lapsed describes the leaves that are kept in use although the last list lacks them.
-type Lapsed struct {
-	// IDs are in order.
-	IDs []string
-	// Until is when they are dropped.
-	Until time.Time
-}
-
-// Lapsed returns the leaves that are kept without an entry.
-func (c *Catalog) Lapsed() Lapsed {
-	return Lapsed{IDs: slices.Sorted(maps.Keys(c.lapsed)), Until: c.lapsedUntil}
-}
-
 // leavesByService returns the active leaves of each service, ordered by ID.
 func (c *Catalog) leavesByService() map[string][]document.Leaf {
 	out := make(map[string][]document.Leaf)
--- a/kernel/catalog/catalog_test.go
+++ b/kernel/catalog/catalog_test.go
@@ -10,7 +10,7 @@
 var start = time.Unix(1000, 0)
 
 var testSettings = Settings{
-	EntryTTL: 2400 * time.Millisecond, ReregisterWithin: 2 * time.Second, DroppedSetRetention: 5 * time.Second,
+	FreshnessBound: 5 * time.Second, EntryTTL: 2400 * time.Millisecond, ReregisterWithin: 2 * time.Second, DroppedSetRetention: 5 * time.Second,
 	ConfigFreshFor: 2 * time.Second, DialCost: 6 * time.Millisecond,
 	RepeatLimit: document.RepeatLimit{Ratio: 0.2, Slack: 56, Window: 10 * time.Second},
 }
@@ -67,15 +67,17 @@
 	both := []Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}
 	for _, tc := range []struct {
 		name   string
-		outage time.Duration
+		outage time.Duration // during which a read failed
 		kept   bool
 	}{
 		{"after an outage", 5 * time.Second, true},
+		{"after an outage of an hour", time.Hour, true},
 		{"without an outage", time.Second, false},
 	} {
 		c := New(testSettings)
 		c.ApplyLeaves(Listing{Leaves: both, Revision: 1}, start, start)
 		storeUp := start.Add(tc.outage)
+		c.RecordReadFailure(storeUp.Add(-time.Millisecond))
 		c.ApplyLeaves(Listing{Leaves: both[:1], Revision: 2}, storeUp, storeUp)
 		if got := c.LeafCount() == 2; got != tc.kept {
 			t.Errorf("%s: missing entry kept: %v, want %v", tc.name, got, tc.kept)
@@ -88,6 +90,46 @@
 	}
 }
 
+// TestMissingLeafIsOutOfUseWithinBoundWithoutOutage has no read fail between two lists: a leaf that
+// the second one lacks may have left right after the first one.
+func TestMissingLeafIsOutOfUseWithinBoundWithoutOutage(t *testing.T) {
+	both := []Leaf{{ID: "x", Service: "a"}, {ID: "y", Service: "a"}}
+	after := func(d time.Duration) time.Time { return start.Add(d) }
+	for _, tc := range []struct {
+		name     string
+		failedAt time.Time
+		// lists are the times of the lists that lack the leaf.
+		lists []time.Duration
+		// usedUntil is until when the leaf is in use.
+		usedUntil time.Duration
+	}{
+		{"short gap", time.Time{}, []time.Duration{2 * time.Second}, 2 * time.Second},
+		{"gap as long as entries live", time.Time{}, []time.Duration{2500 * time.Millisecond}, 4 * time.Second},
+		{"gap longer than the bound", time.Time{}, []time.Duration{20 * time.Second}, 20 * time.Second},
+		{"two gaps", time.Time{}, []time.Duration{2500 * time.Millisecond, 5 * time.Second}, 4 * time.Second},
+		{"read that failed before the first list", start.Add(-time.Second), []time.Duration{20 * time.Second}, 20 * time.Second},
+		{"read that failed in the gap", start.Add(3 * time.Second), []time.Duration{4 * time.Second}, 6 * time.Second},
+	} {
+		c := New(testSettings)
+		c.RecordReadFailure(tc.failedAt)
+		c.ApplyLeaves(Listing{Leaves: both, Revision: 1}, start, start)
+		inUse := func(at time.Time) bool { c.Expire(at); return c.LeafCount() == 2 }
+		for i, d := range tc.lists {
+			if before := after(d - time.Nanosecond); inUse(before) != (d <= tc.usedUntil) {
+				t.Errorf("%s: in use %v: %v", tc.name, d, c.LeafCount() == 2)
+			}
+			c.ApplyLeaves(Listing{Leaves: both[:1], Revision: uint64(i + 2)}, after(d), after(d))
+		}
+		last := tc.lists[len(tc.lists)-1]
+		if last < tc.usedUntil && !inUse(after(tc.usedUntil-time.Nanosecond)) {
+			t.Errorf("%s: not in use before %v", tc.name, tc.usedUntil)
+		}
+		if inUse(after(max(tc.usedUntil, last))) {
+			t.Errorf("%s: still in use at %v", tc.name, tc.usedUntil)
+		}
+	}
+}
+
 // TestEmptyFirstListIsAChange applies an empty first list after the configuration. The list
 // must count as a change because it makes the catalog ready.
 func TestEmptyFirstListIsAChange(t *testing.T) {
@@ -108,6 +150,7 @@
 	c := New(testSettings)
 	c.ApplyLeaves(Listing{Leaves: both, Revision: 1}, start, start)
 	storeUp := start.Add(8 * time.Second)
+	c.RecordReadFailure(start.Add(time.Second))
 	c.ApplyLeaves(Listing{Leaves: both, Revision: 2}, storeUp, storeUp)
 	next := storeUp.Add(time.Second)
 	if !c.ApplyLeaves(Listing{Leaves: both[:1], Revision: 3}, next, next) || c.LeafCount() != 1 {
@@ -121,6 +164,7 @@
 	c := New(testSettings)
 	c.ApplyLeaves(Listing{Leaves: both, Revision: 1}, start, start)
 	storeUp := start.Add(8 * time.Second)
+	c.RecordReadFailure(start.Add(time.Second))
 	c.ApplyLeaves(Listing{Leaves: both[:1], Revision: 2}, storeUp, storeUp)
 	if c.LeafCount() != 2 || len(c.ListedLeaves()) != 1 {
 		t.Errorf("%d leaves active and %d listed, want 2 and 1", c.LeafCount(), len(c.ListedLeaves()))
--- a/kernel/catalog/incarnation_test.go
+++ b/kernel/catalog/incarnation_test.go
@@ -112,6 +112,7 @@
 	c := New(testSettings)
 	entryRead{0, 1, 100, 9, true}.apply(c)
 	storeUp := start.Add(8 * time.Second)
+	c.RecordReadFailure(start.Add(time.Second))
 	c.ApplyLeaves(Listing{Revision: 2}, storeUp, storeUp)
 	if c.LeafCount() != 1 || !c.Draining("x@100") {
 		t.Fatal("the leaf whose entry lapsed is not kept")
@@ -130,6 +131,7 @@
 		c := New(testSettings)
 		entryRead{0, 1, 100, 9, true}.apply(c)
 		at := start.Add(outage)
+		c.RecordReadFailure(at.Add(-time.Millisecond))
 		c.ApplyLeaves(Listing{Revision: 2, Bad: []BadEntry{{Name: "x"}}}, at, at)
 		if c.LeafCount() != 0 {
 			t.Errorf("outage of %v: the leaf of a bad entry is kept", outage)
--- a/kernel/catalog/list.go
+++ b/kernel/catalog/list.go
@@ -13,13 +13,10 @@
 // so that a draining leaf stays draining and LastReads.LeavesAt does not go back. It
 // reports whether anything changed; the first list counts as a change even if empty.
 //
-// In an outage, entries of running leaves lapse and come back after it. Leaves that are
-// missing from the first list after an outage are therefore kept for
-// Settings.ReregisterWithin. Leaves missing from later lists are dropped at once: if
-// they were kept too, leaves that stopped after the outage would get new work for as
-// long. A leaf whose entry exists but is invalid is dropped as well: whoever overwrote
-// the entry may have replaced the leaf, and if the leaf still runs, its next heartbeat
-// restores it.
+// Leaves that are missing from the list are dropped at once, unless their entries may
+// have lapsed in an outage of the store: see updateLapsed. A leaf whose entry exists but
+// is invalid is dropped as well: whoever overwrote the entry may have replaced the leaf,
+// and if the leaf still runs, its next heartbeat restores it.
 func (c *Catalog) ApplyLeaves(list Listing, readStart, now time.Time) bool {
 	if !c.isCurrent(list.Revision) || c.hasLeaves && list.Revision == c.revision && readStart.Before(c.leavesAt) {
 		return false
@@ -31,13 +28,7 @@
 		next[l.ID] = c.merge(l, readStart)
 	}
 	c.updateUnlisted(prev, next, now)
-	if c.hasLeaves && readStart.Sub(c.leavesAt) >= c.settings.EntryTTL {
-		c.lapsed = missingFrom(prev, next)
-		for i := range list.Bad {
-			delete(c.lapsed, list.Bad[i].Name)
-		}
-		c.lapsedUntil = now.Add(c.settings.ReregisterWithin)
-	}
+	c.updateLapsed(prev, next, &list, readStart, now)
 	c.hasLeaves, c.revision, c.leavesAt = true, list.Revision, readStart
 	c.listed = next
 	maps.DeleteFunc(c.doubtful, func(id string, _ doubtfulEntry) bool { _, ok := next[id]; return !ok })
@@ -68,19 +59,6 @@
 	}
 }
 
-// dropLapsed drops the lapsed leaves that are listed again, or all of them when their time
-// to register again has passed.
-func (c *Catalog) dropLapsed(now time.Time) {
-	if !now.Before(c.lapsedUntil) {
-		clear(c.lapsed)
-		return
-	}
-	maps.DeleteFunc(c.lapsed, func(id string, _ Leaf) bool {
-		_, back := c.listed[id]
-		return back
-	})
-}
-
 // missingFrom returns the leaves of prev that next lacks.
 func missingFrom(prev, next map[string]Leaf) map[string]Leaf {
 	out := make(map[string]Leaf)
@@ -96,7 +74,9 @@
 // entry that drains counts as draining.
 func (c *Catalog) activeLeaves() map[string]Leaf {
 	out := maps.Clone(c.listed)
-	maps.Copy(out, c.lapsed)
+	for id, l := range c.lapsed {
+		out[id] = l.Leaf
+	}
 	for id, d := range c.doubtful {
 		l := out[id]
 		l.Draining = l.Draining || d.entry.Draining
@@ -111,7 +91,7 @@
 		return l, true
 	}
 	l, ok := c.lapsed[id]
-	return l, ok
+	return l.Leaf, ok
 }
 
 // ConfirmLeaves records that a read that began at readStart found the list unchanged, at
