Check that a leaf is not leaving right before a request is sent to it

What callers could see: a request runs on a leaf that left after it was chosen.

Cause: a decision that is valid when it is made and used later. Between the choice of a leaf and the write come a wait for a connection, a dial, the claim of a probe, and whatever time the process stands still. Right before the write confirmSend checked the deadline, the withdrawal and the ledger, but not the leaf's drain mark.

Evidence: TestAttemptIsNotSentToLeafThatBeganToLeaveMeanwhile, with a leaf that drains while the attempt waits for its connection, failed before: the drained leaf ran the request, idempotent or not.

Change: the newest view is asked under the run's lock. The attempt then counts as not sent, so that another leaf is tried without a token of the retry budget, and 'not run' stays true. Counter withheld{reason} and the line 'dispatch: withheld' take the place of late_sends and 'late send', of which there are none now.

--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -86,9 +86,6 @@
 	// Ages returns the ages of the configuration and of the list of leaves in force,
 	// for the log; nil if they are unknown.
 	Ages func() (config, leaves time.Duration)
-	// FreshnessBound returns the age of the list of leaves above which a send is reported; nil:
-	// none is.
-	FreshnessBound func() time.Duration
 	// Gatherer delegates parts of queries to other instances; nil delegates none.
 	Gatherer Gatherer
 	// RepeatSlackShare returns this instance's share, in (0, 1], of an upstream's repeat
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -126,12 +126,15 @@
 	if r.answer != nil || a.withdrawn || !ledger.MayDispatch(r.request.Deadline, time.Now()) {
 		return false // an instance that was paused finds the deadline passed here
 	}
+	if reason := r.executor.reasonToWithhold(a); reason != "" {
+		r.executor.reportWithheld(a, reason)
+		return false
+	}
 	r.handleLocked(query.Sent{Attempt: a.offer.Attempt, Leaf: leaf})
 	if a.withdrawn {
 		return false
 	}
 	a.sentAt = time.Now()
-	r.executor.reportLateSend(a)
 	if !a.offer.Hedge && !a.offer.Retry {
 		r.sentShards.Add(1)
 	}
--- /dev/null
+++ b/entry/executor/send_check.go
@@ -0,0 +1,42 @@
+package executor
+
+import (
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
+)
+
+// An attempt's leaf is chosen some time before the request is sent: in between come a wait for a
+// connection and, for a suspect, a claim, and the process may stand still for any time. So
+// whether the leaf may still get work is checked again right before the bytes are written.
+
+// withholdReason says why an attempt is not sent although it has a leaf and a connection. It is a
+// label value of the metrics.
+type withholdReason string
+
+const (
+	withholdLeaving withholdReason = "leaf is leaving"
+)
+
+// reasonToWithhold returns why an attempt must not be sent to its leaf now, or "".
+func (e *Executor) reasonToWithhold(a *attempt) withholdReason {
+	switch {
+	case e.leafState.isLeaving(a.leafID):
+		return withholdLeaving
+	default:
+		return ""
+	}
+}
+
+// reportWithheld counts and logs an attempt that is not sent.
+func (e *Executor) reportWithheld(a *attempt, reason withholdReason) {
+	e.config.Metrics.CountWithheld(string(reason))
+	d := telemetry.Decision{
+		Component: prefixDispatch, Event: "withheld", Leaf: a.leafID, Reason: string(reason), Duration: time.Since(a.started), Class: telemetry.Outcome,
+	}
+	if e.config.Ages != nil {
+		_, age := e.config.Ages()
+		d.Extra = []any{"leaves_age", age}
+	}
+	e.logDecision(a, d)
+}
--- /dev/null
+++ b/entry/executor/send_check_test.go
@@ -0,0 +1,66 @@
+package executor
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
+)
+
+// serveIfSent answers an attempt that may be sent.
+func (f *fakeLeaves) serveIfSent(ctx context.Context, t leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error) {
+	if !sent() {
+		return nil, &leafclient.DialError{Leaf: t.ID, Err: leafclient.ErrCancelledBeforeSend}
+	}
+	return f.serve(time.Millisecond, 1)(ctx, t, r, func() bool { return true })
+}
+
+// drain publishes a view in which some leaves drain.
+func (e *testExecutor) drain(sequence uint64, leaves ...string) {
+	doc := e.view.Document
+	draining := func(id string) bool {
+		for _, leaf := range leaves {
+			if id == leaf {
+				return true
+			}
+		}
+		return false
+	}
+	e.view = view.Build(sequence, "h", doc, draining, func(*document.Upstream, string) int { return 3 })
+	e.view.Sequence = sequence
+	e.executor.SetView(e.view)
+}
+
+// TestAttemptIsNotSentToLeafThatBeganToLeaveMeanwhile drains the leaf that was chosen for an
+// attempt while the attempt waits for a connection: another leaf runs the request.
+func TestAttemptIsNotSentToLeafThatBeganToLeaveMeanwhile(t *testing.T) {
+	for _, service := range []string{"ask", "note"} {
+		t.Run(service, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := newTestExecutor(t, 1)
+				defer e.close()
+				var drained string
+				first := true
+				waits := func(ctx context.Context, target leafclient.Target, r *leafclient.Request, sent func() bool) (*leafclient.Reply, error) {
+					if first {
+						first, drained = false, target.ID
+						e.drain(2, target.ID)
+					}
+					return e.leaves.serveIfSent(ctx, target, r, sent)
+				}
+				e.leaves.behaviours["l0-a"], e.leaves.behaviours["l0-b"] = waits, waits
+				answer, err := e.executor.Forward(t.Context(), e.request(service))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if answer.Outcome != "complete" || e.leaves.executions() != 1 || e.leaves.executedBy[drained] != 0 {
+					t.Errorf("outcome %s; run by %v, want by the leaf other than %s", answer.Outcome, e.leaves.executedBy, drained)
+				}
+			})
+		})
+	}
+}
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -202,7 +202,7 @@
 	n.executor = executor.New(executor.Config{
 		LeafClient: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: policies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, FreshnessBound: n.freshnessBound, SuspectAfterLosses: lostToSuspect, QuarantineDuration: firstQuarantine, ProbeStore: n.probeStore,
+		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, SuspectAfterLosses: lostToSuspect, QuarantineDuration: firstQuarantine, ProbeStore: n.probeStore,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
@@ -227,9 +227,6 @@
 	return now.Sub(state.LastReads.ConfigAt), now.Sub(state.LastReads.LeavesAt)
 }
 
-// freshnessBound returns the time within which a change in the store must be in force.
-func (n *Node) freshnessBound() time.Duration { return n.tunables.Load().FreshnessBound }
-
 // Log returns the logger of a part of the instance.
 func (n *Node) Log(part string) *telemetry.ComponentLog { return n.log.Component(part) }
 
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -156,10 +156,10 @@
 	m.Scope.Tagged(map[string]string{"event": event, "source": source}).Counter("quarantine").Inc(1)
 }
 
-// CountLateSend counts an attempt that was sent to a leaf that had left or may have left. The
+// CountWithheld counts an attempt that was not sent to the leaf that had been chosen for it. The
 // reason is a label value, from a small fixed set.
-func (m *Metrics) CountLateSend(reason string) {
-	m.Scope.Tagged(map[string]string{"reason": reason}).Counter("late_sends").Inc(1)
+func (m *Metrics) CountWithheld(reason string) {
+	m.Scope.Tagged(map[string]string{"reason": reason}).Counter("withheld").Inc(1)
 }
 
 // ObserveQuery counts one answered query and records its latency. Reason says why
