Renew the state before sending when an instance has stood still

What callers could see: after a process stood still (no processor time, a paused machine) the requests that had arrived meanwhile ran on leaves that had left.

An instance served by its list whatever its age. That is right while the store is away, as it has tried and failed to renew it; it is wrong if it has not tried.

Change: state older than the bound counts as current only if a read of the store has failed within the bound, or the instance has just started. Else a send waits until the state is renewed, some milliseconds after the stand; if that does not come before the deadline, the request is refused as not run.

--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -40,7 +40,9 @@
 	up := e.leafState.isUp(s.leaf.ID)
 	target := leafclient.Target{ID: s.leaf.ID, Name: s.leaf.Name, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.dialCost}
 	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body, Forwarded: a.run.request.Forwarded}
-	reply, err := e.config.LeafClient.Run(s.ctx, target, request, func() bool { return a.run.maySend(s.ctx, a) && a.run.confirmSend(a, leaf) })
+	reply, err := e.config.LeafClient.Run(s.ctx, target, request, func() bool {
+		return e.awaitCurrentState(s.ctx) && a.run.maySend(s.ctx, a) && a.run.confirmSend(a, leaf)
+	})
 	e.repeatLimiters.endExchange(a, err)
 	if err != nil {
 		a.run.service.metrics.CountAttempt(attemptOutcome(s.ctx, err), s.action.QueueTime)
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -86,6 +86,8 @@
 	// Ages returns the ages of the configuration and of the list of leaves in force,
 	// for the log; nil if they are unknown.
 	Ages func() (config, leaves time.Duration)
+	// State tells whether the list of leaves in force may be acted on; nil: it always may.
+	State State
 	// Gatherer delegates parts of queries to other instances; nil delegates none.
 	Gatherer Gatherer
 	// RepeatSlackShare returns this instance's share, in (0, 1], of an upstream's repeat
@@ -110,6 +112,14 @@
 	ProbeStore ProbeStore
 }
 
+// State is the state by which leaves are chosen.
+type State interface {
+	// IsCurrent reports whether a change may have been missed only for reasons that last.
+	IsCurrent() bool
+	// Await waits until IsCurrent, and returns false if the context ends first.
+	Await(ctx context.Context) bool
+}
+
 // Executor runs queries. It is safe for concurrent use.
 type Executor struct {
 	config          Config
--- a/entry/executor/send_check.go
+++ b/entry/executor/send_check.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"context"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
@@ -16,11 +17,20 @@
 
 const (
 	withholdLeaving withholdReason = "leaf is leaving"
+	withholdStale   withholdReason = "list of leaves is stale"
 )
 
+// awaitCurrentState waits until the state in force may be acted on, and returns false if the
+// attempt's context ends first.
+func (e *Executor) awaitCurrentState(ctx context.Context) bool {
+	return e.config.State == nil || e.config.State.Await(ctx)
+}
+
 // reasonToWithhold returns why an attempt must not be sent to its leaf now, or "".
 func (e *Executor) reasonToWithhold(a *attempt) withholdReason {
 	switch {
+	case e.config.State != nil && !e.config.State.IsCurrent():
+		return withholdStale
 	case e.leafState.isLeaving(a.leafID):
 		return withholdLeaving
 	default:
--- a/entry/executor/send_check_test.go
+++ b/entry/executor/send_check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,3 +65,48 @@
 		})
 	}
 }
+
+// staleState is a State that is stale until it is renewed.
+type staleState struct{ renewed atomic.Bool }
+
+func (s *staleState) IsCurrent() bool { return s.renewed.Load() }
+
+func (s *staleState) Await(ctx context.Context) bool {
+	for !s.IsCurrent() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return true
+}
+
+// TestNothingIsSentByStaleState executes a request while the state is stale: it waits for the
+// state, and is refused as not run if that does not come in time.
+func TestNothingIsSentByStaleState(t *testing.T) {
+	for _, renewed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			e := newTestExecutor(t, 2)
+			defer e.close()
+			for _, id := range []string{"l0-a", "l0-b", "l1-a", "l1-b"} {
+				e.leaves.behaviours[id] = e.leaves.serveIfSent
+			}
+			state := &staleState{}
+			e.executor.config.State = state
+			if renewed {
+				time.AfterFunc(50*time.Millisecond, func() { state.renewed.Store(true) })
+			}
+			start := time.Now()
+			resp, err := e.execute(t.Context(), "ask")
+			switch {
+			case renewed && (err != nil || resp.Answer.Outcome != "complete"):
+				t.Errorf("not served after the state was renewed: %v", err)
+			case renewed && time.Since(start) < 50*time.Millisecond:
+				t.Error("served by stale state")
+			case !renewed && (err == nil || e.leaves.executions() != 0):
+				t.Errorf("%d attempts ran by stale state, error %v; want a refusal", e.leaves.executions(), err)
+			}
+		})
+	}
+}
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -57,6 +57,8 @@
 	// force. A peer's answer "unchanged" refers to the list that was in force when the peer was
 	// asked, so it counts only if this number is still the same.
 	storeListChanges atomic.Uint64
+	// loadedAt is when the first state was loaded; nil: it was not yet.
+	loadedAt atomic.Pointer[time.Time]
 	// storeReadFailedAt is when this instance's last read of the store that failed ended; nil: none has.
 	storeReadFailedAt atomic.Pointer[time.Time]
 	// storeReadFailing is set while this instance's last read of the store is one that failed.
--- a/entry/hosted/fleet_test.go
+++ b/entry/hosted/fleet_test.go
@@ -213,7 +213,8 @@
 type testInstance struct {
 	node        *Node
 	slowReplies bool
-	stop        func()
+	// stopLoops ends the loops of the instance, stop the instance itself.
+	stopLoops, stop func()
 }
 
 // defaultZones is the number of zones of a test fleet unless a test sets it, and seedCount that of
@@ -270,7 +271,10 @@
 	done.Go(func() { _ = n.probeStore.run(ctx) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.running[peerAddress(i)] = &testInstance{node: n, slowReplies: i%2 == 0, stop: func() {
+	f.running[peerAddress(i)] = &testInstance{node: n, slowReplies: i%2 == 0, stopLoops: func() {
+		cancel()
+		done.Wait()
+	}, stop: func() {
 		cancel()
 		done.Wait()
 		synctest.Wait()
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -202,7 +202,7 @@
 	n.executor = executor.New(executor.Config{
 		LeafClient: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: policies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, SuspectAfterLosses: lostToSuspect, QuarantineDuration: firstQuarantine, ProbeStore: n.probeStore,
+		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, State: n.control, SuspectAfterLosses: lostToSuspect, QuarantineDuration: firstQuarantine, ProbeStore: n.probeStore,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
--- a/entry/hosted/removal_test.go
+++ b/entry/hosted/removal_test.go
@@ -46,9 +46,7 @@
 		l.entries[id] = catalog.Leaf{ID: id, Service: "s", Zone: "z0", Address: "127.0.0.1:1", Slots: 2}
 	}
 	f.store.leaves, f.store.heartbeat = l.list, leafHeartbeat
-	route := &catalog.Route{Name: "wide", Prefix: "/wide/", Host: "h", Idempotent: true, Timeout: time.Second, Attempts: 2, Shards: []string{"s"}, LeastCoverage: 0.5}
-	config := &catalog.Config{Version: 1, Routes: []*catalog.Route{route}}
-	f.store.config = func(uint64) *catalog.Config { return config }
+	f.store.config = wideConfig()
 	f.settle()
 	return f, l
 }
--- a/entry/hosted/syncloops.go
+++ b/entry/hosted/syncloops.go
@@ -34,6 +34,8 @@
 // whose own calls to the store get no answer still takes the state of its peers.
 func (c *control) runSyncLoops(ctx context.Context) {
 	c.loadInitialState(ctx)
+	loadedAt := time.Now()
+	c.loadedAt.Store(&loadedAt)
 	var loops sync.WaitGroup
 	defer loops.Wait()
 	loops.Go(func() { c.runPeerSync(ctx) })
