Route nothing by an old configuration when an instance has stood still

What callers could see: a request ran on a service from which its route had been moved away long before, at an instance whose process had stood still meanwhile.

The route is chosen by the view in force when the request is read; the check before the send looks at leaves only.

Evidence: TestInstanceThatStoodStillRoutesNothingByOldConfiguration failed before (the old service ran the request).

Change: the gateway waits for current state before it looks for the route, for a second at most, then refuses as not run (503); an instance in that state declines what others would have it run or gather.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -49,6 +49,8 @@
 	// Current reports whether the view's configuration is known to be the newest: a
 	// route that is not in it does not exist.
 	Current() bool
+	// Await waits until the view may be acted on, and returns false if the context ends first.
+	Await(ctx context.Context) bool
 	// BodyLimit returns the most bytes of a request's body; 0: no limit.
 	BodyLimit() int64
 }
@@ -180,6 +182,10 @@
 	if v == nil {
 		return nil, newStarting()
 	}
+	if !g.awaitView(r.Context()) {
+		return nil, newUnavailable("the configuration here is old")
+	}
+	v = g.config.Views.View()
 	target := toOriginForm(r.RequestURI)
 	service, refused := g.findService(v, r.Host, target)
 	if refused != nil {
@@ -202,6 +208,16 @@
 	}, nil
 }
 
+// maxViewWait bounds the wait for a view that may be acted on; a read of the store ends sooner.
+const maxViewWait = time.Second
+
+// awaitView waits until the view may be acted on and reports whether it may.
+func (g *Gateway) awaitView(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxViewWait)
+	defer cancel()
+	return g.config.Views.Await(ctx)
+}
+
 // newNoRoute returns the refusal of a request without a route: 404 if the configuration
 // is known to be the newest. If it may be old, the route may exist, and the request is
 // refused as not run.
--- a/entry/hosted/currency_test.go
+++ b/entry/hosted/currency_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"testing"
@@ -11,6 +13,7 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/catalog"
+	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/keyrange"
 )
 
@@ -32,7 +35,7 @@
 	l.sent = append(l.sent, t.Name)
 	return &leafclient.Reply{
 		Version: 1, Ranges: []keyrange.Range{r.Range}, LeafStatus: leafclient.LeafStatus{Versions: []uint64{1}},
-		Attachment: &leafclient.ForwardedResponse{Status: 200, Signature: t.ID},
+		Attachment: &leafclient.ForwardedResponse{Status: http.StatusOK, Header: make(http.Header), Signature: t.ID},
 	}, nil
 }
 
@@ -45,6 +48,15 @@
 	return out
 }
 
+// countByLeaf counts the requests sent to each leaf since the last call.
+func (l *recordingLeaves) countByLeaf() map[string]int {
+	out := make(map[string]int)
+	for _, name := range l.take() {
+		out[name]++
+	}
+	return out
+}
+
 // startStoppable runs an instance whose loops can be stopped and run again, as if the process stood
 // still meanwhile.
 func startStoppable(f *testFleet) (n *Node, goOn func(), standStill func()) {
@@ -118,6 +130,58 @@
 	})
 }
 
+// TestInstanceThatStoodStillRoutesNothingByOldConfiguration moves a route to another service while
+// an instance stands still: a request that it reads when it goes on goes to the new service.
+func TestInstanceThatStoodStillRoutesNothingByOldConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leaves := &recordingLeaves{}
+		f := newTestFleet(t, 1)
+		f.newLeaves = func() Leaves { return leaves }
+		f.store.leaves = func() []catalog.Leaf {
+			return []catalog.Leaf{
+				{ID: "old", Service: "old", Zone: "z0", Address: "127.0.0.1:1", Slots: 2}, {ID: "new", Service: "new", Zone: "z0", Address: "127.0.0.1:2", Slots: 2},
+			}
+		}
+		f.store.config = func(version uint64) *catalog.Config {
+			service := "old"
+			if version > 1 {
+				service = "new"
+			}
+			return &catalog.Config{Version: version, Routes: []*catalog.Route{{
+				Name: "r", Prefix: "/r/", Host: "h", Idempotent: true, Timeout: time.Second, Attempts: 2, Targets: []document.RouteTarget{{Service: service, Weight: 1}},
+			}}}
+		}
+		n, goOn, standStill := startStoppable(f)
+		defer f.stopAll()
+		goOn()
+		time.Sleep(time.Second)
+		ask := func() int {
+			r := httptest.NewRequest(http.MethodGet, "/r/x", nil)
+			r.Host, r.RequestURI = "h", "/r/x"
+			w := httptest.NewRecorder()
+			n.gateway.ServeHTTP(w, r)
+			return w.Code
+		}
+		if code := ask(); code != http.StatusOK || leaves.countByLeaf()["old"] != 1 {
+			t.Fatalf("status %d before the stand", code)
+		}
+		standStill()
+		f.store.update(func(s *sharedStore) { s.version = 2 })
+		time.Sleep(testBound + time.Second)
+		status := make(chan int, 1)
+		go func() { status <- ask() }()
+		time.Sleep(20 * time.Millisecond)
+		goOn()
+		defer standStill()
+		if code := <-status; code != http.StatusOK {
+			t.Errorf("status %d after the instance went on", code)
+		}
+		if sent := leaves.countByLeaf(); sent["old"] != 0 || sent["new"] != 1 {
+			t.Errorf("sent to %v, want only to the new service", sent)
+		}
+	})
+}
+
 // TestInstanceServesByOldListWhileStoreIsAway has the store not answer for minutes: the instance
 // has tried to renew its state and serves by what it has.
 func TestInstanceServesByOldListWhileStoreIsAway(t *testing.T) {
--- a/entry/hosted/forwarding/forwarding.go
+++ b/entry/hosted/forwarding/forwarding.go
@@ -30,8 +30,13 @@
 	Answered(i fleet.Instance)
 }
 
-// Views returns the view in force, nil before there is one.
-type Views interface{ View() *view.View }
+// Views provides the view in force.
+type Views interface {
+	// View returns nil before there is a view.
+	View() *view.View
+	// IsCurrent reports whether the view may be acted on.
+	IsCurrent() bool
+}
 
 // Lifecycle reports whether this instance refuses requests.
 type Lifecycle interface{ Refusing() bool }
--- a/entry/hosted/forwarding/relay.go
+++ b/entry/hosted/forwarding/relay.go
@@ -175,6 +175,9 @@
 	switch {
 	case v == nil || f.config.Lifecycle.Refusing():
 		return "not serving"
+	case !f.config.Views.IsCurrent():
+		f.config.SyncNow()
+		return "stale state"
 	case r.Gather != nil:
 		return f.gatherDeclineReason(v, r)
 	case v.Generation < r.Version:
--- a/entry/hosted/forwarding/relay_test.go
+++ b/entry/hosted/forwarding/relay_test.go
@@ -64,9 +64,13 @@
 	fleet     *fleet.Fleet
 	peers     *peer.Client
 	view      *view.View
+	stale     bool // the view may not be acted on
 	lifecycle lifecycle.Lifecycle
 }
 
+// IsCurrent implements Views.
+func (n *fixture) IsCurrent() bool { return !n.stale }
+
 // View implements Views.
 func (n *fixture) View() *view.View { return n.view }
 
--- a/entry/hosted/forwarding/version_test.go
+++ b/entry/hosted/forwarding/version_test.go
@@ -29,8 +29,9 @@
 // gatewayViews adds to a fixture the methods that a gateway needs besides View.
 type gatewayViews struct{ *fixture }
 
-func (gatewayViews) Current() bool    { return true }
-func (gatewayViews) BodyLimit() int64 { return 0 }
+func (gatewayViews) Current() bool              { return true }
+func (gatewayViews) Await(context.Context) bool { return true }
+func (gatewayViews) BodyLimit() int64           { return 0 }
 
 // TestForwardedRequestIsNeverRunByOlderVersion offers requests of random configuration
 // versions to an instance whose own version is random and may grow between the offer and
@@ -59,6 +60,21 @@
 	})
 }
 
+// TestStaleInstanceDeclinesForwardedRequests has an instance stand still: it must not run requests by
+// what it knew before.
+func TestStaleInstanceDeclinesForwardedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newFixture(t)
+		n.view = newTwoZoneRequest(t, 5).View
+		n.stale = true
+		for _, offer := range []*peerapi.ForwardRequest{{Version: 5, Target: "/x", Host: "h"}, {Version: 5, Gather: &peerapi.GatherRequest{}}} {
+			if got := n.Offer("other", offer); got != "stale state" {
+				t.Errorf("decline reason %q, want that the state is stale", got)
+			}
+		}
+	})
+}
+
 // TestLeavingInstanceAcceptsForwardedRequests checks that an instance accepts forwarded
 // requests while it serves or leaves, and declines them while it refuses requests.
 func TestLeavingInstanceAcceptsForwardedRequests(t *testing.T) {
--- a/entry/hosted/publish.go
+++ b/entry/hosted/publish.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
@@ -18,6 +19,12 @@
 	return until != nil && time.Now().Before(*until)
 }
 
+// Await implements gateway.Views.
+func (n *Node) Await(ctx context.Context) bool { return n.control.Await(ctx) }
+
+// IsCurrent implements forwarding.Views.
+func (n *Node) IsCurrent() bool { return n.control.IsCurrent() }
+
 // BodyLimit implements gateway.Views.
 func (n *Node) BodyLimit() int64 {
 	if l := n.limits.Load(); l != nil {
