--- a/standin/soak/profile.go
+++ b/standin/soak/profile.go
@@ -12,6 +12,7 @@
 	// shards is the number of shards of the first set; later sets have minShards to maxShards.
 	shards, minShards, maxShards int
 	zones                        int // with instances
+	leavesEach                   int // of each service, but for those of probes
 	// bound is that for a configuration, and for a leaf that leaves.
 	bound time.Duration
 	// slack is the number of repeats at a service in a window that need no request.
@@ -42,14 +43,14 @@
 // profiles holds the profiles by name.
 var profiles = map[string]loadProfile{
 	defaultProfile: {
-		shards: 6, minShards: 4, maxShards: 8, zones: 2, bound: 3 * time.Second, slack: 60, thinkTime: 40 * time.Millisecond,
+		shards: 6, minShards: 4, maxShards: 8, zones: 2, leavesEach: 2, bound: 3 * time.Second, slack: 60, thinkTime: 40 * time.Millisecond,
 		kinds:     []kind{kindOne, kindOne, kindOnce, kindProbe, kindSearch, kindSearch},
 		leaf:      leafProfile{slots: 8, work: 8 * time.Millisecond},
 		objective: 300 * time.Millisecond, clientTime: maxClientTime,
 	},
 	// Most answers need a hedge, so that the instances use up the limit on repeats.
 	"hedging": {
-		shards: 20, minShards: 18, maxShards: 22, zones: 3, bound: 3 * time.Second, slack: 56, thinkTime: 450 * time.Millisecond,
+		shards: 20, minShards: 18, maxShards: 22, zones: 3, leavesEach: 2, bound: 3 * time.Second, slack: 56, thinkTime: 450 * time.Millisecond,
 		kinds:     []kind{kindOne, kindOnce, kindSearch, kindSearch, kindSearch, kindSearch, kindSearch, kindSearch},
 		leaf:      leafProfile{slots: 2, queue: 12, work: 11 * time.Millisecond, spread: 0.35, pause: 120 * time.Millisecond, pauseInterval: 3 * time.Second},
 		objective: 50 * time.Millisecond, clientTime: 500 * time.Millisecond,
@@ -57,7 +58,7 @@
 	// Leaves leave all the time, with a bound as long as that of large fleets. With few shards, many
 	// of them serve routes to one leaf, whose requests the instance that is asked sends itself.
 	"leaving": {
-		shards: 2, minShards: 2, maxShards: 3, zones: 3, bound: 5 * time.Second, slack: 60, thinkTime: 40 * time.Millisecond,
+		shards: 2, minShards: 2, maxShards: 3, zones: 3, leavesEach: 3, bound: 5 * time.Second, slack: 60, thinkTime: 40 * time.Millisecond,
 		kinds:     []kind{kindOne, kindOne, kindOnce, kindSearch, kindSearch},
 		leaf:      leafProfile{slots: 8, work: 8 * time.Millisecond},
 		objective: 300 * time.Millisecond, clientTime: maxClientTime,
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -123,7 +123,7 @@
 	if s.store, err = newStoreProxy(s.address); err != nil {
 		return nil, err
 	}
-	for range 2 {
+	for range profile.leavesEach {
 		if err := s.addLeaf("alone", 10*time.Millisecond); err != nil {
 			return nil, err
 		}
@@ -210,13 +210,13 @@
 	}
 }
 
-// newSet starts another set of shards, two leaves each.
+// newSet starts another set of shards with their leaves.
 func (s *site) newSet(n int) error {
 	var set []string
 	for i := range n {
 		name := fmt.Sprintf("s%dx%d", len(s.sets), i)
 		set = append(set, name)
-		for range 2 {
+		for range s.profile.leavesEach {
 			if err := s.addLeaf(name, s.profile.leaf.work); err != nil {
 				return err
 			}
