--- a/standin/soak/drains.go
+++ b/standin/soak/drains.go
@@ -112,7 +112,7 @@
 	}
 	var cuts sync.WaitGroup
 	for _, n := range r.site.instances {
-		if random.IntN(5) < 2 {
+		if random.IntN(5) < 3 {
 			n.disturb(time.Now().Add(lasting))
 			cuts.Go(func() {
 				n.store.set(harmed)
--- a/standin/soak/drains_test.go
+++ b/standin/soak/drains_test.go
@@ -9,7 +9,7 @@
 // killed and cut off from the store: the others used them on after the bound.
 func TestSoakOfLeavesThatAreRemoved(t *testing.T) {
 	playSoaks(t, []soakCase{{
-		options: Options{Seed: 7102, For: 21 * time.Second, Instances: 12, Clients: 24, Profile: "leaving"},
+		options: Options{Seed: 7303, For: 21 * time.Second, Instances: 12, Clients: 24, Profile: "leaving"},
 		cause:   "instances took any gap between two reads for an outage, in which entries lapse",
 	}})
 }
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -27,7 +27,7 @@
 
 // namedFaults are played only where a profile or the options name them.
 var namedFaults = []fault{
-	{"stutter", (*run).stutter}, {"leaf stall", (*run).leafStall}, {"leaf declines", (*run).leafDeclines}, {"kill all", (*run).killAll},
+	{"stutter", (*run).stutter}, {"leaf stall", (*run).leafStall}, {"leaf declines", (*run).leafDeclines}, {"leaves fail", (*run).leavesFail}, {"kill all", (*run).killAll},
 	{"kill all while leaves decline", (*run).killAllWhileLeavesDecline}, {"crashing request", (*run).crashingRequest},
 	{"leaf removal", (*run).leafRemoval}, {"leaf stall at drain", (*run).leafStallAtDrain}, {"store cuts", (*run).storeCuts},
 }
--- a/standin/soak/profile.go
+++ b/standin/soak/profile.go
@@ -62,7 +62,7 @@
 		kinds:     []kind{kindOne, kindOne, kindOnce, kindSearch, kindSearch},
 		leaf:      leafProfile{slots: 8, work: 8 * time.Millisecond},
 		objective: 300 * time.Millisecond, clientTime: maxClientTime,
-		faults: []string{"leaf removal", "leaf removal", "leaf drain", "store cuts", "kill"},
+		faults: []string{"leaf removal", "leaf removal", "leaf drain", "store cuts"},
 	},
 }
 
--- a/standin/soak/stalls.go
+++ b/standin/soak/stalls.go
@@ -53,16 +53,35 @@
 	return nil
 }
 
-// declineAtMostLeaves lets four in five leaves decline a part of their requests until undo.
-func (r *run) declineAtMostLeaves(random *rand.Rand) (undo func()) {
+// leavesFail lets most leaves lose the answers of the requests that they run.
+func (r *run) leavesFail(random *rand.Rand, lasting time.Duration) error {
+	chosen := r.mostLeaves(random)
+	for _, l := range chosen {
+		l.set(r.site.profile.leaf.work, true)
+	}
+	time.Sleep(lasting)
+	for _, l := range chosen {
+		l.set(r.site.profile.leaf.work, false)
+	}
+	return nil
+}
+
+// mostLeaves draws four in five leaves.
+func (r *run) mostLeaves(random *rand.Rand) []*fakeLeaf {
 	r.site.mu.Lock()
+	defer r.site.mu.Unlock()
 	var chosen []*fakeLeaf
 	for _, l := range r.site.leaves {
 		if random.IntN(5) > 0 {
 			chosen = append(chosen, l)
 		}
 	}
-	r.site.mu.Unlock()
+	return chosen
+}
+
+// declineAtMostLeaves lets four in five leaves decline a part of their requests until undo.
+func (r *run) declineAtMostLeaves(random *rand.Rand) (undo func()) {
+	chosen := r.mostLeaves(random)
 	for _, l := range chosen {
 		l.setDeclined(declinedShare)
 	}
