Count no read as failed in which the instance stood still

Cause: a failed read of the store shows that the instance has tried to renew its state, and that the store may have had an outage. An instance that stands still in a read finds it timed out when it goes on, and took that for both.

Found by reading the change again.

--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -59,8 +59,9 @@
 	storeListChanges atomic.Uint64
 	// loadedAt is when the first state was loaded; nil: it was not yet.
 	loadedAt atomic.Pointer[time.Time]
-	// storeReadFailedAt is when this instance's last read of the store that failed ended; nil: none has.
-	storeReadFailedAt atomic.Pointer[time.Time]
+	// readFailedAt is when a read of the store by this instance failed last, see recordFailedRead;
+	// nil: none has.
+	readFailedAt atomic.Pointer[time.Time]
 	// storeReadFailing is set while this instance's last read of the store is one that failed.
 	storeReadFailing atomic.Bool
 	// fresherPeer is a peer that has fresher state than this instance; nil: none.
@@ -255,7 +256,7 @@
 // applyLeaves applies a list of leaves to the catalog and reports whether anything changed.
 func (c *control) applyLeaves(list catalog.Listing, from stateOrigin, now time.Time) bool {
 	c.badLeaves.report(list.Bad)
-	if failedAt := c.storeReadFailedAt.Load(); failedAt != nil {
+	if failedAt := c.readFailedAt.Load(); failedAt != nil {
 		c.catalog.RecordReadFailure(*failedAt)
 	}
 	previousCount, previousReadAt := c.catalog.LeafCount(), c.catalog.LastReads().LeavesAt
--- a/entry/hosted/currency.go
+++ b/entry/hosted/currency.go
@@ -19,12 +19,12 @@
 	return time.Since(c.renewalEndedAt()) <= c.boundShare(1)
 }
 
-// renewalEndedAt returns the latest of these: when the last read began that gave state, when the
-// last read of the store that failed ended, and when the first state was loaded. A starting
+// renewalEndedAt returns the latest of these: when the last read began that gave state, when
+// a read of the store failed last, and when the first state was loaded. A starting
 // instance may get old state from peers that the store does not serve.
 func (c *control) renewalEndedAt() time.Time {
 	at := c.state.Load().AsOf()
-	for _, other := range []*time.Time{c.storeReadFailedAt.Load(), c.loadedAt.Load()} {
+	for _, other := range []*time.Time{c.readFailedAt.Load(), c.loadedAt.Load()} {
 		if other != nil && other.After(at) {
 			at = *other
 		}
--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -37,6 +37,8 @@
 	minReadTimeout        = 300 * time.Millisecond
 	maxReadTimeoutShare   = 0.3
 	maxInitialReadTimeout = 2 * time.Second
+	// maxUnansweredShare is the longest time in which a read of the store fails without an answer.
+	maxUnansweredShare = 0.35
 	// transferTimeoutShare bounds a call once its answer has begun.
 	transferTimeoutShare = 0.3
 	// minStoreRetryDelay is the reader's first delay after a failed read, doubled up to
@@ -147,9 +149,9 @@
 	r.reportRead(storeRead{role: role, startedAt: startedAt, age: age, err: err})
 	r.storeReadFailing.Store(err != nil)
 	if err != nil {
-		failedAt := time.Now()
-		r.storeReadFailedAt.Store(&failedAt)
-		r.failedAt, r.readerRetryDelay, r.retryJitter = failedAt, min(r.backoff.Next(r.random), r.boundShare(maxReaderRetryDelayShare)), 0.75+r.random.Float64()/2
+		r.failedAt = time.Now()
+		r.recordFailedRead(startedAt, r.failedAt)
+		r.readerRetryDelay, r.retryJitter = min(r.backoff.Next(r.random), r.boundShare(maxReaderRetryDelayShare)), 0.75+r.random.Float64()/2
 		r.timeout = max(min(2*time.Since(startedAt), r.boundShare(maxReadTimeoutShare)), minReadTimeout)
 		return
 	}
@@ -160,6 +162,14 @@
 	}
 }
 
+// recordFailedRead records that a read of the store has failed, unless it took longer than the
+// store is waited for: then the process stood still in it, and its time-out shows nothing.
+func (c *control) recordFailedRead(startedAt, endedAt time.Time) {
+	if endedAt.Sub(startedAt) <= c.boundShare(maxUnansweredShare) {
+		c.readFailedAt.Store(&endedAt)
+	}
+}
+
 // readInRole reads the store in a role. For roles other than the reader this is a search for an
 // instance that the store serves: an instance that the store refuses spends only one call on it.
 // A call that gets no answer is repeated once, on a new connection. After a failure only a probe
--- a/standin/soak/stalls.go
+++ b/standin/soak/stalls.go
@@ -55,7 +55,7 @@
 
 // leavesFail lets most leaves lose the answers of the requests that they run.
 func (r *run) leavesFail(random *rand.Rand, lasting time.Duration) error {
-	chosen := r.mostLeaves(random)
+	chosen := r.drawLeaves(random)
 	for _, l := range chosen {
 		l.set(r.site.profile.leaf.work, true)
 	}
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// mostLeaves draws four in five leaves.
-func (r *run) mostLeaves(random *rand.Rand) []*fakeLeaf {
+// drawLeaves draws four in five leaves.
+func (r *run) drawLeaves(random *rand.Rand) []*fakeLeaf {
 	r.site.mu.Lock()
 	defer r.site.mu.Unlock()
 	var chosen []*fakeLeaf
@@ -81,7 +81,7 @@
 
 // declineAtMostLeaves lets four in five leaves decline a part of their requests until undo.
 func (r *run) declineAtMostLeaves(random *rand.Rand) (undo func()) {
-	chosen := r.mostLeaves(random)
+	chosen := r.drawLeaves(random)
 	for _, l := range chosen {
 		l.setDeclined(declinedShare)
 	}
