Count the queries in flight without a wait group

Cause: a stopping instance still gets requests, so that the number of queries in flight may rise from zero while the stop waits for zero, which a wait group forbids.

--- a/entry/executor/execute.go
+++ b/entry/executor/execute.go
@@ -71,10 +71,8 @@
 // runMeasured runs a query unless MaxQueries are in progress already, and records its
 // outcome and duration in the metrics.
 func (e *Executor) runMeasured(req *Request, run func() (outcomeLabels, error)) error {
-	e.inFlight.Add(1)
-	defer e.inFlight.Done()
-	running := e.queriesInFlight.Add(1)
-	defer e.queriesInFlight.Add(-1)
+	running := e.inFlight.begin()
+	defer e.inFlight.end()
 	meter := e.service(req.Service).metrics
 	var end outcomeLabels
 	var err error
--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -122,12 +122,11 @@
 
 // Executor runs queries. It is safe for concurrent use.
 type Executor struct {
-	config          Config
-	leafState       *leafState
-	quarantine      *quarantineState
-	lastStamp       atomic.Uint64
-	inFlight        sync.WaitGroup
-	queriesInFlight atomic.Int64
+	config     Config
+	leafState  *leafState
+	quarantine *quarantineState
+	lastStamp  atomic.Uint64
+	inFlight   inFlightQueries
 
 	mu       sync.RWMutex
 	pools    map[string]*pool         // by upstream name
@@ -154,22 +153,10 @@
 }
 
 // QueriesInFlight returns the number of queries in flight.
-func (e *Executor) QueriesInFlight() int64 { return e.queriesInFlight.Load() }
+func (e *Executor) QueriesInFlight() int64 { return e.inFlight.count() }
 
 // Wait returns when no query is in flight, or with the context's error.
-func (e *Executor) Wait(ctx context.Context) error {
-	idle := make(chan struct{})
-	go func() {
-		e.inFlight.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (e *Executor) Wait(ctx context.Context) error { return e.inFlight.wait(ctx) }
 
 // nextStamp returns a query's position in the order of all work: its start in Unix
 // nanoseconds, made unique within this instance. Stamps of different instances compare
