--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -114,7 +114,8 @@
 
 // State is the state by which leaves are chosen.
 type State interface {
-	// IsCurrent reports whether a change may have been missed only for reasons that last.
+	// IsCurrent reports whether requests may be sent by the state: it is fresh, or renewing it has
+	// failed.
 	IsCurrent() bool
 	// Await waits until IsCurrent, and returns false if the context ends first.
 	Await(ctx context.Context) bool
