Log each send by request and leaf, and each leaf that leaves by list and revision

What was missing: the record of 205 late arrivals names no send. A send was a routine line, of which an instance writes 100 a second; 82 to 623 a second were left out. Nothing said which leaves a list had lost, or that a list was ignored because its revision is lower.

Change: 'dispatch: sent' right before the write, with request, leaf, the time since the choice, and the age and revision of the list in force. 'control: leaf left' for each leaf and 'control: list of leaves ignored' tell the hypotheses apart.

TestEachSendIsLoggedByRequestAndLeafUnderLoad fails without the line of the send.

--- a/entry/executor/executor.go
+++ b/entry/executor/executor.go
@@ -83,9 +83,8 @@
 	// MaxQueue is the maximum of attempts queued per shard; 0 leaves only their
 	// deadlines as a bound.
 	MaxQueue int
-	// Ages returns the ages of the configuration and of the list of leaves in force,
-	// for the log; nil if they are unknown.
-	Ages func() (config, leaves time.Duration)
+	// StateInfo describes the state in force for the log; nil if it is unknown.
+	StateInfo func() StateInfo
 	// State tells whether the list of leaves in force may be acted on; nil: it always may.
 	State State
 	// Gatherer delegates parts of queries to other instances; nil delegates none.
@@ -112,6 +111,14 @@
 	ProbeStore ProbeStore
 }
 
+// StateInfo describes the configuration and the list of leaves in force.
+type StateInfo struct {
+	// ConfigAge and LeavesAge are the times since the reads of them began.
+	ConfigAge, LeavesAge time.Duration
+	// LeavesRevision is the store's revision of the list of leaves.
+	LeavesRevision uint64
+}
+
 // State is the state by which leaves are chosen.
 type State interface {
 	// IsCurrent reports whether requests may be sent by the state: it is fresh, or renewing it has
--- a/entry/executor/query_log.go
+++ b/entry/executor/query_log.go
@@ -71,9 +71,9 @@
 		"service", config.Name, "share", a.Share, "sent", a.Sent, "hedges", a.Hedges, "retries", a.Retries, "groups", a.Groups,
 		"left", time.Until(r.request.Deadline), "objective", config.Objective, "way", r.request.networkDelay(), "config", r.request.View.Generation,
 	}
-	if r.executor.config.Ages != nil {
-		configAge, leavesAge := r.executor.config.Ages()
-		more = append(more, "config_age", configAge, "leaves_age", leavesAge)
+	if r.executor.config.StateInfo != nil {
+		info := r.executor.config.StateInfo()
+		more = append(more, "config_age", info.ConfigAge, "leaves_age", info.LeavesAge)
 	}
 	if r.request.OnlyShards != nil {
 		more = append(more, "group", true) // a part of a query that another instance answers
--- a/entry/executor/run.go
+++ b/entry/executor/run.go
@@ -135,6 +135,7 @@
 		return false
 	}
 	a.sentAt = time.Now()
+	r.executor.logSend(a)
 	if !a.offer.Hedge && !a.offer.Retry {
 		r.sentShards.Add(1)
 	}
--- a/entry/executor/send_check.go
+++ b/entry/executor/send_check.go
@@ -44,9 +44,26 @@
 	d := telemetry.Decision{
 		Component: prefixDispatch, Event: "withheld", Leaf: a.leafID, Reason: string(reason), Duration: time.Since(a.started), Class: telemetry.Outcome,
 	}
-	if e.config.Ages != nil {
-		_, age := e.config.Ages()
-		d.Extra = []any{"leaves_age", age}
-	}
+	d.Extra = e.leavesAttrs()
 	e.logDecision(a, d)
 }
+
+// logSend logs a request that is about to be written to a leaf, and the time since the leaf was
+// chosen.
+func (e *Executor) logSend(a *attempt) {
+	if !e.config.Log.DecisionsEnabled() {
+		return
+	}
+	e.logDecision(a, telemetry.Decision{
+		Component: prefixDispatch, Event: "sent", Leaf: a.leafID, Duration: time.Since(a.started), Extra: e.leavesAttrs(), Class: telemetry.Send,
+	})
+}
+
+// leavesAttrs returns the keys and values that describe the list of leaves in force in a log line.
+func (e *Executor) leavesAttrs() []any {
+	if e.config.StateInfo == nil {
+		return nil
+	}
+	info := e.config.StateInfo()
+	return []any{"leaves_age", info.LeavesAge, "leaves_revision", info.LeavesRevision}
+}
--- a/entry/executor/send_check_test.go
+++ b/entry/executor/send_check_test.go
@@ -1,13 +1,18 @@
 package executor
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"regexp"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
@@ -110,3 +115,52 @@
 		})
 	}
 }
+
+// TestEachSendIsLoggedByRequestAndLeafUnderLoad sends far more requests than the budget of routine
+// lines allows: the line of each send names its request and its leaf.
+func TestEachSendIsLoggedByRequestAndLeafUnderLoad(t *testing.T) {
+	const requests = 50
+	synctest.Test(t, func(t *testing.T) {
+		var sink bytes.Buffer
+		log, err := telemetry.NewLog(&sink, telemetry.Options{
+			Level: "info", Format: "logfmt", LogDecisions: true, DecisionBudgets: telemetry.Budgets{telemetry.Outcome: 1, telemetry.Routine: 1},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := newTestExecutor(t, 2)
+		defer e.close()
+		e.executor.config.Log = log
+		e.executor.config.StateInfo = func() StateInfo { return StateInfo{LeavesAge: time.Second, LeavesRevision: 17} }
+		var mu sync.Mutex
+		sent := make(map[string]int)
+		for _, id := range []string{"l0-a", "l0-b", "l1-a", "l1-b"} {
+			e.leaves.behaviours[id] = func(ctx context.Context, target leafclient.Target, r *leafclient.Request, confirm func() bool) (*leafclient.Reply, error) {
+				mu.Lock()
+				sent[r.Forwarded.ID+" "+target.ID]++
+				mu.Unlock()
+				return e.leaves.serveIfSent(ctx, target, r, confirm)
+			}
+		}
+		for i := range requests {
+			r := e.request("ask")
+			r.Forwarded = &leafclient.ForwardedRequest{ID: fmt.Sprintf("r%d", i)}
+			if _, err := e.executor.Execute(t.Context(), r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		log.Close()
+		if len(sent) < 2*requests {
+			t.Fatalf("%d sends of %d requests", len(sent), requests)
+		}
+		line := regexp.MustCompile(`(?m)msg=sent request=(\S+) .*leaf=(\S+) .*leaves_age=1s leaves_revision=17$`)
+		for _, m := range line.FindAllStringSubmatch(sink.String(), -1) {
+			sent[m[1]+" "+m[2]]--
+		}
+		for send, missing := range sent {
+			if missing != 0 {
+				t.Errorf("%s: %d lines too few", send, missing)
+			}
+		}
+	})
+}
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -164,13 +164,13 @@
 // updateGauges reports the instance's state, connections and load as gauges.
 func (c *control) updateGauges(now time.Time) {
 	n := c.node
-	configAge, leavesAge := n.ages()
+	info := n.stateInfo()
 	dials, open := n.leaves.Opened()
 	repeatsLeft, limited := n.executor.RemainingRepeats(now)
 	_, role := n.membership.syncSource(now)
 	c.gauges.update(gaugeValues{
 		source: c.stateSource(), role: role.String(),
-		configAge: configAge.Seconds(), leavesAge: leavesAge.Seconds(), version: c.catalog.Version(),
+		configAge: info.ConfigAge.Seconds(), leavesAge: info.LeavesAge.Seconds(), version: c.catalog.Version(),
 		leaves: c.catalog.LeafCount(), lapsedLeaves: len(c.catalog.Lapsed().IDs), slowLeaves: len(n.slowLeaves.SlowLeaves(now)), instances: readFleet(n.membership, (*fleet.Fleet).Size),
 		connections: open, dials: dials, runningQueries: n.executor.QueriesInFlight(), logDrops: n.log.Dropped(),
 		repeatsLeft: repeatsLeft, limitedShards: limited, forwardDelay: n.forwarder.ForwardDelay().Seconds(), gatherDelay: n.forwarder.GatherDelay().Seconds(),
@@ -259,16 +259,33 @@
 	if failedAt := c.readFailedAt.Load(); failedAt != nil {
 		c.catalog.RecordReadFailure(*failedAt)
 	}
-	previousCount, previousReadAt := c.catalog.LeafCount(), c.catalog.LastReads().LeavesAt
+	previousCount, previous := c.catalog.LeafCount(), c.catalog.LastReads()
+	if list.Revision < previous.Revision && from.peer == "" {
+		c.log.Warn("list of leaves ignored", append([]any{"revision", list.Revision, "in_force", previous.Revision}, from.logAttrs(now)...)...)
+	}
 	changed := c.catalog.ApplyLeaves(list, from.readStartedAt, now)
 	if changed {
 		attrs := []any{"revision", list.Revision, "bad", len(list.Bad), "leaves", c.catalog.LeafCount(), "before", previousCount}
 		c.log.Info("leaves changed", append(attrs, from.logAttrs(now)...)...)
-		c.logLapsed(from.readStartedAt.Sub(previousReadAt), now)
+		c.logDepartures(list.Revision, from, now)
+		c.logLapsed(from.readStartedAt.Sub(previous.LeavesAt), now)
 	}
 	return changed
 }
 
+// logDepartures logs each leaf that gets no more work since the last list.
+func (c *control) logDepartures(revision uint64, from stateOrigin, now time.Time) {
+	departures := c.catalog.Departures()
+	for _, d := range []struct {
+		reason string
+		ids    []string
+	}{{"drains", departures.Drained}, {"has no entry", departures.Removed}} {
+		for _, id := range d.ids {
+			c.log.Info("leaf left", append([]any{"leaf", id, "why", d.reason, "revision", revision}, from.logAttrs(now)...)...)
+		}
+	}
+}
+
 // maxLoggedLeaves is the maximum of leaves that a log line names.
 const maxLoggedLeaves = 8
 
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -202,7 +202,7 @@
 	n.executor = executor.New(executor.Config{
 		LeafClient: n.leaves, LeafObserver: n.control, Log: log, Metrics: n.metrics, Policies: policies,
 		Zone: c.Zone, Seed: uint64(time.Now().UnixNano()), FleetKey: c.PeerKey,
-		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, Ages: n.ages, State: n.control, SuspectAfterLosses: lostToSuspect, QuarantineDuration: firstQuarantine, ProbeStore: n.probeStore,
+		RepeatSlackShare: n.membership.repeatSlack, EarnsRepeats: n.membership.earnsRepeats, Gatherer: n.forwarder, StateInfo: n.stateInfo, State: n.control, SuspectAfterLosses: lostToSuspect, QuarantineDuration: firstQuarantine, ProbeStore: n.probeStore,
 	})
 	newCombiner, err := plugin.Combiners.Get(combinerName)
 	if err != nil {
@@ -216,15 +216,15 @@
 	return n, nil
 }
 
-// ages returns the ages of the configuration and of the list of leaves in force, or zeros
-// before there is any state.
-func (n *Node) ages() (config, leaves time.Duration) {
+// stateInfo describes the configuration and the list of leaves in force; zero before there is
+// any state.
+func (n *Node) stateInfo() executor.StateInfo {
 	state := n.control.state.Load()
 	if state == nil {
-		return 0, 0
+		return executor.StateInfo{}
 	}
-	now := time.Now()
-	return now.Sub(state.LastReads.ConfigAt), now.Sub(state.LastReads.LeavesAt)
+	now, last := time.Now(), state.LastReads
+	return executor.StateInfo{ConfigAge: now.Sub(last.ConfigAt), LeavesAge: now.Sub(last.LeavesAt), LeavesRevision: last.Revision}
 }
 
 // Log returns the logger of a part of the instance.
--- a/entry/telemetry/budget_test.go
+++ b/entry/telemetry/budget_test.go
@@ -32,7 +32,7 @@
 				t.Errorf("%s: %d lines, want %d", text, n, want)
 			}
 		}
-		if !strings.Contains(output, `msg="lines left out" failures=0 outcomes=0 routine=1190`) {
+		if !strings.Contains(output, `msg="lines left out" failures=0 outcomes=0 routine=1190 sends=0`) {
 			t.Errorf("no report of the suppressed lines:\n%s", output[max(0, len(output)-500):])
 		}
 	})
--- a/entry/telemetry/log.go
+++ b/entry/telemetry/log.go
@@ -52,6 +52,7 @@
 	Failure Class = iota // refusals, failures, partial answers, changes of a leaf's assumed state
 	Outcome              // complete answers within the deadline
 	Routine              // each step of each sub-request
+	Send                 // each request that is about to be written to a leaf
 	classCount
 )
 
@@ -259,12 +260,13 @@
 	if second == last || !l.lastReport.CompareAndSwap(last, second) {
 		return
 	}
-	failures, outcomes, routine := l.overBudget[Failure].Swap(0), l.overBudget[Outcome].Swap(0), l.overBudget[Routine].Swap(0)
-	if failures+outcomes+routine == 0 {
+	failures, outcomes := l.overBudget[Failure].Swap(0), l.overBudget[Outcome].Swap(0)
+	routine, sends := l.overBudget[Routine].Swap(0), l.overBudget[Send].Swap(0)
+	if failures+outcomes+routine+sends == 0 {
 		return
 	}
 	l.enqueue(record{at: now, level: log.WarnLevel, component: "log", msg: "lines left out", pairs: []any{
-		"failures", failures, "outcomes", outcomes, "routine", routine, "dropped", l.Dropped(),
+		"failures", failures, "outcomes", outcomes, "routine", routine, "sends", sends, "dropped", l.Dropped(),
 	}})
 }
 
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -56,6 +56,8 @@
 	readFailedAt time.Time
 	// doubtful holds the entries of listed leaves whose start time went back, by ID.
 	doubtful map[string]doubtfulEntry
+	// departures are the leaves that began to leave with the last list.
+	departures Departures
 	// unlisted holds the leaves that an earlier list had and the last one lacks, by ID.
 	unlisted map[string]unlistedLeaf
 	// byIncarnation maps the incarnation of an active leaf to its ID.
--- a/kernel/catalog/catalog_test.go
+++ b/kernel/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -218,3 +219,25 @@
 		t.Errorf("routes %+v", doc.Routes)
 	}
 }
+
+// TestDeparturesNameTheLeavesThatLeft drains and removes leaves: each is named once, by the list that
+// shows its departure.
+func TestDeparturesNameTheLeavesThatLeft(t *testing.T) {
+	leaf := func(id string, draining bool) Leaf { return Leaf{ID: id, Service: "a", Draining: draining} }
+	c := New(testSettings)
+	for i, tc := range []struct {
+		list             []Leaf
+		drained, removed []string
+	}{
+		{list: []Leaf{leaf("x", false), leaf("y", false), leaf("z", true)}},
+		{list: []Leaf{leaf("x", true), leaf("z", true)}, drained: []string{"x"}, removed: []string{"y"}},
+		{list: []Leaf{leaf("x", true)}, removed: []string{"z"}},
+		{list: []Leaf{leaf("x", true)}},
+	} {
+		at := start.Add(time.Duration(i) * time.Second)
+		c.ApplyLeaves(Listing{Leaves: tc.list, Revision: uint64(i)}, at, at)
+		if d := c.Departures(); !slices.Equal(d.Drained, tc.drained) || !slices.Equal(d.Removed, tc.removed) {
+			t.Errorf("list %d: %+v, want %v drained and %v removed", i, d, tc.drained, tc.removed)
+		}
+	}
+}
--- a/kernel/catalog/list.go
+++ b/kernel/catalog/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -34,7 +35,34 @@
 	maps.DeleteFunc(c.doubtful, func(id string, _ doubtfulEntry) bool { _, ok := next[id]; return !ok })
 	c.dropLapsed(now)
 	c.indexIncarnations()
-	return first || !maps.EqualFunc(prev, c.activeLeaves(), sameForRouting)
+	active := c.activeLeaves()
+	c.departures = departuresBetween(prev, active)
+	return first || !maps.EqualFunc(prev, active, sameForRouting)
+}
+
+// Departures holds the IDs of leaves that began to leave with one list, in order.
+type Departures struct {
+	// Drained are the leaves that the list says to drain, Removed those without an entry that are
+	// not kept in use.
+	Drained, Removed []string
+}
+
+// Departures returns the leaves that began to leave with the last list.
+func (c *Catalog) Departures() Departures { return c.departures }
+
+// departuresBetween compares the active leaves before and after a list.
+func departuresBetween(prev, next map[string]Leaf) Departures {
+	var out Departures
+	for _, id := range slices.Sorted(maps.Keys(prev)) {
+		l, listed := next[id]
+		switch {
+		case !listed:
+			out.Removed = append(out.Removed, id)
+		case l.Draining && !prev[id].Draining:
+			out.Drained = append(out.Drained, id)
+		}
+	}
+	return out
 }
 
 // updateUnlisted records the leaves that were active before and that the next list lacks,
