--- a/entry/hosted/fleet_test.go
+++ b/entry/hosted/fleet_test.go
@@ -36,10 +36,12 @@
 	quarantine    map[string]QuarantineRecord // by fingerprint
 	refuses       func(instance string) bool
 	isSilent      func(instance string) bool // calls hang until their context ends
-	reads         int                        // of configuration and leaves
-	lists         int                        // reads of announcements
-	probes        int                        // each costs a tenth of a read
-	writes        int
+	// replyDelay returns how late the answer to a call is sent; nil: at once.
+	replyDelay func() time.Duration
+	reads      int // of configuration and leaves
+	lists      int // reads of announcements
+	probes     int // each costs a tenth of a read
+	writes     int
 	// quarantineReads and quarantineWrites count the calls for records of requests that crash leaves.
 	quarantineReads, quarantineWrites int
 }
@@ -73,9 +75,23 @@
 	instance string
 }
 
-// call simulates one call and counts it.
+// call simulates one call and counts it. The answer shows the store as it was when the call came.
 func (s storeClient) call(ctx context.Context, counter *int, answer func()) error {
 	time.Sleep(storeDelay)
+	delay, err := s.evaluate(ctx, counter, answer)
+	if err != nil || delay == 0 {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(delay):
+		return nil
+	}
+}
+
+// evaluate counts a call and evaluates its answer, and returns how late the answer is sent.
+func (s storeClient) evaluate(ctx context.Context, counter *int, answer func()) (delay time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	*counter++
@@ -83,13 +99,16 @@
 		s.mu.Unlock()
 		<-ctx.Done()
 		s.mu.Lock()
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 	if s.refuses != nil && s.refuses(s.instance) {
-		return io.ErrUnexpectedEOF
+		return 0, io.ErrUnexpectedEOF
 	}
 	answer()
-	return nil
+	if s.replyDelay != nil {
+		delay = s.replyDelay()
+	}
+	return delay, nil
 }
 
 func (s storeClient) Config(ctx context.Context) (out *catalog.Config, err error) {
--- a/entry/hosted/removal_test.go
+++ b/entry/hosted/removal_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -117,6 +118,63 @@
 	}
 }
 
+// wayShare is the share of the bound that is left for the way to the leaf.
+const wayShare = 0.1
+
+// TestLeafThatLeftGetsNoWorkWhileStoreAnswersLate lets leaves leave, by a drain mark and by the removal
+// of their entries, while each answer of the store comes late.
+func TestLeafThatLeftGetsNoWorkWhileStoreAnswersLate(t *testing.T) {
+	const leaves, departures, interval = 40, 20, 1300 * time.Millisecond
+	for _, tc := range []struct {
+		instances       int
+		bound, min, max time.Duration // the answers take min to max
+	}{
+		{8, 3 * time.Second, 700 * time.Millisecond, 700 * time.Millisecond},
+		{8, 3 * time.Second, time.Second, time.Second},
+		{8, 3 * time.Second, 1400 * time.Millisecond, 1400 * time.Millisecond},
+		{8, 3 * time.Second, 0, 1400 * time.Millisecond},
+		{24, 5 * time.Second, 2300 * time.Millisecond, 2300 * time.Millisecond},
+		{24, 6 * time.Second, 0, 2800 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%d within %v, answers take %v to %v", tc.instances, tc.bound, tc.min, tc.max), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, list := newLeafFleet(t, tc.instances, tc.bound, leaves)
+				defer f.stopAll()
+				random := rand.New(rand.NewPCG(1, uint64(tc.max)))
+				f.store.update(func(s *sharedStore) {
+					s.replyDelay = func() time.Duration { return tc.min + time.Duration(random.Int64N(int64(tc.max-tc.min)+1)) }
+				})
+				time.Sleep(2 * tc.bound)
+				left := make(map[string]time.Time)
+				next, worst := time.Now(), time.Duration(0)
+				for end := next.Add((departures + 7) * interval); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+					if len(left) < departures && !time.Now().Before(next) {
+						id := fmt.Sprintf("leaf-%02d", len(left))
+						f.store.update(func(*sharedStore) { list.leave(id, len(left)%2 == 0) })
+						left[id] = time.Now()
+						next = next.Add(interval)
+					}
+					worst = max(worst, f.longestUse(left, nil))
+				}
+				t.Logf("leaves that had left in use for %v at most", worst)
+				if limit := tc.bound - time.Duration(wayShare*float64(tc.bound)); worst > limit {
+					t.Errorf("a leaf that had left was in use for %v, want at most %v", worst, limit)
+				}
+			})
+		})
+	}
+}
+
+// leave drains a leaf or removes its entry.
+func (l *entryList) leave(id string, drains bool) {
+	leaf := l.entries[id]
+	leaf.Draining = true
+	l.entries[id] = leaf
+	if !drains {
+		delete(l.entries, id)
+	}
+}
+
 // TestLeavesWhoseEntriesLapseStayInUse takes the store away from all instances and leaves, so that
 // half of the entries lapse. The leaves register again after its return and are in use all the while.
 func TestLeavesWhoseEntriesLapseStayInUse(t *testing.T) {
--- a/standin/soak/drains_test.go
+++ b/standin/soak/drains_test.go
@@ -14,6 +14,34 @@
 	}})
 }
 
+// TestSoakOfStoreThatAnswersLate lets leaves leave while the store answers late, and is not out: reads
+// that took longer than 0.3 s were given up, and the store taken to be out.
+func TestSoakOfStoreThatAnswersLate(t *testing.T) {
+	departures := []string{"leaf removal", "leaf drain"}
+	playSoaks(t, []soakCase{
+		{
+			options: Options{Seed: 61, For: 12 * time.Second, Instances: 9, Clients: 24, Profile: "leaving", Bound: 3 * time.Second, Faults: departures, StoreDelay: 1400 * time.Millisecond},
+			cause:   "a store whose answers always take longer than a read was never read",
+		},
+		{
+			options: Options{Seed: 34, For: 15 * time.Second, Instances: 9, Clients: 24, Profile: "leaving", Bound: 3 * time.Second, Faults: append(departures, "store late")},
+			cause:   "a read without an answer was taken for an outage",
+		},
+	})
+}
+
+// TestSoakOfRestoredStore lets the store come back from an older copy: drain marks with a lower revision
+// than what was known were ignored.
+func TestSoakOfRestoredStore(t *testing.T) {
+	playSoaks(t, []soakCase{{
+		options: Options{
+			Seed: 66, For: 24 * time.Second, Instances: 9, Clients: 24, Profile: "leaving", Bound: 3 * time.Second,
+			Faults: []string{"leaf removal", "leaf drain", "leaf removal", "leaf drain", "store restore"},
+		},
+		cause: "revisions of before and after the restore were compared",
+	}})
+}
+
 // TestArrivalsAfterDepartureAreCounted feeds the check with arrivals at a leaf that has left.
 func TestArrivalsAfterDepartureAreCounted(t *testing.T) {
 	left := time.Now()
