Let a read of the store that has no answer go on, and follow it by others

What callers saw: with a store whose answers take 0.7 to 1.4 s, and which is not out, requests reached leaves until these ended (9.0 s of 3 s after a drain mark or a removal), and no change of the configuration came into force.

Cause: a read without a first byte was given up after 0.3 s (0.6, 0.9 s later) and its answer lost; the platform's client ended each call after 1 s. The time-out then counted as an outage: state older than the bound was acted on without end, and leaves that a list lacked stayed in use for 2.2 s.

Change: reads overlap. One without an answer is followed by another after 0.3 s, later each 0.25 of the bound, and goes on for a bound. Silence of 0.3 s shows only that the instance tries; the store may be out after 1 s, or after 1.5 times its longest answer of late, which travels with the synchronization. Waits between instances are halved while the state is old, an instance that starts reads at once, and what counts as stale grows by the store's delay. The budget (docs/design/freshness.md) allows answers after half of the bound and leaves a tenth for the way to the leaf.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -158,6 +158,9 @@
 	// and ConfigHash the hash of the resulting configuration.
 	ConfigChange []byte `json:"change,omitempty"`
 	ConfigHash   uint64 `json:"config_hash,omitempty"`
+	// StoreAnswerMS is the longest time, in milliseconds, that an answer of the store has taken of
+	// late, as far as the sender or the peer that it syncs from knows; 0: at once, or unknown.
+	StoreAnswerMS int64 `json:"store_answer_ms,omitempty"`
 	// Revision is the store's revision at the last read of the leaves.
 	Revision uint64 `json:"revision"`
 	// LeavesAgeMS is the time since the start of that read; -1 for never.
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -59,10 +59,14 @@
 	storeListChanges atomic.Uint64
 	// loadedAt is when the first state was loaded; nil: it was not yet.
 	loadedAt atomic.Pointer[time.Time]
-	// readFailedAt is when a read of the store by this instance failed last, see recordFailedRead;
-	// nil: none has.
-	readFailedAt atomic.Pointer[time.Time]
-	// storeReadFailing is set while this instance's last read of the store is one that failed.
+	// readFailedAt is when a read of the store by this instance failed last, see recordFailedRead, and
+	// triedAt when one failed or had no answer for minReadTimeout; nil: none has.
+	readFailedAt, triedAt atomic.Pointer[time.Time]
+	// answerTimes are those of the store, and silenceLoggedAt is when a late answer was logged last;
+	// nil: never.
+	answerTimes     answerTimes
+	silenceLoggedAt atomic.Pointer[time.Time]
+	// storeReadFailing is set while this instance's last read of the store has failed or has no answer.
 	storeReadFailing atomic.Bool
 	// fresherPeer is a peer that has fresher state than this instance; nil: none.
 	fresherPeer atomic.Pointer[fleet.Instance]
--- a/entry/hosted/currency.go
+++ b/entry/hosted/currency.go
@@ -20,11 +20,11 @@
 }
 
 // renewalEndedAt returns the latest of these: when the last read began that gave state, when
-// a read of the store failed last, and when the first state was loaded. A starting
+// a read of the store last failed or was without an answer, and when the first state was loaded. A starting
 // instance may get old state from peers that the store does not serve.
 func (c *control) renewalEndedAt() time.Time {
 	at := c.state.Load().AsOf()
-	for _, other := range []*time.Time{c.readFailedAt.Load(), c.loadedAt.Load()} {
+	for _, other := range []*time.Time{c.triedAt.Load(), c.loadedAt.Load()} {
 		if other != nil && other.After(at) {
 			at = *other
 		}
--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptrace"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,18 +30,29 @@
 	// nonReaderRetryShare is the mean time between two attempts to read the store by an instance
 	// other than the reader: two fit into the bound.
 	nonReaderRetryShare = 0.4
-	// minReadTimeout is the first bound on the wait for the first byte of an answer. A store that is
-	// merely slow takes up to 250 ms; one that does not answer by then is best asked again on a
-	// new connection. After a failure the reader waits twice as long as the failed read took, up to
-	// maxReadTimeoutShare, in case the store is slower still. The initial load does the same up to
-	// maxInitialReadTimeout.
-	minReadTimeout        = 300 * time.Millisecond
-	maxReadTimeoutShare   = 0.3
+	// minReadTimeout is the time without the first byte of an answer after which a read is followed
+	// by another one, on a new connection, and not given up: the store may be slower. Reads without
+	// an answer follow each other at twice the time, up to readerReadAgeShare.
+	minReadTimeout = 300 * time.Millisecond
+	// readLifetimeShare is the time after which a read without an answer is given up.
+	readLifetimeShare = 1
+	// maxPendingReads bounds the reads without an answer.
+	maxPendingReads = 5
+	// minOutageTimeout is the time without the first byte of an answer after which the store counts as
+	// out, unless it has answered late recently: then it is slowAnswerFactor times the longest answer of
+	// the last slowAnswerMemory, up to maxOutageTimeoutShare.
+	minOutageTimeout      = time.Second
+	maxOutageTimeoutShare = 0.55
+	slowAnswerFactor      = 1.5
+	slowAnswerMemory      = 10 * time.Second
+	// maxStoreDelayShare is how late the store may answer.
+	maxStoreDelayShare = 0.5
+	// standToleranceShare is how late the end of a timeout may be noticed. The process stood still if
+	// it is later, and the timeout shows nothing.
+	standToleranceShare = 0.25
+	// transferTimeoutShare and maxInitialReadTimeout bound the calls of the initial load.
+	transferTimeoutShare  = 0.3
 	maxInitialReadTimeout = 2 * time.Second
-	// maxUnansweredShare is the longest time in which a read of the store fails without an answer.
-	maxUnansweredShare = 0.35
-	// transferTimeoutShare bounds a call once its answer has begun.
-	transferTimeoutShare = 0.3
 	// minStoreRetryDelay is the reader's first delay after a failed read, doubled up to
 	// maxReaderRetryDelayShare: a call and a delay that began before the store recovered are thus
 	// over within half of the bound. The initial load doubles it up to maxInitialRetryDelay.
@@ -52,7 +64,9 @@
 	isolationTime = 2 * time.Second
 )
 
-// storeReader reads the store when it is this instance's turn. It is not safe for concurrent use.
+// storeReader reads the store when it is this instance's turn. Reads overlap while the store answers
+// late, so that the age of the state does not grow with the number of reads that wait. It is not safe
+// for concurrent use.
 type storeReader struct {
 	*control
 	random *rand.Rand
@@ -61,33 +75,51 @@
 	// failedAt is when the last read ended if it failed, else zero. It has no effect once state
 	// arrives that another instance read later.
 	failedAt time.Time
-	// readerRetryDelay is the delay, and timeout the bound on the wait for the first byte, of the
-	// reader's next read after a failure.
-	backoff                   backoff.Backoff
-	readerRetryDelay, timeout time.Duration
+	// pending are the reads in progress, the oldest first; ended receives their results.
+	pending []*pendingRead
+	ended   chan *pendingRead
+	// unanswered is the number of reads that began since the last one that was answered.
+	unanswered int
+	// followUpDelay is the time after which the reader's read without an answer is followed by another.
+	followUpDelay time.Duration
+	// readerRetryDelay is the delay before the reader's next read after a failure.
+	backoff          backoff.Backoff
+	readerRetryDelay time.Duration
 	// retryJitter is the factor, 0.75 to 1.25, on the mean retry delay of instances other than the
 	// reader.
 	retryJitter float64
 }
 
+// pendingRead is a read in progress.
+type pendingRead struct{ storeRead }
+
 // newStoreReader makes a storeReader for an instance that has loaded its first state.
 func newStoreReader(c *control) *storeReader {
 	return &storeReader{
-		control: c, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), started: time.Now(),
-		backoff: backoff.Backoff{Min: minStoreRetryDelay, Max: maxInitialRetryDelay}, timeout: minReadTimeout,
+		control: c, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), started: time.Now(), ended: make(chan *pendingRead, maxPendingReads),
+		backoff: backoff.Backoff{Min: minStoreRetryDelay, Max: maxInitialRetryDelay}, followUpDelay: minReadTimeout, retryJitter: 1,
 	}
 }
 
 // run reads the store at its turns until the context ends. It waits in short steps, because the
 // role may change meanwhile.
 func (r *storeReader) run(ctx context.Context) {
+	var reads sync.WaitGroup
+	defer reads.Wait()
 	for ctx.Err() == nil {
 		_, role := r.node.membership.syncSource(time.Now())
-		if wait := r.untilDue(role); wait > 0 {
-			sleep(ctx, min(wait, r.boundShare(readerReadAgeShare)))
+		wait := r.untilDue(role)
+		if wait <= 0 && len(r.pending) < maxPendingReads {
+			read := r.begin(ctx, role)
+			reads.Go(func() { r.perform(ctx, read) })
 			continue
 		}
-		r.read(ctx, role)
+		select {
+		case <-ctx.Done():
+		case read := <-r.ended:
+			r.end(ctx, read)
+		case <-time.After(min(max(wait, minStoreRetryDelay), r.boundShare(readerReadAgeShare))):
+		}
 	}
 }
 
@@ -97,13 +129,22 @@
 	readAt := r.stateReadAt()
 	due := readAt.Add(r.readAge(role))
 	if r.failedAt.After(readAt) {
-		if retry := r.failedAt.Add(r.retryDelayFor(role)); retry.After(due) {
-			due = retry
-		}
+		due = latest(due, r.failedAt.Add(r.retryDelayFor(role)))
+	}
+	if n := len(r.pending); n > 0 {
+		due = latest(due, r.pending[n-1].startedAt.Add(r.followUpDelayFor(role)))
 	}
 	return time.Until(due)
 }
 
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // stateReadAt returns when the read of the store began from which this instance's state comes. It
 // counts this instance's last successful read although the catalog may not have applied it yet.
 func (r *storeReader) stateReadAt() time.Time {
@@ -117,8 +158,12 @@
 	return readAt
 }
 
-// readAge returns the age of its state at which this instance reads the store in a role.
+// readAge returns the age of its state at which this instance reads the store in a role. Of a store that
+// answers late the first state is old already, and peers that start too have none that is fresher.
 func (r *storeReader) readAge(role fleet.Role) time.Duration {
+	if r.lastReadAt.IsZero() && r.storeDelay() > 0 {
+		return r.boundShare(readerReadAgeShare)
+	}
 	switch role {
 	case fleet.RoleReader:
 		return r.boundShare(readerReadAgeShare)
@@ -139,70 +184,191 @@
 	return r.boundShare(nonReaderRetryShare * r.retryJitter)
 }
 
-// read reads the store in a role, reports the read and sets the times of the next one.
-func (r *storeReader) read(ctx context.Context, role fleet.Role) {
-	startedAt, age := time.Now(), r.stateAge()
-	err := r.readInRole(ctx, role)
+// followUpDelayFor returns the time in a role after which a read without an answer is followed by
+// another one.
+func (r *storeReader) followUpDelayFor(role fleet.Role) time.Duration {
+	switch {
+	case role == fleet.RoleReader:
+		return r.followUpDelay
+	case r.unanswered <= 1:
+		return minReadTimeout
+	default:
+		return r.retryDelayFor(role)
+	}
+}
+
+// begin begins a read in a role.
+func (r *storeReader) begin(ctx context.Context, role fleet.Role) *pendingRead {
+	if len(r.pending) > 0 {
+		r.followUpDelay = min(2*r.followUpDelay, r.boundShare(readerReadAgeShare))
+	}
+	read := &pendingRead{storeRead: storeRead{
+		role: role, startedAt: time.Now(), age: r.stateAge(),
+		probes: role != fleet.RoleReader && (!r.failedAt.IsZero() || r.unanswered > 1),
+	}}
+	r.unanswered++
+	r.pending = append(r.pending, read)
+	return read
+}
+
+// perform makes the calls of a read.
+func (r *storeReader) perform(ctx context.Context, read *pendingRead) {
+	read.err = r.readInRole(ctx, read.storeRead)
+	select {
+	case r.ended <- read:
+	case <-ctx.Done():
+	}
+}
+
+// end reports a read that has ended and sets the times of the next one.
+func (r *storeReader) end(ctx context.Context, read *pendingRead) {
+	r.pending = slices.DeleteFunc(r.pending, func(p *pendingRead) bool { return p == read })
 	if ctx.Err() != nil {
 		return
 	}
-	r.reportRead(storeRead{role: role, startedAt: startedAt, age: age, err: err})
-	r.storeReadFailing.Store(err != nil)
-	if err != nil {
-		r.failedAt = time.Now()
-		r.recordFailedRead(startedAt, r.failedAt)
-		r.readerRetryDelay, r.retryJitter = min(r.backoff.Next(r.random), r.boundShare(maxReaderRetryDelayShare)), 0.75+r.random.Float64()/2
-		r.timeout = max(min(2*time.Since(startedAt), r.boundShare(maxReadTimeoutShare)), minReadTimeout)
+	r.reportRead(read.storeRead)
+	now := time.Now()
+	if read.err != nil {
+		r.endFailed(read, now)
 		return
 	}
-	r.lastReadAt, r.failedAt, r.timeout = startedAt, time.Time{}, minReadTimeout
-	r.backoff.Reset()
-	if role != fleet.RoleReader {
+	r.storeReadFailing.Store(false)
+	r.unanswered = 0
+	r.followUpDelay = min(max(2*now.Sub(read.startedAt), minReadTimeout), r.boundShare(readerReadAgeShare))
+	if read.startedAt.After(r.lastReadAt) {
+		r.lastReadAt, r.failedAt = read.startedAt, time.Time{}
+		r.backoff.Reset()
+	}
+	if read.role != fleet.RoleReader {
 		r.syncNow() // asking tells its peers that it has fresher state, for which they then ask
 	}
 }
 
-// recordFailedRead records that a read of the store has failed, unless it took longer than the
-// store is waited for: then the process stood still in it, and its time-out shows nothing.
-func (c *control) recordFailedRead(startedAt, endedAt time.Time) {
-	if endedAt.Sub(startedAt) <= c.boundShare(maxUnansweredShare) {
-		c.readFailedAt.Store(&endedAt)
+// endFailed sets the time of the next read after one that failed. One that was given up counts as
+// failed since it was followed by others.
+func (r *storeReader) endFailed(read *pendingRead, now time.Time) {
+	if read.startedAt.Before(r.lastReadAt) {
+		return // a later read has succeeded
+	}
+	r.storeReadFailing.Store(true)
+	r.recordFailedRead(read.startedAt, now)
+	if failedAt := read.startedAt.Add(minReadTimeout); failedAt.Before(now) {
+		now = failedAt
 	}
+	r.failedAt = latest(r.failedAt, now)
+	r.readerRetryDelay, r.retryJitter = min(r.backoff.Next(r.random), r.boundShare(maxReaderRetryDelayShare)), 0.75+r.random.Float64()/2
 }
 
+// outageTimeout returns the time without the first byte of an answer after which the store counts as
+// out.
+func (c *control) outageTimeout() time.Duration {
+	slowest := c.answerTimes.longest(time.Now())
+	return max(minOutageTimeout, min(time.Duration(slowAnswerFactor*float64(slowest)), c.boundShare(maxOutageTimeoutShare)))
+}
+
+// storeDelay returns how late the store answers, at most half of the bound; 0: at once.
+func (c *control) storeDelay() time.Duration {
+	longest := c.answerTimes.longest(time.Now())
+	if longest <= minReadTimeout {
+		return 0
+	}
+	return min(longest, c.boundShare(maxStoreDelayShare))
+}
+
+// recordFailedRead records that a read of the store has failed, or has had no answer for
+// outageTimeout, unless the process stood still in it.
+func (c *control) recordFailedRead(startedAt, now time.Time) {
+	if now.Sub(startedAt) <= c.outageTimeout()+c.boundShare(standToleranceShare) {
+		c.readFailedAt.Store(&now)
+		c.recordTry(now)
+	}
+}
+
+// recordSilence records that a read of the store has had no answer for minReadTimeout, unless the
+// process stood still in it. The store may be slow: that proves no outage.
+func (c *control) recordSilence(startedAt, now time.Time) {
+	if now.Sub(startedAt) > minReadTimeout+c.boundShare(standToleranceShare) {
+		return
+	}
+	c.recordTry(now)
+	c.storeReadFailing.Store(true)
+	if last := c.silenceLoggedAt.Load(); last == nil || now.Sub(*last) > slowAnswerMemory {
+		c.silenceLoggedAt.Store(&now)
+		c.log.Warn("store answers late", "after", now.Sub(startedAt), "longest", c.answerTimes.longest(now))
+	}
+}
+
+// recordTry records that this instance tried at a time to renew its state.
+func (c *control) recordTry(now time.Time) { c.triedAt.Store(&now) }
+
 // readInRole reads the store in a role. For roles other than the reader this is a search for an
 // instance that the store serves: an instance that the store refuses spends only one call on it.
-// A call that gets no answer is repeated once, on a new connection. After a failure only a probe
-// is made until the store serves this instance again.
-func (r *storeReader) readInRole(ctx context.Context, role fleet.Role) error {
-	if role == fleet.RoleReader {
+// After a failure only a probe is made until the store serves this instance again.
+func (r *storeReader) readInRole(ctx context.Context, read storeRead) error {
+	if read.role == fleet.RoleReader {
 		return r.readAsReader(ctx)
 	}
-	if !r.failedAt.IsZero() {
-		if err := r.callWithTimeout(ctx, minReadTimeout, r.node.config.Source.Probe); err != nil {
+	if read.probes {
+		if err := r.watchedCall(ctx, r.node.config.Source.Probe); err != nil {
 			return fmt.Errorf("probe: %w", err)
 		}
 	}
-	err := r.callWithTimeout(ctx, minReadTimeout, r.readConfig)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = r.callWithTimeout(ctx, 2*minReadTimeout, r.readConfig)
-	}
-	if err != nil {
-		return err
-	}
-	if err := r.callWithTimeout(ctx, 2*minReadTimeout, r.readLeaves); err != nil {
+	if err := r.readBoth(ctx); err != nil {
 		return err
 	}
 	// Peers that give no fresh state don't tell of the quarantine either.
-	return r.callWithTimeout(ctx, 2*minReadTimeout, r.node.probeStore.load)
+	return r.watchedCall(ctx, r.node.probeStore.load)
 }
 
 // readAsReader reads the store, and the quarantine too while no peer tells of it.
 func (r *storeReader) readAsReader(ctx context.Context) error {
-	if err := r.readStore(ctx, r.timeout); err != nil || !r.isIsolated(time.Now()) {
+	if err := r.readAtOnce(ctx); err != nil || !r.isIsolated(time.Now()) {
 		return err
 	}
-	return r.callWithTimeout(ctx, r.timeout, r.node.probeStore.load)
+	return r.watchedCall(ctx, r.node.probeStore.load)
+}
+
+// readBoth reads the configuration and, if the store has answered that, the leaves; both at once
+// while the store answers late.
+func (r *storeReader) readBoth(ctx context.Context) error {
+	if r.storeDelay() > 0 {
+		return r.readAtOnce(ctx)
+	}
+	if err := r.watchedCall(ctx, r.readConfig); err != nil {
+		return err
+	}
+	return r.watchedCall(ctx, r.readLeaves)
+}
+
+// readAtOnce reads the configuration and the leaves at once.
+func (r *storeReader) readAtOnce(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return r.watchedCall(ctx, r.readConfig) })
+	g.Go(func() error { return r.watchedCall(ctx, r.readLeaves) })
+	return g.Wait()
+}
+
+// watchedCall makes a call to the store, records when its answer does not begin in time, and gives it
+// up after readLifetimeShare.
+func (c *control) watchedCall(ctx context.Context, call func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, c.boundShare(readLifetimeShare))
+	defer cancel()
+	startedAt := time.Now()
+	silence := time.AfterFunc(minReadTimeout, func() { c.recordSilence(startedAt, time.Now()) })
+	outage := time.AfterFunc(c.outageTimeout(), func() { c.recordFailedRead(startedAt, time.Now()) })
+	defer outage.Stop()
+	defer silence.Stop()
+	answered := sync.OnceFunc(func() {
+		silence.Stop()
+		outage.Stop()
+		now := time.Now()
+		c.answerTimes.record(now.Sub(startedAt), now)
+	})
+	err := call(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: answered}))
+	if err == nil {
+		answered()
+	}
+	return err
 }
 
 // isIsolated reports whether this instance knows others and has exchanged state with none of
@@ -225,9 +391,14 @@
 		cancel()
 	})
 	defer timer.Stop()
+	startedAt := time.Now()
 	err := call(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GetConn:              func(string) { timer.Reset(timeout) },
-		GotFirstResponseByte: func() { timer.Stop() },
+		GetConn: func(string) { timer.Reset(timeout) },
+		GotFirstResponseByte: func() {
+			timer.Stop()
+			now := time.Now()
+			c.answerTimes.record(now.Sub(startedAt), now)
+		},
 	}))
 	if err != nil && timedOut.Load() {
 		return fmt.Errorf("no answer within %v: %w", timeout, context.DeadlineExceeded)
@@ -268,6 +439,7 @@
 	role      fleet.Role
 	startedAt time.Time
 	age       time.Duration // of this instance's state before the read
+	probes    bool          // the read begins with a probe
 	err       error
 }
 
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -43,6 +43,7 @@
 	n.membership.writeList(&r, out, now)
 	n.slowLeaves.AddFromPeer(r.Observations, now)
 	out.SlowLeaves = n.slowLeaves.Report(now)
+	out.StoreAnswerMS = n.control.answerTimes.longest(now).Milliseconds()
 	n.control.peerContactAt.Store(&now)
 	n.executor.MergeQuarantineChanges(r.Quarantine, r.Losses)
 	out.Quarantine, out.Losses = n.executor.QuarantineChanges(r.WholeQuarantine)
@@ -104,6 +105,7 @@
 		return errUnknownState
 	}
 	c.syncedAt = startedAt
+	c.answerTimes.relay(milliseconds(reply.StoreAnswerMS), startedAt)
 	c.peerContactAt.Store(&startedAt)
 	c.node.slowLeaves.SetPeerReport(reply.SlowLeaves, startedAt)
 	c.node.membership.applyPeerList(update)
@@ -111,7 +113,7 @@
 		c.receiver.ForgetLeaves() // the catalog did not receive the update
 		return err
 	}
-	if age := update.Age(time.Now()); age > c.boundShare(staleShare) {
+	if age := update.Age(time.Now()); age > c.staleAge(staleShare) {
 		return &staleStateError{age}
 	}
 	return nil
--- a/entry/hosted/syncloops.go
+++ b/entry/hosted/syncloops.go
@@ -20,6 +20,9 @@
 	// the same for the reader's state, which is one step fresher.
 	staleShare       = 0.55
 	staleReaderShare = 0.4
+	// slowStoreAgeShare is the age above which the state is synchronized twice as often: the store
+	// answers late.
+	slowStoreAgeShare = 0.4
 	// logStaleShare is the age of its own state above which an instance logs that the state is stale.
 	logStaleShare = 0.5
 	// maxPeersPerSync is the largest number of peers that one synchronization asks, one after the other.
@@ -52,10 +55,20 @@
 		if ctx.Err() == nil {
 			c.logStaleness(err)
 		}
-		c.waitForNextSync(ctx, max(min(c.boundShare(syncIntervalShare), maxSyncInterval)-time.Since(startedAt), 0))
+		c.waitForNextSync(ctx, max(c.syncInterval()-time.Since(startedAt), 0))
 	}
 }
 
+// syncInterval returns the time between two synchronizations. It is halved while the state is older than
+// it gets as long as the store answers at once, and not so old that the store is out.
+func (c *control) syncInterval() time.Duration {
+	interval := min(c.boundShare(syncIntervalShare), maxSyncInterval)
+	if age := c.stateAge(); age > c.boundShare(slowStoreAgeShare) && age < c.boundShare(1) {
+		return interval / 2
+	}
+	return interval
+}
+
 // runListRefresh reads the announcements whenever it is this instance's turn, until the context ends.
 func (c *control) runListRefresh(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -93,6 +106,10 @@
 	return err
 }
 
+// staleAge returns the age from which state is stale: a share of the bound, and how late the store
+// answers all.
+func (c *control) staleAge(share float64) time.Duration { return c.boundShare(share) + c.storeDelay() }
+
 // isFresh reports whether this instance's state is as fresh as the reader keeps its own.
 func (c *control) isFresh() bool {
 	return c.stateAge() < c.boundShare(readerReadAgeShare)
@@ -102,7 +119,7 @@
 // fresh again.
 func (c *control) logStaleness(err error) {
 	age := c.stateAge()
-	isStale := age > c.boundShare(logStaleShare)
+	isStale := age > c.staleAge(logStaleShare)
 	_, role := c.node.membership.syncSource(time.Now())
 	switch {
 	case isStale && c.staleSince.IsZero():
@@ -129,7 +146,7 @@
 			return role, nil
 		}
 		err = c.syncFrom(ctx, source)
-		if err == nil && role == fleet.RoleZoneLead && c.stateAge() > c.boundShare(staleReaderShare) {
+		if err == nil && role == fleet.RoleZoneLead && c.stateAge() > c.staleAge(staleReaderShare) {
 			err = &staleStateError{c.stateAge()}
 		}
 		if err == nil {
