Order lists of leaves by the store's era, so that a restore hides no departure

What callers saw: after the store had come back from an older copy, requests reached leaves up to 9.0 s after their drain mark (3 s allowed), sent by undisturbed instances of all zones with a list less than a second old, and nothing in their logs; for seconds before that up to 1,567 of 26,600 requests were refused, since no list was taken over.

Cause: lists and entries were compared by revisions that a restored store gives out again. A list with a lower revision was ignored until the revision had caught up. After that a drain mark with a lower revision than the known entry was taken for an older entry, for as long as the leaf had one; at other instances the lower sequence looked like a restart ('+1'), which ended the drain.

Change: a list carries the store's era (header Store-Era, 0 without it) and is ordered by era and revision, between instances too.

--- a/api/peerapi/peerapi.go
+++ b/api/peerapi/peerapi.go
@@ -161,7 +161,8 @@
 	// StoreAnswerMS is the longest time, in milliseconds, that an answer of the store has taken of
 	// late, as far as the sender or the peer that it syncs from knows; 0: at once, or unknown.
 	StoreAnswerMS int64 `json:"store_answer_ms,omitempty"`
-	// Revision is the store's revision at the last read of the leaves.
+	// Era and Revision are the store's at the last read of the leaves.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// LeavesAgeMS is the time since the start of that read; -1 for never.
 	LeavesAgeMS int64 `json:"leaves_age_ms"`
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -264,10 +264,12 @@
 		c.catalog.RecordReadFailure(*failedAt)
 	}
 	previousCount, previous := c.catalog.LeafCount(), c.catalog.LastReads()
-	if list.Revision < previous.Revision && from.peer == "" {
-		c.log.Warn("list of leaves ignored", append([]any{"revision", list.Revision, "in_force", previous.Revision}, from.logAttrs(now)...)...)
+	if from.peer == "" && (list.Era < previous.Era || list.Era == previous.Era && list.Revision < previous.Revision) {
+		attrs := []any{"era", list.Era, "revision", list.Revision, "era_in_force", previous.Era, "in_force", previous.Revision}
+		c.log.Warn("list of leaves ignored", append(attrs, from.logAttrs(now)...)...)
 	}
 	changed := c.catalog.ApplyLeaves(list, from.readStartedAt, now)
+	c.logEra(previous, from, now)
 	if changed {
 		attrs := []any{"revision", list.Revision, "bad", len(list.Bad), "leaves", c.catalog.LeafCount(), "before", previousCount}
 		c.log.Info("leaves changed", append(attrs, from.logAttrs(now)...)...)
@@ -277,6 +279,14 @@
 	return changed
 }
 
+// logEra logs that the store has begun another era since the previous reads.
+func (c *control) logEra(previous catalog.LastReads, from stateOrigin, now time.Time) {
+	if last := c.catalog.LastReads(); last.Era != previous.Era && !previous.LeavesAt.IsZero() {
+		attrs := []any{"era", last.Era, "before", previous.Era, "revision", last.Revision, "revision_before", previous.Revision}
+		c.log.Warn("store was restored from an older copy", append(attrs, from.logAttrs(now)...)...)
+	}
+}
+
 // logDepartures logs each leaf that gets no more work since the last list.
 func (c *control) logDepartures(revision uint64, from stateOrigin, now time.Time) {
 	departures := c.catalog.Departures()
--- a/entry/hosted/fleet_test.go
+++ b/entry/hosted/fleet_test.go
@@ -27,7 +27,8 @@
 	// config returns the configuration of a version; nil: all configurations are empty.
 	config   func(version uint64) *catalog.Config
 	leaves   func() []catalog.Leaf // nil: there are none
-	revision uint64                // grows all the time, as heartbeats of leaves are written
+	era      uint64
+	revision uint64 // grows all the time, as heartbeats of leaves are written
 	// heartbeat is the time between two writes of each leaf; 0: each read finds one write.
 	heartbeat time.Duration
 	// lastBeat is until when heartbeats have been written.
@@ -127,7 +128,7 @@
 			out.Leaves = s.leaves()
 		}
 		s.writeHeartbeats(len(out.Leaves))
-		out.Revision = s.revision
+		out.Era, out.Revision = s.era, s.revision
 	})
 	return out, err
 }
--- a/entry/hosted/removal_test.go
+++ b/entry/hosted/removal_test.go
@@ -165,6 +165,72 @@
 	}
 }
 
+// TestLeafThatLeavesAfterRestoreGetsNoWorkAfterBound restores the store from a copy that lacks the leaves that
+// have started since. They register again, at lower revisions than before, and leave.
+func TestLeafThatLeavesAfterRestoreGetsNoWorkAfterBound(t *testing.T) {
+	const leaves, late, copied, lost = 20, 10, 500, 300
+	for _, instances := range []int{8, 24} {
+		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, list := newLeafFleet(t, instances, 3*time.Second, leaves)
+				defer f.stopAll()
+				f.store.update(func(s *sharedStore) {
+					s.era, s.revision, s.heartbeat = 1, copied+lost, time.Hour
+					for i := range late {
+						list.register(fmt.Sprintf("late-%02d", i), s.revision, 50)
+					}
+				})
+				time.Sleep(3 * time.Second)
+				f.store.update(func(s *sharedStore) {
+					s.era, s.revision = 2, copied
+					for i := range late {
+						delete(list.entries, fmt.Sprintf("late-%02d", i))
+					}
+				})
+				missing := 0
+				for i := range late {
+					time.Sleep(200 * time.Millisecond)
+					synctest.Wait()
+					for _, r := range f.running {
+						missing = max(missing, leaves+late-len(usable(r.node)))
+					}
+					f.store.update(func(s *sharedStore) {
+						s.revision++
+						list.register(fmt.Sprintf("late-%02d", i), s.revision, 52)
+					})
+				}
+				if missing > 0 {
+					t.Errorf("%d leaves were out of use before they could register again", missing)
+				}
+				left := make(map[string]time.Time)
+				worst := time.Duration(0)
+				for i := range 3 * late {
+					if i < late {
+						id := fmt.Sprintf("late-%02d", i)
+						f.store.update(func(s *sharedStore) {
+							s.revision++
+							list.register(id, s.revision, 60)
+							list.leave(id, i%2 == 0)
+						})
+						left[id] = time.Now()
+					}
+					time.Sleep(250 * time.Millisecond)
+					worst = max(worst, f.longestUse(left, nil))
+				}
+				t.Logf("leaves that had left in use for %v at most", worst)
+				if worst > f.tunables.FreshnessBound {
+					t.Errorf("a leaf that had left was in use for %v, want at most %v", worst, f.tunables.FreshnessBound)
+				}
+			})
+		})
+	}
+}
+
+// register writes a leaf's entry.
+func (l *entryList) register(id string, revision uint64, sequence int64) {
+	l.entries[id] = catalog.Leaf{ID: id, Service: "s", Zone: "z0", Address: "127.0.0.1:1", Slots: 2, Revision: revision, Sequence: sequence}
+}
+
 // leave drains a leaf or removes its entry.
 func (l *entryList) leave(id string, drains bool) {
 	leaf := l.entries[id]
--- a/entry/hosted/statesync/leaves.go
+++ b/entry/hosted/statesync/leaves.go
@@ -94,6 +94,7 @@
 
 // receivedLeaves is the list of leaves received last. It is not safe for concurrent use.
 type receivedLeaves struct {
+	era  uint64 // of the store at the last reply
 	hash uint64 // 0 if there is no list
 	list map[string]receivedLeaf
 }
@@ -105,7 +106,7 @@
 }
 
 // forget makes the next request ask for the whole list.
-func (l *receivedLeaves) forget() { *l = receivedLeaves{} }
+func (l *receivedLeaves) forget() { *l = receivedLeaves{era: l.era} }
 
 // Errors of a received list of leaves.
 var (
@@ -117,7 +118,8 @@
 // has neither, the list is the one received last: changed is false and only the revision is
 // returned.
 func (l *receivedLeaves) apply(reply *peerapi.SyncReply, now time.Time) (list catalog.Listing, changed bool, err error) {
-	list.Revision = reply.Revision
+	list.Era, list.Revision = reply.Era, reply.Revision
+	l.enterEra(reply.Era)
 	if reply.Leaves == nil {
 		return list, false, nil
 	}
@@ -147,6 +149,19 @@
 	return list, true, nil
 }
 
+// enterEra drops the revisions and sequences of the list in another era of the store, in which they
+// order nothing.
+func (l *receivedLeaves) enterEra(era uint64) {
+	if era == l.era {
+		return
+	}
+	l.era = era
+	for id, r := range l.list {
+		r.leaf.Revision, r.leaf.Sequence = 0, 0
+		l.list[id] = r
+	}
+}
+
 // splitValid returns the valid leaves and the bad entries, each ordered by ID.
 func splitValid(list map[string]receivedLeaf) (leaves []catalog.Leaf, bad []catalog.BadEntry) {
 	leaves = make([]catalog.Leaf, 0, len(list))
--- a/entry/hosted/statesync/state.go
+++ b/entry/hosted/statesync/state.go
@@ -73,7 +73,7 @@
 	}
 	list := c.ListedLeaves()
 	next.hash = catalog.HashLeaves(list)
-	if previous != nil && previous.hash == next.hash {
+	if previous != nil && previous.hash == next.hash && previous.LastReads.Era == next.LastReads.Era {
 		next.list, next.leaves, next.past = previous.list, previous.leaves, previous.past
 		return next, nil
 	}
@@ -120,7 +120,7 @@
 func (s *State) Reply(r *peerapi.SyncRequest, now time.Time) *peerapi.SyncReply {
 	out := &peerapi.SyncReply{
 		ConfigAgeMS: AgeMS(s.LastReads.ConfigAt, now),
-		Revision:    s.LastReads.Revision, LeavesHash: s.hash, LeavesAgeMS: AgeMS(s.LastReads.LeavesAt, now), FleetAgeMS: unknownAgeMS,
+		Era:         s.LastReads.Era, Revision: s.LastReads.Revision, LeavesHash: s.hash, LeavesAgeMS: AgeMS(s.LastReads.LeavesAt, now), FleetAgeMS: unknownAgeMS,
 	}
 	s.config.fillReply(r, out)
 	s.fillLeaves(r.LeavesHash, out)
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -185,7 +185,7 @@
 	case u.LeavesChanged:
 		return c.applyLeaves(u.Leaves, leavesFrom, now) || changed
 	case m.storeListChanges == c.storeListChanges.Load():
-		return c.catalog.ConfirmLeaves(u.Leaves.Revision, u.LeavesAt) || changed
+		return c.catalog.ConfirmLeaves(u.Leaves.Era, u.Leaves.Revision, u.LeavesAt, now) || changed
 	default: // the list in force has changed since the peer was asked
 		return changed
 	}
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -49,6 +49,8 @@
 	// Concurrency bounds the concurrent calls, not counting watches; 0 means
 	// DefaultConcurrency.
 	Concurrency int
+	// EraHeader is the header of the store's answers that numbers its eras; empty: there is none.
+	EraHeader string
 	// Meter counts calls; nil disables counting.
 	Meter Meter
 	// Transport replaces the HTTP transport, for tests.
@@ -192,6 +194,8 @@
 	Body       []byte
 	// Write reports whether the call may change an object.
 	Write bool
+	// Era, if set, receives the era of a successful answer.
+	Era *Era
 	// Since and Wait are set for a watch only.
 	Since uint64
 	Wait  time.Duration
@@ -232,7 +236,13 @@
 		return unusableReplyError(r, connected.Load(), 0, err)
 	}
 	defer resp.Body.Close()
-	return decodeReply(r, resp, dst)
+	if err := decodeReply(r, resp, dst); err != nil || r.Era == nil || c.cfg.EraHeader == "" {
+		return err
+	}
+	if *r.Era, err = parseEra(resp.Header.Get(c.cfg.EraHeader)); err != nil {
+		return unusableReplyError(r, true, 0, err)
+	}
+	return nil
 }
 
 // classifyResult returns the result that the meter counts for an error.
--- a/kernel/catalog/catalog.go
+++ b/kernel/catalog/catalog.go
@@ -62,9 +62,11 @@
 	unlisted map[string]unlistedLeaf
 	// byIncarnation maps the incarnation of an active leaf to its ID.
 	byIncarnation map[string]string
-	// revision is the store's revision at the last successful read of the leaves.
-	revision  uint64
-	hasLeaves bool
+	// era and revision are the store's at the last successful read of the leaves.
+	era, revision uint64
+	// restoredAt is when the first list of a later era was applied.
+	restoredAt time.Time
+	hasLeaves  bool
 	// leavesAt is when the last successful read of the leaves began.
 	leavesAt    time.Time
 	droppedSets map[string]droppedSet // by upstream name
@@ -142,13 +144,13 @@
 type LastReads struct {
 	// ConfigAt and LeavesAt are when the last successful reads began; zero if there was none.
 	ConfigAt, LeavesAt time.Time
-	// Revision is the store's revision at the last read of the leaves.
-	Revision uint64
+	// Era and Revision are the store's at the last read of the leaves.
+	Era, Revision uint64
 }
 
 // LastReads returns the times of the last successful reads.
 func (c *Catalog) LastReads() LastReads {
-	return LastReads{ConfigAt: c.configAt, LeavesAt: c.leavesAt, Revision: c.revision}
+	return LastReads{ConfigAt: c.configAt, LeavesAt: c.leavesAt, Era: c.era, Revision: c.revision}
 }
 
 // Config returns the configuration in force, or nil. The caller must not modify it.
--- a/kernel/catalog/incarnation_test.go
+++ b/kernel/catalog/incarnation_test.go
@@ -82,13 +82,13 @@
 	c := New(testSettings)
 	entryRead{0, 1, 200, 9, true}.apply(c)
 	entryRead{time.Second, 2, 100, 1, false}.apply(c)
-	if c.ConfirmLeaves(3, start.Add(2*time.Second)) || !c.Draining("x@200") {
+	if c.ConfirmLeaves(0, 3, start.Add(2*time.Second), start.Add(2*time.Second)) || !c.Draining("x@200") {
 		t.Error("the doubtful entry is active after a second")
 	}
 	if listed := c.ListedLeaves(); len(listed) != 1 || listed[0].StartMillis != 100 {
 		t.Errorf("listed %+v, want the entry as it was read", listed)
 	}
-	if !c.ConfirmLeaves(4, start.Add(4*time.Second)) || c.Draining("x@100") {
+	if !c.ConfirmLeaves(0, 4, start.Add(4*time.Second), start.Add(4*time.Second)) || c.Draining("x@100") {
 		t.Error("the doubtful entry is not active after its TTL")
 	}
 }
--- a/kernel/catalog/lapsed.go
+++ b/kernel/catalog/lapsed.go
@@ -39,12 +39,12 @@
 
 // updateLapsed determines the leaves that are kept without an entry after a list whose
 // read began at readStart: those of prev that next lacks, if entries may have lapsed
-// since the last list.
-func (c *Catalog) updateLapsed(prev, next map[string]Leaf, list *Listing, readStart, now time.Time) {
-	if !c.hasLeaves || readStart.Sub(c.leavesAt) < c.settings.EntryTTL {
+// since the last list, or the store was restored from an older copy.
+func (c *Catalog) updateLapsed(prev, next map[string]Leaf, list *Listing, restored bool, readStart, now time.Time) {
+	if !restored && (!c.hasLeaves || readStart.Sub(c.leavesAt) < c.settings.EntryTTL) {
 		return
 	}
-	wasOutage := c.readFailedAt.After(c.leavesAt)
+	wasOutage := restored || c.readFailedAt.After(c.leavesAt)
 	lapsed := make(map[string]lapsedLeaf)
 	for id, l := range missingFrom(prev, next) {
 		kept := lapsedLeaf{Leaf: l, listedAt: c.leavesAt, until: now.Add(c.settings.ReregisterWithin)}
--- a/kernel/catalog/leaf.go
+++ b/kernel/catalog/leaf.go
@@ -58,8 +58,9 @@
 	Leaves []Leaf
 	// Bad holds the entries that describe no usable leaf.
 	Bad []BadEntry
-	// Revision is the store's revision of the list.
-	Revision uint64
+	// Era and Revision are those of the store at the list. A store that is restored from an older
+	// copy begins another era, in which it gives revisions out again.
+	Era, Revision uint64
 }
 
 // BadEntry is an error that describes an unusable entry of the store.
--- a/kernel/catalog/list.go
+++ b/kernel/catalog/list.go
@@ -6,8 +6,10 @@
 	"time"
 )
 
-// isCurrent reports whether a list at the revision is at least as new as the last one.
-func (c *Catalog) isCurrent(revision uint64) bool { return !c.hasLeaves || revision >= c.revision }
+// isCurrent reports whether a list of the era and the revision is at least as new as the last one.
+func (c *Catalog) isCurrent(era, revision uint64) bool {
+	return !c.hasLeaves || era > c.era || era == c.era && revision >= c.revision
+}
 
 // ApplyLeaves applies the complete list of leaves at a revision of the store. It ignores
 // a list older than the last one, and one of the same revision whose read began earlier,
@@ -19,17 +21,20 @@
 // is invalid is dropped as well: whoever overwrote the entry may have replaced the leaf,
 // and if the leaf still runs, its next heartbeat restores it.
 func (c *Catalog) ApplyLeaves(list Listing, readStart, now time.Time) bool {
-	if !c.isCurrent(list.Revision) || c.hasLeaves && list.Revision == c.revision && readStart.Before(c.leavesAt) {
+	if !c.isCurrent(list.Era, list.Revision) || c.hasLeaves && list.Era == c.era && list.Revision == c.revision && readStart.Before(c.leavesAt) {
 		return false
 	}
 	first := !c.hasLeaves
+	restored := c.enterEra(list.Era, now)
 	prev := c.activeLeaves()
 	next := make(map[string]Leaf, len(list.Leaves))
 	for _, l := range list.Leaves {
-		next[l.ID] = c.merge(l, readStart)
+		if !c.isRestored(l.ID, now) {
+			next[l.ID] = c.merge(l, readStart)
+		}
 	}
 	c.updateUnlisted(prev, next, now)
-	c.updateLapsed(prev, next, &list, readStart, now)
+	c.updateLapsed(prev, next, &list, restored, readStart, now)
 	c.hasLeaves, c.revision, c.leavesAt = true, list.Revision, readStart
 	c.listed = next
 	maps.DeleteFunc(c.doubtful, func(id string, _ doubtfulEntry) bool { _, ok := next[id]; return !ok })
@@ -123,11 +128,12 @@
 }
 
 // ConfirmLeaves records that a read that began at readStart found the list unchanged, at
-// the given revision. It reports whether that activated a doubtful entry.
-func (c *Catalog) ConfirmLeaves(revision uint64, readStart time.Time) bool {
-	if !c.hasLeaves || !c.isCurrent(revision) || !readStart.After(c.leavesAt) {
+// the given era and revision. It reports whether that activated a doubtful entry.
+func (c *Catalog) ConfirmLeaves(era, revision uint64, readStart, now time.Time) bool {
+	if !c.hasLeaves || !c.isCurrent(era, revision) || !readStart.After(c.leavesAt) {
 		return false
 	}
+	c.enterEra(era, now)
 	c.revision, c.leavesAt = revision, readStart
 	return c.acceptDoubtful(readStart)
 }
