--- a/standin/soak/drains.go
+++ b/standin/soak/drains.go
@@ -55,6 +55,23 @@
 	return nil
 }
 
+// lateHeartbeat lets a leaf drain, and the store carry out a heartbeat of before the drain after the
+// bound. The leaf's next heartbeat says again that it drains.
+func (r *run) lateHeartbeat(random *rand.Rand, lasting time.Duration) error {
+	return r.replaceLeaf(random, lasting, func(l *fakeLeaf) {
+		r.site.mu.Lock()
+		before := l.entry()
+		r.site.mu.Unlock()
+		r.site.drain(l)
+		time.Sleep(r.site.profile.bound + between(random, 0, servesOn/2))
+		hosted.Register(r.site.server, before)
+		time.Sleep(heartbeat)
+		r.site.mu.Lock()
+		defer r.site.mu.Unlock()
+		r.site.register(l)
+	})
+}
+
 // servicesLeave lets all leaves of two services leave at once: of the one that serves the routes to
 // one leaf, after others have started, and of one that no route leads to any more. After the bound
 // all instances are asked at one moment.
--- a/standin/soak/drains_test.go
+++ b/standin/soak/drains_test.go
@@ -42,6 +42,15 @@
 	}})
 }
 
+// TestSoakOfLateHeartbeats has the store carry out heartbeats of leaves that drain late: they ended the
+// drains.
+func TestSoakOfLateHeartbeats(t *testing.T) {
+	playSoaks(t, []soakCase{{
+		options: Options{Seed: 71, For: 12 * time.Second, Instances: 6, Clients: 24, Profile: "leaving", Bound: 3 * time.Second, Faults: []string{"late heartbeat"}},
+		cause:   "an entry with a lower sequence was taken for a restart, which ends a drain",
+	}})
+}
+
 // TestArrivalsAfterDepartureAreCounted feeds the check with arrivals at a leaf that has left.
 func TestArrivalsAfterDepartureAreCounted(t *testing.T) {
 	left := time.Now()
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -29,7 +29,7 @@
 	{"stutter", (*run).stutter}, {"leaf stall", (*run).leafStall}, {"leaf declines", (*run).leafDeclines}, {"leaves fail", (*run).leavesFail}, {"kill all", (*run).killAll},
 	{"kill all while leaves decline", (*run).killAllWhileLeavesDecline}, {"crashing request", (*run).crashingRequest},
 	{"leaf removal", (*run).leafRemoval}, {"leaf stall at drain", (*run).leafStallAtDrain}, {"store cuts", (*run).storeCuts},
-	{"services leave", (*run).servicesLeave}, {"store late", (*run).storeLate}, {"store lapse", (*run).storeLapse}, {"store restore", (*run).storeRestore},
+	{"late heartbeat", (*run).lateHeartbeat}, {"services leave", (*run).servicesLeave}, {"store late", (*run).storeLate}, {"store lapse", (*run).storeLapse}, {"store restore", (*run).storeRestore},
 }
 
 // between draws a time.
