--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -110,7 +110,7 @@
 		_, role := r.node.membership.syncSource(time.Now())
 		wait := r.untilDue(role)
 		if wait <= 0 && len(r.pending) < maxPendingReads {
-			read := r.begin(ctx, role)
+			read := r.begin(role)
 			reads.Go(func() { r.perform(ctx, read) })
 			continue
 		}
@@ -198,7 +198,7 @@
 }
 
 // begin begins a read in a role.
-func (r *storeReader) begin(ctx context.Context, role fleet.Role) *pendingRead {
+func (r *storeReader) begin(role fleet.Role) *pendingRead {
 	if len(r.pending) > 0 {
 		r.followUpDelay = min(2*r.followUpDelay, r.boundShare(readerReadAgeShare))
 	}
