--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -285,10 +285,11 @@
 }
 
 // recordSilence records that a read of the store has had no answer for minReadTimeout, unless the
-// process stood still in it. The store may be slow: that proves no outage.
-func (c *control) recordSilence(startedAt, now time.Time) {
+// process stood still in it, and reports whether it did so. The store may be slow: that proves no
+// outage.
+func (c *control) recordSilence(startedAt, now time.Time) bool {
 	if now.Sub(startedAt) > minReadTimeout+c.boundShare(standToleranceShare) {
-		return
+		return false
 	}
 	c.recordTry(now)
 	c.storeReadFailing.Store(true)
@@ -296,6 +297,7 @@
 		c.silenceLoggedAt.Store(&now)
 		c.log.Warn("store answers late", "after", now.Sub(startedAt), "longest", c.answerTimes.longest(now))
 	}
+	return true
 }
 
 // recordTry records that this instance tried at a time to renew its state.
@@ -349,20 +351,23 @@
 }
 
 // watchedCall makes a call to the store, records when its answer does not begin in time, and gives it
-// up after readLifetimeShare.
+// up after readLifetimeShare. An answer that is late because the process stood still tells nothing of
+// the store.
 func (c *control) watchedCall(ctx context.Context, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, c.boundShare(readLifetimeShare))
 	defer cancel()
 	startedAt := time.Now()
-	silence := time.AfterFunc(minReadTimeout, func() { c.recordSilence(startedAt, time.Now()) })
+	var isLate atomic.Bool
+	silence := time.AfterFunc(minReadTimeout, func() { isLate.Store(c.recordSilence(startedAt, time.Now())) })
 	outage := time.AfterFunc(c.outageTimeout(), func() { c.recordFailedRead(startedAt, time.Now()) })
 	defer outage.Stop()
 	defer silence.Stop()
 	answered := sync.OnceFunc(func() {
 		silence.Stop()
 		outage.Stop()
-		now := time.Now()
-		c.answerTimes.record(now.Sub(startedAt), now)
+		if now := time.Now(); isLate.Load() || now.Sub(startedAt) <= minReadTimeout {
+			c.answerTimes.record(now.Sub(startedAt), now)
+		}
 	})
 	err := call(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: answered}))
 	if err == nil {
