Calls to the store in a file of their own, and a leaf that is started is returned

The soak took the leaf that was started last from the site, which another fault could have replaced. No decision changes.

--- a/entry/hosted/freshness_test.go
+++ b/entry/hosted/freshness_test.go
@@ -181,7 +181,7 @@
 		if limit := testBound * 8 / 10; worst >= limit {
 			t.Errorf("the reader's state was %v old, want less than %v", worst, limit)
 		}
-		if err := newStoreReader(n.control).readInRole(t.Context(), storeRead{role: fleet.RoleMember}); err != nil {
+		if err := newStoreReader(n.control).readInRole(t.Context(), &storeRead{role: fleet.RoleMember}); err != nil {
 			t.Errorf("a member did not read it: %v", err)
 		}
 	})
--- a/entry/hosted/storereader.go
+++ b/entry/hosted/storereader.go
@@ -4,10 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http/httptrace"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -30,29 +28,8 @@
 	// nonReaderRetryShare is the mean time between two attempts to read the store by an instance
 	// other than the reader: two fit into the bound.
 	nonReaderRetryShare = 0.4
-	// minReadTimeout is the time without the first byte of an answer after which a read is followed
-	// by another one, on a new connection, and not given up: the store may be slower. Reads without
-	// an answer follow each other at twice the time, up to readerReadAgeShare.
-	minReadTimeout = 300 * time.Millisecond
-	// readLifetimeShare is the time after which a read without an answer is given up.
-	readLifetimeShare = 1
 	// maxPendingReads bounds the reads without an answer.
 	maxPendingReads = 5
-	// minOutageTimeout is the time without the first byte of an answer after which the store counts as
-	// out, unless it has answered late recently: then it is slowAnswerFactor times the longest answer of
-	// the last slowAnswerMemory, up to maxOutageTimeoutShare.
-	minOutageTimeout      = time.Second
-	maxOutageTimeoutShare = 0.55
-	slowAnswerFactor      = 1.5
-	slowAnswerMemory      = 10 * time.Second
-	// maxStoreDelayShare is how late the store may answer.
-	maxStoreDelayShare = 0.5
-	// standToleranceShare is how late the end of a timeout may be noticed. The process stood still if
-	// it is later, and the timeout shows nothing.
-	standToleranceShare = 0.25
-	// transferTimeoutShare and maxInitialReadTimeout bound the calls of the initial load.
-	transferTimeoutShare  = 0.3
-	maxInitialReadTimeout = 2 * time.Second
 	// minStoreRetryDelay is the reader's first delay after a failed read, doubled up to
 	// maxReaderRetryDelayShare: a call and a delay that began before the store recovered are thus
 	// over within half of the bound. The initial load doubles it up to maxInitialRetryDelay.
@@ -76,8 +53,8 @@
 	// arrives that another instance read later.
 	failedAt time.Time
 	// pending are the reads in progress, the oldest first; ended receives their results.
-	pending []*pendingRead
-	ended   chan *pendingRead
+	pending []*storeRead
+	ended   chan *storeRead
 	// unanswered is the number of reads that began since the last one that was answered.
 	unanswered int
 	// followUpDelay is the time after which the reader's read without an answer is followed by another.
@@ -90,13 +67,10 @@
 	retryJitter float64
 }
 
-// pendingRead is a read in progress.
-type pendingRead struct{ storeRead }
-
 // newStoreReader makes a storeReader for an instance that has loaded its first state.
 func newStoreReader(c *control) *storeReader {
 	return &storeReader{
-		control: c, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), started: time.Now(), ended: make(chan *pendingRead, maxPendingReads),
+		control: c, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), started: time.Now(), ended: make(chan *storeRead, maxPendingReads),
 		backoff: backoff.Backoff{Min: minStoreRetryDelay, Max: maxInitialRetryDelay}, followUpDelay: minReadTimeout, retryJitter: 1,
 	}
 }
@@ -198,22 +172,22 @@
 }
 
 // begin begins a read in a role.
-func (r *storeReader) begin(role fleet.Role) *pendingRead {
+func (r *storeReader) begin(role fleet.Role) *storeRead {
 	if len(r.pending) > 0 {
 		r.followUpDelay = min(2*r.followUpDelay, r.boundShare(readerReadAgeShare))
 	}
-	read := &pendingRead{storeRead: storeRead{
+	read := &storeRead{
 		role: role, startedAt: time.Now(), age: r.stateAge(),
 		probes: role != fleet.RoleReader && (!r.failedAt.IsZero() || r.unanswered > 1),
-	}}
+	}
 	r.unanswered++
 	r.pending = append(r.pending, read)
 	return read
 }
 
 // perform makes the calls of a read.
-func (r *storeReader) perform(ctx context.Context, read *pendingRead) {
-	read.err = r.readInRole(ctx, read.storeRead)
+func (r *storeReader) perform(ctx context.Context, read *storeRead) {
+	read.err = r.readInRole(ctx, read)
 	select {
 	case r.ended <- read:
 	case <-ctx.Done():
@@ -221,12 +195,12 @@
 }
 
 // end reports a read that has ended and sets the times of the next one.
-func (r *storeReader) end(ctx context.Context, read *pendingRead) {
-	r.pending = slices.DeleteFunc(r.pending, func(p *pendingRead) bool { return p == read })
+func (r *storeReader) end(ctx context.Context, read *storeRead) {
+	r.pending = slices.DeleteFunc(r.pending, func(p *storeRead) bool { return p == read })
 	if ctx.Err() != nil {
 		return
 	}
-	r.reportRead(read.storeRead)
+	r.reportRead(read)
 	now := time.Now()
 	if read.err != nil {
 		r.endFailed(read, now)
@@ -246,7 +220,7 @@
 
 // endFailed sets the time of the next read after one that failed. One that was given up counts as
 // failed since it was followed by others.
-func (r *storeReader) endFailed(read *pendingRead, now time.Time) {
+func (r *storeReader) endFailed(read *storeRead, now time.Time) {
 	if read.startedAt.Before(r.lastReadAt) {
 		return // a later read has succeeded
 	}
@@ -259,54 +233,10 @@
 	r.readerRetryDelay, r.retryJitter = min(r.backoff.Next(r.random), r.boundShare(maxReaderRetryDelayShare)), 0.75+r.random.Float64()/2
 }
 
-// outageTimeout returns the time without the first byte of an answer after which the store counts as
-// out.
-func (c *control) outageTimeout() time.Duration {
-	slowest := c.answerTimes.longest(time.Now())
-	return max(minOutageTimeout, min(time.Duration(slowAnswerFactor*float64(slowest)), c.boundShare(maxOutageTimeoutShare)))
-}
-
-// storeDelay returns how late the store answers, at most half of the bound; 0: at once.
-func (c *control) storeDelay() time.Duration {
-	longest := c.answerTimes.longest(time.Now())
-	if longest <= minReadTimeout {
-		return 0
-	}
-	return min(longest, c.boundShare(maxStoreDelayShare))
-}
-
-// recordFailedRead records that a read of the store has failed, or has had no answer for
-// outageTimeout, unless the process stood still in it.
-func (c *control) recordFailedRead(startedAt, now time.Time) {
-	if now.Sub(startedAt) <= c.outageTimeout()+c.boundShare(standToleranceShare) {
-		c.readFailedAt.Store(&now)
-		c.recordTry(now)
-	}
-}
-
-// recordSilence records that a read of the store has had no answer for minReadTimeout, unless the
-// process stood still in it, and reports whether it did so. The store may be slow: that proves no
-// outage.
-func (c *control) recordSilence(startedAt, now time.Time) bool {
-	if now.Sub(startedAt) > minReadTimeout+c.boundShare(standToleranceShare) {
-		return false
-	}
-	c.recordTry(now)
-	c.storeReadFailing.Store(true)
-	if last := c.silenceLoggedAt.Load(); last == nil || now.Sub(*last) > slowAnswerMemory {
-		c.silenceLoggedAt.Store(&now)
-		c.log.Warn("store answers late", "after", now.Sub(startedAt), "longest", c.answerTimes.longest(now))
-	}
-	return true
-}
-
-// recordTry records that this instance tried at a time to renew its state.
-func (c *control) recordTry(now time.Time) { c.triedAt.Store(&now) }
-
 // readInRole reads the store in a role. For roles other than the reader this is a search for an
 // instance that the store serves: an instance that the store refuses spends only one call on it.
 // After a failure only a probe is made until the store serves this instance again.
-func (r *storeReader) readInRole(ctx context.Context, read storeRead) error {
+func (r *storeReader) readInRole(ctx context.Context, read *storeRead) error {
 	if read.role == fleet.RoleReader {
 		return r.readAsReader(ctx)
 	}
@@ -350,32 +280,6 @@
 	return g.Wait()
 }
 
-// watchedCall makes a call to the store, records when its answer does not begin in time, and gives it
-// up after readLifetimeShare. An answer that is late because the process stood still tells nothing of
-// the store.
-func (c *control) watchedCall(ctx context.Context, call func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, c.boundShare(readLifetimeShare))
-	defer cancel()
-	startedAt := time.Now()
-	var isLate atomic.Bool
-	silence := time.AfterFunc(minReadTimeout, func() { isLate.Store(c.recordSilence(startedAt, time.Now())) })
-	outage := time.AfterFunc(c.outageTimeout(), func() { c.recordFailedRead(startedAt, time.Now()) })
-	defer outage.Stop()
-	defer silence.Stop()
-	answered := sync.OnceFunc(func() {
-		silence.Stop()
-		outage.Stop()
-		if now := time.Now(); isLate.Load() || now.Sub(startedAt) <= minReadTimeout {
-			c.answerTimes.record(now.Sub(startedAt), now)
-		}
-	})
-	err := call(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: answered}))
-	if err == nil {
-		answered()
-	}
-	return err
-}
-
 // isIsolated reports whether this instance knows others and has exchanged state with none of
 // them for isolationTime.
 func (c *control) isIsolated(now time.Time) bool {
@@ -384,33 +288,6 @@
 	return silent && readFleet(c.node.membership, (*fleet.Fleet).Size) > 1
 }
 
-// callWithTimeout makes a call and fails it with context.DeadlineExceeded if an HTTP answer does not
-// begin within the timeout. An answer that has begun may take longer, up to
-// transferTimeoutShare, as a large configuration does on a slow link.
-func (c *control) callWithTimeout(ctx context.Context, timeout time.Duration, call func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, max(timeout, c.boundShare(transferTimeoutShare)))
-	defer cancel()
-	var timedOut atomic.Bool
-	timer := time.AfterFunc(timeout, func() {
-		timedOut.Store(true)
-		cancel()
-	})
-	defer timer.Stop()
-	startedAt := time.Now()
-	err := call(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GetConn: func(string) { timer.Reset(timeout) },
-		GotFirstResponseByte: func() {
-			timer.Stop()
-			now := time.Now()
-			c.answerTimes.record(now.Sub(startedAt), now)
-		},
-	}))
-	if err != nil && timedOut.Load() {
-		return fmt.Errorf("no answer within %v: %w", timeout, context.DeadlineExceeded)
-	}
-	return err
-}
-
 // readStore reads the configuration and the leaves from the store.
 func (c *control) readStore(ctx context.Context, timeout time.Duration) error {
 	g, ctx := errgroup.WithContext(ctx)
@@ -439,7 +316,7 @@
 	return c.send(ctx, leavesRead{list: list, startedAt: startedAt})
 }
 
-// storeRead describes one read of the store for logs and metrics.
+// storeRead is one read of the store.
 type storeRead struct {
 	role      fleet.Role
 	startedAt time.Time
@@ -449,7 +326,7 @@
 }
 
 // reportRead counts a read of the store and logs it, except for successful reads by the reader.
-func (c *control) reportRead(r storeRead) {
+func (c *control) reportRead(r *storeRead) {
 	outcome := "read"
 	if r.err != nil {
 		outcome = "failed"
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -76,7 +76,6 @@
 
 	mu      sync.Mutex
 	leaves  map[string]*fakeLeaf
-	newest  *fakeLeaf
 	started int // leaves so far
 	shards  []string
 	sets    [][]string // all sets of shards that a configuration named
@@ -172,26 +171,25 @@
 
 // addLeaf starts a leaf of a service and registers it.
 func (s *site) addLeaf(service string, work time.Duration) error {
+	_, err := s.startLeaf(service, work)
+	return err
+}
+
+// startLeaf starts a leaf of a service, registers it and returns it.
+func (s *site) startLeaf(service string, work time.Duration) (*fakeLeaf, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := fmt.Sprintf("%s-%d", service, s.started)
 	l, err := newLeaf(id, service, zoneName(s.started%leafZones), s.leafIP(s.started), work, s.profile.leaf, s.ledger)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	s.started++
 	l.started = time.Now()
 	l.crash = s.replaceCrashed
-	s.leaves[id], s.newest = l, l
+	s.leaves[id] = l
 	s.register(l)
-	return nil
-}
-
-// newestLeaf returns the leaf that was started last.
-func (s *site) newestLeaf() *fakeLeaf {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.newest
+	return l, nil
 }
 
 // register writes a leaf's entry. The lock is held.
--- a/standin/soak/storefaults.go
+++ b/standin/soak/storefaults.go
@@ -128,10 +128,11 @@
 	copied := r.site.server.Revision()
 	var started []*fakeLeaf
 	for range leavesLost {
-		if err := r.site.addLeaf("alone", r.site.profile.leaf.work); err != nil {
+		l, err := r.site.startLeaf("alone", r.site.profile.leaf.work)
+		if err != nil {
 			return err
 		}
-		started = append(started, r.site.newestLeaf())
+		started = append(started, l)
 	}
 	time.Sleep(restoreAge)
 	if err := r.restoreStore(random, copied, lasting/4); err != nil {
