Soak: a late heartbeat creates no entry

The trace shows a leaf that was removed while its late heartbeat was due: the soak wrote the heartbeat although the entry was gone, so that the leaf was back in the list. A heartbeat replaces an entry; where there is none the store answers 404.

--- a/standin/hosted/hosted.go
+++ b/standin/hosted/hosted.go
@@ -153,6 +153,13 @@
 // without an entry has to register.
 func Beat(store *platform.Server, l Leaf) { store.Refresh(KindLeaves, l.ID, l.entry()) }
 
+// Replace writes a leaf's entry if the store has one, as a heartbeat does.
+func Replace(store *platform.Server, l Leaf) {
+	if _, found := store.Object(KindLeaves, l.ID); found {
+		Register(store, l)
+	}
+}
+
 // entry returns the value of a leaf's entry.
 func (l Leaf) entry() []byte {
 	phase := "ready"
--- a/standin/soak/drains.go
+++ b/standin/soak/drains.go
@@ -59,16 +59,12 @@
 // bound. The leaf's next heartbeat says again that it drains.
 func (r *run) lateHeartbeat(random *rand.Rand, lasting time.Duration) error {
 	return r.replaceLeaf(random, lasting, func(l *fakeLeaf) {
-		r.site.mu.Lock()
-		before := l.entry()
-		r.site.mu.Unlock()
+		before := r.site.entryOf(l)
 		r.site.drain(l)
 		time.Sleep(r.site.profile.bound + between(random, 0, servesOn/2))
-		hosted.Register(r.site.server, before)
+		hosted.Replace(r.site.server, before)
 		time.Sleep(heartbeat)
-		r.site.mu.Lock()
-		defer r.site.mu.Unlock()
-		r.site.register(l)
+		hosted.Replace(r.site.server, r.site.entryOf(l))
 	})
 }
 
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -195,7 +195,7 @@
 // register writes a leaf's entry. The lock is held.
 func (s *site) register(l *fakeLeaf) { hosted.Register(s.server, l.entry()) }
 
-// entry returns what the leaf says of itself.
+// entry returns what the leaf says of itself. The site's lock is held.
 func (f *fakeLeaf) entry() hosted.Leaf {
 	return hosted.Leaf{
 		ID: f.id, Service: f.service, Zone: f.zone, Address: f.proxy.address(),
@@ -203,6 +203,13 @@
 	}
 }
 
+// entryOf returns what a leaf says of itself now.
+func (s *site) entryOf(l *fakeLeaf) hosted.Leaf {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l.entry()
+}
+
 // warmUpTime is for how long a leaf's entry tells of a slow start.
 const warmUpTime = 3 * time.Second
 
