--- a/review/cmd/rig/flood.go
+++ b/review/cmd/rig/flood.go
@@ -68,7 +68,8 @@
 		reply := g.leaf.answer(rawleaf.Seen{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body})
 		if rand.Uint64N(1_000_000) < g.share.Load() && bytes.HasPrefix(reply.Bytes, []byte("HTTP/1.1 200")) {
 			g.leaf.site.seen.markGarbled(r.Header.Get(hosted.HeaderRequest))
-			g.flood(conn, r.Header.Get(hosted.HeaderRequest))
+			ms, _ := strconv.Atoi(r.Header.Get(hosted.HeaderDeadlineMS)) // a leaf has answered 200, so it is a number
+			g.flood(conn, r.Header.Get(hosted.HeaderRequest), time.Duration(ms)*time.Millisecond)
 			return
 		}
 		if _, err := conn.Write(reply.Bytes); err != nil {
@@ -77,11 +78,12 @@
 	}
 }
 
-// flood sends records at the speed of the link until the other side ends the connection.
-func (g *garbler) flood(conn net.Conn, request string) {
+// flood sends records at the speed of the link until the deadline has passed or the other side ends
+// the connection.
+func (g *garbler) flood(conn net.Conn, request string, deadline time.Duration) {
 	chunk := bytes.Repeat(g.leaf.records(request)[:960], 130)
 	start, sent := time.Now(), 0
-	for time.Since(start) < 5*time.Second {
+	for time.Since(start) < deadline {
 		n, err := conn.Write(chunk)
 		sent += n
 		if err != nil {
