Review case 3: all of its clients keep their connections

The rule LOST is about kept connections; one client in four kept its own, so that a run could end within the three requests that a machine is allowed. keepEvery is now set by the case: case 2 keeps its one in four, cases 1 and 3 keep all, and case 3 lasts 13 rounds instead of 11. No check is narrowed.

--- a/review/cmd/rig/cases.go
+++ b/review/cmd/rig/cases.go
@@ -206,7 +206,7 @@
 	var groups []*clients
 	var all sync.WaitGroup
 	for _, zone := range zones {
-		c := &clients{site: s, zone: zone, kind: dossieAmplo, interval: 580 * time.Millisecond, name: zone}
+		c := &clients{site: s, zone: zone, kind: dossieAmplo, interval: 580 * time.Millisecond, name: zone, keepEvery: 4}
 		groups = append(groups, c)
 		all.Go(func() { c.run(traffic, 24) })
 	}
--- a/review/cmd/rig/client.go
+++ b/review/cmd/rig/client.go
@@ -40,9 +40,6 @@
 	cut bool
 }
 
-// keepEvery is the number of clients of which one keeps its connection.
-const keepEvery = 4
-
 // clients sends requests from one zone and collects the outcomes.
 type clients struct {
 	site     *site
@@ -50,6 +47,8 @@
 	kind     kind
 	interval time.Duration // mean time between two requests of one client
 	name     string
+	// keepEvery is the number of clients of which one keeps its connection; 0: all do.
+	keepEvery int
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -64,8 +63,8 @@
 	all.Wait()
 }
 
-// client sends requests. One client in four keeps its connection, and opens another when that ends;
-// the others open one for each request.
+// client sends requests. One client in keepEvery keeps its connection, and opens another when that
+// ends; the others open one for each request.
 func (c *clients) client(ctx context.Context, number int) {
 	var conn net.Conn
 	var reader *bufio.Reader
@@ -97,7 +96,7 @@
 			}
 			o := c.ask(conn, reader, outcome{instance: at, kept: carried > 0, request: fmt.Sprintf("%s-%d-%d-%d", c.name, number, sequence, try)})
 			carried++
-			if number%keepEvery != 0 || o.status == 0 || strings.EqualFold(o.header.Get("Connection"), "close") {
+			if number%max(c.keepEvery, 1) != 0 || o.status == 0 || strings.EqualFold(o.header.Get("Connection"), "close") {
 				drop()
 			}
 			if !c.mayRetry(o) {
--- a/review/cmd/rig/flood.go
+++ b/review/cmd/rig/flood.go
@@ -149,7 +149,7 @@
 	garbleAnswerShare = 0.02
 	garbleTime        = 5 * time.Second
 	garblePause       = 2 * time.Second
-	garbleRounds      = 11
+	garbleRounds      = 13
 	// lostAllowed is how many requests the rule LOST lets one machine cut off.
 	lostAllowed = 3
 )
