--- a/standin/rawleaf/rawleaf.go
+++ b/standin/rawleaf/rawleaf.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Seen is one request that arrived.
@@ -34,6 +35,14 @@
 	// Wait, if it is not nil, holds the answer until it is closed; the
 	// connection ends after it.
 	Wait <-chan struct{}
+	// Late is written when the next request on the connection has arrived, before its answer.
+	Late []byte
+	// OnBody, if it is not nil, is called with the request's body if all of it arrived.
+	OnBody func(body []byte)
+	// Endless is written again and again after Bytes until the other side ends the connection.
+	Endless []byte
+	// OnEnded, if it is not nil, is called with the time for which Endless was written.
+	OnEnded func(time.Duration)
 }
 
 // End is what becomes of a connection after an answer.
@@ -121,6 +130,7 @@
 		l.mu.Unlock()
 	}()
 	reader := bufio.NewReader(conn)
+	var late []byte
 	for {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
@@ -129,43 +139,75 @@
 			l.mu.Unlock()
 			return
 		}
-		if !l.one(conn, reader, req, n) {
+		if _, err := conn.Write(late); err != nil {
+			return
+		}
+		var goesOn bool
+		if late, goesOn = l.one(conn, reader, req, n); !goesOn {
 			return
 		}
 	}
 }
 
-// one answers a request and reports whether the connection goes on.
-func (l *Leaf) one(conn net.Conn, reader *bufio.Reader, req *http.Request, n int) bool {
+// one answers a request. It reports whether the connection goes on, and returns Reply.Late.
+func (l *Leaf) one(conn net.Conn, reader *bufio.Reader, req *http.Request, n int) (late []byte, goesOn bool) {
 	seen := Seen{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Connection: n}
 	reply := l.answer(seen)
 	if !reply.Early {
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
-			return false
+			return nil, false
 		}
 		seen.Body = body
+		reply.notifyBody(body)
 	}
 	l.mu.Lock()
 	l.seen = append(l.seen, seen)
 	l.mu.Unlock()
 	if reply.Wait != nil && !l.hold(conn, reader, reply.Wait) {
-		return false
+		return nil, false
 	}
 	if _, err := conn.Write(reply.Bytes); err != nil || reply.Wait != nil {
-		return false
+		return nil, false
+	}
+	if len(reply.Endless) > 0 {
+		reply.writeEndless(conn)
+		return nil, false
 	}
 	switch reply.End {
 	case Close:
-		return false
+		return nil, false
 	case Reset:
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
-		return false
+		return nil, false
 	default:
-		_, err := io.Copy(io.Discard, req.Body)
-		return err == nil
+		rest, err := io.ReadAll(req.Body)
+		if err == nil && reply.Early {
+			reply.notifyBody(rest)
+		}
+		return reply.Late, err == nil
+	}
+}
+
+// notifyBody calls OnBody.
+func (r *Reply) notifyBody(body []byte) {
+	if r.OnBody != nil {
+		r.OnBody(body)
+	}
+}
+
+// writeEndless writes Endless until the other side ends the connection.
+func (r *Reply) writeEndless(w io.Writer) {
+	start := time.Now()
+	for {
+		if _, err := w.Write(r.Endless); err != nil {
+			break
+		}
+	}
+	if r.OnEnded != nil {
+		r.OnEnded(time.Since(start))
 	}
 }
 
