Log why bytes of a leaf were not taken for an answer, by request and leaf

Operators could not see whether a failed attempt had met another request's response, a cut one, bytes that are no response, or the leaf's own failure: all were 'broken malformed' or 'broken status'.

--- a/entry/leafclient/exchanger.go
+++ b/entry/leafclient/exchanger.go
@@ -32,6 +32,8 @@
 	// Matches reports whether a response with header h belongs to this request. If
 	// not, the connection is closed.
 	Matches func(h http.Header) bool
+	// OnDiscard, if it is not nil, is called when bytes of the leaf are discarded.
+	OnDiscard func(DiscardReason)
 }
 
 // ExchangeResponse is a complete response.
@@ -50,10 +52,10 @@
 }
 
 // errWrongRequest says that a response belongs to another request.
-var errWrongRequest = errors.New("the response belongs to another request")
+var errWrongRequest = &discardError{DiscardOtherRequest, errors.New("the response belongs to another request")}
 
 // errBodyTooLong says that a response body is longer than Exchanger.maxBody.
-var errBodyTooLong = errors.New("response body over the limit")
+var errBodyTooLong = &discardError{DiscardBodyTooLong, errors.New("response body over the limit")}
 
 // Do runs one exchange. It calls beforeSend at most once, when it has a connection
 // and has sent nothing; if beforeSend returns false, Do sends nothing and returns a
@@ -71,6 +73,9 @@
 	in, keep, err := x.exchange(ctx, c, out)
 	if err != nil {
 		s.reset(c)
+		if reason, ok := discardReason(ctx, err, c.received); ok && out.OnDiscard != nil {
+			out.OnDiscard(reason)
+		}
 		return nil, newBrokenError(ctx, t.ID, err)
 	}
 	if keep {
@@ -97,6 +102,7 @@
 			keep = false // abort has set the connection's deadline to the past
 		}
 	}()
+	c.received = false
 	written, err := c.send(out, time.Until(deadline))
 	if err != nil {
 		return nil, false, err
@@ -195,6 +201,11 @@
 // readResponse reads the final response and skips interim ones.
 func (c *socket) readResponse(method string) (*http.Response, error) {
 	for {
+		_, err := c.reader.Peek(1)
+		if err != nil {
+			return nil, fmt.Errorf("read response: %w", err)
+		}
+		c.received = true
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
--- a/entry/leafclient/leafclient.go
+++ b/entry/leafclient/leafclient.go
@@ -57,6 +57,15 @@
 	// Forwarded is the caller's HTTP request where it is forwarded unchanged; nil in
 	// the leaf protocol, which sends Body.
 	Forwarded *ForwardedRequest
+	// OnDiscard, if it is not nil, is called when bytes of the leaf are discarded.
+	OnDiscard func(DiscardReason)
+}
+
+// Discard calls OnDiscard.
+func (r *Request) Discard(reason DiscardReason) {
+	if r.OnDiscard != nil {
+		r.OnDiscard(reason)
+	}
 }
 
 // LeafStatus is the state that a leaf reports with each reply, decline and health
@@ -218,6 +227,7 @@
 // checksum differs.
 func (p *Reply) parseHeaders(r *Request, h http.Header) error {
 	if got := h.Get(leafapi.HeaderAttempt); got != r.Attempt {
+		r.Discard(DiscardOtherRequest)
 		return errors.New("reply is for another attempt")
 	}
 	if sum := h.Get(leafapi.HeaderChecksum); sum != fmt.Sprintf("%016x", xxhash.Sum64(p.Body)) {
--- a/entry/leafclient/socketpool.go
+++ b/entry/leafclient/socketpool.go
@@ -171,6 +171,7 @@
 	buf       []byte
 	idleSince time.Time     // when the connection became idle
 	maxIdle   time.Duration // idle time after which it is not reused; 0: unknown
+	received  bool          // a byte of the response to the current request has arrived
 }
 
 func newSocket(conn net.Conn) *socket {
