Failing tests of leaves that err: late second answers, failures as parts, bytes without an end

A soak profile 'erring' lets leaves answer twice (late, with and without the ID, also as a decline), early, without a length or an ID, cut their answers, fail requests and send wrong or endless bytes. Its clients check status, signature, body and parts against what leaves answered and ran, its leaves the bodies that they get, and each instance's memory is bounded as the platform bounds it. Failures have signatures of their own, so that one is told from a good answer of the same leaf. A 404 counts as a route that was not found unless a leaf's signature shows that it is the leaf's.

--- a/standin/hosted/hosted.go
+++ b/standin/hosted/hosted.go
@@ -47,6 +47,9 @@
 	First bool
 }
 
+// MemoryBytes is the memory that the settings grant to an instance.
+const MemoryBytes = 284 << 20
+
 // File is the settings file. It has a field that no instance knows.
 func (s Settings) File() (map[string]any, error) {
 	ip, peerPort, err := net.SplitHostPort(s.Peers)
@@ -64,7 +67,7 @@
 	return map[string]any{
 		"node-name": s.Name, "zone": s.Zone, "ip": ip, "internal-ports": []int{port, port},
 		"listen-addrs": listen, "seeds": s.Seeds, "heartbeat-ms": s.Heartbeat.Milliseconds(), "bootstrap": s.First,
-		"limits": map[string]any{"cpu-share": 0.5, "cpu-cores": 1, "memory-mb": 284},
+		"limits": map[string]any{"cpu-share": 0.5, "cpu-cores": 1, "memory-mb": MemoryBytes >> 20},
 		"parameters": map[string]any{
 			"grace-period-s": s.Grace.Seconds(), "config-apply-ms": s.Bound.Milliseconds(), "drain-timeout-ms": s.Bound.Milliseconds(),
 			"retry-budget-ratio": s.Ratio, "retry-slack": s.Slack, "retry-window-s": s.Window.Seconds(),
@@ -187,13 +190,13 @@
 }
 
 // Declined is a leaf's word that it did not run a request.
-func Declined() []byte {
-	return rawleaf.Response(http.StatusServiceUnavailable, "", HeaderNotRun+": 1")
+func Declined(r rawleaf.Seen) []byte {
+	return rawleaf.Response(http.StatusServiceUnavailable, "", HeaderNotRun+": 1", HeaderRequest+": "+r.Header.Get(HeaderRequest))
 }
 
 // Misdirected is the answer of a leaf that a request does not name.
-func Misdirected(id string) []byte {
-	return rawleaf.Response(http.StatusMisdirectedRequest, "", HeaderInstance+": "+id)
+func Misdirected(r rawleaf.Seen, id string) []byte {
+	return rawleaf.Response(http.StatusMisdirectedRequest, "", HeaderInstance+": "+id, HeaderRequest+": "+r.Header.Get(HeaderRequest))
 }
 
 // FreeAddresses finds n different addresses of an IP on which nothing listens.
--- a/standin/rawleaf/rawleaf.go
+++ b/standin/rawleaf/rawleaf.go
@@ -105,6 +105,13 @@
 	return l.gone
 }
 
+// Open is the number of open connections.
+func (l *Leaf) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
+
 // serve accepts until Close.
 func (l *Leaf) serve() {
 	for {
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/standin/hosted"
 )
 
 // promisesNotRun reports whether a status says that a request has not run and
@@ -76,11 +78,22 @@
 			r.violation(fmt.Sprintf("%d runs at service %s, of %d allowed", n, service, mostAttempts), o.request, "")
 		}
 	}
+	r.checkSigners(o, arrivals)
 	if o.status == 0 && o.cut && o.planned && total > 0 {
 		r.violation("a planned stop cut off a request that a leaf had run", o.request, "")
 	}
 }
 
+// checkSigners checks that each leaf whose signature an answer bears has run the request.
+func (r *run) checkSigners(o *outcome, arrivals []arrival) {
+	for _, sig := range append(strings.Split(o.header.Get(hosted.HeaderSignatures), ","), o.header.Get(hosted.HeaderSignature)) {
+		by, ok := signedBy(strings.TrimSpace(sig), o.request)
+		if ok && !slices.ContainsFunc(arrivals, func(a arrival) bool { return a.ran && a.leaf == by.leaf }) {
+			r.violation("the signature of a leaf that did not run it", o.request, by.leaf)
+		}
+	}
+}
+
 // allowed reports whether any configuration leads a kind of request to a service.
 func allowed(k kind, service string) bool {
 	switch k {
--- a/standin/soak/client.go
+++ b/standin/soak/client.go
@@ -56,6 +56,8 @@
 	// planned says that the instance was stopping by plan, and nothing else was
 	// wrong there.
 	planned bool
+	// long says that it is a PUT with a long body.
+	long bool
 	// watch says that it is no client's, see watchVersions.
 	watch bool
 	// target is that of the request; empty: the usual one of its kind.
@@ -81,7 +83,9 @@
 			case <-time.After(time.Duration(random.ExpFloat64() * float64(r.site.profile.thinkTime))):
 			}
 			sequence++
-			o := r.ask(n, conn, reader, fmt.Sprintf("%d-%d-%d", r.options.Seed, number, sequence), r.site.profile.drawKind(random))
+			o := outcome{request: fmt.Sprintf("%d-%d-%d", r.options.Seed, number, sequence), kind: r.site.profile.drawKind(random)}
+			o.long = r.site.profile.longBodies && o.kind == kindOnce && random.IntN(2) == 0
+			o = r.ask(n, conn, reader, o)
 			if o.status == 0 || strings.EqualFold(o.header.Get("Connection"), "close") {
 				break
 			}
@@ -107,9 +111,10 @@
 }
 
 // ask sends one request and notes what came of it.
-func (r *run) ask(n *instance, conn net.Conn, reader *bufio.Reader, request string, k kind) outcome {
+func (r *run) ask(n *instance, conn net.Conn, reader *bufio.Reader, o outcome) outcome {
 	incarnation := n.started()
-	o := r.exchange(n, conn, reader, request, k)
+	o.target = o.kind.target(o.request)
+	o = r.exchangeTarget(n, conn, reader, o)
 	r.note(n, incarnation, o)
 	return o
 }
@@ -123,8 +128,13 @@
 func (r *run) exchangeTarget(n *instance, conn net.Conn, reader *bufio.Reader, o outcome) outcome {
 	o.instance, o.sent, o.inTouch = n.name, time.Now(), r.inTouch(n)
 	_ = conn.SetDeadline(time.Now().Add(readTime))
-	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", o.target,
-		hosted.Host, hosted.HeaderRequest, o.request, hosted.HeaderDeadlineMS, r.site.profile.timeFor(o.kind).Milliseconds())
+	head, body := fmt.Sprintf("GET %s HTTP/1.1\r\n", o.target), ""
+	if o.long {
+		body = longBody(o.request)
+		head = fmt.Sprintf("PUT %s HTTP/1.1\r\nContent-Length: %d\r\n", o.target, len(body))
+	}
+	_, err := fmt.Fprintf(conn, "%sHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n%s", head,
+		hosted.Host, hosted.HeaderRequest, o.request, hosted.HeaderDeadlineMS, r.site.profile.timeFor(o.kind).Milliseconds(), body)
 	if err == nil {
 		err = o.read(reader)
 	}
@@ -178,14 +188,33 @@
 	r.mu.Lock()
 	r.outcomes = append(r.outcomes, o)
 	r.mu.Unlock()
-	switch o.status {
-	case http.StatusOK:
+	switch {
+	case o.status == http.StatusOK:
 		r.checkSuccess(n, incarnation, &o)
-	case http.StatusNotFound:
+	case o.header.Get(hosted.HeaderSignature) != "":
+		if fault := checkFailure(&o); fault != "" {
+			r.violation(fault, o.request, n.name)
+		}
+	case o.status == http.StatusNotFound:
 		r.violation("a route that every configuration has was not found", o.request, n.name)
 	}
 }
 
+// checkFailure checks a leaf's failure: its status and body are those that the leaf gave to this
+// request.
+func checkFailure(o *outcome) string {
+	by, ok := signedBy(o.header.Get(hosted.HeaderSignature), o.request)
+	switch {
+	case !ok:
+		return "a failure with a signature that is not of this request"
+	case by.status != o.status:
+		return fmt.Sprintf("a failure with status %d, the leaf gave %d", o.status, by.status)
+	case o.body != failureBody(o.request):
+		return "a failure whose body is not the leaf's whole body"
+	}
+	return ""
+}
+
 // checkSuccess checks what a success says.
 func (r *run) checkSuccess(n *instance, incarnation int, o *outcome) {
 	if o.kind == kindSearch {
@@ -194,14 +223,16 @@
 		}
 		return
 	}
-	service, ok := signedBy(o.header.Get(hosted.HeaderSignature), o.request)
+	by, ok := signedBy(o.header.Get(hosted.HeaderSignature), o.request)
 	switch {
 	case !ok:
 		r.violation("a success without the leaf's signature of this request", o.request, n.name)
-	case o.body != records(o.request, service):
+	case by.status != http.StatusOK:
+		r.violation(fmt.Sprintf("a success where the leaf had answered with %d", by.status), o.request, n.name)
+	case o.body != records(o.request, by.service):
 		r.violation("a body that is not the leaf's whole body", o.request, n.name)
 	case o.kind == kindProbe:
-		r.checkVersion(n, incarnation, o, service)
+		r.checkVersion(n, incarnation, o, by.service)
 	}
 }
 
@@ -210,15 +241,18 @@
 func (r *run) checkCombined(o *outcome) string {
 	var services, bodies []string
 	for _, sig := range strings.Split(o.header.Get(hosted.HeaderSignatures), ",") {
-		service, ok := signedBy(strings.TrimSpace(sig), o.request)
+		by, ok := signedBy(strings.TrimSpace(sig), o.request)
 		if !ok {
 			return "a part's signature is not of this request"
 		}
-		if slices.Contains(services, service) {
+		if by.status != http.StatusOK {
+			return fmt.Sprintf("a part that its leaf had failed with %d", by.status)
+		}
+		if slices.Contains(services, by.service) {
 			return "two parts of one shard"
 		}
-		services = append(services, service)
-		bodies = append(bodies, records(o.request, service))
+		services = append(services, by.service)
+		bodies = append(bodies, records(o.request, by.service))
 	}
 	missing, err := strconv.Atoi(o.header.Get(hosted.HeaderMissing))
 	if err != nil {
--- a/standin/soak/leaf.go
+++ b/standin/soak/leaf.go
@@ -72,12 +72,17 @@
 	queued            atomic.Int64 // requests that wait for a slot
 	ledger            *ledger
 	started           time.Time
+	// report notes a broken promise.
+	report func(what, request, leaf string)
 	// crash ends the leaf because of a request and reports whether it was still running.
 	crash func(*fakeLeaf) bool
 
 	mu      sync.Mutex
 	work    time.Duration
 	failing bool
+	// err spoils errShare of its answers; nil: none.
+	err      leafError
+	errShare float64
 	// declined is the share of the requests that it declines.
 	declined float64
 	// resumed is closed when a leaf that stands still goes on; nil: it does not stand still.
@@ -207,12 +212,12 @@
 	if r.Header.Get(hosted.HeaderExpect) != f.id {
 		a.misdirected = true
 		f.ledger.add(a)
-		return rawleaf.Reply{Bytes: hosted.Misdirected(f.id)}
+		return rawleaf.Reply{Bytes: hosted.Misdirected(r, f.id)}
 	}
 	deadline, err := strconv.Atoi(r.Header.Get(hosted.HeaderDeadlineMS))
 	if err != nil || f.declines() || !f.takeSlot(time.Duration(deadline)*time.Millisecond) {
 		f.ledger.add(a)
-		return rawleaf.Reply{Bytes: hosted.Declined()}
+		return rawleaf.Reply{Bytes: hosted.Declined(r)}
 	}
 	defer func() { <-f.slots }()
 	a.ran = true
@@ -228,7 +233,13 @@
 	if failing {
 		return rawleaf.Reply{End: rawleaf.Reset}
 	}
-	return rawleaf.Reply{Bytes: hosted.Answer(r, signature(id, f.service, f.id), records(id, f.service))}
+	reply := rawleaf.Reply{Bytes: hosted.Answer(r, signature(id, f.service, f.id), records(id, f.service)), OnBody: func(body []byte) {
+		if len(body) > 0 && string(body) != longBody(id) {
+			f.report("a leaf got another body", id, f.id)
+		}
+	}}
+	f.spoil(id, &reply)
+	return reply
 }
 
 // signature is a leaf's proof of its answer to a request.
@@ -236,14 +247,22 @@
 	return fmt.Sprintf("%s.%s.%016x", service, leaf, xxhash.Sum64String(request+"\x00"+service+"\x00"+leaf))
 }
 
-// signedBy returns the service whose leaf signed an answer to the request; ok is
-// false when the signature is of another request or of nobody.
-func signedBy(sig, request string) (service string, ok bool) {
+// signer is whose signature an answer to a request bears, and what it signed.
+type signer struct {
+	service, leaf string
+	status        int
+}
+
+// signedBy returns who signed an answer to the request; ok is false when the signature is of
+// another request or of nobody.
+func signedBy(sig, request string) (by signer, ok bool) {
 	parts := strings.Split(sig, ".")
 	if len(parts) != 3 || signature(request, parts[0], parts[1]) != sig {
-		return "", false
+		return signer{}, false
 	}
-	return parts[0], true
+	by.service = parts[0]
+	by.leaf, by.status = statusOf(parts[1])
+	return by, true
 }
 
 // records are the body of a service's answer to a request.
--- a/standin/soak/profile.go
+++ b/standin/soak/profile.go
@@ -23,7 +23,9 @@
 	leaf      leafProfile
 	// objective and clientTime are of the routes over shards.
 	objective, clientTime time.Duration
-	faults                []string // the names of its faults; nil: all of defaultFaults
+	// longBodies says that some requests that are not idempotent have long bodies.
+	longBodies bool
+	faults     []string // the names of its faults; nil: all of defaultFaults
 }
 
 // leafProfile is how the leaves serve.
@@ -55,6 +57,17 @@
 		leaf:      leafProfile{slots: 2, queue: 12, work: 11 * time.Millisecond, spread: 0.35, pause: 120 * time.Millisecond, pauseInterval: 3 * time.Second},
 		objective: 50 * time.Millisecond, clientTime: 500 * time.Millisecond,
 	},
+	// Leaves err in all ways that the platform's pages allow.
+	"erring": {
+		shards: 6, minShards: 4, maxShards: 8, zones: 2, leavesEach: 3, bound: 3 * time.Second, slack: 60, thinkTime: 40 * time.Millisecond,
+		kinds:     []kind{kindOne, kindOnce, kindOnce, kindProbe, kindSearch, kindSearch},
+		leaf:      leafProfile{slots: 8, work: 8 * time.Millisecond},
+		objective: 300 * time.Millisecond, clientTime: maxClientTime, longBodies: true,
+		faults: []string{
+			"leaf answers twice", "leaf omits length", "leaf cuts answers", "leaf sends wrong bytes", "leaf sends endless bytes",
+			"leaf fails requests", "leaf answers early", "leaf omits request ids",
+		},
+	},
 	// Leaves leave all the time, with a bound as long as that of large fleets. With few shards, many
 	// of them serve routes to one leaf, whose requests the instance that is asked sends itself.
 	"leaving": {
@@ -116,7 +129,7 @@
 	if p.faults == nil {
 		return defaultFaults, nil
 	}
-	all := slices.Concat(defaultFaults, namedFaults)
+	all := slices.Concat(defaultFaults, namedFaults, erringFaults())
 	var out []fault
 	for _, name := range p.faults {
 		if name == noFault {
@@ -137,7 +150,7 @@
 // FaultNames lists the names of all faults.
 func FaultNames() []string {
 	out := []string{noFault}
-	for _, f := range slices.Concat(defaultFaults, namedFaults) {
+	for _, f := range slices.Concat(defaultFaults, namedFaults, erringFaults()) {
 		if !slices.Contains(out, f.name) {
 			out = append(out, f.name)
 		}
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -65,6 +65,7 @@
 	dir       string
 	seed      uint64
 	profile   *loadProfile
+	report    func(what, request, leaf string) // notes a broken promise
 	binary    string
 	server    *platform.Server
 	address   string // of the store
@@ -108,7 +109,7 @@
 const settleTime = 8 * time.Second
 
 // newSite starts the store and the first leaves; no instance runs yet.
-func newSite(o Options) (*site, error) {
+func newSite(o Options, report func(what, request, leaf string)) (*site, error) {
 	profile, err := o.profile()
 	if err != nil {
 		return nil, err
@@ -119,7 +120,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &site{
-		dir: o.Dir, seed: o.Seed, profile: profile, binary: o.Binary, server: platform.New(platform.Settings{}), address: l.Addr().String(), end: cancel,
+		dir: o.Dir, seed: o.Seed, profile: profile, report: report, binary: o.Binary, server: platform.New(platform.Settings{}), address: l.Addr().String(), end: cancel,
 		ledger: &ledger{}, leaves: make(map[string]*fakeLeaf), departures: make(map[string]departure),
 	}
 	go func() { _ = s.server.Serve(ctx, l) }()
@@ -186,7 +187,7 @@
 	}
 	s.started++
 	l.started = time.Now()
-	l.crash = s.replaceCrashed
+	l.crash, l.report = s.replaceCrashed, s.report
 	s.leaves[id] = l
 	s.register(l)
 	return l, nil
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -68,6 +68,8 @@
 	RepeatUse RepeatUse
 	// DrainUse is what reached leaves after they had left.
 	DrainUse DrainUse
+	// PeakMemory is the greatest resident memory of an instance, in bytes.
+	PeakMemory int64
 	// Unserved describes the requests of the calm end that were not served, a line a reason.
 	Unserved   []string
 	Violations []Violation
@@ -93,6 +95,7 @@
 	sends      map[send][]string // names of instances, by what they sent
 	lapses     []span            // outages in which entries lapsed, until all were back
 	unserved   []string
+	peakMemory int64 // of any instance, in bytes
 }
 
 // Times of a soak.
@@ -118,16 +121,17 @@
 // Run plays one soak. The error says that it could not be played; what it found
 // is in the report.
 func Run(o Options) (*Report, error) {
-	s, err := newSite(o)
+	r := &run{options: o, faults: make(map[string]int)}
+	s, err := newSite(o, r.violation)
 	if err != nil {
 		return nil, fmt.Errorf("start the site: %w", err)
 	}
 	defer s.close()
+	r.site = s
 	faults, err := s.profile.selectFaults()
 	if err != nil {
 		return nil, err
 	}
-	r := &run{options: o, site: s, faults: make(map[string]int)}
 	if err := r.setStoreFaults(platform.Faults{}); err != nil {
 		return nil, err
 	}
@@ -138,6 +142,7 @@
 		clients.Go(func() { r.client(i, rand.New(rand.NewPCG(o.Seed, uint64(i)+1)), stop) })
 	}
 	clients.Go(func() { r.watchVersions(stop) })
+	clients.Go(func() { r.watchMemory(stop) })
 	err = r.playFaults(rand.New(rand.NewPCG(o.Seed, 0)), faults)
 	err = errors.Join(err, r.calm())
 	calmEnd := time.Now()
@@ -210,7 +215,7 @@
 func (r *run) report() *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := &Report{Faults: r.faults, RepeatUse: r.repeatUse, DrainUse: r.drainUse, Unserved: r.unserved, Violations: slices.Clone(r.violations)}
+	out := &Report{Faults: r.faults, RepeatUse: r.repeatUse, DrainUse: r.drainUse, Unserved: r.unserved, PeakMemory: r.peakMemory, Violations: slices.Clone(r.violations)}
 	for i := range r.outcomes {
 		if r.outcomes[i].watch || isCrashing(r.outcomes[i].target) {
 			continue
@@ -244,6 +249,7 @@
 		fmt.Fprintf(&b, "drains: %d leaves left, %d of them without a drain mark; %d arrivals after that, the latest after %v\n",
 			u.Departures, u.Removed, u.Counted, u.Latest.Round(time.Millisecond))
 	}
+	fmt.Fprintf(&b, "memory: at most %d MB\n", r.PeakMemory>>20)
 	for _, line := range r.Unserved {
 		fmt.Fprintf(&b, "not served in the calm end: %s\n", line)
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -63,6 +63,23 @@
 	})
 }
 
+// TestSoakOfLeavesThatErr plays leaves that answer twice, cut their answers, fail requests, and send
+// wrong or endless bytes, beside kills and stops.
+func TestSoakOfLeavesThatErr(t *testing.T) {
+	playSoaks(t, []soakCase{
+		{
+			options: Options{Seed: 57, For: 12 * time.Second, Instances: 3, Clients: 12, Profile: "erring"},
+			cause:   "late second answers were taken for the next one's, failures for parts, and bytes without an end filled the memory",
+		},
+		{
+			options: Options{Seed: 58, For: 12 * time.Second, Instances: 4, Clients: 16, Profile: "erring", Faults: []string{
+				"leaf answers twice", "leaf answers early", "leaf fails requests", "leaf cuts answers", "kill", "stop", "reshard",
+			}},
+			cause: "none: the same beside kills, stops and other sets of shards",
+		},
+	})
+}
+
 // playSoaks plays soaks, none of which may break a promise.
 func playSoaks(t *testing.T, soaks []soakCase) {
 	t.Helper()
