Take a response for a request's own only if that is proven

Callers got answers of other requests: a leaf that answers twice, late and without a request ID, had its second response taken for the next one's on the connection, since a response without an ID was accepted on any connection. A late decline also let a request run twice: the next request counted as not run and was sent again.

The exchange now decides in one place (entry/leafclient/answer.go) whose a response is, before its body counts: its own ID proves it, unless the connection has carried that ID before; without an ID only the first response of a connection is proven, as nothing else was asked there. A connection is reused only if its last response named the request, so that a leaf that never sends an ID is served over a new connection each time. A response that names an earlier request of the connection is skipped and the own one read after it; the connection is closed then.

--- a/entry/leafclient/discard.go
+++ b/entry/leafclient/discard.go
@@ -11,14 +11,16 @@
 
 // The reasons, each a constant: they go to the log, which must hold no bytes of a leaf.
 const (
-	DiscardOtherRequest DiscardReason = "answers another request"
-	DiscardMalformed    DiscardReason = "not an HTTP response"
-	DiscardIncomplete   DiscardReason = "cut short"
-	DiscardBodyTooLong  DiscardReason = "body over the limit"
-	DiscardEncoded      DiscardReason = "body is encoded"
-	DiscardUnsigned     DiscardReason = "success without signature"
-	DiscardFailure      DiscardReason = "leaf's failure"
-	DiscardNotRunStatus DiscardReason = "status promises not run"
+	DiscardOtherRequest  DiscardReason = "answers another request"
+	DiscardUnproven      DiscardReason = "not proven to answer this request"
+	DiscardMalformed     DiscardReason = "not an HTTP response"
+	DiscardIncomplete    DiscardReason = "cut short"
+	DiscardBodyTooLong   DiscardReason = "body over the limit"
+	DiscardEncoded       DiscardReason = "body is encoded"
+	DiscardUnsigned      DiscardReason = "success without signature"
+	DiscardContradiction DiscardReason = "success that says not run"
+	DiscardFailure       DiscardReason = "leaf's failure"
+	DiscardNotRunStatus  DiscardReason = "status promises not run"
 )
 
 // discardError is an error of an exchange whose bytes were discarded.
--- a/entry/leafclient/exchanger.go
+++ b/entry/leafclient/exchanger.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,7 +14,8 @@
 // Exchanger runs HTTP/1.1 exchanges over connections of its own, for leaf
 // protocols that need guarantees which http.Transport does not give: it never
 // resends a request by itself, never takes an unsolicited response for the next
-// reply, and reuses a connection only after a complete exchange. A small exchange
+// reply, and reuses a connection only after a complete exchange whose response named the
+// request. A small exchange
 // costs one write and, usually, one read, in the caller's goroutine. It is safe
 // for concurrent use.
 type Exchanger struct {
@@ -24,45 +26,53 @@
 
 // ExchangeRequest is one request of an Exchanger.
 type ExchangeRequest struct {
+	// ID is the request's ID; empty: it has none.
+	ID     string
 	Method string
 	// AppendHead appends the request line and the headers, with the empty line that
 	// ends them, to buf; left is the time until the deadline.
 	AppendHead func(buf []byte, left time.Duration) []byte
 	Body       []byte
-	// Matches reports whether a response with header h belongs to this request. If
-	// not, the connection is closed.
-	Matches func(h http.Header) bool
+	// ParseHead translates the head of a response.
+	ParseHead func(*http.Response) AnswerHead
 	// OnDiscard, if it is not nil, is called when bytes of the leaf are discarded.
 	OnDiscard func(DiscardReason)
 }
 
-// ExchangeResponse is a complete response.
+// discard calls OnDiscard.
+func (r *ExchangeRequest) discard(reason DiscardReason) {
+	if r.OnDiscard != nil {
+		r.OnDiscard(reason)
+	}
+}
+
+// ExchangeResponse is a complete response that is proven to be its request's own.
 type ExchangeResponse struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	// Verdict is what the response proves. Discarded is why it is no answer, and empty for one.
+	Verdict   Verdict
+	Discarded DiscardReason
 	// Closing says that the leaf closes the connection after this response.
 	Closing bool
 }
 
+// errBodyTooLong says that a response body is longer than Exchanger.maxBody.
+var errBodyTooLong = &discardError{DiscardBodyTooLong, errors.New("response body over the limit")}
+
 // NewExchanger returns an Exchanger that accepts response bodies of at most maxBody
 // bytes.
 func NewExchanger(maxBody int64) *Exchanger {
 	return &Exchanger{maxBody: maxBody, leaves: make(map[string]*socketPool)}
 }
 
-// errWrongRequest says that a response belongs to another request.
-var errWrongRequest = &discardError{DiscardOtherRequest, errors.New("the response belongs to another request")}
-
-// errBodyTooLong says that a response body is longer than Exchanger.maxBody.
-var errBodyTooLong = &discardError{DiscardBodyTooLong, errors.New("response body over the limit")}
-
 // Do runs one exchange. It calls beforeSend at most once, when it has a connection
 // and has sent nothing; if beforeSend returns false, Do sends nothing and returns a
 // *DialError. The error, if any, is a *DialError or *BrokenError.
 func (x *Exchanger) Do(ctx context.Context, t Target, out *ExchangeRequest, beforeSend func() bool) (*ExchangeResponse, error) {
 	s := x.poolFor(t)
-	c, err := s.get(ctx)
+	c, err := s.get(ctx, out.ID)
 	if err != nil {
 		return nil, &DialError{Leaf: t.ID, Err: err}
 	}
@@ -73,12 +83,16 @@
 	in, keep, err := x.exchange(ctx, c, out)
 	if err != nil {
 		s.reset(c)
-		if reason, ok := discardReason(ctx, err, c.received); ok && out.OnDiscard != nil {
-			out.OnDiscard(reason)
+		if reason, ok := discardReason(ctx, err, c.received); ok {
+			out.discard(reason)
 		}
 		return nil, newBrokenError(ctx, t.ID, err)
 	}
+	if in.Discarded != "" {
+		out.discard(in.Discarded)
+	}
 	if keep {
+		c.history.add(out.ID)
 		s.put(c)
 	} else {
 		s.drop(c)
@@ -103,25 +117,18 @@
 		}
 	}()
 	c.received = false
+	c.history.unsolicited = c.history.requests == 0 && !c.isEmpty()
 	written, err := c.send(out, time.Until(deadline))
 	if err != nil {
 		return nil, false, err
 	}
-	resp, err := c.readResponse(out.Method)
-	if err != nil {
-		return nil, false, err
-	}
-	defer resp.Body.Close()
-	if !out.Matches(resp.Header) {
-		return nil, false, errWrongRequest
-	}
-	body, err := x.readBody(resp)
+	in, reusable, err := x.receive(c, out)
 	if err != nil {
 		return nil, false, err
 	}
-	keep = !resp.Close && c.reader.Buffered() == 0 && written() && c.conn.SetDeadline(time.Time{}) == nil
-	c.setMaxIdle(resp.Header.Get("Keep-Alive"))
-	return &ExchangeResponse{Status: resp.StatusCode, Header: resp.Header, Body: body, Closing: resp.Close}, keep, nil
+	keep = reusable && c.reader.Buffered() == 0 && written() && c.conn.SetDeadline(time.Time{}) == nil
+	c.setMaxIdle(in.Header.Get("Keep-Alive"))
+	return in, keep, nil
 }
 
 // readBody reads the complete body. A body without a length ends when the leaf closes
@@ -198,23 +205,31 @@
 // minFinalStatus is the lowest final HTTP status; lower ones are interim.
 const minFinalStatus = 200
 
-// readResponse reads the final response and skips interim ones.
-func (c *socket) readResponse(method string) (*http.Response, error) {
+// errNotHTTP replaces the error of malformed bytes, whose text holds what the leaf sent.
+var errNotHTTP = &discardError{DiscardMalformed, errors.New("malformed HTTP response")}
+
+// readHead reads the head of the final response and skips interim ones.
+func (c *socket) readHead(method string) (*http.Response, error) {
 	for {
-		_, err := c.reader.Peek(1)
-		if err != nil {
+		if _, err := c.reader.Peek(1); err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
 		c.received = true
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
+		var timeout net.Error
+		var discarded *discardError
+		switch {
+		case err == nil:
+		case isClosed(err), errors.As(err, &discarded), errors.As(err, &timeout):
 			return nil, fmt.Errorf("read response: %w", err)
+		default:
+			return nil, errNotHTTP
 		}
 		if resp.StatusCode >= minFinalStatus {
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("unsolicited response 101 Switching Protocols")
+			return nil, &discardError{DiscardMalformed, errors.New("unsolicited response 101 Switching Protocols")}
 		}
 	}
 }
--- a/entry/leafclient/socketpool.go
+++ b/entry/leafclient/socketpool.go
@@ -62,14 +62,14 @@
 	return s
 }
 
-// get takes an idle connection that is still usable, or opens one.
-func (s *socketPool) get(ctx context.Context) (*socket, error) {
+// get takes an idle connection that is still usable for a request with the given ID, or opens one.
+func (s *socketPool) get(ctx context.Context, id string) (*socket, error) {
 	for {
 		c := s.pop()
 		if c == nil {
 			return s.dial(ctx)
 		}
-		if c.isUsable(time.Now()) {
+		if c.isUsable(time.Now()) && !c.history.carried(id) {
 			return c, nil
 		}
 		s.drop(c)
@@ -168,6 +168,7 @@
 	conn      net.Conn
 	raw       syscall.RawConn // nil if conn has none
 	reader    *bufio.Reader
+	history   history
 	buf       []byte
 	idleSince time.Time     // when the connection became idle
 	maxIdle   time.Duration // idle time after which it is not reused; 0: unknown
@@ -220,11 +221,13 @@
 
 // isUsable reports whether an idle connection can carry an exchange: the leaf has not
 // closed it and has sent nothing unsolicited. Unsolicited data that arrives after this
-// check is detected by ExchangeRequest.Matches.
+// check is detected by its origin, see history.
 func (c *socket) isUsable(now time.Time) bool {
-	if c.maxIdle > 0 && now.Sub(c.idleSince) >= c.maxIdle {
-		return false
-	}
+	return (c.maxIdle == 0 || now.Sub(c.idleSince) < c.maxIdle) && c.isEmpty()
+}
+
+// isEmpty reports whether the connection is open and has nothing to read.
+func (c *socket) isEmpty() bool {
 	if c.raw == nil {
 		return true
 	}
--- a/entry/leafclient/socketpool_test.go
+++ b/entry/leafclient/socketpool_test.go
@@ -24,7 +24,7 @@
 	defer s.close()
 	useOnce := func() {
 		t.Helper()
-		c, err := s.get(context.Background())
+		c, err := s.get(context.Background(), "q")
 		if err != nil {
 			t.Fatal(err)
 		}
