A leaf's failure is no part of a query

Callers got successes that named the signature of a leaf which had failed its part, with its error text among the records: only statuses from 500 on, 408, 421, 429 and 503 counted as failures, whether a response is returned unchanged (where a 404 is the answer) or merged. A request now says whether its answer is merged, and the place that judges responses takes a success only for a part then: the shard is asked again at another leaf, within its attempts, or counted as missing.

--- a/entry/executor/exchange.go
+++ b/entry/executor/exchange.go
@@ -39,7 +39,7 @@
 	// sent: a leaf that closes every connection proves nothing about the request.
 	up := e.leafState.isUp(s.leaf.ID)
 	target := leafclient.Target{ID: s.leaf.ID, Name: s.leaf.Name, Address: s.leaf.Address, Connections: s.leaf.Connections, DialCost: s.dialCost}
-	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body, Forwarded: a.run.request.Forwarded, OnDiscard: func(reason leafclient.DiscardReason) { e.reportDiscard(a, s.leaf.ID, reason) }}
+	request := &leafclient.Request{ID: a.run.id, Attempt: a.token, Version: a.offer.Version, Range: a.offer.Part.Range, Body: a.run.request.Body, Forwarded: a.run.request.Forwarded, Merged: a.run.request.Service.Config.TopK > 0, OnDiscard: func(reason leafclient.DiscardReason) { e.reportDiscard(a, s.leaf.ID, reason) }}
 	reply, err := e.config.LeafClient.Run(s.ctx, target, request, func() bool {
 		return e.awaitCurrentState(s.ctx) && a.run.maySend(s.ctx, a) && a.run.confirmSend(a, leaf)
 	})
--- a/entry/leafclient/answer.go
+++ b/entry/leafclient/answer.go
@@ -25,7 +25,7 @@
 const (
 	// Unusable: nothing; the request may have run.
 	Unusable Verdict = iota
-	// Answered: it is the leaf's answer, to be returned unchanged.
+	// Answered: it is the leaf's answer, to be returned unchanged or merged with others.
 	Answered
 	// Failed: the leaf failed the request, which may have run.
 	Failed
@@ -35,9 +35,9 @@
 	Misdirected
 )
 
-// judge returns what a response proves that is complete and its request's own. The reason is set for
-// responses that are no answer.
-func (h *AnswerHead) judge() (Verdict, DiscardReason) {
+// judge returns what a response proves that is complete and its request's own. A failure is no
+// part of a merged answer. The reason is set for responses that are no answer.
+func (h *AnswerHead) judge(merged bool) (Verdict, DiscardReason) {
 	switch {
 	case h.Misdirected:
 		return Misdirected, ""
@@ -51,7 +51,7 @@
 		return Unusable, DiscardUnsigned
 	case impliesNotRun(h.Status):
 		return Unusable, DiscardNotRunStatus
-	case h.Status >= http.StatusInternalServerError:
+	case h.Status >= http.StatusInternalServerError, merged && h.Status >= http.StatusMultipleChoices:
 		return Failed, DiscardFailure
 	default:
 		return Answered, ""
@@ -148,7 +148,7 @@
 		}
 		if from == originOwn {
 			in := &ExchangeResponse{Status: resp.StatusCode, Header: resp.Header, Body: body, Closing: resp.Close}
-			in.Verdict, in.Discarded = head.judge()
+			in.Verdict, in.Discarded = head.judge(out.Merged)
 			return in, !skipped && !resp.Close && len(head.RequestIDs) > 0, nil
 		}
 		out.discard(reason)
--- a/entry/leafclient/exchanger.go
+++ b/entry/leafclient/exchanger.go
@@ -33,6 +33,8 @@
 	// ends them, to buf; left is the time until the deadline.
 	AppendHead func(buf []byte, left time.Duration) []byte
 	Body       []byte
+	// Merged says that the answer is merged with others.
+	Merged bool
 	// ParseHead translates the head of a response.
 	ParseHead func(*http.Response) AnswerHead
 	// OnDiscard, if it is not nil, is called when bytes of the leaf are discarded.
--- a/entry/leafclient/leafclient.go
+++ b/entry/leafclient/leafclient.go
@@ -57,6 +57,8 @@
 	// Forwarded is the caller's HTTP request where it is forwarded unchanged; nil in
 	// the leaf protocol, which sends Body.
 	Forwarded *ForwardedRequest
+	// Merged says that a forwarded request's answer is merged with others.
+	Merged bool
 	// OnDiscard, if it is not nil, is called when bytes of the leaf are discarded.
 	OnDiscard func(DiscardReason)
 }
