Bound what leaves send: heads, bodies, health responses, and the sum of all bodies

Instances were ended for their memory, and all that they had in flight was cut off: a leaf's head was read without a limit until a newline came, interim responses until the deadline, and nothing bounded the sum of bodies of 8 MiB each. The error of a malformed status line held all that the leaf had sent.

All heads of one exchange count against 64 KiB, a body's raw bytes against twice the body limit. Bodies of more than 32 KiB take memory from a budget of all exchanges, a fifth of the instance's memory, until the garbage collector has freed them; one with a length waits for its share, one without fails when there is none, so that no two wait for each other. Smaller bodies need none: endless bytes don't keep usual answers out. The connection is reset. The same limits hold in our own leaf protocol, for the check of a new connection and for health responses, and the store's heads are bounded too.

--- a/entry/leafclient/answer.go
+++ b/entry/leafclient/answer.go
@@ -130,8 +130,9 @@
 // receive reads the response to a request: complete, and proven to be its own. It skips interim
 // responses and those to earlier requests of the connection. reusable reports whether the next
 // response on the connection will have a known origin.
-func (x *Exchanger) receive(c *socket, out *ExchangeRequest) (in *ExchangeResponse, reusable bool, err error) {
+func (x *Exchanger) receive(c *socket, out *ExchangeRequest, wait waiter) (in *ExchangeResponse, reusable bool, err error) {
 	skipped := false
+	c.input.left = maxHeadBytes
 	for {
 		resp, err := c.readHead(out.Method)
 		if err != nil {
@@ -142,7 +143,8 @@
 		if from == originUnknown {
 			return nil, false, &discardError{reason, errOrigin}
 		}
-		body, err := x.readBody(resp)
+		c.input.left = 2 * x.maxBody // the rest is for what the encoding of chunks adds
+		body, err := x.memory.readBody(resp, x.maxBody, wait)
 		if err != nil {
 			return nil, false, err
 		}
@@ -156,5 +158,6 @@
 			return nil, false, &discardError{reason, errOrigin}
 		}
 		skipped = true
+		c.input.left = maxHeadBytes
 	}
 }
--- a/entry/leafclient/conns.go
+++ b/entry/leafclient/conns.go
@@ -58,6 +58,8 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		// All heads of the responses to one request count.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return lt
 }
--- a/entry/leafclient/exchanger.go
+++ b/entry/leafclient/exchanger.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -20,6 +19,7 @@
 // for concurrent use.
 type Exchanger struct {
 	maxBody int64
+	memory  *bodyMemory
 	mu      sync.Mutex
 	leaves  map[string]*socketPool // by Target.key
 }
@@ -60,13 +60,13 @@
 	Closing bool
 }
 
-// errBodyTooLong says that a response body is longer than Exchanger.maxBody.
-var errBodyTooLong = &discardError{DiscardBodyTooLong, errors.New("response body over the limit")}
-
-// NewExchanger returns an Exchanger that accepts response bodies of at most maxBody
-// bytes.
-func NewExchanger(maxBody int64) *Exchanger {
-	return &Exchanger{maxBody: maxBody, leaves: make(map[string]*socketPool)}
+// NewExchanger returns an Exchanger that accepts response bodies of at most maxBody bytes each, and
+// holds at most about bodyMemory bytes of them, 0 for a default.
+func NewExchanger(maxBody, bodyMemory int64) *Exchanger {
+	if bodyMemory == 0 {
+		bodyMemory = defaultBodyMemory
+	}
+	return &Exchanger{maxBody: maxBody, memory: newBodyMemory(bodyMemory, 2*maxBody), leaves: make(map[string]*socketPool)}
 }
 
 // Do runs one exchange. It calls beforeSend at most once, when it has a connection
@@ -124,7 +124,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	in, reusable, err := x.receive(c, out)
+	in, reusable, err := x.receive(c, out, waiter{ctx, deadline})
 	if err != nil {
 		return nil, false, err
 	}
@@ -133,27 +133,6 @@
 	return in, keep, nil
 }
 
-// readBody reads the complete body. A body without a length ends when the leaf closes
-// the connection; a connection reset is an error.
-func (x *Exchanger) readBody(resp *http.Response) ([]byte, error) {
-	if resp.Body == http.NoBody {
-		return nil, nil // a response to a HEAD request has a Content-Length and no body
-	}
-	if resp.ContentLength > x.maxBody {
-		return nil, errBodyTooLong
-	}
-	if resp.ContentLength > 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, x.maxBody+1))
-	if err == nil && int64(len(body)) > x.maxBody {
-		err = errBodyTooLong
-	}
-	return body, err
-}
-
 // poolFor returns the leaf's connection pool and creates it on first use.
 func (x *Exchanger) poolFor(t Target) *socketPool {
 	x.mu.Lock()
--- a/entry/leafclient/health.go
+++ b/entry/leafclient/health.go
@@ -12,7 +12,7 @@
 )
 
 // maxHealthBody is the most bytes read of a health response's body.
-const maxHealthBody = 64 << 10
+const maxHealthBody = 16 << 10
 
 // Health requests a leaf's health report, which is a hint: it may be outdated or
 // wrong.
@@ -27,10 +27,13 @@
 		return nil, fmt.Errorf("leaf %s: health: %w", t.ID, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHealthBody))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHealthBody+1))
 	if err != nil {
 		return nil, fmt.Errorf("leaf %s: health: %w", t.ID, err)
 	}
+	if len(body) > maxHealthBody {
+		return nil, fmt.Errorf("leaf %s: health: %w", t.ID, errBodyTooLong)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("leaf %s: health: status %d", t.ID, resp.StatusCode)
 	}
--- a/entry/leafclient/leafclient.go
+++ b/entry/leafclient/leafclient.go
@@ -98,13 +98,14 @@
 // use.
 type Client struct {
 	maxBody int64
+	memory  *bodyMemory
 	mu      sync.Mutex
 	leaves  map[string]*leafTransport // by Target.key
 }
 
 // New returns a Client that accepts reply bodies of at most maxBody bytes.
 func New(maxBody int64) *Client {
-	return &Client{maxBody: maxBody, leaves: make(map[string]*leafTransport)}
+	return &Client{maxBody: maxBody, memory: newBodyMemory(defaultBodyMemory, 2*maxBody), leaves: make(map[string]*leafTransport)}
 }
 
 // Run sends one attempt and reads the reply. It calls beforeSend at most once, when
@@ -200,13 +201,17 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, &BrokenError{Leaf: t.ID, Cause: CauseStatus, Err: fmt.Errorf("status %d", resp.StatusCode)}
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(dialTimeout)
+	}
+	body, err := c.memory.readBody(resp, c.maxBody, waiter{ctx, deadline})
 	if err != nil {
+		if reason, ok := discardReason(ctx, err, true); ok {
+			r.Discard(reason)
+		}
 		return nil, newBrokenError(ctx, t.ID, err)
 	}
-	if int64(len(body)) > c.maxBody {
-		return nil, &BrokenError{Leaf: t.ID, Cause: CauseMalformed, Err: errors.New("reply body over the limit")}
-	}
 	reply := &Reply{Body: body, LeafStatus: status}
 	if err := reply.parseHeaders(r, resp.Header); err != nil {
 		return nil, &BrokenError{Leaf: t.ID, Cause: CauseMalformed, Err: err}
@@ -214,6 +219,9 @@
 	return reply, nil
 }
 
+// maxDeclineBody is the most bytes read of a decline's body; a connection with more is closed.
+const maxDeclineBody = 4 << 10
+
 // readDecline returns the *DeclinedError of a response, and drains the body so that
 // the connection can be reused.
 func readDecline(t Target, resp *http.Response, reason leafapi.Decline, status LeafStatus) error {
@@ -221,7 +229,7 @@
 	if err != nil {
 		ranges = nil // a decline's ranges are only a hint
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<12))
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDeclineBody))
 	return &DeclinedError{Leaf: t.ID, Reason: reason, Ranges: ranges, LeafStatus: status}
 }
 
--- a/entry/leafclient/socketpool.go
+++ b/entry/leafclient/socketpool.go
@@ -167,6 +167,7 @@
 type socket struct {
 	conn      net.Conn
 	raw       syscall.RawConn // nil if conn has none
+	input     *limitedReader
 	reader    *bufio.Reader
 	history   history
 	buf       []byte
@@ -176,7 +177,8 @@
 }
 
 func newSocket(conn net.Conn) *socket {
-	c := &socket{conn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}
+	input := &limitedReader{r: conn}
+	c := &socket{conn: conn, input: input, reader: bufio.NewReaderSize(input, readBufferSize)}
 	if sc, ok := conn.(syscall.Conn); ok {
 		c.raw, _ = sc.SyscallConn() // without it, isUsable can't detect a closed connection
 	}
--- a/entry/leafclient/socketpool_test.go
+++ b/entry/leafclient/socketpool_test.go
@@ -55,7 +55,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	x := NewExchanger(1 << 20)
+	x := NewExchanger(1<<20, 0)
 	defer x.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	done, sending := make(chan error, 1), make(chan struct{})
--- a/entry/leafclient/verify.go
+++ b/entry/leafclient/verify.go
@@ -47,13 +47,13 @@
 	if err := req.Write(conn); err != nil {
 		return err
 	}
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReader(&limitedReader{r: conn, left: maxHeadBytes + maxHealthBody})
 	resp, err := http.ReadResponse(reader, req)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBody)); err != nil {
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return err
 	}
 	if resp.Close {
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -29,6 +29,9 @@
 // and a list holds many objects.
 const maxReplyBytes = 64 << 20
 
+// maxReplyHeadBytes bounds the head of a reply.
+const maxReplyHeadBytes = 64 << 10
+
 // watchGrace is how long a watch may take beyond its requested wait.
 const watchGrace = 2 * time.Second
 
@@ -107,6 +110,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: cfg.Concurrency + 2,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: maxReplyHeadBytes,
 	}
 }
 
