Leaf protocol: a decline of another attempt proves nothing for this one

The attempt is checked before anything else now, and a response to another attempt is not read to its end, so that its connection is closed.

TestDeclineOfAnotherAttemptIsNotTakenForThisOne failed before for declines without an attempt and with another's. TestOnlyDeclineHeaderCountsAsNotRun had a stand-in whose responses left the attempt out, against the protocol; it repeats it now and checks the same.

--- a/entry/leafclient/leafclient.go
+++ b/entry/leafclient/leafclient.go
@@ -184,9 +184,15 @@
 	return req, nil
 }
 
-// readReply reads a response and checks it in full: status, versions, ranges, attempt
-// and checksum. The error is a *DeclinedError or *BrokenError.
+// readReply reads a response and checks it in full: attempt, status, versions, ranges
+// and checksum. The error is a *DeclinedError or *BrokenError. A response to another attempt
+// is not read to its end, which closes the connection: the next response on it could be another's
+// too.
 func (c *Client) readReply(ctx context.Context, t Target, r *Request, resp *http.Response) (*Reply, error) {
+	if resp.Header.Get(leafapi.HeaderAttempt) != r.Attempt {
+		r.Discard(DiscardOtherRequest)
+		return nil, &BrokenError{Leaf: t.ID, Cause: CauseMalformed, Err: errors.New("reply is for another attempt")}
+	}
 	versions, err := leafapi.ParseVersions(resp.Header.Get(leafapi.HeaderVersions))
 	if err != nil {
 		return nil, &BrokenError{Leaf: t.ID, Cause: CauseMalformed, Err: err}
@@ -213,7 +219,7 @@
 		return nil, newBrokenError(ctx, t.ID, err)
 	}
 	reply := &Reply{Body: body, LeafStatus: status}
-	if err := reply.parseHeaders(r, resp.Header); err != nil {
+	if err := reply.parseHeaders(resp.Header); err != nil {
 		return nil, &BrokenError{Leaf: t.ID, Cause: CauseMalformed, Err: err}
 	}
 	return reply, nil
@@ -233,13 +239,8 @@
 	return &DeclinedError{Leaf: t.ID, Reason: reason, Ranges: ranges, LeafStatus: status}
 }
 
-// parseHeaders fills the reply from the headers h. It fails if the attempt or the
-// checksum differs.
-func (p *Reply) parseHeaders(r *Request, h http.Header) error {
-	if got := h.Get(leafapi.HeaderAttempt); got != r.Attempt {
-		r.Discard(DiscardOtherRequest)
-		return errors.New("reply is for another attempt")
-	}
+// parseHeaders fills the reply from the headers h. It fails if the checksum differs.
+func (p *Reply) parseHeaders(h http.Header) error {
 	if sum := h.Get(leafapi.HeaderChecksum); sum != fmt.Sprintf("%016x", xxhash.Sum64(p.Body)) {
 		return errors.New("reply body does not match its checksum")
 	}
--- a/entry/leafclient/leafclient_test.go
+++ b/entry/leafclient/leafclient_test.go
@@ -94,7 +94,8 @@
 // TestOnlyDeclineHeaderCountsAsNotRun checks that a response without the decline
 // header, such as a bare 503, does not count as not run.
 func TestOnlyDeclineHeaderCountsAsNotRun(t *testing.T) {
-	_, _, err := runAttempt(t, func(w http.ResponseWriter, _ *http.Request) {
+	_, _, err := runAttempt(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(leafapi.HeaderAttempt, r.Header.Get(leafapi.HeaderAttempt))
 		w.Header().Set(leafapi.HeaderNotRun, string(leafapi.DeclineWrongVersion))
 		w.Header().Set(leafapi.HeaderVersions, "8")
 		w.WriteHeader(http.StatusConflict)
@@ -103,13 +104,31 @@
 	if !errors.As(err, &declined) || declined.Reason != leafapi.DeclineWrongVersion || len(declined.Versions) != 1 {
 		t.Fatalf("error %v, want a DeclinedError with the versions served", err)
 	}
-	_, _, err = runAttempt(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+	_, _, err = runAttempt(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(leafapi.HeaderAttempt, r.Header.Get(leafapi.HeaderAttempt))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
 	var broken *BrokenError
 	if !errors.As(err, &broken) || broken.Cause != CauseStatus {
 		t.Fatalf("error %v, want a BrokenError: a bare 503 does not say that it was not run", err)
 	}
 }
 
+// TestDeclineOfAnotherAttemptIsNotTakenForThisOne checks a decline that names another attempt, or none.
+func TestDeclineOfAnotherAttemptIsNotTakenForThisOne(t *testing.T) {
+	for _, attempt := range []string{"", "a2"} {
+		_, sent, err := runAttempt(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(leafapi.HeaderAttempt, attempt)
+			w.Header().Set(leafapi.HeaderNotRun, string(leafapi.DeclineOverloaded))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		var broken *BrokenError
+		if !errors.As(err, &broken) || !sent {
+			t.Errorf("attempt %q: %v, want a BrokenError", attempt, err)
+		}
+	}
+}
+
 // TestConnectionClosedAfterSendIsBrokenError checks that a connection which the leaf
 // closes during a request gives a BrokenError, and one that can't be opened a DialError.
 func TestConnectionClosedAfterSendIsBrokenError(t *testing.T) {
