--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -43,6 +43,7 @@
 	for request := range byRequest {
 		r.violation("a leaf got a request that no client sent", request, "")
 	}
+	r.checkEndless(time.Now())
 	r.checkSends(arrivals)
 	r.checkDrains(arrivals, outcomes)
 	r.checkLapses(outcomes)
--- a/standin/soak/erring.go
+++ b/standin/soak/erring.go
@@ -208,9 +208,54 @@
 		begin += "\r\n"
 	}
 	good.Bytes, good.Endless = []byte(begin), []byte(piece)
-	good.OnEnded = func(took time.Duration) {
-		if took > maxClientTime+endlessLimit {
-			f.report(fmt.Sprintf("a leaf sent bytes that are no answer for %v", took.Round(time.Millisecond)), request, f.id)
+	a := &endlessAnswer{request: request, leaf: f.id, begun: time.Now()}
+	f.ledger.beginEndless(a)
+	good.OnEnded = func(time.Duration) {
+		f.ledger.endEndless(a)
+		if a.isOverdue(time.Now()) {
+			f.report(endlessFault, request, f.id)
+		}
+	}
+}
+
+// endlessFault is the fault of a connection that is not closed although its bytes have no end.
+const endlessFault = "a leaf could send bytes without an end after the request's deadline"
+
+// endlessAnswer is an answer without an end.
+type endlessAnswer struct {
+	request, leaf string
+	begun         time.Time
+}
+
+// isOverdue reports whether the connection should have been closed by a time.
+func (a *endlessAnswer) isOverdue(now time.Time) bool {
+	return now.Sub(a.begun) > maxClientTime+endlessLimit
+}
+
+// beginEndless notes that an answer without an end is being sent.
+func (l *ledger) beginEndless(a *endlessAnswer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.endless == nil {
+		l.endless = make(map[*endlessAnswer]struct{})
+	}
+	l.endless[a] = struct{}{}
+}
+
+// endEndless notes that its connection has ended.
+func (l *ledger) endEndless(a *endlessAnswer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.endless, a)
+}
+
+// checkEndless checks that no answer without an end is still being sent.
+func (r *run) checkEndless(now time.Time) {
+	r.site.ledger.mu.Lock()
+	defer r.site.ledger.mu.Unlock()
+	for a := range r.site.ledger.endless {
+		if a.isOverdue(now) {
+			r.violation(endlessFault, a.request, a.leaf)
 		}
 	}
 }
--- a/standin/soak/leaf.go
+++ b/standin/soak/leaf.go
@@ -41,6 +41,8 @@
 	mu       sync.Mutex
 	arrivals []arrival
 	crashes  map[string][]time.Time
+	// endless holds the answers without an end that are being sent.
+	endless map[*endlessAnswer]struct{}
 }
 
 // addCrash records that a request crashed a leaf.
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -97,6 +97,51 @@
 	}
 }
 
+// signedOutcome is the outcome of a request that a leaf has signed.
+func signedOutcome(leaf string) outcome {
+	o := outcome{request: "q", kind: kindOnce, status: http.StatusOK, header: make(http.Header)}
+	o.header.Set(hosted.HeaderSignature, signature("q", "alone", leaf))
+	return o
+}
+
+// TestFailureIsChecked changes a leaf's failure.
+func TestFailureIsChecked(t *testing.T) {
+	for _, tc := range []struct {
+		name, signature, body string
+		status                int
+		fault                 string
+	}{
+		{"good", signature("q", "alone", failureOf("l", 404)), failureBody("q"), 404, ""},
+		{"another request", signature("p", "alone", failureOf("l", 404)), failureBody("q"), 404, "not of this request"},
+		{"another status", signature("q", "alone", failureOf("l", 404)), failureBody("q"), 403, "the leaf gave 404"},
+		{"a success", signature("q", "alone", "l"), failureBody("q"), 404, "the leaf gave 200"},
+		{"another body", signature("q", "alone", failureOf("l", 404)), "x", 404, "whole body"},
+	} {
+		o := outcome{request: "q", status: tc.status, header: make(http.Header), body: tc.body}
+		o.header.Set(hosted.HeaderSignature, tc.signature)
+		if fault := checkFailure(&o); (fault == "") != (tc.fault == "") || !strings.Contains(fault, tc.fault) {
+			t.Errorf("%s: %q, want %q", tc.name, fault, tc.fault)
+		}
+	}
+}
+
+// TestOpenEndlessAnswerIsSeen has one answer without an end that goes on, and one that has ended.
+func TestOpenEndlessAnswerIsSeen(t *testing.T) {
+	r := &run{site: &site{ledger: &ledger{}}}
+	open, ended := &endlessAnswer{begun: time.Now()}, &endlessAnswer{begun: time.Now()}
+	r.site.ledger.beginEndless(open)
+	r.site.ledger.beginEndless(ended)
+	r.site.ledger.endEndless(ended)
+	r.checkEndless(time.Now())
+	if len(r.violations) != 0 {
+		t.Errorf("%d violations before the deadline", len(r.violations))
+	}
+	r.checkEndless(time.Now().Add(maxClientTime + 2*endlessLimit))
+	if len(r.violations) != 1 {
+		t.Errorf("%d violations, want 1", len(r.violations))
+	}
+}
+
 // TestChecksSeeFaults feeds the checks with what must not be.
 func TestChecksSeeFaults(t *testing.T) {
 	now := time.Now()
@@ -118,6 +163,8 @@
 		{"another service", whole(now, kindOnce, 200), []arrival{ran("s0x1", now)}, 1},
 		{"cut by a planned stop", outcome{request: "q", kind: kindOnce, cut: true, planned: true}, []arrival{ran("alone", now)}, 1},
 		{"cut by a fault", outcome{request: "q", kind: kindOnce, cut: true}, []arrival{ran("alone", now)}, 0},
+		{"signed by a leaf that ran it", signedOutcome("l"), []arrival{ran("alone", now)}, 0},
+		{"signed by a leaf that did not run it", signedOutcome("other"), []arrival{ran("alone", now)}, 1},
 		{"another target", whole(now, kindOnce, 200), []arrival{{request: "q", path: "/once/y", service: "alone", ran: true}}, 1},
 	} {
 		r := &run{}
@@ -204,6 +251,7 @@
 		{"a part twice", sign("a") + "," + sign("a"), "1", good, "two parts"},
 		{"two sets", sign("a") + "," + sign("d"), "1", good, "no set"},
 		{"another request", sign("a") + "," + signature("p", "b", "leaf"), "1", good, "not of this request"},
+		{"a part that failed", sign("a") + "," + signature("q", "b", failureOf("leaf", 403)), "1", good, "failed with 403"},
 		{"no number", both, "", good, "no number"},
 		{"other records", both, "1", greatest([]string{records("q", "c")}), "not the greatest"},
 		{"rising", both, "1", reversed(good), "not the greatest"},
