--- a/standin/soak/erring.go
+++ b/standin/soak/erring.go
@@ -167,9 +167,11 @@
 // sendWrongBytes sends bytes that are no answer, in place of one or after it.
 func sendWrongBytes(random *rand.Rand, request string, good *rawleaf.Reply, f *fakeLeaf) {
 	noise := []byte(records(request, f.service) + "\r\n\r\n")
-	switch random.IntN(4) {
+	switch random.IntN(5) {
 	case 0:
 		good.Bytes = noise
+	case 3:
+		good.Bytes = append(bytes.Clone(good.Bytes), withoutHeader(good.Bytes, hosted.HeaderRequest)...)
 	case 1:
 		good.Bytes = append([]byte("HTTP/1.1 OK\r\n"), noise...)
 	case 2:
