--- a/entry/leafclient/answer.go
+++ b/entry/leafclient/answer.go
@@ -132,7 +132,7 @@
 // response on the connection will have a known origin.
 func (x *Exchanger) receive(c *socket, out *ExchangeRequest, wait waiter) (in *ExchangeResponse, reusable bool, err error) {
 	skipped := false
-	c.input.left = maxHeadBytes
+	c.input.limit(maxHeadBytes, errHeadTooLong)
 	for {
 		resp, err := c.readHead(out.Method)
 		if err != nil {
@@ -143,7 +143,7 @@
 		if from == originUnknown {
 			return nil, false, &discardError{reason, errOrigin}
 		}
-		c.input.left = 2 * x.maxBody // the rest is for what the encoding of chunks adds
+		c.input.limit(2*x.maxBody, errBodyTooLong) // twice, as the encoding of chunks adds bytes
 		body, err := x.memory.readBody(resp, x.maxBody, wait)
 		if err != nil {
 			return nil, false, err
@@ -158,6 +158,6 @@
 			return nil, false, &discardError{reason, errOrigin}
 		}
 		skipped = true
-		c.input.left = maxHeadBytes
+		c.input.limit(maxHeadBytes, errHeadTooLong)
 	}
 }
--- a/entry/leafclient/limits.go
+++ b/entry/leafclient/limits.go
@@ -25,21 +25,25 @@
 
 // Errors of bytes over a limit.
 var (
-	errHeadTooLong = &discardError{DiscardHeadTooLong, errors.New("the limit of the response's bytes is reached")}
+	errHeadTooLong = &discardError{DiscardHeadTooLong, errors.New("response head over the limit")}
 	errBodyTooLong = &discardError{DiscardBodyTooLong, errors.New("response body over the limit")}
 	errNoMemory    = &discardError{DiscardNoMemory, errors.New("no memory is left for response bodies")}
 )
 
-// limitedReader reads until its limit and fails after it with errHeadTooLong.
+// limitedReader reads left bytes and fails after them with tooLong.
 type limitedReader struct {
-	r    io.Reader
-	left int64
+	r       io.Reader
+	left    int64
+	tooLong error
 }
 
+// limit sets what may be read from now on.
+func (l *limitedReader) limit(left int64, tooLong error) { l.left, l.tooLong = left, tooLong }
+
 // Read implements io.Reader.
 func (l *limitedReader) Read(b []byte) (int, error) {
 	if l.left <= 0 {
-		return 0, errHeadTooLong
+		return 0, l.tooLong
 	}
 	n, err := l.r.Read(b[:min(int64(len(b)), l.left)])
 	l.left -= int64(n)
--- a/entry/leafclient/limits_test.go
+++ b/entry/leafclient/limits_test.go
@@ -67,7 +67,7 @@
 
 // TestLimitedReaderFailsAtItsLimit checks that no byte over the limit is read.
 func TestLimitedReaderFailsAtItsLimit(t *testing.T) {
-	r := &limitedReader{r: strings.NewReader("abcdef"), left: 4}
+	r := &limitedReader{r: strings.NewReader("abcdef"), left: 4, tooLong: errHeadTooLong}
 	got, err := io.ReadAll(r)
 	if string(got) != "abcd" || !errors.Is(err, errHeadTooLong) {
 		t.Errorf("%q, %v", got, err)
--- a/entry/leafclient/verify.go
+++ b/entry/leafclient/verify.go
@@ -47,7 +47,7 @@
 	if err := req.Write(conn); err != nil {
 		return err
 	}
-	reader := bufio.NewReader(&limitedReader{r: conn, left: maxHeadBytes + maxHealthBody})
+	reader := bufio.NewReader(&limitedReader{r: conn, left: maxHeadBytes + maxHealthBody, tooLong: errHeadTooLong})
 	resp, err := http.ReadResponse(reader, req)
 	if err != nil {
 		return err
