--- a/entry/leafclient/exchanger.go
+++ b/entry/leafclient/exchanger.go
@@ -13,10 +13,9 @@
 // Exchanger runs HTTP/1.1 exchanges over connections of its own, for leaf
 // protocols that need guarantees which http.Transport does not give: it never
 // resends a request by itself, never takes an unsolicited response for the next
-// reply, and reuses a connection only after a complete exchange whose response named the
-// request. A small exchange
-// costs one write and, usually, one read, in the caller's goroutine. It is safe
-// for concurrent use.
+// reply, and reuses a connection only after a complete exchange whose response named
+// the request. A small exchange costs one write and, usually, one read, in the
+// caller's goroutine. It is safe for concurrent use.
 type Exchanger struct {
 	maxBody int64
 	memory  *bodyMemory
--- a/entry/leafclient/limits_test.go
+++ b/entry/leafclient/limits_test.go
@@ -36,7 +36,6 @@
 		t.Fatal("the budget was exceeded")
 	}
 	runtime.KeepAlive(held)
-	held = nil
 	if _, err := m.await(size, waiter{t.Context(), time.Now().Add(time.Minute)}); err != nil {
 		t.Fatalf("no memory after all bodies were dropped: %v", err)
 	}
@@ -183,7 +182,7 @@
 		_, _ = io.WriteString(w, body)
 	})}
 	go func() { _ = srv.Serve(sound) }()
-	defer srv.Close()
+	t.Cleanup(func() { _ = srv.Close() })
 	x := NewExchanger(1<<20, 4<<20)
 	defer x.Close()
 	ask := func(ctx context.Context, address, id string) (*ExchangeResponse, error) {
