Stand-in of a leaf: an endless answer whose connection ended before it began has ended

Traced: the attempt at s0x0-3 was a hedge, sent at 53.172 and cancelled at 53.224 with its connection reset; the leaf's first write failed, and the stand-in told the end of an answer only after it had begun to write endless bytes. It tells it in each case now; the check is as it was, and still fails on a build that closes no such connection.

--- a/standin/rawleaf/rawleaf.go
+++ b/standin/rawleaf/rawleaf.go
@@ -41,7 +41,8 @@
 	OnBody func(body []byte)
 	// Endless is written again and again after Bytes until the other side ends the connection.
 	Endless []byte
-	// OnEnded, if it is not nil, is called with the time for which Endless was written.
+	// OnEnded, if it is not nil, is called when all has been written, or the other side has ended
+	// the connection, with the time that it took.
 	OnEnded func(time.Duration)
 }
 
@@ -160,6 +161,10 @@
 func (l *Leaf) one(conn net.Conn, reader *bufio.Reader, req *http.Request, n int) (late []byte, goesOn bool) {
 	seen := Seen{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Connection: n}
 	reply := l.answer(seen)
+	if reply.OnEnded != nil {
+		begun := time.Now()
+		defer func() { reply.OnEnded(time.Since(begun)) }()
+	}
 	if !reply.Early {
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
@@ -207,15 +212,11 @@
 
 // writeEndless writes Endless until the other side ends the connection.
 func (r *Reply) writeEndless(w io.Writer) {
-	start := time.Now()
 	for {
 		if _, err := w.Write(r.Endless); err != nil {
-			break
+			return
 		}
 	}
-	if r.OnEnded != nil {
-		r.OnEnded(time.Since(start))
-	}
 }
 
 // hold waits for the word to answer; it reports false when the other side ended
