--- a/standin/rawleaf/rawleaf.go
+++ b/standin/rawleaf/rawleaf.go
@@ -150,15 +150,15 @@
 		if _, err := conn.Write(late); err != nil {
 			return
 		}
-		var goesOn bool
-		if late, goesOn = l.one(conn, reader, req, n); !goesOn {
+		var keepOpen bool
+		if late, keepOpen = l.one(conn, reader, req, n); !keepOpen {
 			return
 		}
 	}
 }
 
 // one answers a request. It reports whether the connection goes on, and returns Reply.Late.
-func (l *Leaf) one(conn net.Conn, reader *bufio.Reader, req *http.Request, n int) (late []byte, goesOn bool) {
+func (l *Leaf) one(conn net.Conn, reader *bufio.Reader, req *http.Request, n int) (late []byte, keepOpen bool) {
 	seen := Seen{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Connection: n}
 	reply := l.answer(seen)
 	if reply.OnEnded != nil {
