review: drop the case that an earlier review shows, number the other 4

The earlier case 2 shows that a planned stop cuts queries which a stronger instance runs: same rule, same cause. The case of an instance that goes back to an older version is case 4 now; its code is unchanged but for the names of files.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 root=$(cd "$here/../.." && pwd)
 cd "$root" || exit 2
 [ -x target/fuchsiaroad ] && [ -x target/review-rig-2 ] || { echo "build first: the deploy file's command, then review/build-2.sh"; exit 2; }
-exec target/review-rig-2 relay-stop target/fuchsiaroad "$here/record.txt"
+exec target/review-rig-2 stop-regress target/fuchsiaroad "$here/record.txt"
--- a/review/cmd/rig2/client.go
+++ b/review/cmd/rig2/client.go
@@ -22,7 +22,6 @@
 	id        string
 	node      string
 	class     string
-	deadline  time.Duration
 	sent, end time.Time
 	status    int // 0: no complete answer came
 	header    http.Header
--- a/review/cmd/rig2/leaf.go
+++ b/review/cmd/rig2/leaf.go
@@ -4,14 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/binary"
-	"fmt"
 	"hash/fnv"
 	"io"
 	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -137,7 +135,7 @@
 	defer f.note(id, false)
 	_, _ = io.Copy(io.Discard, q.Body)
 	select {
-	case <-time.After(f.workTime(q.URL.Path) + f.pauseLeft(time.Now())):
+	case <-time.After(f.workTime() + f.pauseLeft(time.Now())):
 	case <-q.Context().Done():
 		return
 	}
@@ -179,21 +177,10 @@
 	list[len(list)-1].end = time.Now()
 }
 
-// Work of the slowest class of the sheets.
-const (
-	slowWork    = 90 * time.Millisecond
-	slowSpread  = 0.5
-	maxSlowWork = 540 * time.Millisecond
-)
-
 // workTime draws the time of one request.
-func (f *leaf) workTime(path string) time.Duration {
+func (f *leaf) workTime() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if strings.HasPrefix(path, slowPrefix) {
-		x := float64(slowWork) * math.Exp(slowSpread*f.random.NormFloat64()-slowSpread*slowSpread/2)
-		return min(time.Duration(x), maxSlowWork)
-	}
 	x := float64(f.work) * math.Exp(f.spread*f.random.NormFloat64()-f.spread*f.spread/2)
 	if f.random.Float64() < f.tail {
 		x *= f.tailFactor
@@ -213,25 +200,6 @@
 	return max(0, f.pause-(now.Sub(f.rig.start)+h.Abs())%f.pauseEvery)
 }
 
-// runsOf returns the runs of a request at all leaves.
-func (r *rig) runsOf(id string) (out []string) {
-	r.mu.Lock()
-	leaves := r.leaves
-	r.mu.Unlock()
-	for _, f := range leaves {
-		f.mu.Lock()
-		for _, t := range f.runs[id] {
-			end := "still at work"
-			if !t.end.IsZero() {
-				end = fmt.Sprintf("%.3f", t.end.Sub(r.start).Seconds())
-			}
-			out = append(out, fmt.Sprintf("%s %.3f-%s", f.id, t.begin.Sub(r.start).Seconds(), end))
-		}
-		f.mu.Unlock()
-	}
-	return out
-}
-
 // recordsOf returns the records of a leaf's answer, by its signature.
 func recordsOf(signature string, n int) [][]byte {
 	h := fnv.New64a()
--- a/review/cmd/rig2/main.go
+++ b/review/cmd/rig2/main.go
@@ -19,7 +19,7 @@
 
 // cases holds the scripted cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*rig) (broken bool, err error){
-	"relay-stop": relayStop,
+	"stop-regress": stopRegress,
 }
 
 func main() { os.Exit(run()) }
--- a/review/cmd/rig2/stopregress.go
+++ b/review/cmd/rig2/stopregress.go
@@ -9,8 +9,6 @@
 	"time"
 )
 
-func init() { cases["stop-regress"] = stopRegress }
-
 // Figures of the case.
 const (
 	regressRounds = 8
