Bound what connections send before they prove the shared key

What callers saw: an instance that ran out of memory or descriptors answers nobody.

Cause: any client of the listener for other instances could announce messages of 2 MiB on up to 1,024 connections, and the buffer of a message was allocated as announced, before the handshake. Connections that sent nothing took a place for 3 s. Requests that other instances forward were bounded on each connection, not in sum.

Change: 4 KiB a message before the handshake, a buffer that grows with what arrives, at most half of the connections without a handshake (the oldest is closed after 0.1 s), 16 MB of forwarded requests in sum; more are declined.

--- a/entry/peer/codec.go
+++ b/entry/peer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -18,10 +19,17 @@
 // maxMessageBytes bounds one message. A document of the largest size fits.
 const maxMessageBytes = 2 << 20
 
+// maxHandshakeBytes bounds one message of a client that has not authenticated itself.
+const maxHandshakeBytes = 4 << 10
+
 // boundedCodec is a jsonrpc2.ObjectCodec that prefixes each message with its length
 // in 4 bytes, big endian. It refuses a message longer than maxMessageBytes before
 // reading it, so that a peer can't make this instance allocate more.
-type boundedCodec struct{}
+type boundedCodec struct {
+	// isTrusted reports whether the peer may send messages longer than maxHandshakeBytes; nil: it
+	// may.
+	isTrusted func() bool
+}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (boundedCodec) WriteObject(w io.Writer, obj any) error {
@@ -39,20 +47,21 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (boundedCodec) ReadObject(r *bufio.Reader, v any) error {
+func (c boundedCodec) ReadObject(r *bufio.Reader, v any) error {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return err
 	}
 	size := binary.BigEndian.Uint32(head[:])
-	if size > maxMessageBytes {
+	if size > maxMessageBytes || (size > maxHandshakeBytes && c.isTrusted != nil && !c.isTrusted()) {
 		return &SizeError{Bytes: int(size)}
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(r, data); err != nil {
+	// The buffer grows with what arrives.
+	var data bytes.Buffer
+	if _, err := io.CopyN(&data, r, int64(size)); err != nil {
 		return err
 	}
-	if err := json.Unmarshal(data, v); err != nil {
+	if err := json.Unmarshal(data.Bytes(), v); err != nil {
 		return fmt.Errorf("decode a peer message: %w", err)
 	}
 	return nil
--- a/entry/peer/forward.go
+++ b/entry/peer/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -39,14 +40,38 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.offers == nil || len(s.offers) >= maxPendingOffers {
+	if s.offers == nil || len(s.offers) >= maxPendingOffers || !s.server.reserve(forwardedCost(&r)) {
 		return peerapi.OfferReply{Declined: "too many offers"}, nil
 	}
 	s.offers[r.ID] = &r
-	time.AfterFunc(offerLifetime, func() { s.takeOffer(r.ID) })
+	time.AfterFunc(offerLifetime, func() { s.dropOffer(r.ID) })
 	return peerapi.OfferReply{}, nil
 }
 
+// forwardedBaseCost is the memory of a forwarded request beside its body, in bytes.
+const forwardedBaseCost = 16 << 10
+
+// forwardedCost returns the memory of a forwarded request in bytes.
+func forwardedCost(r *peerapi.ForwardRequest) int64 {
+	return forwardedBaseCost + int64(len(r.Body))
+}
+
+// reserve accounts for the memory of a forwarded request, if there is room.
+func (s *Server) reserve(n int64) bool {
+	if s.forwarded.Add(n) <= maxForwardedMemory {
+		return true
+	}
+	s.forwarded.Add(-n)
+	return false
+}
+
+// dropOffer removes an offer that will not run, if there is one.
+func (s *session) dropOffer(id uint64) {
+	if r := s.takeOffer(id); r != nil {
+		s.server.forwarded.Add(-forwardedCost(r))
+	}
+}
+
 // takeOffer removes an offer and returns it, or nil if there is none.
 func (s *session) takeOffer(id uint64) *peerapi.ForwardRequest {
 	s.mu.Lock()
@@ -67,7 +92,11 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "no such offer"}
 	}
 	run := &activeRun{}
-	run.ctx, run.cancel = context.WithCancel(ctx)
+	runCtx, cancel := context.WithCancel(ctx)
+	run.ctx, run.cancel = runCtx, sync.OnceFunc(func() {
+		cancel()
+		s.server.forwarded.Add(-forwardedCost(r))
+	})
 	if !s.addRun(id.ID, run) {
 		run.cancel()
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "the connection has ended"}
@@ -98,8 +127,8 @@
 // activeRun is a forwarded request in progress.
 type activeRun struct {
 	ctx    context.Context // outlives the Run call if more replies follow
-	cancel context.CancelFunc
-	next   NextReplyFunc // nil until the first reply has been returned
+	cancel func()          // ends the run and its use of memory
+	next   NextReplyFunc   // nil until the first reply has been returned
 }
 
 // nextReply waits for the reply of a run that follows the previous one.
@@ -160,7 +189,7 @@
 	if err := decodeParams(req, &id); err != nil {
 		return nil, err
 	}
-	s.takeOffer(id.ID)
+	s.dropOffer(id.ID)
 	s.endRun(id.ID)
 	return struct{}{}, nil
 }
@@ -172,6 +201,9 @@
 	for _, run := range s.running {
 		run.cancel()
 	}
+	for _, r := range s.offers {
+		s.server.forwarded.Add(-forwardedCost(r))
+	}
 	s.offers, s.running = nil, nil
 }
 
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -10,7 +10,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -22,8 +24,18 @@
 // handshake.
 const handshakeTimeout = 3 * time.Second
 
-// maxServerConnections bounds the open connections of a server.
-const maxServerConnections = 1024
+// Bounds of a server.
+const (
+	// defaultMaxConnections bounds the open connections of a server.
+	defaultMaxConnections = 1024
+	// maxHandshakes bounds the connections whose client has not authenticated itself, together with
+	// handshakeShare. Beyond it, the oldest is closed for a new one after minHandshakeTime.
+	maxHandshakes    = 128
+	handshakeShare   = 0.5
+	minHandshakeTime = 100 * time.Millisecond
+	// maxForwardedMemory bounds the memory of all forwarded requests that wait or run, in bytes.
+	maxForwardedMemory = 16 << 20
+)
 
 // GossipHandler exchanges digests and documents with authenticated peers. It must
 // be safe for concurrent use.
@@ -66,17 +78,25 @@
 	Sync SyncHandler
 	// Forward runs forwarded requests; nil rejects them.
 	Forward ForwardHandler
+	// MaxConnections bounds the open connections; 0: a default.
+	MaxConnections int
 }
 
 // Server answers the calls of peers.
 type Server struct {
-	config ServerConfig
-	mu     sync.Mutex
-	conns  map[*jsonrpc2.Conn]struct{}
+	config    ServerConfig
+	forwarded atomic.Int64 // bytes of forwarded requests that wait or run
+	mu        sync.Mutex
+	conns     map[*jsonrpc2.Conn]struct{}
+	// handshakes are the sessions whose client has not authenticated itself, the oldest one first.
+	handshakes []*session
 }
 
 // NewServer returns a server without connections.
 func NewServer(c ServerConfig) *Server {
+	if c.MaxConnections == 0 {
+		c.MaxConnections = defaultMaxConnections
+	}
 	return &Server{config: c, conns: make(map[*jsonrpc2.Conn]struct{})}
 }
 
@@ -97,24 +117,63 @@
 			}
 			continue // the failure of one connection, which leaves the listener usable
 		}
+		s.makeRoom(ctx)
 		s.startSession(ctx, conn)
 	}
 }
 
+// makeRoom closes the oldest connection whose client has not authenticated itself if there are too
+// many of them, and waits for it to reach minHandshakeTime before.
+func (s *Server) makeRoom(ctx context.Context) {
+	most := max(1, min(maxHandshakes, int(handshakeShare*float64(s.config.MaxConnections))))
+	s.mu.Lock()
+	var oldest *session
+	if len(s.handshakes) >= most {
+		oldest = s.handshakes[0]
+	}
+	s.mu.Unlock()
+	if oldest == nil {
+		return
+	}
+	timer := time.NewTimer(minHandshakeTime - time.Since(oldest.startedAt))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		if oldest.authenticatedPeer() == "" {
+			_ = oldest.conn.Close() // the client, or handshakeTimeout, may have closed it already
+		}
+		s.endHandshake(oldest)
+	case <-oldest.conn.DisconnectNotify():
+	case <-ctx.Done():
+	}
+}
+
+// endHandshake removes a session from the list of handshakes.
+func (s *Server) endHandshake(ended *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.handshakes, ended); i >= 0 {
+		s.handshakes = slices.Delete(s.handshakes, i, i+1)
+	}
+}
+
 // startSession starts to serve a connection. It closes the connection if the server
-// has maxServerConnections.
+// has the maximum number of them.
 func (s *Server) startSession(ctx context.Context, conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= maxServerConnections {
+	if len(s.conns) >= s.config.MaxConnections {
 		_ = conn.Close()
 		return
 	}
-	session := &session{server: s, nonce: newNonce(), offers: make(map[uint64]*peerapi.ForwardRequest), running: make(map[uint64]*activeRun)}
+	session := &session{server: s, nonce: newNonce(), startedAt: time.Now(), offers: make(map[uint64]*peerapi.ForwardRequest), running: make(map[uint64]*activeRun)}
 	// Calls of one connection run concurrently, as a forwarded request may take long.
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(session.handle))
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, boundedCodec{}), handler, discardLogs)
+	codec := boundedCodec{isTrusted: func() bool { return session.authenticatedPeer() != "" }}
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(conn, codec), handler, discardLogs)
+	session.conn = rpc
 	s.conns[rpc] = struct{}{}
+	s.handshakes = append(s.handshakes, session)
 	handshakeTimer := time.AfterFunc(handshakeTimeout, func() {
 		if session.authenticatedPeer() == "" {
 			_ = rpc.Close()
@@ -124,6 +183,7 @@
 		<-rpc.DisconnectNotify()
 		handshakeTimer.Stop()
 		session.cancelAll()
+		s.endHandshake(session)
 		s.mu.Lock()
 		delete(s.conns, rpc)
 		s.mu.Unlock()
@@ -146,8 +206,10 @@
 
 // session is the server side of one connection.
 type session struct {
-	server *Server
-	nonce  string
+	server    *Server
+	nonce     string
+	startedAt time.Time
+	conn      *jsonrpc2.Conn
 
 	mu           sync.Mutex
 	peerInstance string // "" before authentication
@@ -202,6 +264,7 @@
 	s.mu.Lock()
 	s.peerInstance = h.Instance
 	s.mu.Unlock()
+	s.server.endHandshake(s)
 	return peerapi.Welcome{Instance: c.Instance, MAC: computeMAC(c.Key, roleServer, c.Instance, h.Nonce, s.nonce)}, nil
 }
 
