Bound what clients of hosted instances send and hold

What callers saw: clients that don't behave ended a process, which ran out of memory, or left ordinary callers without an answer. Heads of 900,000 bytes were sent on to leaves, heads that took 6 s were served, and a body that stopped after a byte left its request open and unanswered.

Cause: nothing summed over connections. The library's server reads heads of up to 1 MiB and parses them as they arrive, bodies were read whole whatever others held and without a deadline, and connections were bounded nowhere. Of the configuration's limits on clients only that on bodies was applied; limits.max-fds was not read.

Change: package ingress. A guard admits connections and accounts for memory, in sum; at a bound, what makes the least progress ends first, never a complete request. A connection delivers one request at a time, and a head only when it is whole and within the limits in force, which count from a version's first request on, on open connections too. Bodies are read until the request's deadline, into memory that was accounted for. Sockets are divided between clients, leaves, other instances, the load balancer and the readers of metrics.

--- a/entry/gateway/connection.go
+++ b/entry/gateway/connection.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/margin"
 )
 
@@ -31,6 +32,7 @@
 // WithConnection returns a context that holds the state of the new connection c. It is
 // the http.Server's ConnContext.
 func WithConnection(ctx context.Context, c net.Conn) context.Context {
+	ctx = ingress.WithAccount(ctx, c)
 	return context.WithValue(ctx, connectionKey{}, &connection{opened: time.Now(), roundTrip: readRoundTrip(c)})
 }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
@@ -110,6 +111,7 @@
 	req, refused := g.buildRequest(w, r, start)
 	if refused != nil {
 		g.logRefusal(r, refused, start)
+		boundUnreadBody(w, r)
 		refused.toReply().write(w, r.Method)
 		return
 	}
@@ -191,14 +193,17 @@
 	if refused != nil {
 		return nil, refused
 	}
-	body, refused := readBody(w, r, g.config.Views.BodyLimit())
+	deadline, refused := g.parseDeadline(r, service, start)
 	if refused != nil {
 		return nil, refused
 	}
-	deadline, refused := g.parseDeadline(r, service, start)
+	body, refused := readBody(w, r, g.config.Views.BodyLimit(), g.config.Lifecycle.BoundDeadline(deadline))
 	if refused != nil {
 		return nil, refused
 	}
+	if err := ingress.ReserveRun(r.Context(), service.Shards); err != nil {
+		return nil, newUnavailable(err.Error())
+	}
 	return &executor.Request{
 		View: v, Service: service, Caller: forwardedCaller, Start: start, Deadline: g.config.Lifecycle.BoundDeadline(deadline), NetworkDelay: networkDelay(r.Context(), start),
 		Forwarded: &leafclient.ForwardedRequest{
--- a/entry/gateway/headers.go
+++ b/entry/gateway/headers.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strings"
+	"time"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 )
 
 // hopByHop holds the headers of a single connection (RFC 9110, 7.6.1), and those that are
@@ -32,23 +34,39 @@
 	return out
 }
 
-// readBody reads a request's complete body, at most limit bytes if limit is above 0. A
-// request whose body is longer or incomplete is refused.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refusal) {
+// readBody reads a request's complete body until the deadline, at most limit bytes if limit is
+// above 0. A request whose body is longer, incomplete, late or without memory is refused.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, *refusal) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	body, err := io.ReadAll(r.Body)
-	var tooLong *http.MaxBytesError
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(deadline) // not supported by writers without a connection
+	body, err := ingress.ReadBody(r, limit)
+	var tooLong *ingress.BodyTooLongError
 	switch {
 	case err == nil:
+		_ = connection.SetReadDeadline(time.Time{})
 		return body, nil
 	case errors.As(err, &tooLong):
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, detail: "the body is over the limit"}
+	case errors.Is(err, ingress.ErrNoMemory):
+		return nil, newUnavailable(err.Error())
+	case errors.Is(err, ingress.ErrBodyTimeout):
+		return nil, &refusal{status: http.StatusRequestTimeout, detail: err.Error()}
 	default:
 		return nil, &refusal{status: http.StatusBadRequest, detail: "the body did not come whole"}
 	}
 }
+
+// unreadBodyTime is the time in which the rest of a refused request's body may arrive. If it does,
+// the connection can be used again.
+const unreadBodyTime = 50 * time.Millisecond
+
+// boundUnreadBody bounds the time for which the HTTP server reads the rest of a refused request's
+// body, which it does before it sends the refusal.
+func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.Body != nil && r.Body != http.NoBody {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime)) // not supported by writers without a connection
+	}
+}
--- a/entry/hosted/control.go
+++ b/entry/hosted/control.go
@@ -176,7 +176,7 @@
 		source: c.stateSource(), role: role.String(),
 		configAge: info.ConfigAge.Seconds(), leavesAge: info.LeavesAge.Seconds(), version: c.catalog.Version(),
 		leaves: c.catalog.LeafCount(), lapsedLeaves: len(c.catalog.Lapsed().IDs), slowLeaves: len(n.slowLeaves.SlowLeaves(now)), instances: readFleet(n.membership, (*fleet.Fleet).Size),
-		connections: open, dials: dials, runningQueries: n.executor.QueriesInFlight(), logDrops: n.log.Dropped(),
+		connections: open, dials: dials, clients: n.clients.Usage(), runningQueries: n.executor.QueriesInFlight(), logDrops: n.log.Dropped(),
 		repeatsLeft: repeatsLeft, limitedShards: limited, forwardDelay: n.forwarder.ForwardDelay().Seconds(), gatherDelay: n.forwarder.GatherDelay().Seconds(),
 	})
 }
--- a/entry/hosted/control_test.go
+++ b/entry/hosted/control_test.go
@@ -92,6 +92,7 @@
 }
 func (noLeaves) Apply([]leafclient.Target) {}
 func (noLeaves) Opened() (int64, int)      { return 0, 0 }
+func (noLeaves) Sockets() int              { return 0 }
 func (noLeaves) Close()                    {}
 
 // testBound is the freshness bound in these tests.
--- a/entry/hosted/forwarding/forwarding.go
+++ b/entry/hosted/forwarding/forwarding.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/gateway"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
@@ -88,6 +89,13 @@
 // SetGateway sets the gateway that runs the requests and groups that other instances forward.
 func (f *Forwarder) SetGateway(g *gateway.Gateway) { f.gateway = g }
 
+// maxForwardedBody is the largest body of a request that is forwarded, in bytes. A message holds
+// several copies of it, on both sides.
+const maxForwardedBody = 32 << 10
+
+// canForward reports whether a request may be sent to another instance, whole or for a group.
+func canForward(r *executor.Request) bool { return len(r.Forwarded.Body) <= maxForwardedBody }
+
 // ForwardDelay returns the delay that forwarding a request adds to the time of its run. Most
 // forwarded requests do not exceed it.
 func (f *Forwarder) ForwardDelay() time.Duration { return f.forwardDelays.upperBound() }
--- a/entry/hosted/forwarding/gather.go
+++ b/entry/hosted/forwarding/gather.go
@@ -35,7 +35,7 @@
 // Plan implements executor.Gatherer. It plans groups only for requests whose parts a
 // combiner merges.
 func (f *Forwarder) Plan(r *executor.Request, upstream int, crossZone []dispatch.CrossZoneShard) []executor.Group {
-	if r.Service.Config.TopK <= 0 {
+	if r.Service.Config.TopK <= 0 || !canForward(r) {
 		return nil
 	}
 	now := time.Now()
--- a/entry/hosted/forwarding/relay.go
+++ b/entry/hosted/forwarding/relay.go
@@ -42,7 +42,7 @@
 // instance of the zone with a larger share of a core. It returns nil if this instance is to run
 // the request itself: it is no such query, or no other instance has accepted it.
 func (f *Forwarder) Relay(ctx context.Context, r *executor.Request) *gateway.Reply {
-	if !fleet.ShouldForward(r.Service.Shards) || !r.Service.Config.Idempotent {
+	if !fleet.ShouldForward(r.Service.Shards) || !r.Service.Config.Idempotent || !canForward(r) {
 		return nil
 	}
 	start := time.Now()
--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -19,6 +19,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/entry/gateway"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/hosted/forwarding"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/hosted/slowleaves"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/leafclient"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/lifecycle"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
@@ -88,6 +89,8 @@
 	Apply(targets []leafclient.Target)
 	// Opened returns the number of connections opened so far and open at present.
 	Opened() (dials int64, open int)
+	// Sockets returns the number of sockets in use.
+	Sockets() int
 	// Close closes all connections.
 	Close()
 }
@@ -134,6 +137,7 @@
 	FreshnessBound time.Duration
 	// GracePeriod is the time in which an instance that is asked to stop must have ended.
 	GracePeriod time.Duration
+	Resources   Resources
 }
 
 // Node is one hosted instance.
@@ -151,6 +155,7 @@
 	probeStore       *probeStore
 	forwarder        *forwarding.Forwarder
 	gateway          *gateway.Gateway
+	clients          *ingress.Guard
 	view             atomic.Pointer[view.View]
 	configFreshUntil atomic.Pointer[time.Time] // until then the view's configuration counts as the newest
 	limits           atomic.Pointer[catalog.Limits]
@@ -196,6 +201,7 @@
 	n.peers = peer.NewClient(peer.ClientConfig{Instance: c.Instance, Key: c.PeerKey, DialTimeout: peerSilenceTimeout, SyncIdleTimeout: peerSilenceTimeout})
 	n.control = newControl(n)
 	n.leaves = c.NewLeaves(n.control.reportLeafGone)
+	n.clients = n.newClientGuard()
 	n.forwarder = forwarding.New(forwarding.Config{
 		Zone: c.Zone, Fleet: n.membership, Views: n, Lifecycle: &n.lifecycle, Peers: n.peers, CPUs: c.CPUs, Log: log, SyncNow: n.control.syncNow,
 	})
@@ -257,8 +263,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return serveUntil(ctx, n.clientServer(), clients) })
-	g.Go(func() error { return serveUntil(ctx, n.readyServer(), balancer) })
+	g.Go(func() error { return serveUntil(ctx, n.clientServer(), n.clients.Listen(clients)) })
+	g.Go(func() error { return serveUntil(ctx, n.readyServer(), n.newAdminGuard().Listen(balancer)) })
 	if n.config.MetricsAddress != "" {
 		g.Go(func() error { return n.serveMetrics(ctx) })
 	}
--- a/entry/hosted/meters.go
+++ b/entry/hosted/meters.go
@@ -4,6 +4,8 @@
 	"maps"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 )
 
 // stateMeter reports the instance's state as gauges. Not safe for concurrent use.
@@ -24,6 +26,7 @@
 	leaves, instances    int
 	lapsedLeaves         int // kept without an entry
 	connections          int
+	clients              ingress.Usage
 	dials, logDrops      int64
 	runningQueries       int64
 	slowLeaves           int
@@ -43,6 +46,9 @@
 	m.scope.Gauge("lapsed_leaves").Update(float64(s.lapsedLeaves))
 	m.scope.Gauge("slow_leaves").Update(float64(s.slowLeaves))
 	m.scope.Gauge("instances").Update(float64(s.instances))
+	m.scope.Gauge("client_connections").Update(float64(s.clients.Connections))
+	m.scope.Gauge("client_requests").Update(float64(s.clients.Running))
+	m.scope.Gauge("client_memory_bytes").Update(float64(s.clients.MemoryBytes))
 	m.scope.Gauge("leaf_connections").Update(float64(s.connections))
 	m.scope.Gauge("leaf_dials").Update(float64(s.dials))
 	if s.limitedShards > 0 {
--- a/entry/hosted/ready.go
+++ b/entry/hosted/ready.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 )
 
 // readyServer serves the balancer's readiness checks and the metrics.
@@ -15,20 +15,20 @@
 	e := echo.New()
 	e.GET(n.config.ReadyPath, n.ready)
 	e.GET(callerapi.PathMetrics, echo.WrapHandler(n.metrics.Handler()))
-	return &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	return adminServer(e)
 }
 
 // serveMetrics serves the metrics on a separate address until the context ends.
 // If it can't listen there it only logs this, since readyServer has the metrics too.
 func (n *Node) serveMetrics(ctx context.Context) error {
-	l, err := net.Listen("tcp", n.config.MetricsAddress)
+	l, err := ingress.ListenTCP(ctx, n.config.MetricsAddress)
 	if err != nil {
 		n.log.Component("node").Warn("can't listen on the metrics address", "err", err)
 		return nil
 	}
 	e := echo.New()
 	e.GET(callerapi.PathMetrics, echo.WrapHandler(n.metrics.Handler()))
-	return serveUntil(ctx, &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, l)
+	return serveUntil(ctx, adminServer(e), n.newAdminGuard().Listen(l))
 }
 
 // ready answers 503 with the reason while the balancer should send no requests.
--- a/entry/hosted/serve.go
+++ b/entry/hosted/serve.go
@@ -10,15 +10,20 @@
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/entry/gateway"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 )
 
-// Time-outs of the HTTP servers that the configuration does not set.
+// Limits of the HTTP servers that the configuration does not set.
 const (
-	// headerTimeout bounds the reading of a request's header.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than any client keeps an idle connection, so that the
+	// adminHeadBytes and adminRequestTime bound the requests of the load balancer and of readers
+	// of metrics.
+	adminHeadBytes   = 8 << 10
+	adminRequestTime = 10 * time.Second
+	// idleTimeout is longer than any of them keeps an idle connection, so that the
 	// server never closes one while a request is on its way.
 	idleTimeout = 5 * time.Minute
+	// serverHeadBytes is the limit of the HTTP server itself, which the guards replace.
+	serverHeadBytes = 64 << 20
 )
 
 // An address that is in use is tried again each listenRetryInterval, for listenRetryPeriod:
@@ -31,7 +36,7 @@
 // listen opens a listening TCP socket; it retries while the address is in use.
 func (n *Node) listen(ctx context.Context, address string) (net.Listener, error) {
 	for startedAt := time.Now(); ; sleep(ctx, listenRetryInterval) {
-		l, err := net.Listen("tcp", address)
+		l, err := ingress.ListenTCP(ctx, address)
 		if err == nil || ctx.Err() != nil || !errors.Is(err, syscall.EADDRINUSE) || time.Since(startedAt) >= listenRetryPeriod {
 			return l, err
 		}
@@ -43,10 +48,15 @@
 func (n *Node) clientServer() *http.Server {
 	return &http.Server{
 		Handler: n.gateway, ConnContext: gateway.WithConnection,
-		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnState: ingress.ConnState, MaxHeaderBytes: serverHeadBytes,
 	}
 }
 
+// adminServer serves the load balancer or readers of metrics.
+func adminServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ConnState: ingress.ConnState, MaxHeaderBytes: serverHeadBytes}
+}
+
 // serveUntil serves until the context ends, and then closes all connections at once:
 // the instance has been drained before.
 func serveUntil(ctx context.Context, s *http.Server, l net.Listener) error {
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -28,7 +28,9 @@
 
 // peerServer serves the calls of other instances.
 func (n *Node) peerServer() *peer.Server {
-	return peer.NewServer(peer.ServerConfig{Instance: n.config.Instance, Key: n.config.PeerKey, Sync: n, Forward: n.forwarder})
+	return peer.NewServer(peer.ServerConfig{
+		Instance: n.config.Instance, Key: n.config.PeerKey, Sync: n, Forward: n.forwarder, MaxConnections: n.tunables.Load().Resources.peerConnections(),
+	})
 }
 
 // Sync implements peer.SyncHandler. A leaving instance answers that it has no state, so that
--- /dev/null
+++ b/entry/ingress/guard.go
@@ -0,0 +1,468 @@
+package ingress
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Limits are the limits on one client. A value of 0 takes the default.
+type Limits struct {
+	// HeadBytes is the maximum length of a head. HeadTime is the time from its first byte to its
+	// last.
+	HeadBytes int
+	HeadTime  time.Duration
+	// IdleTime is the time between requests, and the time in which a client must take some bytes
+	// of an answer.
+	IdleTime time.Duration
+}
+
+// Defaults of Limits.
+const (
+	defaultHeadBytes = 64 << 10
+	defaultHeadTime  = 10 * time.Second
+	defaultIdleTime  = 5 * time.Minute
+)
+
+// withDefaults replaces the values that are 0.
+func (l Limits) withDefaults() Limits {
+	if l.HeadBytes <= 0 {
+		l.HeadBytes = defaultHeadBytes
+	}
+	if l.HeadTime <= 0 {
+		l.HeadTime = defaultHeadTime
+	}
+	if l.IdleTime <= 0 {
+		l.IdleTime = defaultIdleTime
+	}
+	return l
+}
+
+// Config holds the bounds of a Guard. Its functions are called often and from any goroutine.
+type Config struct {
+	// Limits returns the limits in force.
+	Limits func() Limits
+	// Connections returns the maximum number of open connections.
+	Connections func() int
+	// Memory returns the maximum sum of what connections and requests hold, in bytes.
+	Memory func() int64
+	// RequestTime bounds the time from the first byte of a head to the last one of its body; 0: no
+	// bound.
+	RequestTime time.Duration
+	// RetryAfter is the value of the header Retry-After in refusals.
+	RetryAfter string
+	// ConnectionCost is the memory of an idle connection in bytes; 0: that of one without TLS.
+	ConnectionCost int64
+	// MinLifetime is the time that a connection has for its next progress before it may be closed
+	// for a new one; 0: a default.
+	MinLifetime time.Duration
+	// OnReject is called when a connection or request is rejected. It must not block.
+	OnReject func(Reason)
+}
+
+// Reason is why a connection or a request was rejected.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonHead is a head over the limit or one that is not a request.
+	ReasonHead Reason = "head over the limit"
+	// ReasonHeadTime is a head that took longer than it may.
+	ReasonHeadTime Reason = "head takes too long"
+	// ReasonIdle is an idle connection that was closed for a new one.
+	ReasonIdle Reason = "idle while connections are used up"
+	// ReasonSlow is a connection whose request had not arrived, closed for a new one.
+	ReasonSlow Reason = "unfinished while connections are used up"
+	// ReasonConnections is a new connection for which no other could be closed.
+	ReasonConnections Reason = "no connection is left"
+	// ReasonMemory is a request for which no memory was left.
+	ReasonMemory Reason = "no memory is left for requests"
+	// ReasonRequests is a request beyond the number that may run.
+	ReasonRequests Reason = "too many requests"
+)
+
+// state is what a connection does. Connections are closed for new ones in the order of the states.
+type state int
+
+const (
+	stateEnding  state = iota // refused, the refusal is on its way
+	stateNew                  // has sent nothing yet
+	stateIdle                 // between requests
+	stateAhead                // waits with a request that was sent ahead
+	stateStalled              // does not take its answer
+	stateLarge                // a large request arrives
+	stateSmall                // a small request arrives
+	evictableStates
+	// stateRunning is a complete request. It is never ended for another one.
+	stateRunning
+	stateClosed
+)
+
+// isPassive reports whether a connection of this state may be closed at once, as nothing of a
+// request is expected to arrive.
+func (s state) isPassive() bool { return s == stateEnding || s == stateIdle || s == stateAhead }
+
+// Shares of a Guard's bounds.
+const (
+	// runningShare is the share of the connections whose requests may run at once. The others let
+	// new connections in.
+	runningShare = 0.75
+	// largeShare is the share of the memory that large requests may use.
+	largeShare = 0.75
+	// stalledShare is the share of the memory that answers may hold which clients don't take.
+	stalledShare = 0.125
+	// connectionShare is the share of the memory that idle connections may use.
+	connectionShare = 0.25
+)
+
+const (
+	// plainConnectionCost is the memory of an idle connection without TLS, in bytes.
+	plainConnectionCost = 10 << 10
+	// TLSConnectionCost is the memory of an idle connection with TLS, in bytes.
+	TLSConnectionCost = 48 << 10
+	// largeRequest is the size from which on a request is large, in bytes. It is above that of a
+	// request with the largest usual head.
+	largeRequest = 128 << 10
+)
+
+// Guard bounds the connections of one or more listeners. It is safe for concurrent use.
+type Guard struct {
+	config               Config
+	chunkLane, aheadLane *lane
+	evictions            *rate.Limiter
+	room                 chan struct{} // holds one token after a connection has ended or become passive
+
+	mu      sync.Mutex
+	open    int
+	running int
+	used    int64 // bytes
+	stalled int64 // bytes of used, of answers that clients don't take
+	byState [evictableStates]*list.List
+}
+
+// NewGuard returns a Guard without connections.
+func NewGuard(c Config) *Guard {
+	if c.OnReject == nil {
+		c.OnReject = func(Reason) {}
+	}
+	if c.MinLifetime == 0 {
+		c.MinLifetime = defaultMinLifetime
+	}
+	if c.ConnectionCost == 0 {
+		c.ConnectionCost = plainConnectionCost
+	}
+	g := &Guard{config: c, chunkLane: newLane(chunkLaneSize, chunkLanePause), aheadLane: newLane(aheadLaneSize, aheadLanePause), evictions: rate.NewLimiter(maxEvictionRate, evictionBurst), room: make(chan struct{}, 1)}
+	for i := range g.byState {
+		g.byState[i] = list.New()
+	}
+	return g
+}
+
+// Usage is what a Guard's connections use.
+type Usage struct {
+	Connections, Running int
+	MemoryBytes          int64
+}
+
+// Usage returns what the connections use.
+func (g *Guard) Usage() Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Usage{Connections: g.open, Running: g.running, MemoryBytes: g.used}
+}
+
+// limits returns the limits in force.
+func (g *Guard) limits() Limits { return g.config.Limits().withDefaults() }
+
+// maxConnections returns the maximum number of open connections.
+func (g *Guard) maxConnections() int {
+	byMemory := int(connectionShare * float64(g.config.Memory()) / float64(g.config.ConnectionCost))
+	return max(1, min(g.config.Connections(), byMemory))
+}
+
+// Bounds on how often connections are closed for new ones. While they apply, new ones wait in the
+// kernel's queue.
+const (
+	// defaultMinLifetime is the default of Config.MinLifetime.
+	defaultMinLifetime = 250 * time.Millisecond
+	// maxEvictionRate is the maximum number of connections that are closed in a second.
+	maxEvictionRate = 1000
+	// evictionBurst is the number of connections that may be closed at once.
+	evictionBurst = 100
+)
+
+// admit returns a connection that counts, or nil if it was closed because no other one may be. It
+// waits while all others are too young to be closed.
+func (g *Guard) admit(inner net.Conn) *Conn {
+	c := newConn(g, inner)
+	for {
+		most := g.maxConnections()
+		g.mu.Lock()
+		if g.open < most {
+			g.open++
+			g.enter(c, stateNew)
+			g.mu.Unlock()
+			return c
+		}
+		v, wait := g.oldestEvictable(time.Now())
+		if v != nil {
+			g.config.OnReject(closeReason(v.state))
+			g.detach(v)
+		}
+		g.mu.Unlock()
+		switch {
+		case v != nil:
+			_ = v.Conn.Close()
+			_ = g.evictions.Wait(context.Background()) // fails for no context that does not end
+		case wait > 0:
+			g.awaitRoom(wait)
+		default:
+			g.config.OnReject(ReasonConnections)
+			_ = inner.Close()
+			return nil
+		}
+	}
+}
+
+// awaitRoom waits until a connection has ended or become passive, at most for the given time.
+func (g *Guard) awaitRoom(most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-g.room:
+	case <-timer.C:
+	}
+}
+
+// closeReason returns why a connection of a state is closed for a new one.
+func closeReason(s state) Reason {
+	if s == stateNew || s == stateIdle {
+		return ReasonIdle
+	}
+	return ReasonSlow
+}
+
+// oldestEvictable returns the connection to close for a new one, or else the time after which there
+// may be one; 0 if there is none at all. The caller holds g.mu.
+func (g *Guard) oldestEvictable(now time.Time) (c *Conn, wait time.Duration) {
+	for s, l := range g.byState {
+		front := l.Front()
+		if front == nil {
+			continue
+		}
+		c := front.Value.(*Conn)
+		rest := g.config.MinLifetime - now.Sub(c.since)
+		if state(s).isPassive() || rest <= 0 {
+			return c, 0
+		}
+		if wait == 0 || rest < wait {
+			wait = rest
+		}
+	}
+	return nil, wait
+}
+
+// detach ends the accounting of a connection. The caller holds g.mu and closes the connection.
+func (g *Guard) detach(c *Conn) {
+	if c.state == stateClosed {
+		return
+	}
+	g.release(c)
+	g.enter(c, stateClosed)
+	g.open--
+	g.notifyRoom()
+}
+
+// notifyRoom wakes awaitRoom.
+func (g *Guard) notifyRoom() {
+	select {
+	case g.room <- struct{}{}:
+	default:
+	}
+}
+
+// enter puts a connection into a state. The caller holds g.mu.
+func (g *Guard) enter(c *Conn, s state) {
+	if c.state == s && c.element != nil {
+		return
+	}
+	if c.element != nil {
+		g.byState[c.state].Remove(c.element)
+		c.element = nil
+	}
+	if c.state == stateRunning {
+		g.running--
+	}
+	if s == stateRunning {
+		g.running++
+	}
+	c.state, c.since = s, time.Now()
+	if s < evictableStates {
+		c.element = g.byState[s].PushBack(c)
+	}
+	if s.isPassive() {
+		g.notifyRoom()
+	}
+}
+
+// release returns all memory that a connection holds. The caller holds g.mu.
+func (g *Guard) release(c *Conn) {
+	g.used -= c.held
+	g.stalled -= c.stalledBytes
+	c.held, c.stalledBytes = 0, 0
+}
+
+// reserve adds n bytes to what a connection holds. If memory is used up, it ends requests that
+// have been arriving for the longest time. It reports false if no room could be made or the
+// connection's own request was ended.
+func (g *Guard) reserve(c *Conn, n int64) bool {
+	total := g.config.Memory()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.evicted || c.state == stateClosed {
+		return false
+	}
+	isLarge := c.held+n > largeRequest
+	if isLarge {
+		total = int64(largeShare * float64(total))
+	}
+	for g.used+n > total {
+		v := g.oldestArriving(c, isLarge)
+		if v == nil {
+			return false
+		}
+		g.evict(v)
+	}
+	g.used += n
+	c.held += n
+	if isLarge && c.state == stateSmall {
+		g.enter(c, stateLarge)
+	}
+	return true
+}
+
+// oldestArriving returns the request that is ended for another one, nil if there is none. Small
+// requests are not ended for large ones. The caller holds g.mu.
+func (g *Guard) oldestArriving(other *Conn, forLarge bool) *Conn {
+	for _, s := range []state{stateLarge, stateSmall} {
+		if forLarge && s == stateSmall {
+			return nil
+		}
+		for e := g.byState[s].Front(); e != nil; e = e.Next() {
+			if c := e.Value.(*Conn); c != other && c.held > 0 {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
+// evict ends a request that has not arrived: its next read fails. The caller holds g.mu.
+func (g *Guard) evict(c *Conn) {
+	g.config.OnReject(ReasonMemory)
+	g.release(c)
+	c.evicted = true
+	g.enter(c, stateEnding)
+	c.setInterrupted(true)
+}
+
+// begin follows the first byte of a request.
+func (g *Guard) begin(c *Conn) { g.move(c, stateSmall) }
+
+// wait precedes a wait in the lane of requests that were sent ahead.
+func (g *Guard) wait(c *Conn) { g.move(c, stateAhead) }
+
+// move puts an open connection into a state.
+func (g *Guard) move(c *Conn, s state) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.state != stateClosed && !c.evicted {
+		g.enter(c, s)
+	}
+}
+
+// mayRun reports whether another request may run.
+func (g *Guard) mayRun() bool {
+	most := int(runningShare * float64(g.maxConnections()))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running < max(1, most)
+}
+
+// run follows the last byte of a request.
+func (g *Guard) run(c *Conn) { g.move(c, stateRunning) }
+
+// finish follows the end of a request's answer.
+func (g *Guard) finish(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.state == stateClosed {
+		return
+	}
+	g.release(c)
+	c.evicted = false
+	g.enter(c, stateIdle)
+}
+
+// reject puts a connection that gets a refusal and is then closed among the first to close.
+func (g *Guard) reject(c *Conn, reason Reason) {
+	g.config.OnReject(reason)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.state != stateClosed {
+		g.release(c)
+		g.enter(c, stateEnding)
+	}
+}
+
+// stall accounts for n bytes of an answer that the client does not take. It reports whether there
+// is room for them.
+func (g *Guard) stall(c *Conn, n int64) bool {
+	most := int64(stalledShare * float64(g.config.Memory()))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.state < evictableStates {
+		return true
+	}
+	if c.state == stateClosed || g.stalled+n > most {
+		return false
+	}
+	g.stalled += n
+	g.used += n
+	c.held += n
+	c.stalledBytes += n
+	g.enter(c, stateStalled)
+	return true
+}
+
+// resume follows a write that has ended after a stall.
+func (g *Guard) resume(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.state != stateStalled {
+		return
+	}
+	g.used -= c.stalledBytes
+	g.stalled -= c.stalledBytes
+	c.held -= c.stalledBytes
+	c.stalledBytes = 0
+	g.enter(c, stateRunning)
+}
+
+// close ends the accounting of a connection that the HTTP server closes.
+func (g *Guard) close(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.detach(c)
+}
+
+// wasEvicted reports whether the connection's request was ended for lack of memory.
+func (g *Guard) wasEvicted(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.evicted
+}
--- a/entry/leafclient/exchanger.go
+++ b/entry/leafclient/exchanger.go
@@ -19,6 +19,7 @@
 type Exchanger struct {
 	maxBody int64
 	memory  *bodyMemory
+	sockets sockets
 	mu      sync.Mutex
 	leaves  map[string]*socketPool // by Target.key
 }
@@ -138,7 +139,7 @@
 	defer x.mu.Unlock()
 	s, ok := x.leaves[t.key()]
 	if !ok {
-		s = newSocketPool(t)
+		s = newSocketPool(t, &x.sockets)
 		x.leaves[t.key()] = s
 	}
 	return s
@@ -166,6 +167,28 @@
 	}
 }
 
+// LimitSockets sets the maximum number of open sockets of all connections, 0 for no limit. At the
+// limit, idle connections to any leaf are closed for new ones.
+func (x *Exchanger) LimitSockets(n int) {
+	x.sockets.limit(n, x.closeIdle)
+}
+
+// Sockets returns the number of open sockets.
+func (x *Exchanger) Sockets() int { return x.sockets.count() }
+
+// closeIdle closes an idle connection to any leaf. It reports false if there is none.
+func (x *Exchanger) closeIdle() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, s := range x.leaves {
+		if c := s.popOldest(); c != nil {
+			s.drop(c)
+			return true
+		}
+	}
+	return false
+}
+
 // Close removes all leaves and closes their idle connections.
 func (x *Exchanger) Close() { x.Apply(nil) }
 
--- a/entry/leafclient/socketpool.go
+++ b/entry/leafclient/socketpool.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +42,7 @@
 	dialCost    time.Duration
 	limiter     *rate.Limiter
 	quota       connQuota
+	sockets     *sockets
 	dials       atomic.Int64
 	// transient is Target.Transient: connections are closed after one exchange.
 	transient atomic.Bool
@@ -51,8 +53,8 @@
 }
 
 // newSocketPool returns an empty pool for a leaf.
-func newSocketPool(t Target) *socketPool {
-	s := &socketPool{address: t.Address, dialCost: t.DialCost, limiter: rate.NewLimiter(rate.Inf, 1)}
+func newSocketPool(t Target, all *sockets) *socketPool {
+	s := &socketPool{address: t.Address, dialCost: t.DialCost, sockets: all, limiter: rate.NewLimiter(rate.Inf, 1)}
 	s.dialTimeout = max(minDialTimeout, dialTimeoutFactor*t.DialCost)
 	if t.DialCost > 0 {
 		s.limiter = rate.NewLimiter(rate.Every(t.DialCost), 1)
@@ -89,6 +91,18 @@
 	return c
 }
 
+// popOldest removes and returns the connection that has been idle longest, or nil.
+func (s *socketPool) popOldest() *socket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.idle) == 0 {
+		return nil
+	}
+	c := s.idle[0]
+	s.idle = slices.Delete(s.idle, 0, 1)
+	return c
+}
+
 // put returns a connection for the next exchange, or closes it if the pool is closed,
 // transient or full.
 func (s *socketPool) put(c *socket) {
@@ -107,6 +121,7 @@
 // the connection until it has seen the close.
 func (s *socketPool) drop(c *socket) {
 	_ = c.conn.Close()
+	s.sockets.release()
 	time.AfterFunc(s.dialCost, s.quota.release)
 }
 
@@ -130,10 +145,15 @@
 		s.quota.release()
 		return nil, fmt.Errorf("wait for the dial rate limit: %w", err)
 	}
+	if err := s.sockets.acquire(); err != nil {
+		s.quota.release()
+		return nil, err
+	}
 	s.dials.Add(1)
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", s.address)
 	if err != nil {
+		s.sockets.release()
 		s.quota.release()
 		return nil, err
 	}
--- a/entry/leafclient/socketpool_test.go
+++ b/entry/leafclient/socketpool_test.go
@@ -20,7 +20,7 @@
 	}
 	defer l.Close()
 	target := Target{ID: "a", Address: l.Addr().String(), Connections: 1}
-	s := newSocketPool(target)
+	s := newSocketPool(target, &sockets{})
 	defer s.close()
 	useOnce := func() {
 		t.Helper()
--- a/standin/hosted/hosted.go
+++ b/standin/hosted/hosted.go
@@ -45,6 +45,9 @@
 	Heartbeat    time.Duration
 	// First says that all instances start, for the first time.
 	First bool
+	// MemoryBytes and Descriptors are the limits of the process; 0: MemoryBytes and none.
+	MemoryBytes int64
+	Descriptors int
 }
 
 // MemoryBytes is the memory that the settings grant to an instance.
@@ -64,10 +67,17 @@
 	if len(s.Seeds) > 0 {
 		listen["control"] = s.Peers
 	}
+	limits := map[string]any{"cpu-share": 0.5, "cpu-cores": 1, "memory-mb": MemoryBytes >> 20}
+	if s.MemoryBytes > 0 {
+		limits["memory-mb"] = s.MemoryBytes >> 20
+	}
+	if s.Descriptors > 0 {
+		limits["max-fds"] = s.Descriptors
+	}
 	return map[string]any{
 		"node-name": s.Name, "zone": s.Zone, "ip": ip, "internal-ports": []int{port, port},
 		"listen-addrs": listen, "seeds": s.Seeds, "heartbeat-ms": s.Heartbeat.Milliseconds(), "bootstrap": s.First,
-		"limits": map[string]any{"cpu-share": 0.5, "cpu-cores": 1, "memory-mb": MemoryBytes >> 20},
+		"limits": limits,
 		"parameters": map[string]any{
 			"grace-period-s": s.Grace.Seconds(), "config-apply-ms": s.Bound.Milliseconds(), "drain-timeout-ms": s.Bound.Milliseconds(),
 			"retry-budget-ratio": s.Ratio, "retry-slack": s.Slack, "retry-window-s": s.Window.Seconds(),
@@ -108,8 +118,20 @@
 	LeastShare float64  `json:"min-success-share,omitempty"`
 }
 
-// Configure writes a version of the configuration into the store.
+// Limits bound what clients may send; 0: the configuration states none.
+type Limits struct {
+	HeaderBytes          int
+	BodyBytes            int64
+	HeaderTime, IdleTime time.Duration
+}
+
+// Configure writes a version of the configuration into the store, with BodyLimit as its only limit.
 func Configure(store *platform.Server, version uint64, routes ...Route) error {
+	return ConfigureLimits(store, version, Limits{BodyBytes: BodyLimit}, routes...)
+}
+
+// ConfigureLimits writes a version of the configuration into the store.
+func ConfigureLimits(store *platform.Server, version uint64, l Limits, routes ...Route) error {
 	list := make([]configRoute, 0, len(routes))
 	for _, r := range routes {
 		kind := "idempotent"
@@ -122,7 +144,10 @@
 		})
 	}
 	data, err := json.Marshal(map[string]any{
-		"version": version, "routes": list, "services": []any{}, "limits": map[string]int{"max-body-bytes": BodyLimit},
+		"version": version, "routes": list, "services": []any{}, "limits": map[string]int64{
+			"max-header-bytes": int64(l.HeaderBytes), "max-body-bytes": l.BodyBytes,
+			"header-timeout-ms": l.HeaderTime.Milliseconds(), "idle-timeout-ms": l.IdleTime.Milliseconds(),
+		},
 	})
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -30,6 +30,7 @@
 	{"kill all while leaves decline", (*run).killAllWhileLeavesDecline}, {"crashing request", (*run).crashingRequest},
 	{"leaf removal", (*run).leafRemoval}, {"leaf stall at drain", (*run).leafStallAtDrain}, {"store cuts", (*run).storeCuts},
 	{"late heartbeat", (*run).lateHeartbeat}, {"services leave", (*run).servicesLeave}, {"store late", (*run).storeLate}, {"store lapse", (*run).storeLapse}, {"store restore", (*run).storeRestore},
+	{"client crowd", (*run).clientCrowd},
 }
 
 // between draws a time.
--- a/standin/soak/memory.go
+++ b/standin/soak/memory.go
@@ -15,7 +15,7 @@
 const memoryInterval = 20 * time.Millisecond
 
 // watchMemory ends each instance that exceeds the memory that its settings grant, as the platform
-// does, until stop is closed.
+// does, until stop is closed. It also checks the number of descriptors.
 func (r *run) watchMemory(stop <-chan struct{}) {
 	for {
 		select {
@@ -28,6 +28,9 @@
 			r.mu.Lock()
 			r.peakMemory = max(r.peakMemory, resident)
 			r.mu.Unlock()
+			if most, open := r.site.profile.descriptors, n.countDescriptors(); most > 0 && open > most {
+				r.violation(fmt.Sprintf("%d descriptors, of %d allowed", open, most), "", n.name)
+			}
 			if resident <= hosted.MemoryBytes {
 				continue
 			}
--- a/standin/soak/profile.go
+++ b/standin/soak/profile.go
@@ -26,6 +26,8 @@
 	// longBodies says that some requests that are not idempotent have long bodies.
 	longBodies bool
 	faults     []string // the names of its faults; nil: all of defaultFaults
+	// descriptors is the limit on the descriptors of an instance; 0: none is stated.
+	descriptors int
 }
 
 // leafProfile is how the leaves serve.
@@ -68,6 +70,15 @@
 			"leaf fails requests", "leaf answers early", "leaf omits request ids",
 		},
 	},
+	// Crowds of clients never complete their requests.
+	"crowded": {
+		shards: 6, minShards: 4, maxShards: 8, zones: 2, leavesEach: 2, bound: 3 * time.Second, slack: 60, thinkTime: 40 * time.Millisecond,
+		kinds:     []kind{kindOne, kindOne, kindOnce, kindProbe, kindSearch, kindSearch},
+		leaf:      leafProfile{slots: 8, work: 8 * time.Millisecond},
+		objective: 300 * time.Millisecond, clientTime: maxClientTime, longBodies: true,
+		descriptors: crowdDescriptors,
+		faults:      []string{"client crowd", "client crowd", "client crowd", "kill", "stop", "hup", "configuration", "leaf slow"},
+	},
 	// Leaves leave all the time, with a bound as long as that of large fleets. With few shards, many
 	// of them serve routes to one leaf, whose requests the instance that is asked sends itself.
 	"leaving": {
--- a/standin/soak/site.go
+++ b/standin/soak/site.go
@@ -346,6 +346,7 @@
 		Name: name, Zone: zoneName(i % s.profile.zones), Clients: addresses[0], Ready: addresses[1], Peers: addresses[2], Store: s.store.address(),
 		Seeds: slices.Clone(s.seeds),
 		Grace: graceTime, Bound: s.profile.bound, Ratio: ratio, Slack: s.profile.slack, Window: repeatWindow, Heartbeat: heartbeat,
+		Descriptors: s.profile.descriptors,
 	}
 	return n, nil
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -63,6 +63,17 @@
 	})
 }
 
+// TestSoakOfCrowdsOfClients plays clients that never complete their requests, beside kills, stops and
+// changes of the configuration.
+func TestSoakOfCrowdsOfClients(t *testing.T) {
+	playSoaks(t, []soakCase{
+		{
+			options: Options{Seed: 64, For: 15 * time.Second, Instances: 3, Clients: 12, Profile: "crowded"},
+			cause:   "what clients sent and held was bounded nowhere in sum",
+		},
+	})
+}
+
 // TestSoakOfLeavesThatErr plays leaves that answer twice, cut their answers, fail requests, and send
 // wrong or endless bytes, beside kills and stops.
 func TestSoakOfLeavesThatErr(t *testing.T) {
