Bound what callers of serve send and hold

What callers saw: an instance beside a crowd ran out of memory or descriptors.

Cause: limits of one request only, none in sum: heads up to 4 KiB over header_bytes and parsed as they arrive, bodies up to body_bytes read whole whatever others held, connections without a bound.

Change: the guard of package ingress before callers and operators, who have bounds of their own; limits.connections and limits.memory_bytes; bodies are accounted for. Callers with TLS get HTTP/1.1, as streams of HTTP/2 would need bounds of their own.

--- a/config/settings/raw.go
+++ b/config/settings/raw.go
@@ -75,6 +75,8 @@
 	DrainTime   string `toml:"drain_time"`
 	Queue       int    `toml:"queue"`
 	Queries     int    `toml:"queries"`
+	Connections int    `toml:"connections"`
+	MemoryBytes int64  `toml:"memory_bytes"`
 }
 
 // rawLog is the [log] table as it is written.
@@ -98,7 +100,7 @@
 		Platform: rawPlatform{Timeout: "1s"},
 		Limits: rawLimits{
 			BodyBytes: 1 << 20, HeaderBytes: 16 << 10, ReadTimeout: "10s", IdleTimeout: "2m",
-			DrainTime: "10s", Queue: 256, Queries: 4096,
+			DrainTime: "10s", Queue: 256, Queries: 4096, MemoryBytes: 256 << 20,
 		},
 		Log: rawLog{Level: "info", Format: "logfmt"},
 		Policy: rawPolicy{
@@ -134,6 +136,8 @@
 			DrainTime:   timeout(r.Limits.DrainTime, "limits.drain_time", list),
 			Queue:       r.Limits.Queue,
 			Queries:     r.Limits.Queries,
+			Connections: r.Limits.Connections,
+			MemoryBytes: r.Limits.MemoryBytes,
 		},
 		Log:    Log(r.Log),
 		Policy: Policy(r.Policy),
@@ -179,6 +183,8 @@
 	between(int64(s.Limits.HeaderBytes), 1<<10, 1<<20, "limits.header_bytes", list)
 	between(int64(s.Limits.Queue), 1, 1<<20, "limits.queue", list)
 	between(int64(s.Limits.Queries), 1, 1<<20, "limits.queries", list)
+	between(int64(s.Limits.Connections), 0, 1<<20, "limits.connections", list)
+	between(s.Limits.MemoryBytes, max(16<<20, minMemoryBodies*s.Limits.BodyBytes), 1<<40, "limits.memory_bytes", list)
 	oneOf(s.Log.Level, "log.level", list, "debug", "info", "warn", "error")
 	oneOf(s.Log.Format, "log.format", list, "text", "logfmt", "json")
 	name(s.Policy.Routing, "policy.routing", list)
@@ -188,6 +194,9 @@
 	name(s.Policy.Placement, "policy.placement", list)
 }
 
+// minMemoryBodies is the number of the largest bodies for which there must be memory.
+const minMemoryBodies = 4
+
 // name checks a name.
 func name(s, path string, list *fault.List) {
 	if !namePattern.MatchString(s) {
--- a/config/settings/settings.go
+++ b/config/settings/settings.go
@@ -74,6 +74,10 @@
 	Queue int
 	// Queries is the most queries in progress at once.
 	Queries int
+	// Connections is the most open connections of callers; 0: half of the process's descriptors.
+	Connections int
+	// MemoryBytes is the most that callers' connections and requests hold, in sum.
+	MemoryBytes int64
 }
 
 // Log says what is logged and how.
--- a/entry/node/assemble.go
+++ b/entry/node/assemble.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"syscall"
 	"time"
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
@@ -64,11 +66,16 @@
 	config := server.Config{
 		Executor: n.executor, Views: n, Lifecycle: &n.lifecycle, Ready: n.notReady, Status: n.status,
 		Metrics: n.metrics.Handler(), TLS: callers,
-		Limits: server.Limits{BodyBytes: s.Limits.BodyBytes, HeaderBytes: s.Limits.HeaderBytes, ReadTimeout: s.Limits.ReadTimeout, IdleTimeout: s.Limits.IdleTimeout},
+		Limits: server.Limits{
+			BodyBytes: s.Limits.BodyBytes, HeaderBytes: s.Limits.HeaderBytes, ReadTimeout: s.Limits.ReadTimeout, IdleTimeout: s.Limits.IdleTimeout,
+			Connections: callerConnections(s.Limits.Connections), MemoryBytes: s.Limits.MemoryBytes,
+		},
 	}
 	n.server = server.New(config)
 	router := n.server.Echo()
 	if s.Listen.Operators != "" && s.Listen.Operators != s.Listen.Callers {
+		config.Limits.Connections = max(config.Limits.Connections/operatorsPart, minOperatorsConnections)
+		config.Limits.MemoryBytes = max(config.Limits.MemoryBytes/operatorsPart, minOperatorsMemory)
 		n.operators = server.New(config)
 		router = n.operators.Echo()
 	}
@@ -82,3 +89,28 @@
 	pages.Register(router)
 	return nil
 }
+
+const (
+	// operatorsPart is the part of the bounds of callers that operators have on an address of their
+	// own.
+	operatorsPart = 8
+	// minOperatorsMemory holds some documents, in bytes.
+	minOperatorsMemory      = 16 << 20
+	minOperatorsConnections = 64
+	// callersDescriptorShare is the share of the process's descriptors for callers, if the settings
+	// give no number of connections.
+	callersDescriptorShare = 0.5
+)
+
+// callerConnections returns the maximum number of callers' connections: that of the settings, or,
+// if it is 0, a share of the process's descriptors.
+func callerConnections(setting int) int {
+	if setting > 0 {
+		return setting
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return max(1, int(callersDescriptorShare*float64(limit.Cur)))
+}
--- a/entry/node/listen.go
+++ b/entry/node/listen.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"context"
 	"crypto/tls"
 	"fmt"
 	"net"
+
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 )
 
 // listeners holds the listening sockets of a node.
@@ -13,16 +16,16 @@
 }
 
 // listen opens all sockets; on an error it closes those already open.
-func (n *Node) listen() (l listeners, err error) {
+func (n *Node) listen(ctx context.Context) (l listeners, err error) {
 	defer func() {
 		if err != nil {
 			l.close()
 		}
 	}()
-	if l.callers, err = net.Listen("tcp", n.settings.Listen.Callers); err != nil {
+	if l.callers, err = ingress.ListenTCP(ctx, n.settings.Listen.Callers); err != nil {
 		return l, fmt.Errorf("listen for callers: %w", err)
 	}
-	if l.peers, err = net.Listen("tcp", n.settings.Listen.Peers); err != nil {
+	if l.peers, err = ingress.ListenTCP(ctx, n.settings.Listen.Peers); err != nil {
 		return l, fmt.Errorf("listen for peers: %w", err)
 	}
 	if n.peerTLS != nil {
@@ -31,7 +34,7 @@
 	if n.operators == nil {
 		return l, nil
 	}
-	if l.operators, err = net.Listen("tcp", n.settings.Listen.Operators); err != nil {
+	if l.operators, err = ingress.ListenTCP(ctx, n.settings.Listen.Operators); err != nil {
 		return l, fmt.Errorf("listen for operators: %w", err)
 	}
 	return l, nil
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -117,7 +117,7 @@
 // Run serves until Stop is called or the context ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.close()
-	l, err := n.listen()
+	l, err := n.listen(ctx)
 	if err != nil {
 		return err
 	}
--- a/entry/operators/api.go
+++ b/entry/operators/api.go
@@ -3,8 +3,6 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +14,7 @@
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/api/platformapi"
 	"github.com/fuchsiaroad/fuchsiaroad/config/codec"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/server"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/quarantine"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
@@ -136,13 +135,9 @@
 
 // readDocument takes the body, up to the largest document.
 func readDocument(c echo.Context) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, codec.MaxBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &Error{Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Title: "The request is malformed", Field: "body", Detail: "want at most " + strconv.Itoa(codec.MaxBytes) + " bytes"}
-	}
+	body, err := ingress.ReadBody(c.Request(), codec.MaxBytes)
 	if err != nil {
-		return nil, badRequest("body", "could not be read whole")
+		return nil, asError(server.BodyError(err))
 	}
 	return body, nil
 }
--- a/entry/server/errors.go
+++ b/entry/server/errors.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 )
 
 // problemType is the prefix of the URIs of problem types.
@@ -38,6 +39,26 @@
 	return &Error{Status: http.StatusBadRequest, Code: "bad-request", Title: "The request is malformed", Field: field, Detail: fmt.Sprintf(format, args...)}
 }
 
+// noMemoryRetry is the retry time of an instance without memory for a request.
+const noMemoryRetry = time.Second
+
+// BodyError converts an error of package ingress, nil if there is none.
+func BodyError(err error) error {
+	var tooLong *ingress.BodyTooLongError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLong):
+		return &Error{Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Title: "The request is malformed", Field: "body", Detail: "want at most " + strconv.FormatInt(tooLong.Limit, 10) + " bytes"}
+	case errors.Is(err, ingress.ErrNoMemory):
+		return &Error{Status: http.StatusServiceUnavailable, Code: "no-memory", Title: "The request was not run", Detail: err.Error(), RetryAfter: noMemoryRetry}
+	case errors.Is(err, ingress.ErrBodyTimeout):
+		return &Error{Status: http.StatusRequestTimeout, Code: "body-timeout", Title: "The request was not run", Field: "body", Detail: err.Error()}
+	default:
+		return badRequest("body", "could not be read whole")
+	}
+}
+
 // problem converts any error to a problem detail with its HTTP status.
 func problem(err error) *callerapi.Problem {
 	var refusal *Error
--- a/entry/server/query.go
+++ b/entry/server/query.go
@@ -1,8 +1,6 @@
 package server
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -12,6 +10,7 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/document"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/query"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/route"
@@ -86,6 +85,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := ingress.ReserveRun(c.Request().Context(), svc.Shards); err != nil {
+		return nil, BodyError(err)
+	}
 	return &executor.Request{
 		View: v, Service: svc, Caller: caller, Body: body, Key: key,
 		Start: start, Deadline: start.Add(budget),
@@ -155,14 +157,6 @@
 
 // readBody reads the body and refuses one over the limit.
 func (s *Server) readBody(c echo.Context) ([]byte, error) {
-	limit := s.config.Limits.BodyBytes
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &Error{Status: http.StatusRequestEntityTooLarge, Code: "body-too-large", Title: "The request is malformed", Field: "body", Detail: "want at most " + strconv.FormatInt(limit, 10) + " bytes"}
-	}
-	if err != nil {
-		return nil, badRequest("body", "could not be read whole")
-	}
-	return body, nil
+	body, err := ingress.ReadBody(c.Request(), s.config.Limits.BodyBytes)
+	return body, BodyError(err)
 }
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/fuchsiaroad/fuchsiaroad/api/callerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/executor"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/view"
 )
 
@@ -46,8 +47,32 @@
 	HeaderBytes int
 	ReadTimeout time.Duration // for reading a whole request
 	IdleTimeout time.Duration
+	// Connections bounds the open connections, and MemoryBytes the sum of what they and their
+	// requests hold.
+	Connections int
+	MemoryBytes int64
 }
 
+// guardConfig returns the bounds on connections.
+func (l Limits) guardConfig(usesTLS bool) ingress.Config {
+	c := ingress.Config{
+		Limits: func() ingress.Limits {
+			return ingress.Limits{HeadBytes: l.HeaderBytes, HeadTime: l.ReadTimeout, IdleTime: l.IdleTimeout}
+		},
+		Connections: func() int { return l.Connections },
+		Memory:      func() int64 { return l.MemoryBytes },
+		RequestTime: l.ReadTimeout,
+		RetryAfter:  "1",
+	}
+	if usesTLS {
+		c.ConnectionCost = ingress.TLSConnectionCost
+	}
+	return c
+}
+
+// maxServerHeaderBytes is the limit of the HTTP server itself, which the guard's replaces.
+const maxServerHeaderBytes = 64 << 20
+
 // Config holds the server's dependencies and limits.
 type Config struct {
 	Executor  Executor
@@ -68,6 +93,7 @@
 	config Config
 	echo   *echo.Echo
 	http   *http.Server
+	guard  *ingress.Guard
 }
 
 // New returns a server with the paths for queries and operations.
@@ -76,15 +102,8 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = writeError
-	s := &Server{config: c, echo: e}
-	s.http = &http.Server{
-		Handler:           e,
-		TLSConfig:         c.TLS,
-		MaxHeaderBytes:    c.Limits.HeaderBytes,
-		ReadHeaderTimeout: c.Limits.ReadTimeout,
-		ReadTimeout:       c.Limits.ReadTimeout,
-		IdleTimeout:       c.Limits.IdleTimeout,
-	}
+	s := &Server{config: c, echo: e, guard: ingress.NewGuard(c.Limits.guardConfig(c.TLS != nil))}
+	s.http = &http.Server{Handler: e, MaxHeaderBytes: maxServerHeaderBytes, ConnContext: ingress.WithAccount, ConnState: ingress.ConnState}
 	e.Use(middleware.Recover(), s.closeConnectionsWhileLeaving)
 	e.POST(callerapi.PathQuery, s.query)
 	e.POST(callerapi.PathRouted, s.query)
@@ -124,12 +143,12 @@
 
 // Serve handles connections of the listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	var err error
 	if s.config.TLS != nil {
-		err = s.http.ServeTLS(l, "", "")
-	} else {
-		err = s.http.Serve(l)
+		config := s.config.TLS.Clone()
+		config.NextProtos = []string{"http/1.1"}
+		l = tls.NewListener(l, config)
 	}
+	err := s.http.Serve(s.guard.Listen(l))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
