--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -434,7 +434,7 @@
 func (c *Conn) refuse(status int, reason Reason) error {
 	c.guard.reject(c, reason)
 	c.received, c.head = nil, headScanner{}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTime))
 	retryAfter := ""
 	if status == http.StatusServiceUnavailable && c.guard.config.RetryAfter != "" {
 		retryAfter = "Retry-After: " + c.guard.config.RetryAfter + "\r\n"
@@ -482,7 +482,7 @@
 
 // writePart writes a part of an answer of the given length.
 func (c *Conn) writePart(part []byte, answerBytes int64) (int, error) {
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(c.guard.limits().IdleTime)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.guard.limits().IdleTime)); err != nil {
 		return 0, err
 	}
 	reported := make(chan struct{})
--- a/standin/crowd/process_test.go
+++ b/standin/crowd/process_test.go
@@ -29,7 +29,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	defer os.RemoveAll(dir)
+	defer func() { _ = os.RemoveAll(dir) }()
 	program, control = filepath.Join(dir, "fuchsiaroad"), filepath.Join(dir, "fuchsiactl")
 	const commands = "github.com/fuchsiaroad/fuchsiaroad/cmd/"
 	cmd := exec.Command("go", "build", "-o", dir, commands+"fuchsiaroad", commands+"fuchsiactl")
--- a/standin/crowd/single_test.go
+++ b/standin/crowd/single_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -49,7 +51,7 @@
 	}
 	resp, err := http.ReadResponse(e.reader, nil)
 	if err != nil {
-		if t, ok := err.(net.Error); ok && t.Timeout() {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			e.t.Errorf("no answer within %v", answerTimeout)
 		}
 		return 0, nil
