--- a/entry/ingress/guard.go
+++ b/entry/ingress/guard.go
@@ -89,7 +89,7 @@
 type state int
 
 const (
-	stateEnding  state = iota // refused, the refusal is on its way
+	stateEnding  state = iota // refused; the refusal is being sent
 	stateNew                  // has sent nothing yet
 	stateIdle                 // between requests
 	stateAhead                // waits with a request that was sent ahead
@@ -155,7 +155,11 @@
 	if c.ConnectionCost == 0 {
 		c.ConnectionCost = plainConnectionCost
 	}
-	g := &Guard{config: c, chunkLane: newLane(chunkLaneSize, chunkLanePause), aheadLane: newLane(aheadLaneSize, aheadLanePause), evictions: rate.NewLimiter(maxEvictionRate, evictionBurst), room: make(chan struct{}, 1)}
+	g := &Guard{
+		config:    c,
+		chunkLane: newLane(chunkLaneSize, chunkLanePause), aheadLane: newLane(aheadLaneSize, aheadLanePause),
+		evictions: rate.NewLimiter(maxEvictionRate, evictionBurst), room: make(chan struct{}, 1),
+	}
 	for i := range g.byState {
 		g.byState[i] = list.New()
 	}
@@ -217,7 +221,7 @@
 		switch {
 		case v != nil:
 			_ = v.Conn.Close()
-			_ = g.evictions.Wait(context.Background()) // fails for no context that does not end
+			_ = g.evictions.Wait(context.Background()) // only the end of the context would be an error
 		case wait > 0:
 			g.awaitRoom(wait)
 		default:
