--- a/cmd/fuchsiactl/config_docs_test.go
+++ b/cmd/fuchsiactl/config_docs_test.go
@@ -175,8 +175,8 @@
 			}
 		}
 	}
-	if checked != 15 {
-		t.Errorf("%d defaults of settings were compared, want 15", checked)
+	if checked != 17 {
+		t.Errorf("%d defaults of settings were compared, want 17", checked)
 	}
 }
 
