Crowd tests: empty lines after a request, refusals that nothing ran of, limits that are raised and lowered

The tests had empty lines without an end before a first request only, lowered and raised one limit, and took a refusal's status for the proof that nothing ran. Now: a crowd with empty lines after a request, and a unit test of few and of endless empty lines before a later one; the leaf's own count of requests beside refusals; body, header time and idle time under a configuration that raises and one that lowers them.

--- a/entry/ingress/conn_test.go
+++ b/entry/ingress/conn_test.go
@@ -121,6 +121,24 @@
 	})
 }
 
+// TestEmptyLinesBeforeARequest has a few empty lines before the first and before a later request.
+func TestEmptyLinesBeforeARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial := serve(t, func() Limits { return Limits{HeadBytes: 1000} })
+		conn := dial()
+		request := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab"
+		go func() { _, _ = io.WriteString(conn, "\r\n"+request+"\r\n"+request+request) }() // the server may close first
+		if got := fmt.Sprint(answers(t, bufio.NewReader(conn), 3)); got != "[200 2 200 2 200 2]" {
+			t.Error(got)
+		}
+		conn = dial()
+		go func() { _, _ = io.WriteString(conn, request+strings.Repeat("\r\n", 2000)) }() // the server closes first
+		if got := answers(t, bufio.NewReader(conn), 3); got[0] != "200 2" || len(got) < 2 || strings.HasPrefix(got[1], "200") {
+			t.Errorf("empty lines without end after a request: %v", got)
+		}
+	})
+}
+
 // TestHeadThatDoesNotEnd checks the time and the size of a head, and the idle time.
 func TestHeadThatDoesNotEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -211,6 +211,9 @@
 	{Name: "empty lines without end", Script: func(Target) Script {
 		return Script{Endless: []byte(strings.Repeat("\r\n", fillerBytes/2))}
 	}},
+	{Name: "empty lines without end after a request", Completes: true, Script: func(t Target) Script {
+		return Script{Start: t.sized(10), Endless: []byte(strings.Repeat("\r\n", fillerBytes/2))}
+	}},
 	{Name: "bodies just short of their length", Script: func(t Target) Script {
 		return Script{Start: cut(t.sized(t.BodyBytes), 1)}
 	}},
--- a/standin/crowd/hosted_test.go
+++ b/standin/crowd/hosted_test.go
@@ -35,6 +35,7 @@
 type hostedSite struct {
 	*process
 	store                   *platform.Server
+	leaf                    *rawleaf.Leaf // of the service alone
 	clients, ready, metrics string
 	peers                   string
 	version                 uint64
@@ -93,6 +94,9 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(leaf.Close)
+		if service == "alone" {
+			s.leaf = leaf
+		}
 		hosted.Register(s.store, hosted.Leaf{ID: "leaf-" + service, Service: service, Zone: "a", Address: leaf.Address()})
 	}
 	s.configure(t, limits)
--- a/standin/crowd/single_test.go
+++ b/standin/crowd/single_test.go
@@ -123,6 +123,7 @@
 // TestSingleRequestsOverTheLimits has requests that exceed a limit of the configuration.
 func TestSingleRequestsOverTheLimits(t *testing.T) {
 	s := startSite(t)
+	before := len(s.leaf.Requests())
 	target := s.singleTarget("/one/")
 	for _, n := range []int{16_385, 20_000, 200_000, 900_000} {
 		connect(t, s.clients).send(target.headOf(n, 500)).want(fmt.Sprintf("head of %d bytes", n), http.StatusRequestHeaderFieldsTooLarge)
@@ -138,6 +139,9 @@
 	if status, _ := connect(t, s.clients).answer(); status != 0 {
 		t.Errorf("an idle connection was answered %d", status)
 	}
+	if n := len(s.leaf.Requests()) - before; n != 0 {
+		t.Errorf("%d refused requests reached the leaf", n)
+	}
 }
 
 // TestLimitsOfTheConfigurationInForce changes the limits while a connection is open.
@@ -160,6 +164,31 @@
 		status, _ := connect(t, s.clients).send(target.headOf(12_000, 500)).answer()
 		return status == http.StatusOK
 	})
+
+	larger := hosted.Limits{HeaderBytes: 40_000, BodyBytes: 300_000, HeaderTime: 5 * limits.HeaderTime, IdleTime: limits.IdleTime}
+	s.configure(t, larger)
+	await(t, "the larger limits", func() bool {
+		status, _ := connect(t, s.clients).send(target.headOf(40_000, 500)).answer()
+		return status == http.StatusOK
+	})
+	connect(t, s.clients).send(target.sized(300_000)).want("body within the larger limit", http.StatusOK)
+	connect(t, s.clients).send(target.sized(300_001)).want("body over the larger limit", http.StatusRequestEntityTooLarge)
+	slow := connect(t, s.clients).send(target.headOf(300, 20)[:200])
+	time.Sleep(limits.HeaderTime * 4 / 3)
+	slow.send(target.headOf(300, 20)[200:]).want("head within the longer time", http.StatusOK)
+
+	shorter := larger
+	shorter.IdleTime, shorter.HeaderTime, shorter.BodyBytes = time.Second, time.Second, 1_000
+	s.configure(t, shorter)
+	await(t, "the smaller limits", func() bool {
+		status, _ := connect(t, s.clients).send(target.sized(1_001)).answer()
+		return status == http.StatusRequestEntityTooLarge
+	})
+	connect(t, s.clients).send(target.sized(1_000)).want("body within the smaller limit", http.StatusOK)
+	connect(t, s.clients).send([]byte(target.Request+"\r\n")).want("head over the shorter time", http.StatusRequestTimeout)
+	if status, _ := connect(t, s.clients).answer(); status != 0 {
+		t.Errorf("a connection beyond the shorter idle time was answered %d", status)
+	}
 }
 
 // TestRefusalWithoutReadingTheBody refuses requests whose body does not arrive.
