Report what serve and the listener for other instances reject; account for forms of the console

What operators saw: nothing. The bounds of serve and of the listener for other instances had neither a metric nor a log line, so that a crowd showed only as slow answers. Forms of the console were bounded each, not in sum.

Cause: only hosted instances passed on why a client was rejected, and the console reads forms through the router's own parser.

--- a/entry/console/console.go
+++ b/entry/console/console.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/labstack/echo/v4/middleware"
 
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/operators"
 )
 
@@ -106,8 +107,8 @@
 		TokenLookup: "form:" + fieldCSRF, ContextKey: csrfContext, CookieName: c.cookieName("csrf"), CookiePath: "/",
 		CookieHTTPOnly: true, CookieSecure: c.config.Secure, CookieSameSite: http.SameSiteStrictMode,
 	})
-	public := []echo.MiddlewareFunc{c.answerErrors, headers, noStore, middleware.BodyLimit(loginLimit), csrf}
-	private := []echo.MiddlewareFunc{c.answerErrors, headers, noStore, c.signedIn, middleware.BodyLimit(formLimit), csrf}
+	public := []echo.MiddlewareFunc{c.answerErrors, headers, noStore, middleware.BodyLimit(loginLimit), accountBody, csrf}
+	private := []echo.MiddlewareFunc{c.answerErrors, headers, noStore, c.signedIn, middleware.BodyLimit(formLimit), accountBody, csrf}
 
 	e.GET("/console", func(ctx echo.Context) error { return ctx.Redirect(http.StatusSeeOther, Root) })
 	e.GET(pathStyle, c.getStyle, headers)
@@ -198,3 +199,11 @@
 		return c.render(ctx, own.Status, "error", own.Title, own)
 	}
 }
+
+// accountBody has the memory of forms accounted for.
+func accountBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		ingress.AccountBody(c.Request())
+		return next(c)
+	}
+}
--- a/entry/hosted/resources.go
+++ b/entry/hosted/resources.go
@@ -118,8 +118,12 @@
 	})
 }
 
-// reportRejection counts and logs a client's connection or request that was rejected.
+// reportRejection reports a client's connection or request that was rejected.
 func (n *Node) reportRejection(reason ingress.Reason) {
-	n.metrics.CountRefusal(string(reason))
-	n.log.LogDecision(telemetry.Decision{Component: "ingress", Event: "reject", Reason: string(reason), Class: telemetry.Routine})
+	telemetry.ReportRejection(n.metrics, n.log, "ingress", string(reason))
+}
+
+// reportPeerRejection reports a rejected connection or request of another instance.
+func (n *Node) reportPeerRejection(reason string) {
+	telemetry.ReportRejection(n.metrics, n.log, "peers", reason)
 }
--- a/entry/hosted/sync.go
+++ b/entry/hosted/sync.go
@@ -30,6 +30,7 @@
 func (n *Node) peerServer() *peer.Server {
 	return peer.NewServer(peer.ServerConfig{
 		Instance: n.config.Instance, Key: n.config.PeerKey, Sync: n, Forward: n.forwarder, MaxConnections: n.tunables.Load().Resources.peerConnections(),
+		OnReject: n.reportPeerRejection,
 	})
 }
 
--- a/entry/ingress/body.go
+++ b/entry/ingress/body.go
@@ -39,6 +39,35 @@
 	return ctx
 }
 
+// AccountBody has each byte that is read of a request's body accounted for, for handlers that do not
+// use ReadBody. Without memory, reads fail with ErrNoMemory.
+func AccountBody(r *http.Request) {
+	if account := accountOf(r.Context()); account != nil && r.Body != nil && r.Body != http.NoBody {
+		r.Body = &accountedBody{ReadCloser: r.Body, account: account}
+	}
+}
+
+// parsedFactor is the memory of a byte of a form: it is held as it came and as parsed, and buffers
+// grow by doubling.
+const parsedFactor = 4
+
+// accountedBody is a body whose bytes are accounted for.
+type accountedBody struct {
+	io.ReadCloser
+	account Account
+}
+
+// Read implements io.Reader.
+func (b *accountedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		if reserveErr := b.account.Reserve(int64(parsedFactor * n)); reserveErr != nil {
+			return 0, reserveErr
+		}
+	}
+	return n, err
+}
+
 // accountOf returns the account of a request, nil if it has none.
 func accountOf(ctx context.Context) Account {
 	account, _ := ctx.Value(accountKey{}).(Account)
--- a/entry/node/assemble.go
+++ b/entry/node/assemble.go
@@ -9,9 +9,11 @@
 	"github.com/fuchsiaroad/fuchsiaroad/api/peerapi"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/console"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/control"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/ingress"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/operators"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/peer"
 	"github.com/fuchsiaroad/fuchsiaroad/entry/server"
+	"github.com/fuchsiaroad/fuchsiaroad/entry/telemetry"
 	"github.com/fuchsiaroad/fuchsiaroad/kernel/plugin"
 )
 
@@ -34,7 +36,10 @@
 		Placement: placement(plugin.PlacementConfig{Headroom: placementHeadroom}), Quarantine: executorQuarantine{n}, Publish: n.publish,
 		Log: n.log.Component("control"), Seed: uint64(time.Now().UnixNano()),
 	})
-	n.peerServer = peer.NewServer(peer.ServerConfig{Instance: s.Instance, Key: s.Peer.Key, Gossip: n.control})
+	n.peerServer = peer.NewServer(peer.ServerConfig{
+		Instance: s.Instance, Key: s.Peer.Key, Gossip: n.control,
+		OnReject: func(reason string) { telemetry.ReportRejection(n.metrics, n.log, "peers", reason) },
+	})
 	return nil
 }
 
@@ -66,6 +71,9 @@
 	config := server.Config{
 		Executor: n.executor, Views: n, Lifecycle: &n.lifecycle, Ready: n.notReady, Status: n.status,
 		Metrics: n.metrics.Handler(), TLS: callers,
+		OnReject: func(reason ingress.Reason) {
+			telemetry.ReportRejection(n.metrics, n.log, "ingress", string(reason))
+		},
 		Limits: server.Limits{
 			BodyBytes: s.Limits.BodyBytes, HeaderBytes: s.Limits.HeaderBytes, ReadTimeout: s.Limits.ReadTimeout, IdleTimeout: s.Limits.IdleTimeout,
 			Connections: callerConnections(s.Limits.Connections), MemoryBytes: s.Limits.MemoryBytes,
--- a/entry/peer/forward.go
+++ b/entry/peer/forward.go
@@ -62,6 +62,7 @@
 		return true
 	}
 	s.forwarded.Add(-n)
+	s.config.OnReject(rejectForwarded)
 	return false
 }
 
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -80,8 +80,18 @@
 	Forward ForwardHandler
 	// MaxConnections bounds the open connections; 0: a default.
 	MaxConnections int
+	// OnReject is called with one of the reasons below when a connection or an offer is rejected to
+	// keep within a bound; nil: nothing is. It must not block.
+	OnReject func(reason string)
 }
 
+// The reasons of ServerConfig.OnReject.
+const (
+	rejectConnections = "no connection is left for instances"
+	rejectHandshakes  = "no handshake while connections are used up"
+	rejectForwarded   = "no memory is left for forwarded requests"
+)
+
 // Server answers the calls of peers.
 type Server struct {
 	config    ServerConfig
@@ -97,6 +107,9 @@
 	if c.MaxConnections == 0 {
 		c.MaxConnections = defaultMaxConnections
 	}
+	if c.OnReject == nil {
+		c.OnReject = func(string) {}
+	}
 	return &Server{config: c, conns: make(map[*jsonrpc2.Conn]struct{})}
 }
 
@@ -140,6 +153,7 @@
 	select {
 	case <-timer.C:
 		if oldest.authenticatedPeer() == "" {
+			s.config.OnReject(rejectHandshakes)
 			_ = oldest.conn.Close() // the client, or handshakeTimeout, may have closed it already
 		}
 		s.endHandshake(oldest)
@@ -163,6 +177,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) >= s.config.MaxConnections {
+		s.config.OnReject(rejectConnections)
 		_ = conn.Close()
 		return
 	}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -54,7 +54,7 @@
 }
 
 // guardConfig returns the bounds on connections.
-func (l Limits) guardConfig(usesTLS bool) ingress.Config {
+func (l Limits) guardConfig(usesTLS bool, onReject func(ingress.Reason)) ingress.Config {
 	c := ingress.Config{
 		Limits: func() ingress.Limits {
 			return ingress.Limits{HeadBytes: l.HeaderBytes, HeadTime: l.ReadTimeout, IdleTime: l.IdleTimeout}
@@ -63,6 +63,7 @@
 		Memory:      func() int64 { return l.MemoryBytes },
 		RequestTime: l.ReadTimeout,
 		RetryAfter:  "1",
+		OnReject:    onReject,
 	}
 	if usesTLS {
 		c.ConnectionCost = ingress.TLSConnectionCost
@@ -84,6 +85,9 @@
 	Ready func() string
 	// Status returns the value that /status encodes as JSON.
 	Status func() any
+	// OnReject is called when a connection or request is rejected to keep within a bound; nil: nothing
+	// is. It must not block.
+	OnReject func(ingress.Reason)
 	// Metrics handles /metrics.
 	Metrics http.Handler
 }
@@ -102,7 +106,7 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = writeError
-	s := &Server{config: c, echo: e, guard: ingress.NewGuard(c.Limits.guardConfig(c.TLS != nil))}
+	s := &Server{config: c, echo: e, guard: ingress.NewGuard(c.Limits.guardConfig(c.TLS != nil, c.OnReject))}
 	s.http = &http.Server{Handler: e, MaxHeaderBytes: maxServerHeaderBytes, ConnContext: ingress.WithAccount, ConnState: ingress.ConnState}
 	e.Use(middleware.Recover(), s.closeConnectionsWhileLeaving)
 	e.POST(callerapi.PathQuery, s.query)
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -150,6 +150,13 @@
 	m.Scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
 }
 
+// ReportRejection counts and logs a connection or a request that was rejected to keep within a bound.
+// Reason is a label value, from a small fixed set.
+func ReportRejection(m *Metrics, l *Log, component, reason string) {
+	m.CountRefusal(reason)
+	l.LogDecision(Decision{Component: component, Event: "reject", Reason: reason, Class: Routine})
+}
+
 // CountQuarantine counts an event of a request that is suspected of crashing leaves: a change
 // of its phase, a refusal or a run alone. Both arguments are label values, from small fixed sets.
 func (m *Metrics) CountQuarantine(event, source string) {
--- a/standin/crowd/serve_test.go
+++ b/standin/crowd/serve_test.go
@@ -147,6 +147,22 @@
 	}
 }
 
+// TestCrowdAtConsole has crowds send forms to the console's login page.
+func TestCrowdAtConsole(t *testing.T) {
+	for _, name := range []string{"bodies just short of their length", "bodies in chunks of one byte just short of their end", "whole bodies"} {
+		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
+			s := startServed(t)
+			target := Target{
+				Address: s.operators, Request: "POST /console/login HTTP/1.1",
+				Fields:    "Host: " + s.operators + "\r\nContent-Type: application/x-www-form-urlencoded\r\n",
+				HeadBytes: limits.HeaderBytes - 100, BodyBytes: 16 << 10,
+			}
+			besideAndAfter(t, Start(kindNamed(t, name), target, crowdSize), func() bool { return s.isServed() && s.isConfigServed() })
+			s.check(serveMemory, serveDescriptors)
+		})
+	}
+}
+
 // TestCrowdAtPeersOfServed is TestCrowdAtPeers with the product's own interface.
 func TestCrowdAtPeersOfServed(t *testing.T) {
 	for name, script := range peerScripts {
