ingress: a file for each job, names in the words of the language

Upper bounds were named most. No behaviour changes; the tests of entry/ingress, entry/leafclient and entry/peer pass as before.

--- a/entry/ingress/guard.go
+++ b/entry/ingress/guard.go
@@ -10,102 +10,6 @@
 	"golang.org/x/time/rate"
 )
 
-// Limits are the limits on one client. A value of 0 takes the default.
-type Limits struct {
-	// HeadBytes is the maximum length of a head. HeadTime is the time from its first byte to its
-	// last.
-	HeadBytes int
-	HeadTime  time.Duration
-	// IdleTime is the time between requests, and the time in which a client must take some bytes
-	// of an answer.
-	IdleTime time.Duration
-}
-
-// Defaults of Limits.
-const (
-	defaultHeadBytes = 64 << 10
-	defaultHeadTime  = 10 * time.Second
-	defaultIdleTime  = 5 * time.Minute
-)
-
-// withDefaults replaces the values that are 0.
-func (l Limits) withDefaults() Limits {
-	if l.HeadBytes <= 0 {
-		l.HeadBytes = defaultHeadBytes
-	}
-	if l.HeadTime <= 0 {
-		l.HeadTime = defaultHeadTime
-	}
-	if l.IdleTime <= 0 {
-		l.IdleTime = defaultIdleTime
-	}
-	return l
-}
-
-// Config holds the bounds of a Guard. Its functions are called often and from any goroutine.
-type Config struct {
-	// Limits returns the limits in force.
-	Limits func() Limits
-	// Connections returns the maximum number of open connections.
-	Connections func() int
-	// Memory returns the maximum sum of what connections and requests hold, in bytes.
-	Memory func() int64
-	// RequestTime bounds the time from the first byte of a head to the last one of its body; 0: no
-	// bound.
-	RequestTime time.Duration
-	// RetryAfter is the value of the header Retry-After in refusals.
-	RetryAfter string
-	// ConnectionCost is the memory of an idle connection in bytes; 0: that of one without TLS.
-	ConnectionCost int64
-	// MinLifetime is the time that a connection has for its next progress before it may be closed
-	// for a new one; 0: a default.
-	MinLifetime time.Duration
-	// OnReject is called when a connection or request is rejected. It must not block.
-	OnReject func(Reason)
-}
-
-// Reason is why a connection or a request was rejected.
-type Reason string
-
-// The reasons.
-const (
-	// ReasonHead is a head over the limit or one that is not a request.
-	ReasonHead Reason = "head over the limit"
-	// ReasonHeadTime is a head that took longer than it may.
-	ReasonHeadTime Reason = "head takes too long"
-	// ReasonIdle is an idle connection that was closed for a new one.
-	ReasonIdle Reason = "idle while connections are used up"
-	// ReasonSlow is a connection whose request had not arrived, closed for a new one.
-	ReasonSlow Reason = "unfinished while connections are used up"
-	// ReasonConnections is a new connection for which no other could be closed.
-	ReasonConnections Reason = "no connection is left"
-	// ReasonMemory is a request for which no memory was left.
-	ReasonMemory Reason = "no memory is left for requests"
-	// ReasonRequests is a request beyond the number that may run.
-	ReasonRequests Reason = "too many requests"
-)
-
-// state is what a connection does. Connections are closed for new ones in the order of the states.
-type state int
-
-const (
-	stateEnding  state = iota // refused; the refusal is being sent
-	stateNew                  // has sent nothing yet
-	stateIdle                 // between requests
-	stateAhead                // waits with a request that was sent ahead
-	stateStalled              // does not take its answer
-	stateLarge                // a large request arrives
-	stateSmall                // a small request arrives
-	evictableStates
-	// stateRunning is a complete request. It is never ended for another one.
-	stateRunning
-	stateClosed
-)
-
-// isPassive reports whether a connection of this state may be closed at once, as nothing of a
-// request is expected to arrive.
-func (s state) isPassive() bool { return s == stateEnding || s == stateIdle || s == stateAhead }
-
 // Shares of a Guard's bounds.
 const (
 	// runningShare is the share of the connections whose requests may run at once. The others let
@@ -204,9 +108,9 @@
 func (g *Guard) admit(inner net.Conn) *Conn {
 	c := newConn(g, inner)
 	for {
-		most := g.maxConnections()
+		limit := g.maxConnections()
 		g.mu.Lock()
-		if g.open < most {
+		if g.open < limit {
 			g.open++
 			g.enter(c, stateNew)
 			g.mu.Unlock()
@@ -232,9 +136,9 @@
 	}
 }
 
-// awaitRoom waits until a connection has ended or become passive, at most for the given time.
-func (g *Guard) awaitRoom(most time.Duration) {
-	timer := time.NewTimer(most)
+// awaitRoom waits until a connection has ended or become passive, at most for the timeout.
+func (g *Guard) awaitRoom(timeout time.Duration) {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-g.room:
@@ -313,67 +217,6 @@
 	}
 }
 
-// release returns all memory that a connection holds. The caller holds g.mu.
-func (g *Guard) release(c *Conn) {
-	g.used -= c.held
-	g.stalled -= c.stalledBytes
-	c.held, c.stalledBytes = 0, 0
-}
-
-// reserve adds n bytes to what a connection holds. If memory is used up, it ends requests that
-// have been arriving for the longest time. It reports false if no room could be made or the
-// connection's own request was ended.
-func (g *Guard) reserve(c *Conn, n int64) bool {
-	total := g.config.Memory()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c.evicted || c.state == stateClosed {
-		return false
-	}
-	isLarge := c.held+n > largeRequest
-	if isLarge {
-		total = int64(largeShare * float64(total))
-	}
-	for g.used+n > total {
-		v := g.oldestArriving(c, isLarge)
-		if v == nil {
-			return false
-		}
-		g.evict(v)
-	}
-	g.used += n
-	c.held += n
-	if isLarge && c.state == stateSmall {
-		g.enter(c, stateLarge)
-	}
-	return true
-}
-
-// oldestArriving returns the request that is ended for another one, nil if there is none. Small
-// requests are not ended for large ones. The caller holds g.mu.
-func (g *Guard) oldestArriving(other *Conn, forLarge bool) *Conn {
-	for _, s := range []state{stateLarge, stateSmall} {
-		if forLarge && s == stateSmall {
-			return nil
-		}
-		for e := g.byState[s].Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*Conn); c != other && c.held > 0 {
-				return c
-			}
-		}
-	}
-	return nil
-}
-
-// evict ends a request that has not arrived: its next read fails. The caller holds g.mu.
-func (g *Guard) evict(c *Conn) {
-	g.config.OnReject(ReasonMemory)
-	g.release(c)
-	c.evicted = true
-	g.enter(c, stateEnding)
-	c.setInterrupted(true)
-}
-
 // begin follows the first byte of a request.
 func (g *Guard) begin(c *Conn) { g.move(c, stateSmall) }
 
@@ -391,10 +234,10 @@
 
 // mayRun reports whether another request may run.
 func (g *Guard) mayRun() bool {
-	most := int(runningShare * float64(g.maxConnections()))
+	limit := int(runningShare * float64(g.maxConnections()))
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.running < max(1, most)
+	return g.running < max(1, limit)
 }
 
 // run follows the last byte of a request.
@@ -423,40 +266,6 @@
 	}
 }
 
-// stall accounts for n bytes of an answer that the client does not take. It reports whether there
-// is room for them.
-func (g *Guard) stall(c *Conn, n int64) bool {
-	most := int64(stalledShare * float64(g.config.Memory()))
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c.state < evictableStates {
-		return true
-	}
-	if c.state == stateClosed || g.stalled+n > most {
-		return false
-	}
-	g.stalled += n
-	g.used += n
-	c.held += n
-	c.stalledBytes += n
-	g.enter(c, stateStalled)
-	return true
-}
-
-// resume follows a write that has ended after a stall.
-func (g *Guard) resume(c *Conn) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c.state != stateStalled {
-		return
-	}
-	g.used -= c.stalledBytes
-	g.stalled -= c.stalledBytes
-	c.held -= c.stalledBytes
-	c.stalledBytes = 0
-	g.enter(c, stateRunning)
-}
-
 // close ends the accounting of a connection that the HTTP server closes.
 func (g *Guard) close(c *Conn) {
 	g.mu.Lock()
--- a/entry/leafclient/sockets.go
+++ b/entry/leafclient/sockets.go
@@ -10,25 +10,25 @@
 
 // sockets counts the open sockets of all connection pools. The zero value has no limit.
 type sockets struct {
-	mu   sync.Mutex
-	open int
-	most int // 0: no limit
+	mu      sync.Mutex
+	open    int
+	maxOpen int // 0: no limit
 	// makeRoom closes an idle connection, and reports false if there is none.
 	makeRoom func() bool
 }
 
 // limit sets the limit.
-func (s *sockets) limit(most int, makeRoom func() bool) {
+func (s *sockets) limit(maxOpen int, makeRoom func() bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.most, s.makeRoom = most, makeRoom
+	s.maxOpen, s.makeRoom = maxOpen, makeRoom
 }
 
 // acquire counts a socket that is about to be opened.
 func (s *sockets) acquire() error {
 	for {
 		s.mu.Lock()
-		hasRoom := s.most == 0 || s.open < s.most
+		hasRoom := s.maxOpen == 0 || s.open < s.maxOpen
 		if hasRoom {
 			s.open++
 		}
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -138,10 +138,10 @@
 // makeRoom closes the oldest connection whose client has not authenticated itself if there are too
 // many of them, and waits for it to reach minHandshakeTime before.
 func (s *Server) makeRoom(ctx context.Context) {
-	most := max(1, min(maxHandshakes, int(handshakeShare*float64(s.config.MaxConnections))))
+	limit := max(1, min(maxHandshakes, int(handshakeShare*float64(s.config.MaxConnections))))
 	s.mu.Lock()
 	var oldest *session
-	if len(s.handshakes) >= most {
+	if len(s.handshakes) >= limit {
 		oldest = s.handshakes[0]
 	}
 	s.mu.Unlock()
