Bound what the kernel holds at all listeners together

What callers saw: an instance with crowds at its four listeners at once exceeded its memory, though each crowd by itself did not.

Cause: each listener had a queue of 1,024 connections with receive buffers of 32 KiB, whatever the memory of the process, and the runtime's own limit of 0.7 of the memory left too little beside them on small instances.

--- a/entry/hosted/hosted.go
+++ b/entry/hosted/hosted.go
@@ -245,17 +245,17 @@
 // Run serves until stop is closed and the instance has drained, or until the context ends.
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
 	defer n.close()
-	clients, err := n.listen(ctx, n.config.Listen)
+	clients, err := n.listen(ctx, n.config.Listen, ingress.ClientReceiveBuffer)
 	if err != nil {
 		return fmt.Errorf("listen for clients: %w", err)
 	}
 	defer clients.Close()
-	balancer, err := n.listen(ctx, n.config.ReadyAddress)
+	balancer, err := n.listen(ctx, n.config.ReadyAddress, ingress.AdminReceiveBuffer)
 	if err != nil {
 		return fmt.Errorf("listen for the balancer: %w", err)
 	}
 	defer balancer.Close()
-	peers, err := n.listen(ctx, n.config.PeerAddress)
+	peers, err := n.listen(ctx, n.config.PeerAddress, ingress.PeerReceiveBuffer)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
--- a/entry/hosted/ready.go
+++ b/entry/hosted/ready.go
@@ -21,7 +21,7 @@
 // serveMetrics serves the metrics on a separate address until the context ends.
 // If it can't listen there it only logs this, since readyServer has the metrics too.
 func (n *Node) serveMetrics(ctx context.Context) error {
-	l, err := ingress.ListenTCP(ctx, n.config.MetricsAddress)
+	l, err := n.listen(ctx, n.config.MetricsAddress, ingress.AdminReceiveBuffer)
 	if err != nil {
 		n.log.Component("node").Warn("can't listen on the metrics address", "err", err)
 		return nil
--- a/entry/hosted/resources.go
+++ b/entry/hosted/resources.go
@@ -45,15 +45,23 @@
 // LeafSocketsShare is the share of the sockets that connections to leaves may use.
 const LeafSocketsShare = 1 - otherSocketsShare - minClientSocketsShare
 
+// memory returns the memory limit in bytes, or what is assumed if it is not known.
+func (r Resources) memory() int64 {
+	if r.MemoryBytes == 0 {
+		return defaultMemory
+	}
+	return r.MemoryBytes
+}
+
 // clientMemory returns the memory for clients' connections and requests in bytes.
 func (r Resources) clientMemory() int64 {
-	total := r.MemoryBytes
-	if total == 0 {
-		total = defaultMemory
-	}
+	total := r.memory()
 	return int64(clientMemoryShare * float64(max(total-baseMemory, total/4)))
 }
 
+// acceptQueue returns the length of a listener's queue.
+func (r Resources) acceptQueue() int { return ingress.QueueFor(r.memory()) }
+
 // clientConnections returns the maximum number of clients' connections beside a number of
 // connections to leaves.
 func (r Resources) clientConnections(leafConnections int) int {
--- a/entry/hosted/serve.go
+++ b/entry/hosted/serve.go
@@ -33,10 +33,12 @@
 	listenRetryInterval = 100 * time.Millisecond
 )
 
-// listen opens a listening TCP socket; it retries while the address is in use.
-func (n *Node) listen(ctx context.Context, address string) (net.Listener, error) {
+// listen opens a listening TCP socket whose connections have receive buffers of the given size in bytes;
+// it retries while the address is in use.
+func (n *Node) listen(ctx context.Context, address string, receiveBuffer int) (net.Listener, error) {
+	options := ingress.ListenOptions{ReceiveBuffer: receiveBuffer, Queue: n.tunables.Load().Resources.acceptQueue()}
 	for startedAt := time.Now(); ; sleep(ctx, listenRetryInterval) {
-		l, err := ingress.ListenTCP(ctx, address)
+		l, err := ingress.ListenTCP(ctx, address, options)
 		if err == nil || ctx.Err() != nil || !errors.Is(err, syscall.EADDRINUSE) || time.Since(startedAt) >= listenRetryPeriod {
 			return l, err
 		}
--- a/entry/ingress/conn_test.go
+++ b/entry/ingress/conn_test.go
@@ -212,3 +212,12 @@
 		t.Errorf("a body over the limit: %v", err)
 	}
 }
+
+// TestQueueFollowsMemory checks the length of the queue of connections that wait to be accepted.
+func TestQueueFollowsMemory(t *testing.T) {
+	for memory, want := range map[int64]int{1 << 20: 64, 64 << 20: 256, 96 << 20: 384, 284 << 20: 1024} {
+		if got := QueueFor(memory); got != want {
+			t.Errorf("%d MB: %d, want %d", memory>>20, got, want)
+		}
+	}
+}
--- a/entry/ingress/listener.go
+++ b/entry/ingress/listener.go
@@ -39,23 +39,42 @@
 	}
 }
 
-// Sizes of a connection's buffers in the kernel, in bytes; it doubles them.
+// sendBuffer is the size of a connection's send buffer in the kernel, which doubles it, in bytes.
+const sendBuffer = 128 << 10
+
+// ListenOptions bound what the kernel holds for a listener: the product of both values, twice, as the
+// kernel doubles the buffer. Options that the kernel does not take are no reason not to serve.
+type ListenOptions struct {
+	// ReceiveBuffer is the size of a connection's receive buffer in bytes.
+	ReceiveBuffer int
+	// Queue is the maximum number of connections that wait to be accepted.
+	Queue int
+}
+
+// Receive buffers in bytes. The cost of a connection's request includes that of clients.
+const (
+	ClientReceiveBuffer = 16 << 10
+	// PeerReceiveBuffer holds most messages of instances.
+	PeerReceiveBuffer = 8 << 10
+	// AdminReceiveBuffer holds a request without a body.
+	AdminReceiveBuffer = 4 << 10
+)
+
 const (
-	// receiveBuffer bounds what a client sends ahead; requestCost includes it.
-	receiveBuffer = 16 << 10
-	sendBuffer    = 128 << 10
+	// maxQueue is the maximum length of a queue, and minQueue the minimum of QueueFor.
+	maxQueue, minQueue = 1024, 64
+	// memoryPerQueued is the memory of the process for each connection in a queue, in bytes.
+	memoryPerQueued = 256 << 10
 )
 
-// acceptQueue is the maximum number of connections that wait to be accepted. Each may hold a full
-// receive buffer.
-const acceptQueue = 1024
+// QueueFor returns the length of the queue of a process with some memory in bytes.
+func QueueFor(memory int64) int { return int(min(max(memory/memoryPerQueued, minQueue), maxQueue)) }
 
-// ListenTCP opens a listening TCP socket whose connections have small buffers in the kernel.
-func ListenTCP(ctx context.Context, address string) (net.Listener, error) {
+// ListenTCP opens a listening TCP socket.
+func ListenTCP(ctx context.Context, address string, o ListenOptions) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
-			// Buffers of another size are no reason not to serve.
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, o.ReceiveBuffer)
 			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
 		})
 	}}
@@ -64,17 +83,16 @@
 		return nil, err
 	}
 	if tcp, ok := l.(*net.TCPListener); ok {
-		limitAcceptQueue(tcp)
+		limitQueue(tcp, o.Queue)
 	}
 	return l, nil
 }
 
-// limitAcceptQueue replaces the length of the accept queue that package net has set. Another length
-// is no reason not to serve.
-func limitAcceptQueue(l *net.TCPListener) {
+// limitQueue replaces the length of the queue that package net has set.
+func limitQueue(l *net.TCPListener, length int) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), acceptQueue) })
+	_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), length) })
 }
--- a/entry/node/listen.go
+++ b/entry/node/listen.go
@@ -22,10 +22,13 @@
 			l.close()
 		}
 	}()
-	if l.callers, err = ingress.ListenTCP(ctx, n.settings.Listen.Callers); err != nil {
+	queue := ingress.QueueFor(n.settings.Limits.MemoryBytes)
+	clients := ingress.ListenOptions{ReceiveBuffer: ingress.ClientReceiveBuffer, Queue: queue}
+	peers := ingress.ListenOptions{ReceiveBuffer: ingress.PeerReceiveBuffer, Queue: queue}
+	if l.callers, err = ingress.ListenTCP(ctx, n.settings.Listen.Callers, clients); err != nil {
 		return l, fmt.Errorf("listen for callers: %w", err)
 	}
-	if l.peers, err = ingress.ListenTCP(ctx, n.settings.Listen.Peers); err != nil {
+	if l.peers, err = ingress.ListenTCP(ctx, n.settings.Listen.Peers, peers); err != nil {
 		return l, fmt.Errorf("listen for peers: %w", err)
 	}
 	if n.peerTLS != nil {
@@ -34,7 +37,7 @@
 	if n.operators == nil {
 		return l, nil
 	}
-	if l.operators, err = ingress.ListenTCP(ctx, n.settings.Listen.Operators); err != nil {
+	if l.operators, err = ingress.ListenTCP(ctx, n.settings.Listen.Operators, clients); err != nil {
 		return l, fmt.Errorf("listen for operators: %w", err)
 	}
 	return l, nil
--- a/standin/crowd/hosted_test.go
+++ b/standin/crowd/hosted_test.go
@@ -256,6 +256,43 @@
 	s.check(testMemory, testDescriptors)
 }
 
+// littleMemory is the memory of an instance with less than any site has.
+const littleMemory = 64 << 20
+
+// TestCrowdWithLittleMemory has crowds come whose requests fill the memory.
+func TestCrowdWithLittleMemory(t *testing.T) {
+	for _, name := range []string{
+		"heads of small fields just short of their end", "bodies just short of their length", "bodies in chunks of one byte just short of their end", "whole bodies",
+	} {
+		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
+			s := startSiteWith(t, littleMemory, testDescriptors)
+			besideAndAfter(t, Start(kindNamed(t, name), s.target("/one/slow"), crowdSize), s.isServed)
+			s.check(littleMemory, testDescriptors)
+		})
+	}
+}
+
+// TestCrowdsAtAllListeners has crowds come to all listeners at once.
+func TestCrowdsAtAllListeners(t *testing.T) {
+	s := startSiteWith(t, littleMemory, testDescriptors)
+	kind := kindNamed(t, "bodies just short of their length")
+	crowds := []*Crowd{
+		Start(kind, s.target("/one/"), crowdSize),
+		Start(Kind{Script: func(Target) Script { return peerScripts["messages_held"] }}, Target{Address: s.peers}, crowdSize),
+	}
+	for at, address := range map[string]string{"ready": s.ready, "metrics": s.metrics} {
+		target := Target{Address: address, Request: "GET /" + at + " HTTP/1.1", Fields: "Host: x\r\n", BodyBytes: int(limits.BodyBytes)}
+		crowds = append(crowds, Start(kind, target, crowdSize))
+	}
+	time.Sleep(crowdTime)
+	await(t, "an ordinary answer beside the crowds", s.isServed)
+	for _, c := range crowds {
+		c.Stop()
+	}
+	await(t, "an ordinary answer after the crowds", s.isServed)
+	s.check(littleMemory, testDescriptors)
+}
+
 // Limits of an instance of the small sites, and the size of the crowds that come to it.
 const (
 	fullMemory      = 284 << 20
