--- a/standin/crowd/crowd.go
+++ b/standin/crowd/crowd.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +23,8 @@
 	// Fields are the header fields of a complete request but those that frame its body, each
 	// ended by CRLF.
 	Fields string
+	// TLS is the configuration of the clients' TLS; nil: plain TCP.
+	TLS *tls.Config
 	// HeadBytes and BodyBytes are the largest head and body that a request may have.
 	HeadBytes, BodyBytes int
 }
@@ -64,7 +67,7 @@
 	for range n {
 		c.clients.Go(func() {
 			for ctx.Err() == nil {
-				script.play(ctx, t.Address)
+				script.play(ctx, t)
 				select {
 				case <-ctx.Done():
 				case <-time.After(reconnectDelay):
@@ -85,12 +88,15 @@
 const dialTimeout = 5 * time.Second
 
 // play plays the script on one connection, until either side closes it.
-func (s *Script) play(ctx context.Context, address string) {
+func (s *Script) play(ctx context.Context, t Target) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, "tcp", t.Address)
 	if err != nil {
 		return
 	}
+	if t.TLS != nil {
+		conn = tls.Client(conn, t.TLS)
+	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	ended := make(chan struct{})
--- a/standin/crowd/hosted_test.go
+++ b/standin/crowd/hosted_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,6 +71,15 @@
 
 // startSiteWith is startSite with other limits.
 func startSiteWith(t *testing.T, memory int64, descriptors int) *hostedSite {
+	t.Helper()
+	s := startUnconfigured(t, memory, descriptors)
+	s.configure(t, limits)
+	await(t, "the first answer", func() bool { return s.post("/one/") == http.StatusOK })
+	return s
+}
+
+// startUnconfigured is startSiteWith without a configuration.
+func startUnconfigured(t *testing.T, memory int64, descriptors int) *hostedSite {
 	t.Helper()
 	s := &hostedSite{store: platform.New(platform.Settings{})}
 	ip := nextIP()
@@ -99,7 +109,6 @@
 		}
 		hosted.Register(s.store, hosted.Leaf{ID: "leaf-" + service, Service: service, Zone: "a", Address: leaf.Address()})
 	}
-	s.configure(t, limits)
 	addresses, err := hosted.FreeAddresses(ip, 3)
 	if err != nil {
 		t.Fatal(err)
@@ -122,7 +131,6 @@
 		t.Fatal(err)
 	}
 	s.process = startProcess(t, []string{"hosted"}, []string{hosted.SettingsVariable + "=" + path}, append(addresses, s.metrics))
-	await(t, "the first answer", func() bool { return s.post("/one/") == http.StatusOK })
 	return s
 }
 
@@ -168,8 +176,15 @@
 
 // statusOf sends a request on a new connection and returns the status of its complete answer, 0 if
 // there is none.
-func statusOf(req *http.Request) int {
-	client := http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+func statusOf(req *http.Request) int { return statusBy(newClient(), req) }
+
+// newClient returns a client that opens a connection for each request.
+func newClient() *http.Client {
+	return &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// statusBy is statusOf with a client.
+func statusBy(client *http.Client, req *http.Request) int {
 	resp, err := client.Do(req)
 	if err != nil {
 		return 0
@@ -272,6 +287,42 @@
 	}
 }
 
+// TestCrowdBeforeTheFirstConfiguration has crowds come to an instance without a configuration, which
+// then gets one.
+func TestCrowdBeforeTheFirstConfiguration(t *testing.T) {
+	for _, name := range []string{"heads held open over the limit", "bodies just short of their length", "whole bodies"} {
+		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
+			s := startUnconfigured(t, testMemory, testDescriptors)
+			crowd := Start(kindNamed(t, name), s.target("/one/"), crowdSize)
+			await(t, "a refusal without a configuration", func() bool { return s.post("/other/") == http.StatusServiceUnavailable })
+			time.Sleep(crowdTime)
+			s.configure(t, limits)
+			besideAndAfter(t, crowd, s.isServed)
+			s.check(testMemory, testDescriptors)
+		})
+	}
+}
+
+// TestCrowdDuringStop has an instance end gracefully beside crowds.
+func TestCrowdDuringStop(t *testing.T) {
+	for _, name := range []string{"heads held open over the limit", "bodies just short of their length", "bodies in chunks of one byte just short of their end", "silent connections"} {
+		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
+			s := startSite(t)
+			crowd := Start(kindNamed(t, name), s.target("/one/"), crowdSize)
+			time.Sleep(crowdTime)
+			if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			await(t, "the end of the process", func() bool { return !s.isAlive() })
+			crowd.Stop()
+			s.unwatch()
+			if code := s.cmd.ProcessState.ExitCode(); code != 0 || s.memory > testMemory || s.descriptors > testDescriptors {
+				t.Errorf("exit code %d, %d MB, %d descriptors:\n%s", code, s.memory>>20, s.descriptors, s.lastLog())
+			}
+		})
+	}
+}
+
 // TestCrowdsAtAllListeners has crowds come to all listeners at once.
 func TestCrowdsAtAllListeners(t *testing.T) {
 	s := startSiteWith(t, littleMemory, testDescriptors)
