Refusals of serve don't wait for the rest of a body

What callers saw: a request of an unknown caller whose body does not arrive was refused after read_timeout only.

Cause: the HTTP server reads up to 256 KiB of an unread body before it sends a refusal. Hosted instances bounded that by 50 ms; serve, whose own limit on bodies used to close the connection at once, did not any more. The bound of hosted instances was also set on requests that had arrived whole, where it could end the connection of a caller that was refused.

Evidence: by reading; TestRefusalDoesNotWaitForTheBody measures 50 ms of virtual time, and a body that comes within it keeps its connection. Change: one place for both, only for requests that have not arrived whole. TestSingleRequestsOfServe has the limits of serve one by one; it passes.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -111,7 +111,7 @@
 	req, refused := g.buildRequest(w, r, start)
 	if refused != nil {
 		g.logRefusal(r, refused, start)
-		boundUnreadBody(w, r)
+		ingress.BoundUnreadBody(r.Context())
 		refused.toReply().write(w, r.Method)
 		return
 	}
--- a/entry/gateway/headers.go
+++ b/entry/gateway/headers.go
@@ -58,15 +58,3 @@
 		return nil, &refusal{status: http.StatusBadRequest, detail: "the body did not come whole"}
 	}
 }
-
-// unreadBodyTime is the time in which the rest of a refused request's body may arrive. If it does,
-// the connection can be used again.
-const unreadBodyTime = 50 * time.Millisecond
-
-// boundUnreadBody bounds the time for which the HTTP server reads the rest of a refused request's
-// body, which it does before it sends the refusal.
-func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
-	if r.Body != nil && r.Body != http.NoBody {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime)) // not supported by writers without a connection
-	}
-}
--- a/entry/ingress/body.go
+++ b/entry/ingress/body.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
 // ErrNoMemory means that no memory is left for a request. The request has not run.
@@ -87,6 +88,18 @@
 	return nil
 }
 
+// unreadBodyTime is the time in which the rest of a refused request's body may arrive. If it does,
+// the connection can be used again.
+const unreadBodyTime = 50 * time.Millisecond
+
+// BoundUnreadBody bounds the time for which the HTTP server reads the rest of a refused request's
+// body, which it does before it sends the refusal.
+func BoundUnreadBody(ctx context.Context) {
+	if c, ok := accountOf(ctx).(*Conn); ok && c.guard.isArriving(c) {
+		_ = c.SetReadDeadline(time.Now().Add(unreadBodyTime)) // fails on a closed connection, as the next read does
+	}
+}
+
 // Sizes of the buffer of a body in bytes.
 const (
 	// firstBodyBuffer is the largest first buffer; requestCost includes it.
--- a/entry/ingress/conn_test.go
+++ b/entry/ingress/conn_test.go
@@ -44,6 +44,11 @@
 	server := &http.Server{
 		ConnContext: WithAccount, ConnState: ConnState,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/refused" {
+				BoundUnreadBody(r.Context())
+				http.Error(w, "refused", http.StatusForbidden)
+				return
+			}
 			body, err := ReadBody(r, 1<<20)
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusBadRequest)
@@ -164,6 +169,31 @@
 	})
 }
 
+// TestRefusalDoesNotWaitForTheBody refuses requests whose body does not arrive, arrives late, or has
+// arrived.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dial := serve(t, func() Limits { return Limits{} })
+		conn, start := dial(), time.Now()
+		go func() {
+			_, _ = io.WriteString(conn, "POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nhalf") // closed meanwhile
+		}()
+		got := answers(t, bufio.NewReader(conn), 1)[0]
+		if took := time.Since(start); got != "403 refused\n" || took != unreadBodyTime {
+			t.Errorf("a body that does not arrive: %q after %v", got, took)
+		}
+		conn = dial()
+		go func() {
+			_, _ = io.WriteString(conn, "POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\na")
+			time.Sleep(unreadBodyTime / 2)
+			_, _ = io.WriteString(conn, "bPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab")
+		}()
+		if got := fmt.Sprint(answers(t, bufio.NewReader(conn), 2)); got != "[403 refused\n 200 2]" {
+			t.Errorf("a body that arrives a little later: %q", got)
+		}
+	})
+}
+
 // TestIdleTimeOfTheLimitsInForce makes the idle time longer while a connection is idle.
 func TestIdleTimeOfTheLimitsInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/ingress/guard.go
+++ b/entry/ingress/guard.go
@@ -279,3 +279,10 @@
 	defer g.mu.Unlock()
 	return c.evicted
 }
+
+// isArriving reports whether a part of the connection's request has not arrived.
+func (g *Guard) isArriving(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.state == stateSmall || c.state == stateLarge
+}
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -108,7 +108,7 @@
 	e.HTTPErrorHandler = writeError
 	s := &Server{config: c, echo: e, guard: ingress.NewGuard(c.Limits.guardConfig(c.TLS != nil, c.OnReject))}
 	s.http = &http.Server{Handler: e, MaxHeaderBytes: maxServerHeaderBytes, ConnContext: ingress.WithAccount, ConnState: ingress.ConnState}
-	e.Use(middleware.Recover(), s.closeConnectionsWhileLeaving)
+	e.Use(middleware.Recover(), boundUnreadBody, s.closeConnectionsWhileLeaving)
 	e.POST(callerapi.PathQuery, s.query)
 	e.POST(callerapi.PathRouted, s.query)
 	s.addOperational(e)
@@ -126,6 +126,14 @@
 	}
 }
 
+// boundUnreadBody lets a refusal not wait for the rest of the request's body.
+func boundUnreadBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		defer ingress.BoundUnreadBody(c.Request().Context())
+		return next(c)
+	}
+}
+
 // Echo returns the router, to which other packages add operators' paths.
 func (s *Server) Echo() *echo.Echo { return s.echo }
 
--- a/standin/crowd/single_test.go
+++ b/standin/crowd/single_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/fuchsiaroad/fuchsiaroad/config/samples"
 	"github.com/fuchsiaroad/fuchsiaroad/standin/hosted"
 )
 
@@ -205,3 +206,22 @@
 		return status == http.StatusNotFound
 	})
 }
+
+// TestSingleRequestsOfServe has requests at and over the limits of the product's own interface.
+func TestSingleRequestsOfServe(t *testing.T) {
+	s := startServed(t)
+	fields := func(caller string) string {
+		return "Host: " + s.callers + "\r\nAuthorization: Bearer " + samples.Token(caller) + "\r\n"
+	}
+	target := Target{Request: "POST /v1/services/ask/query HTTP/1.1", Fields: fields("desk")}
+	connect(t, s.callers).send(target.headOf(16_384, 500)).want("head within the limit", http.StatusOK)
+	connect(t, s.callers).send(target.headOf(16_385, 500)).want("head over the limit", http.StatusRequestHeaderFieldsTooLarge)
+	connect(t, s.callers).send(target.sized(serveBody)).want("body within the limit", http.StatusOK)
+	connect(t, s.callers).send(target.chunked(serveBody, 1)).want("body in chunks of one byte within the limit", http.StatusOK)
+	connect(t, s.callers).send(target.sized(serveBody+1)).want("body over the limit", http.StatusRequestEntityTooLarge)
+	connect(t, s.callers).send(target.chunked(serveBody+1, 1000)).want("body in chunks over the limit", http.StatusRequestEntityTooLarge)
+	connect(t, s.callers).send(cut(target.sized(5000), 4999)).want("body that stops after a byte", http.StatusRequestTimeout)
+	connect(t, s.callers).send([]byte(target.Request+"\r\n")).want("head without its end", http.StatusRequestTimeout)
+	unknown := Target{Request: target.Request, Fields: fields("nobody")}
+	connect(t, s.callers).send(cut(unknown.sized(5000), 4999)).want("unknown caller whose body does not arrive", http.StatusUnauthorized)
+}
