Tests of fleets in virtual time run at once

Change: the cases of its five longest tests, each with a clock of its own, run in parallel. What they check, their seeds and times are the same.

--- a/entry/hosted/crashing_test.go
+++ b/entry/hosted/crashing_test.go
@@ -299,6 +299,7 @@
 		{name: "leaves crash for other reasons", instances: 8, shards: 20, each: 2, restartTime: 3300 * time.Millisecond, route: wideRoute, duration: 2 * time.Minute, interval: 200 * time.Millisecond, disturb: crashLeaves},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f, farm := newCrashingFleet(t, tc.instances, tc.shards, tc.each, tc.restartTime)
 				defer f.stopAll()
--- a/entry/hosted/freshness_test.go
+++ b/entry/hosted/freshness_test.go
@@ -51,6 +51,7 @@
 		silent bool
 	}{{"61 refused", 61, false}, {"61 silent", 61, true}, {"195 silent", 195, true}} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				worst := worstServedAge(t, c.size, c.silent)
 				t.Logf("worst age %v", worst)
@@ -206,6 +207,7 @@
 func TestServedInstancesStayWithinBound(t *testing.T) {
 	for seed := range uint64(20) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { runStoreFaults(t, rand.New(rand.NewPCG(seed, 30))) })
 		})
 	}
@@ -272,6 +274,7 @@
 func TestServedInstancesStayWithinBoundDuringPeerFaults(t *testing.T) {
 	for seed := range uint64(6) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { runPeerFaults(t, rand.New(rand.NewPCG(seed, 31))) })
 		})
 	}
--- a/entry/hosted/removal_test.go
+++ b/entry/hosted/removal_test.go
@@ -137,6 +137,7 @@
 		{24, 6 * time.Second, 0, 2800 * time.Millisecond},
 	} {
 		t.Run(fmt.Sprintf("%d within %v, answers take %v to %v", tc.instances, tc.bound, tc.min, tc.max), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				f, list := newLeafFleet(t, tc.instances, tc.bound, leaves)
 				defer f.stopAll()
