ingress: an ended request leaves its lane at once

Cause: the guard ends a request for lack of memory and counts its memory as free, but the request went on waiting in the lane of bodies in chunks, with all that it had received, until a place was free or its deadline of 4 s had passed. The same holds for a connection that is closed for a new one, and for the lane of requests sent ahead.

Ruled out: the runtime's soft limit (its goal was kept within 3 MB) and what the kernel holds (13 MB each time).

Change: ending a request or a connection cancels its waits. A wait that begins after the end does not begin.

TestEndedRequestLeavesTheLane failed without the change: 59m59s in the lane.

--- a/entry/ingress/conn.go
+++ b/entry/ingress/conn.go
@@ -157,7 +157,7 @@
 		c.guard.run(c)
 	case phaseSized:
 	default:
-		if n > 0 && c.bodyBytes > chunkLaneBytes && !c.chunks.enter(c.readDeadline()) {
+		if n > 0 && c.bodyBytes > chunkLaneBytes && !c.chunks.enter(c.readDeadline(), c.isEnded) {
 			return 0, os.ErrDeadlineExceeded
 		}
 	}
@@ -190,6 +190,15 @@
 	return time.Now().Add(defaultHeadTime)
 }
 
+// isEnded reports whether the guard has ended the connection or its request.
+func (c *Conn) isEnded() bool { return c.guard.hasEnded(c) }
+
+// cancelWaits ends waits in the lanes, so that what the connection holds becomes free at once.
+func (c *Conn) cancelWaits() {
+	c.chunks.cancel()
+	c.ahead.cancel()
+}
+
 // setState follows the state that the HTTP server reports.
 func (c *Conn) setState(s http.ConnState) {
 	switch s {
--- a/entry/ingress/guard.go
+++ b/entry/ingress/guard.go
@@ -181,6 +181,7 @@
 	}
 	g.release(c)
 	g.enter(c, stateClosed)
+	c.cancelWaits()
 	g.open--
 	g.notifyRoom()
 }
@@ -280,6 +281,13 @@
 	return c.evicted
 }
 
+// hasEnded reports whether the connection is closed or its request was ended for lack of memory.
+func (g *Guard) hasEnded(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.evicted || c.state == stateClosed
+}
+
 // isArriving reports whether a part of the connection's request has not arrived.
 func (g *Guard) isArriving(c *Conn) bool {
 	g.mu.Lock()
--- a/entry/ingress/guard_test.go
+++ b/entry/ingress/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -123,6 +124,49 @@
 	}
 }
 
+// TestEndedRequestLeavesTheLane ends a request, and closes a connection for a new one, while they
+// wait in a lane: what they hold has to become free at once.
+func TestEndedRequestLeavesTheLane(t *testing.T) {
+	ends := map[string]func(g *Guard, c *Conn){
+		"request ended for lack of memory": func(g *Guard, c *Conn) { g.evict(c) },
+		"connection closed for a new one":  func(g *Guard, c *Conn) { g.detach(c) },
+	}
+	for name, end := range ends {
+		for _, before := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, before the wait %v", name, before), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g, _ := newTestGuard(100)
+					for range chunkLaneSize {
+						holder := admitPipe(t, g)
+						if !holder.chunks.enter(time.Now(), holder.isEnded) {
+							t.Fatal("no place in an empty lane")
+						}
+					}
+					c := admitPipe(t, g)
+					g.begin(c)
+					endLocked := func() {
+						g.mu.Lock()
+						defer g.mu.Unlock()
+						end(g, c)
+					}
+					if before {
+						endLocked()
+					} else {
+						time.AfterFunc(time.Second, endLocked)
+					}
+					start := time.Now()
+					if c.chunks.enter(start.Add(time.Hour), c.isEnded) {
+						t.Fatal("a place beyond the size of the lane")
+					}
+					if waited := time.Since(start); waited > time.Second {
+						t.Errorf("waited %v in the lane after the end", waited-time.Second)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestStalledAnswersAreBounded has clients that do not take their answers.
 func TestStalledAnswersAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/ingress/lane.go
+++ b/entry/ingress/lane.go
@@ -44,26 +44,45 @@
 type place struct {
 	lane *lane
 	held atomic.Bool
+	// cancelWait ends the wait for the place; nil while there is none.
+	cancelWait atomic.Pointer[context.CancelFunc]
 }
 
-// enter takes a place, or waits for one until the deadline. It reports whether it has the place.
-func (p *place) enter(deadline time.Time) bool {
+// enter takes a place, or waits for one until the deadline or the next call of cancel. It reports
+// whether it has the place. It does not wait if isCancelled, which is asked when cancel has an effect,
+// reports an earlier end.
+func (p *place) enter(deadline time.Time, isCancelled func() bool) bool {
 	if p.held.Load() {
 		return true
 	}
-	if !p.lane.places.TryAcquire(1) {
-		ctx, cancel := context.WithDeadline(context.Background(), deadline)
-		defer cancel()
-		p.lane.waiting.Add(1)
-		defer p.lane.waiting.Add(-1)
-		if p.lane.places.Acquire(ctx, 1) != nil {
-			return false
-		}
+	if !p.lane.places.TryAcquire(1) && !p.wait(deadline, isCancelled) {
+		return false
 	}
 	p.held.Store(true)
 	return true
 }
 
+// wait is the part of enter that waits.
+func (p *place) wait(deadline time.Time, isCancelled func() bool) bool {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	p.cancelWait.Store(&cancel)
+	defer p.cancelWait.Store(nil)
+	if isCancelled() {
+		return false
+	}
+	p.lane.waiting.Add(1)
+	defer p.lane.waiting.Add(-1)
+	return p.lane.places.Acquire(ctx, 1) == nil
+}
+
+// cancel ends a wait for the place.
+func (p *place) cancel() {
+	if cancel := p.cancelWait.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // leave gives the place back, if it is held.
 func (p *place) leave() {
 	if !p.held.Swap(false) {
--- a/entry/ingress/memory.go
+++ b/entry/ingress/memory.go
@@ -59,6 +59,7 @@
 	c.evicted = true
 	g.enter(c, stateEnding)
 	c.setInterrupted(true)
+	c.cancelWaits()
 }
 
 // stall accounts for n bytes of an answer that the client does not take. It reports whether there
--- a/entry/ingress/receive.go
+++ b/entry/ingress/receive.go
@@ -145,7 +145,7 @@
 func (c *Conn) accept() error {
 	if c.sentAhead >= minSentAhead {
 		c.guard.wait(c)
-		if !c.ahead.enter(time.Now().Add(c.guard.limits().HeadTime)) {
+		if !c.ahead.enter(time.Now().Add(c.guard.limits().HeadTime), c.isEnded) {
 			return c.refuse(http.StatusServiceUnavailable, ReasonRequests)
 		}
 		c.guard.begin(c)
