--- a/entry/ingress/lane.go
+++ b/entry/ingress/lane.go
@@ -48,9 +48,8 @@
 	cancelWait atomic.Pointer[context.CancelFunc]
 }
 
-// enter takes a place, or waits for one until the deadline or the next call of cancel. It reports
-// whether it has the place. It does not wait if isCancelled, which is asked when cancel has an effect,
-// reports an earlier end.
+// enter takes a place, or waits for one until the deadline or a call of cancel. It reports whether it
+// has the place. isCancelled reports a call that came before the wait.
 func (p *place) enter(deadline time.Time, isCancelled func() bool) bool {
 	if p.held.Load() {
 		return true
